--- /dev/null
+++ b/papayaward/protocol/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/papayaward/protocol/papayaward.thrift
@@ -0,0 +1,165 @@
+// Messages between the processes of papayaward. Fields are only ever added,
+// never renumbered; Hello.protocol_version names the oldest form understood.
+namespace py gen
+
+struct Hello {
+  1: i32 protocol_version
+  2: string member
+  3: i64 incarnation
+  4: string role
+  5: string region
+  6: string domain
+  7: string service_name
+  8: string address
+  9: i64 config_version
+  10: bool draining
+}
+
+// stamp_us and echo_us are readings of the sender's and the receiver's own
+// monotonic clocks; evidence_age_ms is -1 when the sender has no evidence.
+struct Heartbeat {
+  1: i64 stamp_us
+  2: i64 echo_us
+  3: i64 config_version
+  4: i64 evidence_age_ms
+  5: bool draining
+  6: bool ready
+  7: i32 queued
+}
+
+struct ConfigPull {
+  1: i64 have_version
+}
+
+struct ConfigPush {
+  1: i64 version
+  2: binary text
+}
+
+struct Member {
+  1: string member
+  2: i64 incarnation
+  3: string address
+  4: string domain
+  5: string service_name
+}
+
+struct Members {
+  1: list<Member> members
+}
+
+struct IdBlockRequest {
+  1: i64 request_id
+  2: i32 count
+}
+
+struct IdBlock {
+  1: i64 request_id
+  2: i64 first
+  3: i32 count
+  4: i32 ttl_ms
+}
+
+struct Submit {
+  1: i64 request_id
+  2: string job_id
+  3: string service_name
+  4: string tenant
+  5: string job_class
+  6: i32 deadline_ms
+  7: bool idempotent
+  8: list<binary> tasks
+}
+
+struct Accepted {
+  1: i64 request_id
+}
+
+struct Fetch {
+  1: i64 request_id
+  2: string job_id
+  3: bool wait
+}
+
+// Asks the home to refuse an identifier for good unless it is already in use.
+struct Refuse {
+  1: i64 request_id
+  2: string job_id
+  3: string reason
+}
+
+struct Answer {
+  1: i64 request_id
+  2: string job_id
+  3: string outcome
+  4: string reason
+  5: string detail
+  6: list<binary> results
+  7: i32 retry_after_ms
+  8: i32 started
+  9: i64 queue_us
+  10: i64 service_us
+}
+
+struct Cancel {
+  1: i64 request_id
+  2: list<string> job_ids
+}
+
+struct CancelReply {
+  1: i64 request_id
+  2: i32 cancelled
+}
+
+struct Query {
+  1: i64 request_id
+  2: string kind
+  3: string argument
+}
+
+struct QueryReply {
+  1: i64 request_id
+  2: binary document
+}
+
+struct Grant {
+  1: string job_id
+  2: i32 index
+  3: i32 attempt
+  4: binary body
+  5: i32 deadline_ms
+  6: string tenant
+  7: string job_class
+}
+
+struct RunBatch {
+  1: i64 executor_incarnation
+  2: list<Grant> grants
+}
+
+struct TaskResult {
+  1: string job_id
+  2: i32 index
+  3: i32 attempt
+  4: i32 status
+  5: binary body
+  6: i64 service_us
+  7: string reason
+}
+
+// used_by_others counts the slots in use for coordinators other than the
+// receiver, which knows its own use exactly.
+struct SlotReport {
+  1: i32 slots
+  2: i32 used_by_others
+  3: bool accepting
+}
+
+struct ResultBatch {
+  1: list<TaskResult> results
+  2: SlotReport report
+}
+
+struct CancelTasks {
+  1: list<string> job_ids
+}
