Report every finding of the operators' text with its place

Cause: the check stopped at the first wrong value of an object, gave line 1, column 1 for each finding, ignored unknown keys and lists of a wrong type, and accepted duplicate names, cycles, unknown references, quotas above 1 and a text without services. Change: one table of keys checks types and ranges (config_schema), a second pass checks the text as a whole (config_rules). Positions come from a scanner that runs only when there are findings (json_positions). Running processes ignore unknown keys, so that a key of a newer program cannot hold an older one back; entries refuse them when an operator applies a text. Also found: a class whose default deadline is longer than limits.max_deadline_ms had all its jobs refused; this is a finding now.

--- a/papayaward/coordination/config_sync.py
+++ b/papayaward/coordination/config_sync.py
@@ -58,7 +58,7 @@
         if version <= self._version:
             return False
         try:
-            config = parse_config(text)
+            config = parse_config(text, allow_unknown=True)
         except ConfigError as error:
             # Entries check every text before they write it, so this is a text
             # written by another program; the old version stays in force.
--- /dev/null
+++ b/papayaward/protocol/config_model.py
@@ -0,0 +1,132 @@
+"""
+papayaward.protocol.config_model
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Data classes of the operators' text and of the findings in it.
+"""
+
+from dataclasses import dataclass, field
+
+__all__ = [
+    "ConfigError",
+    "Finding",
+    "FleetConfig",
+    "JobClass",
+    "Limits",
+    "Service",
+    "Tenant",
+]
+
+
+@dataclass(frozen=True)
+class Finding:
+    """One place where the text is not allowed.
+
+    Attributes:
+        place: Path such as `services[2].depends_on[0]`, `$` for the whole text.
+        line: Line, from 1.
+        column: Column in characters, from 1.
+        found: Value found there, as text.
+        allowed: What is allowed there.
+    """
+
+    place: str
+    line: int
+    column: int
+    found: str
+    allowed: str
+
+    def __str__(self):
+        where = f"{self.place} (line {self.line}, column {self.column})"
+        return f"{where}: found {self.found}, allowed is {self.allowed}"
+
+
+class ConfigError(Exception):
+    """An operators' text with findings.
+
+    Attributes:
+        findings: Tuple of `Finding`.
+    """
+
+    def __init__(self, findings):
+        super().__init__("; ".join(map(str, findings)))
+        self.findings = tuple(findings)
+
+
+@dataclass(frozen=True)
+class Service:
+    """A service that upstreams offer.
+
+    Attributes:
+        name: Name used by callers and upstreams.
+        depends_on: Names of the services it calls while it runs.
+        cells: Number of groups of runners, each with one queue.
+    """
+
+    name: str
+    depends_on: tuple = ()
+    cells: int = 1
+
+
+@dataclass(frozen=True)
+class Tenant:
+    """A tenant.
+
+    Attributes:
+        name: Name used by callers.
+        weight: Share of the slots beyond all quotas, relative to other tenants.
+        quota: Guaranteed share of a service's slots, 0 to 1.
+    """
+
+    name: str
+    weight: float = 1.0
+    quota: float = 0.0
+
+
+@dataclass(frozen=True)
+class JobClass:
+    """A class of jobs.
+
+    Attributes:
+        name: Name used by callers.
+        priority: Lower values are started first.
+        deadline_ms: Deadline of jobs that state none.
+    """
+
+    name: str
+    priority: int = 10
+    deadline_ms: int = 30_000
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Limits on jobs.
+
+    Attributes:
+        max_tasks: Most tasks in one job.
+        max_deadline_ms: Longest deadline that a job may state.
+    """
+
+    max_tasks: int = 1600
+    max_deadline_ms: int = 600_000
+
+
+@dataclass(frozen=True)
+class FleetConfig:
+    """The checked content of an operators' text.
+
+    Attributes:
+        services: `Service` by name.
+        tenants: `Tenant` by name.
+        classes: `JobClass` by name.
+        limits: `Limits`.
+        domains: Known failure domains.
+        domains_out: Failure domains out of service.
+    """
+
+    services: dict = field(default_factory=dict)
+    tenants: dict = field(default_factory=dict)
+    classes: dict = field(default_factory=dict)
+    limits: Limits = Limits()
+    domains: tuple = ()
+    domains_out: frozenset = frozenset()
--- /dev/null
+++ b/papayaward/protocol/config_rules.py
@@ -0,0 +1,106 @@
+"""
+papayaward.protocol.config_rules
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Rules on the operators' text as a whole: references, cycles, quotas, deadlines.
+"""
+
+from math import fsum
+
+__all__ = ["check_rules"]
+
+# Quotas such as ten times 0.1 add up to a little more than 1 in binary.
+_ROUNDING = 1e-9
+_SHOWN_CYCLE = 8
+
+
+def check_rules(sections, findings):
+    """Adds the findings that concern several places of the text.
+
+    Args:
+        sections: Dict that `config_schema.TEXT` returned. Items of its lists are
+            None where the place already has a finding.
+        findings: `Findings`.
+    """
+    services = sections["services"] or ()
+    _check_references(services, findings)
+    _check_cycles(services, findings)
+    _check_quotas(sections["tenants"], findings)
+    _check_deadlines(sections["classes"], sections["limits"], findings)
+    known = set(sections["domains"])
+    for index, domain in enumerate(sections["domains_out"]):
+        if domain is not None and domain not in known:
+            findings.add(("domains_out", index), domain, "a name listed in domains")
+
+
+def _check_references(services, findings):
+    known = {service.name for service in services if service is not None}
+    for index, service in enumerate(services):
+        for position, name in enumerate(service.depends_on if service else ()):
+            if name is not None and name not in known:
+                path = ("services", index, "depends_on", position)
+                findings.add(path, name, "the name of a service in this text")
+
+
+def _check_cycles(services, findings):
+    """Adds one finding for each service at which a cycle closes."""
+    index_of = {}
+    for index, service in enumerate(services):
+        if service is not None and service.name is not None:
+            index_of.setdefault(service.name, index)
+    finished = set()
+    for root in index_of:
+        if root in finished:
+            continue
+        # Depth-first search without recursion: a chain may be long.
+        chain, reported = [root], set()
+        pending = [enumerate(services[index_of[root]].depends_on)]
+        on_chain = {root}
+        while chain:
+            name = chain[-1]
+            for position, other in pending[-1]:
+                if other in on_chain and name not in reported:
+                    reported.add(name)
+                    path = ("services", index_of[name], "depends_on", position)
+                    found = _show_cycle(chain[chain.index(other) :] + [other])
+                    findings.add_text(path, found, "dependencies without a cycle")
+                elif (
+                    other in index_of
+                    and other not in finished
+                    and other not in on_chain
+                ):
+                    chain.append(other)
+                    on_chain.add(other)
+                    pending.append(enumerate(services[index_of[other]].depends_on))
+                    break
+            else:
+                finished.add(name)
+                on_chain.discard(chain.pop())
+                pending.pop()
+
+
+def _show_cycle(names):
+    if len(names) > _SHOWN_CYCLE:
+        half = _SHOWN_CYCLE // 2
+        names = [*names[:half], "...", *names[-half:]]
+    return "the cycle " + " -> ".join(names)
+
+
+def _check_quotas(tenants, findings):
+    quotas = [0.0 if tenant is None else tenant.quota for tenant in tenants]
+    total = fsum(quotas)
+    if total <= 1.0 + _ROUNDING:
+        return
+    index = next(
+        i for i in range(len(quotas)) if fsum(quotas[: i + 1]) > 1.0 + _ROUNDING
+    )
+    found = f"quotas of all tenants that add up to {total:g}"
+    findings.add_text(("tenants", index, "quota"), found, "a sum of at most 1")
+
+
+def _check_deadlines(classes, limits, findings):
+    for index, job_class in enumerate(classes):
+        if job_class is not None and job_class.deadline_ms > limits.max_deadline_ms:
+            allowed = f"at most limits.max_deadline_ms, {limits.max_deadline_ms}"
+            path = ("classes", index, "deadline_ms")
+            findings.add(path, job_class.deadline_ms, allowed)
--- a/papayaward/protocol/config_text.py
+++ b/papayaward/protocol/config_text.py
@@ -6,9 +6,19 @@
 """
 
 import json
-from dataclasses import dataclass, field
 
-from .options import OptionError, get_int, get_number, get_string, get_string_list
+from .config_findings import Findings
+from .config_model import (
+    ConfigError,
+    Finding,
+    FleetConfig,
+    JobClass,
+    Limits,
+    Service,
+    Tenant,
+)
+from .config_rules import check_rules
+from .config_schema import TEXT
 
 __all__ = [
     "ConfigError",
@@ -21,191 +31,76 @@
     "parse_config",
 ]
 
+_INTEGER_DIGITS = 100
 
-@dataclass(frozen=True)
-class Finding:
-    """One place where the text is not allowed.
 
-    Attributes:
-        place: Path such as `services[2].depends_on[0]`.
-        line: Line, from 1.
-        column: Column, from 1.
-        found: Value found there, as text.
-        allowed: What is allowed there.
-    """
-
-    place: str
-    line: int
-    column: int
-    found: str
-    allowed: str
-
-    def __str__(self):
-        where = f"{self.place} (line {self.line}, column {self.column})"
-        return f"{where}: found {self.found}, allowed is {self.allowed}"
-
-
-class ConfigError(Exception):
-    """An operators' text with findings.
-
-    Attributes:
-        findings: Tuple of `Finding`.
-    """
-
-    def __init__(self, findings):
-        super().__init__("; ".join(map(str, findings)))
-        self.findings = tuple(findings)
-
-
-@dataclass(frozen=True)
-class Service:
-    """A service that upstreams offer.
-
-    Attributes:
-        name: Name used by callers and upstreams.
-        depends_on: Names of the services it calls while it runs.
-        cells: Number of groups of runners, each with one queue.
-    """
-
-    name: str
-    depends_on: tuple = ()
-    cells: int = 1
-
-
-@dataclass(frozen=True)
-class Tenant:
-    """A tenant.
-
-    Attributes:
-        name: Name used by callers.
-        weight: Share of the slots beyond all quotas, relative to other tenants.
-        quota: Guaranteed share of a service's slots, 0 to 1.
-    """
-
-    name: str
-    weight: float = 1.0
-    quota: float = 0.0
-
-
-@dataclass(frozen=True)
-class JobClass:
-    """A class of jobs.
-
-    Attributes:
-        name: Name used by callers.
-        priority: Lower values are started first.
-        deadline_ms: Deadline of jobs that state none.
-    """
-
-    name: str
-    priority: int = 10
-    deadline_ms: int = 30_000
-
-
-@dataclass(frozen=True)
-class Limits:
-    """Limits on jobs.
-
-    Attributes:
-        max_tasks: Most tasks in one job.
-        max_deadline_ms: Longest deadline that a job may state.
-    """
-
-    max_tasks: int = 1600
-    max_deadline_ms: int = 600_000
-
-
-@dataclass(frozen=True)
-class FleetConfig:
-    """The checked content of an operators' text.
-
-    Attributes:
-        services: `Service` by name.
-        tenants: `Tenant` by name.
-        classes: `JobClass` by name.
-        limits: `Limits`.
-        domains: Known failure domains.
-        domains_out: Failure domains out of service.
-    """
-
-    services: dict = field(default_factory=dict)
-    tenants: dict = field(default_factory=dict)
-    classes: dict = field(default_factory=dict)
-    limits: Limits = Limits()
-    domains: tuple = ()
-    domains_out: frozenset = frozenset()
-
-
-def parse_config(text):
+def parse_config(text, allow_unknown=False):
     """Returns the checked content of an operators' text.
 
     Args:
-        text: JSON document, str or bytes.
+        text: JSON document, str or bytes in UTF-8.
+        allow_unknown: Ignores keys that this version of the program does not
+            know. Processes that put a version in force use this, so that a key
+            added by a newer program cannot hold an older one back.
+
+    Returns:
+        FleetConfig: The content.
 
     Raises:
         ConfigError: With every finding.
     """
-    try:
-        document = json.loads(text)
-    except ValueError as error:
-        line, column = getattr(error, "lineno", 1), getattr(error, "colno", 1)
-        finding = Finding("$", line, column, str(error), "a JSON document")
-        raise ConfigError([finding]) from error
-    findings = []
-
-    def read(place, build, options):
-        try:
-            return build(options)
-        except OptionError as error:
-            place = f"{place}.{error.name}"
-            findings.append(Finding(place, 1, 1, str(error), error.allowed))
-
-    def read_list(name, build):
-        items = [
-            read(f"{name}[{index}]", build, options)
-            for index, options in enumerate(document.get(name, ()))
-        ]
-        return {item.name: item for item in items if item is not None}
-
-    config = FleetConfig(
-        services=read_list("services", _service),
-        tenants=read_list("tenants", _tenant),
-        classes=read_list("classes", _job_class),
-        limits=read("limits", _limits, document.get("limits", {})) or Limits(),
-        domains=tuple(document.get("domains", ())),
-        domains_out=frozenset(document.get("domains_out", ())),
-    )
-    if findings:
-        raise ConfigError(findings)
-    return config
-
-
-def _service(options):
-    return Service(
-        get_string(options, "name"),
-        get_string_list(options, "depends_on", ()),
-        get_int(options, "cells", 1, low=1, high=1000),
-    )
-
-
-def _tenant(options):
-    return Tenant(
-        get_string(options, "name"),
-        get_number(options, "weight", 1.0, low=0.001, high=1000.0),
-        get_number(options, "quota", 0.0, low=0.0, high=1.0),
+    text = _decode(text)
+    document, duplicate_keys = _load(text)
+    findings = Findings(allow_unknown)
+    sections = TEXT(document, (), findings)
+    if sections is not None:
+        check_rules(sections, findings)
+    if findings or duplicate_keys:
+        raise ConfigError(findings.export(text, duplicate_keys))
+    return FleetConfig(
+        services={service.name: service for service in sections["services"]},
+        tenants={tenant.name: tenant for tenant in sections["tenants"]},
+        classes={job_class.name: job_class for job_class in sections["classes"]},
+        limits=sections["limits"],
+        domains=sections["domains"],
+        domains_out=frozenset(sections["domains_out"]),
     )
 
 
-def _job_class(options):
-    return JobClass(
-        get_string(options, "name"),
-        get_int(options, "priority", 10, low=0, high=100),
-        get_int(options, "deadline_ms", 30_000, low=1, high=3_600_000),
-    )
-
+def _decode(text):
+    try:
+        if isinstance(text, str):
+            # A str with lone surrogates could not be sent to other processes.
+            text.encode()
+            return text
+        return text.decode()
+    except UnicodeError as error:
+        finding = Finding("$", 1, 1, str(error)[-200:], "text in UTF-8")
+        raise ConfigError([finding]) from None
+
+
+def _load(text):
+    """Returns the document and whether an object in it has a key twice."""
+    duplicates = []
+
+    def build(pairs):
+        members = dict(pairs)
+        if len(members) != len(pairs):
+            duplicates.append(True)
+        return members
 
-def _limits(options):
-    return Limits(
-        get_int(options, "max_tasks", 1600, low=1, high=100_000),
-        get_int(options, "max_deadline_ms", 600_000, low=1, high=3_600_000),
-    )
+    try:
+        document = json.loads(text, object_pairs_hook=build, parse_int=_parse_int)
+    except RecursionError:
+        finding = Finding("$", 1, 1, "values nested too deeply", "four levels")
+        raise ConfigError([finding]) from None
+    except json.JSONDecodeError as error:
+        found = f"wrong JSON: {error.msg}" if text.strip() else "an empty text"
+        finding = Finding("$", error.lineno, error.colno, found, "a JSON object")
+        raise ConfigError([finding]) from None
+    return document, bool(duplicates)
+
+
+def _parse_int(digits):
+    # int() refuses very long numbers with an error that has no position.
+    return int(digits) if len(digits) <= _INTEGER_DIGITS else float(digits)
