Keep the configuration's history and make the fate of each write certain

Cause: a write whose answer was lost and that a rival then replaced was reported as a conflict although it had taken effect; a write that was still on its way was read back three times at once; the entry accepted a change when no member was known; a malformed value in the store ended the task that reads the store. Change: - Version and history entry (author, time, summary) are one store transaction, which also prunes entries older than 1,000 versions. - The submitter may name the write_id, so a submission that is sent again through another entry takes effect once. After a lost answer the key, and behind it the history entry of that version, show who wrote it. Otherwise: unknown (504). - A conflict (409) names the changes since and the differences; dry_run. - accepted needs more than half of the known members, and an entry that has been up for 1.5 s, since a new entry does not know the members yet. - A store that lost its keys cannot take versions back: the next version is above the one in force. - A head with findings, written by another program, is no evidence. - Store stand-in: ranges, deletes, operations in transactions, refusals, faults limited to some calls. It checks what etcd checks.

--- /dev/null
+++ b/papayaward/config_api.py
@@ -0,0 +1,176 @@
+"""
+papayaward.config_api
+~~~~~~~~~~~~~~~~~~~~~
+
+HTTP interface for operators: the configuration, its changes and its history.
+"""
+
+import json
+import re
+import secrets
+import time
+from dataclasses import asdict
+
+import gevent
+
+from .coordination.acceptance import judge
+from .coordination.config_writer import Submission
+from .protocol.config_diff import diff_texts
+from .protocol.config_text import ConfigError, parse_config
+from .protocol.options import OptionError, get_bool, get_int, get_string
+from .transport.http_api import Response, json_response, problem
+from .transport.store_client import StoreError
+
+__all__ = ["ConfigApi"]
+
+_POLL_S = 0.02
+_WRITE_ID = re.compile("[0-9a-f]{16,64}")
+_MAX_TEXT_CHARACTERS = 1_000_000
+_MAX_HISTORY = 1000
+
+# Most versions that the answer to a conflict names.
+_CONFLICT_HISTORY = 50
+
+
+class ConfigApi:
+    """Handlers of the requests that read and change the configuration.
+
+    Args:
+        entry: The entry.
+        now: Monotonic time at which the entry began to listen, in seconds.
+    """
+
+    def __init__(self, entry, now):
+        self._entry = entry
+        self._started = now
+
+    def add_routes(self, api):
+        """Adds the routes to an `HttpApi`."""
+        api.add("GET", "/admin/config", self._get)
+        api.add("POST", "/admin/config", self._post)
+        api.add("GET", "/admin/config/confirmed", self._get_confirmed)
+        api.add("GET", "/admin/history", self._get_history)
+
+    def _get(self, request):
+        config = self._entry.config
+        headers = {"Papayaward-Version": str(config.version)}
+        return Response(200, config.text, "application/json", headers)
+
+    def _get_confirmed(self, request):
+        try:
+            version = get_int(_int_query(request), "version", low=1)
+        except OptionError as error:
+            return problem(400, {"detail": str(error)})
+        return json_response(200, self._confirmed(version))
+
+    def _get_history(self, request):
+        try:
+            limit = get_int(_int_query(request), "limit", 20, low=1, high=_MAX_HISTORY)
+            entries = self._entry.config_writer.read_history(limit)
+        except OptionError as error:
+            return problem(400, {"detail": str(error)})
+        except StoreError as error:
+            return problem(503, {"detail": str(error), "result": "unavailable"})
+        return json_response(200, {"history": [asdict(entry) for entry in entries]})
+
+    def _post(self, request):
+        try:
+            document = json.loads(request.body)
+            text = get_string(document, "text", longest=_MAX_TEXT_CHARACTERS)
+            wait_ms = get_int(document, "wait_ms", 5000, high=60_000)
+            dry_run = get_bool(document, "dry_run", False)
+            submission = Submission(
+                text,
+                get_int(document, "expected_version", high=2**53 - 1),
+                get_string(document, "author"),
+                get_string(document, "write_id", secrets.token_hex(8)),
+            )
+            if not _WRITE_ID.fullmatch(submission.write_id):
+                raise OptionError("write_id", submission.write_id, _WRITE_ID.pattern)
+            submission.author.encode()
+            parse_config(text)
+        except ConfigError as error:
+            findings = [asdict(finding) for finding in error.findings]
+            return problem(422, {"detail": "invalid text", "findings": findings})
+        except (ValueError, TypeError, AttributeError, RecursionError) as error:
+            return problem(400, {"detail": str(error)})
+        if dry_run:
+            return self._preview(submission)
+        return self._apply(submission, time.monotonic() + wait_ms / 1000)
+
+    def _preview(self, submission):
+        entry = self._entry
+        result = entry.config_writer.preview(submission, entry.config.version)
+        if result.status != "written":
+            return self._not_written(submission, result)
+        before = "" if result.found is None else result.found.text
+        changes = [asdict(change) for change in diff_texts(before, submission.text)]
+        return json_response(
+            200, {"dry_run": True, "version": result.version, "changes": changes}
+        )
+
+    def _apply(self, submission, until):
+        entry = self._entry
+        result = entry.config_writer.write(
+            submission, entry.config.version, time.time(), until
+        )
+        if result.status != "written":
+            return self._not_written(submission, result)
+        entry.config.offer(result.version, submission.text.encode(), time.monotonic())
+        while True:
+            document = self._confirmed(result.version)
+            if document["in_force_everywhere"] or time.monotonic() >= until:
+                document["write_id"] = submission.write_id
+                return json_response(200, document)
+            gevent.sleep(_POLL_S)
+
+    def _not_written(self, submission, result):
+        document = {"result": result.status, "version": result.version}
+        document["write_id"] = submission.write_id
+        if result.status == "conflict":
+            return problem(409, {**document, **self._conflict(submission, result)})
+        document["detail"] = result.detail
+        status = {"too_large": 413, "unavailable": 503}.get(result.status, 504)
+        return problem(status, document)
+
+    def _conflict(self, submission, result):
+        document = {"detail": "the configuration was changed meanwhile"}
+        found = result.found
+        if found is not None:
+            changes = diff_texts(found.text, submission.text)
+            document.update(author=found.author, text=found.text)
+            document["differences"] = [asdict(change) for change in changes]
+        try:
+            entries = self._entry.config_writer.read_history(
+                _CONFLICT_HISTORY, after=submission.expected_version
+            )
+        except StoreError:
+            entries = []
+        document["changes_since"] = [asdict(entry) for entry in entries]
+        return document
+
+    def _confirmed(self, version):
+        entry = self._entry
+        views = {name: entry.members.get(name) for name in entry.evidence.members}
+        versions = {
+            name: None if view is None else view.config_version
+            for name, view in views.items()
+        }
+        found = judge(version, versions, time.monotonic() - self._started)
+        own = entry.config.version
+        return {
+            "entry": entry.settings.member,
+            "entry_version": own,
+            "version": version,
+            "accepted": found.accepted,
+            "in_force_everywhere": found.in_force_everywhere and own >= version,
+            "confirmed": found.confirmed,
+            "unconfirmed": found.unconfirmed,
+        }
+
+
+def _int_query(request):
+    return {
+        name: int(value) if value.isdecimal() and len(value) < 16 else value
+        for name, value in request.query.items()
+    }
--- a/papayaward/coordination/config_writer.py
+++ b/papayaward/coordination/config_writer.py
@@ -2,22 +2,46 @@
 papayaward.coordination.config_writer
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Reads and writes the configuration in the platform's store.
+Reads and writes the configuration and its history in the platform's store.
 """
 
 import json
-import secrets
-from dataclasses import dataclass
+import time
+from dataclasses import asdict, dataclass
 
-from ..transport.store_client import StoreError
+import gevent
 
-__all__ = ["CONFIG_KEY", "ConfigWriter", "Envelope", "WriteResult"]
+from ..protocol.config_diff import diff_texts, summarise
+from ..transport.store_client import (
+    StoreError,
+    StoreRefused,
+    delete_operation,
+    put_operation,
+)
+
+__all__ = [
+    "CONFIG_KEY",
+    "ConfigWriter",
+    "Envelope",
+    "HistoryEntry",
+    "Submission",
+    "WriteResult",
+]
 
 CONFIG_KEY = "papayaward/config"
+HISTORY_KEY = "papayaward/history/"
+
+# Versions whose history entries are kept. At 2,300 changes a day this is about
+# half a day, and less than 1 MB in the store.
+HISTORY_VERSIONS = 1000
 
-# A write whose answer is lost is read back this often before its fate is
-# reported as unknown.
-_READ_BACK_ATTEMPTS = 3
+# Largest value that the store accepts.
+_MAX_VALUE_BYTES = 1_000_000
+
+# A write whose answer is lost is read back until its fate is known, for at least
+# this long.
+_READ_BACK_S = 2.0
+_READ_BACK_INTERVAL_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -37,19 +61,59 @@
     text: str
 
 
+@dataclass(frozen=True)
+class HistoryEntry:
+    """What the store keeps of each version.
+
+    Attributes:
+        version: Version.
+        write_id: Identifier of the write.
+        author: Who wrote it.
+        time: Time of the write by the entry's clock, in seconds since 1970.
+        summary: Changes against the version before, in one line.
+    """
+
+    version: int
+    write_id: str
+    author: str
+    time: int
+    summary: str
+
+
+@dataclass(frozen=True)
+class Submission:
+    """A change that an operator submits.
+
+    Attributes:
+        text: Checked operators' text, str.
+        expected_version: Version that the change was made from.
+        author: Who makes it.
+        write_id: Identifier of the write. A submission that is sent again with the
+            same one takes effect at most once.
+    """
+
+    text: str
+    expected_version: int
+    author: str
+    write_id: str
+
+
 @dataclass(frozen=True)
 class WriteResult:
     """Outcome of a write.
 
     Attributes:
-        status: `written`, `conflict` or `unknown`.
+        status: `written`; `conflict`, `unavailable` or `too_large`, which prove that
+            nothing was changed; or `unknown`.
         version: Version written, or found in case of a conflict.
         found: `Envelope` found in case of a conflict.
+        detail: Sentence for people.
     """
 
     status: str
     version: int
     found: Envelope | None = None
+    detail: str = ""
 
 
 class ConfigWriter:
@@ -62,6 +126,12 @@
     def __init__(self, store):
         self._store = store
         self._revision = 0
+        self._head_version = 0
+
+    @property
+    def head_version(self):
+        """Version that `read_if_changed` found last."""
+        return self._head_version
 
     def read_if_changed(self):
         """Returns the `Envelope` if it changed since the last call, else None.
@@ -75,63 +145,175 @@
         found = self._store.get(CONFIG_KEY)
         if found is None:
             return None
+        envelope = _parse(Envelope, found.value)
         self._revision = found.revision
-        return _parse(found.value)
+        self._head_version = envelope.version
+        return envelope
 
-    def write(self, text, expected_version, author):
-        """Writes a new version if the present one is the expected one.
+    def read_history(self, limit, after=0):
+        """Returns the `HistoryEntry`s of versions above `after`, newest first.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        first, end = _history_key(after + 1), HISTORY_KEY + "~"
+        values = self._store.list(first, end, limit)
+        return [_parse(HistoryEntry, value) for value in values]
+
+    def preview(self, submission, in_force):
+        """Returns what `write` would do: `written` or a conflict.
 
         Args:
-            text: Checked operators' text, str.
-            expected_version: Version that the change was made from.
-            author: Who writes it.
+            submission: `Submission`.
+            in_force: Version in force in this process.
 
         Returns:
-            WriteResult: What happened; `unknown` if the store stopped answering.
+            WriteResult: Nothing was written in any case.
         """
-        write_id = secrets.token_hex(8)
         try:
             found = self._store.get(CONFIG_KEY)
-        except StoreError:
-            return WriteResult("unavailable", 0)
-        present = None if found is None else _parse(found.value)
-        version = 0 if present is None else present.version
-        if version != expected_version:
+            present = None if found is None else _parse(Envelope, found.value)
+        except StoreError as error:
+            return WriteResult("unavailable", 0, detail=str(error))
+        version = _base_version(present, in_force)
+        if version != submission.expected_version:
             return WriteResult("conflict", version, present)
-        envelope = Envelope(version + 1, write_id, author, text)
-        value = json.dumps(envelope.__dict__).encode()
+        return WriteResult("written", version + 1, present)
+
+    def write(self, submission, in_force, now_s, give_up):
+        """Writes a new version if the present one is the expected one.
+
+        The version and its history entry are one transaction, so neither exists
+        without the other.
+
+        Args:
+            submission: `Submission`.
+            in_force: Version in force in this process.
+            now_s: Time of day for the history, in seconds since 1970.
+            give_up: Monotonic time until which a write without an answer is read
+                back.
+
+        Returns:
+            WriteResult: What happened; `unknown` if the store stopped answering
+            after the write was sent.
+        """
+        version = submission.expected_version + 1
+        try:
+            found = self._store.get(CONFIG_KEY)
+            present = None if found is None else _parse(Envelope, found.value)
+            if _base_version(present, in_force) != version - 1:
+                return self._lost_or_own(submission, present, in_force)
+        except StoreError as error:
+            return WriteResult("unavailable", 0, detail=str(error))
+        values = _new_values(submission, present, now_s)
+        if any(len(value) > _MAX_VALUE_BYTES for value in values):
+            detail = f"the store accepts at most {_MAX_VALUE_BYTES} bytes"
+            return WriteResult("too_large", version - 1, detail=detail)
         try:
             written, other = self._store.swap(
-                CONFIG_KEY, value, 0 if found is None else found.revision
+                CONFIG_KEY,
+                values[0],
+                0 if found is None else found.revision,
+                operations=_history_operations(version, values[1]),
             )
+            if written:
+                return WriteResult("written", version)
+            other = None if other is None else _parse(Envelope, other.value)
+            return self._lost_or_own(submission, other, in_force)
+        except StoreRefused as error:
+            return WriteResult("unavailable", version - 1, detail=str(error))
         except StoreError:
-            return self._read_back(write_id, version + 1)
-        if written:
-            return WriteResult("written", version + 1)
-        other = _parse(other.value)
-        if other.write_id == write_id:
-            return WriteResult("written", version + 1)
-        return WriteResult("conflict", other.version, other)
-
-    def _read_back(self, write_id, version):
-        for _ in range(_READ_BACK_ATTEMPTS):
+            give_up = max(give_up, time.monotonic() + _READ_BACK_S)
+            return self._read_back(submission, in_force, give_up)
+
+    def _read_back(self, submission, in_force, give_up):
+        version = submission.expected_version + 1
+        while time.monotonic() < give_up:
             try:
                 found = self._store.get(CONFIG_KEY)
+                present = None if found is None else _parse(Envelope, found.value)
+                if present is not None and present.version >= version:
+                    return self._lost_or_own(submission, present, in_force, sent=True)
             except StoreError:
-                continue
-            present = None if found is None else _parse(found.value)
-            if present is not None and present.write_id == write_id:
-                return WriteResult("written", version)
-            if present is not None and present.version >= version:
-                return WriteResult("conflict", present.version, present)
-        return WriteResult("unknown", version)
-
-
-def _parse(value):
-    document = json.loads(value)
-    return Envelope(
-        int(document["version"]),
-        document["write_id"],
-        document["author"],
-        document["text"],
+                pass
+            # The write may still be on its way, so an unchanged key is no proof
+            # that it failed.
+            gevent.sleep(_READ_BACK_INTERVAL_S)
+        detail = "the store did not answer the write; it may still take effect"
+        return WriteResult("unknown", version, detail=detail)
+
+    def _lost_or_own(self, submission, present, in_force, sent=False):
+        """Returns a conflict, or `written` if the submission already took effect.
+
+        Args:
+            sent: Whether a write without an answer was sent; without a history entry
+                its fate is then unknown.
+        """
+        version = submission.expected_version + 1
+        if present is not None and present.version >= version:
+            if present.write_id == submission.write_id:
+                return WriteResult("written", present.version)
+            # Later versions may have replaced an own write; its history entry
+            # still names the writer.
+            if present.version > version:
+                value = self._store.get(_history_key(version))
+                if value is None and sent:
+                    detail = f"the store has no history of version {version}"
+                    return WriteResult("unknown", version, detail=detail)
+                entry = value and _parse(HistoryEntry, value.value)
+                if entry and entry.write_id == submission.write_id:
+                    return WriteResult("written", version)
+        return WriteResult("conflict", _base_version(present, in_force), present)
+
+
+def _base_version(present, in_force):
+    # The store may have been restored from an old copy. Versions still rise,
+    # since members refuse one that is not higher than the one they have.
+    return max(0 if present is None else present.version, in_force)
+
+
+def _new_values(submission, present, now_s):
+    version = submission.expected_version + 1
+    write_id, author = submission.write_id, submission.author
+    before = "" if present is None else present.text
+    summary = summarise(diff_texts(before, submission.text))
+    entry = HistoryEntry(version, write_id, author, int(now_s), summary)
+    return (
+        _encode(Envelope(version, write_id, author, submission.text)),
+        _encode(entry),
+    )
+
+
+def _history_operations(version, value):
+    expired = _history_key(max(1, version - HISTORY_VERSIONS + 1))
+    return (
+        put_operation(_history_key(version), value),
+        delete_operation(_history_key(0), expired),
     )
+
+
+def _history_key(version):
+    return f"{HISTORY_KEY}{version:012d}"
+
+
+def _encode(item):
+    return json.dumps(asdict(item), ensure_ascii=False).encode()
+
+
+def _parse(kind, value):
+    """Returns an item of the store.
+
+    Raises:
+        StoreError: Another program wrote something else there.
+    """
+    try:
+        document = json.loads(value)
+        fields = {name: document[name] for name in kind.__dataclass_fields__}
+        for name, value in fields.items():
+            if type(value) is not kind.__dataclass_fields__[name].type:
+                raise TypeError(f"{name} is {value!r:.80}")
+            if isinstance(value, str):
+                value.encode()
+        return kind(**fields)
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise StoreError(f"the store holds a malformed value: {error!r}") from error
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -12,6 +12,7 @@
 import gevent
 
 from .caller_api import CallerApi
+from .config_api import ConfigApi
 from .coordination.config_sync import ConfigHolder
 from .coordination.config_writer import ConfigWriter
 from .coordination.evidence import EntryEvidence, age_ms
@@ -70,6 +71,7 @@
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
+        ConfigApi(self, time.monotonic()).add_routes(api)
         self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS)
         gevent.spawn(self._store_loop)
         log.info("entry_started", extra={"member": settings.member})
@@ -208,7 +210,10 @@
                 if envelope is not None:
                     text = envelope.text.encode()
                     self.config.offer(envelope.version, text, now)
-                self.evidence.on_store_read(sent_at, now)
+                # A head that is not in force here, such as a text that another
+                # program wrote and that has findings, is no evidence.
+                if self.config.version >= self.config_writer.head_version:
+                    self.evidence.on_store_read(sent_at, now)
                 if not reachable:
                     log.info("store_reachable")
                 reachable = True
--- a/papayaward/transport/store_client.py
+++ b/papayaward/transport/store_client.py
@@ -12,7 +12,14 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-__all__ = ["StoreClient", "StoreError", "StoreValue"]
+__all__ = [
+    "StoreClient",
+    "StoreError",
+    "StoreRefused",
+    "StoreValue",
+    "delete_operation",
+    "put_operation",
+]
 
 _TIMEOUT_S = 1.0
 
@@ -21,6 +28,10 @@
     """The store did not answer; a write may or may not have taken effect."""
 
 
+class StoreRefused(StoreError):
+    """The store refused the call, which had no effect."""
+
+
 @dataclass(frozen=True)
 class StoreValue:
     """A value of the store.
@@ -34,6 +45,18 @@
     revision: int
 
 
+def put_operation(key, value, lease=0):
+    """Returns the operation that writes a value, for `StoreClient.swap`."""
+    value = b64encode(value).decode()
+    return {"request_put": {"key": _encode(key), "value": value, "lease": str(lease)}}
+
+
+def delete_operation(first, end):
+    """Returns the operation that deletes the keys from first up to end."""
+    keys = {"key": _encode(first), "range_end": _encode(end)}
+    return {"request_delete_range": keys}
+
+
 class StoreClient:
     """Calls the store; tries its addresses in turn.
 
@@ -73,7 +96,33 @@
         reply = self._call("/v3/kv/range", {"key": _encode(key)})
         return _first_value(reply)
 
-    def swap(self, key, value, revision, lease=0):
+    def list(self, first, end, limit):
+        """Returns the values of the last keys from first up to end, last first.
+
+        Args:
+            first: First key, str.
+            end: Key behind the last one, str.
+            limit: Most values to return.
+
+        Returns:
+            list: bytes.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        reply = self._call(
+            "/v3/kv/range",
+            {
+                "key": _encode(first),
+                "range_end": _encode(end),
+                "limit": str(limit),
+                "sort_order": "DESCEND",
+                "sort_target": "KEY",
+            },
+        )
+        return [b64decode(item.get("value", "")) for item in reply.get("kvs", ())]
+
+    def swap(self, key, value, revision, lease=0, operations=()):
         """Writes a value if the key's revision is still the given one.
 
         Args:
@@ -81,15 +130,17 @@
             value: bytes.
             revision: Expected revision, 0 for an absent key.
             lease: Lease that the value is bound to, 0 for none.
+            operations: Further operations that take effect with the write or not
+                at all.
 
         Returns:
             tuple: Whether the write took effect, and the `StoreValue` found if not.
 
         Raises:
+            StoreRefused: The store refused the write.
             StoreError: The store did not answer; the write may have taken effect.
         """
         encoded = _encode(key)
-        put = {"key": encoded, "value": b64encode(value).decode(), "lease": str(lease)}
         reply = self._call(
             "/v3/kv/txn",
             {
@@ -101,7 +152,7 @@
                         "mod_revision": str(revision),
                     }
                 ],
-                "success": [{"request_put": put}],
+                "success": [put_operation(key, value, lease), *operations],
                 "failure": [{"request_range": {"key": encoded}}],
             },
         )
@@ -126,6 +177,8 @@
             with gevent.Timeout(_TIMEOUT_S, StoreError("the store did not answer")):
                 response = client.post(path, body=body)
                 content = response.read()
+            if response.status_code == 400:
+                raise StoreRefused(f"the store refused the call: {content[:200]}")
             if response.status_code != 200:
                 raise StoreError(f"the store answered {response.status_code}")
             return json.loads(content)
--- a/standins/store.py
+++ b/standins/store.py
@@ -4,22 +4,31 @@
 
 Stand-in of the platform's key-value service, in the JSON form of etcd v3.
 
-Faults are set with `POST /control`: `mode` is `ok`, `down` (503 after a while),
-`slow` (answers after `delay_s`) or `lose` (writes take effect, the connection
-then breaks).
+Faults are set with `POST /control`: `mode` is `ok`, `down` (503), `slow` (carries
+calls out after `delay_s`, also for a client that gave up) or `lose` (writes take
+effect, the connection then breaks). `paths` limits the fault to some calls.
+`wipe` removes every key, as in a store restored from an empty backup.
 """
 
 import argparse
 import json
 import sys
 import time
-from base64 import b64decode
+from base64 import b64decode, b64encode
+from errno import ECONNRESET
+from http import HTTPStatus
 
 import gevent
 from gevent.pywsgi import WSGIServer
 
 __all__ = ["Store", "main"]
 
+_MAX_VALUE_BYTES = 1_000_000
+
+
+class _BadCall(Exception):
+    """A call that the store refuses."""
+
 
 class Store:
     """Keys with revisions and leases, and the faults that are switched on."""
@@ -30,6 +39,7 @@
         self._leases = {}
         self._mode = "ok"
         self._delay_s = 0.0
+        self._paths = None
         self.calls = {}
 
     def handle(self, environ, start_response):
@@ -40,26 +50,36 @@
         if path == "/control":
             return _reply(start_response, 200, self._control(document))
         self.calls[path] = self.calls.get(path, 0) + 1
-        if self._mode == "down":
+        faulty = self._paths is None or path in self._paths
+        mode = self._mode if faulty else "ok"
+        if mode == "down":
             return _reply(start_response, 503, {"error": "unavailable"})
-        if self._mode == "slow":
+        if mode == "slow":
             gevent.sleep(self._delay_s)
         operation = {
             "/v3/kv/range": self._range,
+            "/v3/kv/deleterange": self._delete,
             "/v3/kv/txn": self._txn,
             "/v3/lease/grant": self._grant,
         }.get(path)
         if operation is None:
             return _reply(start_response, 404, {"error": "no such call"})
-        answer = operation(document)
-        if self._mode == "lose" and path == "/v3/kv/txn":
-            raise ConnectionError("answer lost on purpose")
+        try:
+            answer = operation(document)
+        except _BadCall as error:
+            return _reply(start_response, 400, {"error": str(error), "code": 3})
+        if mode == "lose" and path == "/v3/kv/txn":
+            # The server closes the connection without an answer.
+            raise ConnectionResetError(ECONNRESET, "answer lost on purpose")
         return _reply(start_response, 200, answer)
 
     def _control(self, document):
         if "mode" in document:
             self._mode = document["mode"]
             self._delay_s = document.get("delay_s", 0.0)
+            self._paths = document.get("paths")
+        if document.get("wipe"):
+            self._values.clear()
         return {"mode": self._mode, "calls": self.calls, "revision": self._revision}
 
     def _live(self, key):
@@ -72,39 +92,69 @@
             return None
         return entry
 
+    def _keys(self, document):
+        """Returns the live keys of a range, in order."""
+        first = b64decode(document["key"])
+        end = b64decode(document.get("range_end", ""))
+        if not end:
+            return [first] if self._live(first) else []
+        found = [key for key in self._values if first <= key < end]
+        return sorted(key for key in found if self._live(key))
+
     def _range(self, document):
-        key = document["key"]
-        entry = self._live(key)
-        if entry is None:
-            return {"header": {"revision": str(self._revision)}}
-        found = {"key": key, "mod_revision": str(entry[1])}
-        if not document.get("keys_only"):
-            found["value"] = entry[0]
+        keys = self._keys(document)
+        if document.get("sort_order") == "DESCEND":
+            keys.reverse()
+        count = len(keys)
+        limit = int(document.get("limit") or 0) or count
+        found = []
+        for key in keys[:limit]:
+            value, revision, _ = self._values[key]
+            item = {"key": b64encode(key).decode(), "mod_revision": str(revision)}
+            found.append(
+                item if document.get("keys_only") else {**item, "value": value}
+            )
+        answer = {"header": {"revision": str(self._revision)}}
+        if found:
+            answer.update(kvs=found, count=str(count))
+        return {**answer, "more": True} if count > limit else answer
+
+    def _delete(self, document):
+        keys = self._keys(document)
+        if keys:
+            self._revision += 1
+        for key in keys:
+            del self._values[key]
         header = {"revision": str(self._revision)}
-        return {"header": header, "kvs": [found], "count": "1"}
+        return {"header": header, "deleted": str(len(keys))}
 
     def _txn(self, document):
         holds = True
         for compare in document.get("compare", ()):
-            entry = self._live(compare["key"])
+            entry = self._live(b64decode(compare["key"]))
             revision = 0 if entry is None else entry[1]
             holds = holds and revision == int(compare["mod_revision"])
+        operations = document.get("success" if holds else "failure", ())
+        _check_operations(operations)
+        # All changes of a transaction have the same revision.
+        revision = self._revision + 1
         responses = []
-        for operation in document.get("success" if holds else "failure", ()):
-            if "request_put" in operation:
-                self._put(operation["request_put"])
+        for operation in operations:
+            ((kind, body),) = operation.items()
+            if kind == "request_put":
+                self._put(body, revision)
                 responses.append({"response_put": {}})
+            elif kind == "request_delete_range":
+                responses.append({"response_delete_range": self._delete(body)})
+                self._revision = min(self._revision, revision)
             else:
-                found = self._range(operation["request_range"])
-                responses.append({"response_range": found})
+                responses.append({"response_range": self._range(body)})
         return {"succeeded": holds, "responses": responses}
 
-    def _put(self, put):
-        if len(b64decode(put["value"])) > 1_000_000:
-            raise ValueError("value larger than a megabyte")
-        self._revision += 1
+    def _put(self, put, revision):
+        self._revision = revision
         lease = int(put.get("lease") or 0)
-        self._values[put["key"]] = (put["value"], self._revision, lease)
+        self._values[b64decode(put["key"])] = (put["value"], revision, lease)
 
     def _grant(self, document):
         lease = len(self._leases) + 1
@@ -112,9 +162,26 @@
         return {"ID": str(lease), "TTL": document["TTL"]}
 
 
+def _check_operations(operations):
+    """Refuses what the store refuses before it carries out any operation."""
+    puts = [o["request_put"] for o in operations if "request_put" in o]
+    keys = [b64decode(put["key"]) for put in puts]
+    if len(set(keys)) < len(keys):
+        raise _BadCall("duplicate key given in txn request")
+    for operation in operations:
+        delete = operation.get("request_delete_range")
+        if delete is not None:
+            first = b64decode(delete["key"])
+            end = b64decode(delete.get("range_end", "")) or first + b"\0"
+            if any(first <= key < end for key in keys):
+                raise _BadCall("duplicate key given in txn request")
+    if any(len(b64decode(put["value"])) > _MAX_VALUE_BYTES for put in puts):
+        raise _BadCall("request is too large")
+
+
 def _reply(start_response, status, document):
     body = json.dumps(document).encode()
-    phrase = {200: "OK", 404: "Not Found", 503: "Service Unavailable"}[status]
+    phrase = HTTPStatus(status).phrase
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     start_response(f"{status} {phrase}", headers)
     return [body]
--- /dev/null
+++ b/tests/test_config_writes.py
@@ -0,0 +1,328 @@
+"""
+tests.test_config_writes
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Changes of the configuration: rivals, lost answers, store outages, versions.
+"""
+
+import json
+import signal
+import time
+from contextlib import contextmanager
+from unittest import mock
+
+import gevent
+from gevent.pywsgi import WSGIServer
+from testtools import TestCase
+
+from papayaward.coordination import config_writer
+from papayaward.coordination.acceptance import judge
+from papayaward.coordination.config_sync import ConfigHolder
+from papayaward.coordination.config_writer import CONFIG_KEY, ConfigWriter, Submission
+from papayaward.transport.store_client import StoreClient, StoreError
+from standins.fleet import call
+from standins.store import Store
+
+from .fleet_case import FleetCase, small_config
+
+__all__ = []
+
+_RIVALS = 8
+_ROUNDS = 20
+
+
+def text_of(**changes):
+    """Returns an operators' text with the given changes."""
+    return json.dumps(small_config(**changes))
+
+
+class _SupersededStore(StoreClient):
+    """Loses the answer of a write and lets a rival write before the read-back."""
+
+    rival = None
+
+    def swap(self, *args, **kwargs):
+        super().swap(*args, **kwargs)
+        self.rival()
+        raise StoreError("answer lost on purpose")
+
+
+class WriterTest(TestCase):
+    """The writer against a stand-in of the store in the same process."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = Store()
+        server = WSGIServer(
+            ("127.0.0.1", 0), self.store.handle, log=None, error_log=None
+        )
+        server.start()
+        self.addCleanup(server.stop)
+        self.address = ("127.0.0.1", server.server_port)
+        self.writer = self.new_writer()
+
+    def new_writer(self, client=StoreClient):
+        return ConfigWriter(client([self.address]))
+
+    def write(self, expected, writer=None, in_force=0, write_id=None, **changes):
+        submission = Submission(
+            text_of(**changes), expected, "op", write_id or f"id-{expected}"
+        )
+        give_up = time.monotonic() + 1.0
+        writer = writer or self.writer
+        return writer.write(submission, in_force, time.time(), give_up)
+
+    def control(self, **fields):
+        self.store._control(fields)
+
+    def history(self):
+        return [entry.version for entry in self.writer.read_history(100)]
+
+    def test_one_of_several_rivals_wins(self):
+        """Guards against two operators' changes that both count as the next version."""
+        for expected in range(_ROUNDS):
+            tasks = [
+                gevent.spawn(
+                    self.write,
+                    expected,
+                    self.new_writer(),
+                    write_id=f"{expected}-{rival}",
+                    domains_out=["a"] if rival % 2 else [],
+                )
+                for rival in range(_RIVALS)
+            ]
+            results = [task.get(timeout=10) for task in tasks]
+            statuses = sorted(result.status for result in results)
+            self.assertEqual(["conflict"] * (_RIVALS - 1) + ["written"], statuses)
+            self.assertEqual({expected + 1}, {result.version for result in results})
+        self.assertEqual(list(range(_ROUNDS, 0, -1)), self.history())
+
+    def test_lost_answer_is_recognised_by_the_write_id(self):
+        """Guards against a write that took effect and is reported as a conflict."""
+        self.control(mode="lose")
+        result = self.write(0)
+        self.assertEqual(("written", 1), (result.status, result.version))
+        self.assertEqual([1], self.history())
+
+    def test_lost_answer_of_a_write_that_was_replaced(self):
+        """Guards against a lost success when a rival writes before the read-back."""
+        writer = self.new_writer(_SupersededStore)
+        writer._store.rival = lambda: self.write(1, write_id="rival")
+        result = self.write(0, writer, write_id="own")
+        self.assertEqual(("written", 1), (result.status, result.version))
+        self.assertEqual([2, 1], self.history())
+        # Without the history entry nothing shows who wrote version 1.
+        with mock.patch.object(config_writer, "HISTORY_VERSIONS", 1):
+            writer._store.rival = lambda: self.write(3, write_id="rival")
+            result = self.write(2, writer, write_id="own2")
+        self.assertEqual("unknown", result.status)
+
+    def test_late_write_is_unknown_and_takes_effect_once(self):
+        """Guards against a late write that is called a failure, or a second version."""
+        self.control(mode="slow", delay_s=4.0, paths=["/v3/kv/txn"])
+        first = self.write(0, write_id="same")
+        self.assertEqual("unknown", first.status)
+        gevent.sleep(2.0)
+        self.control(mode="ok")
+        again = self.write(0, write_id="same")
+        self.assertEqual(("written", 1), (again.status, again.version))
+        self.assertEqual([1], self.history())
+
+    def test_store_down_changes_nothing(self):
+        """Guards against an outage that is reported as a conflict or a success."""
+        self.control(mode="down")
+        self.assertEqual("unavailable", self.write(0).status)
+        self.control(mode="ok")
+        self.assertEqual([], self.history())
+
+    def test_versions_rise_over_a_store_that_lost_its_keys(self):
+        """Guards against a version that goes back after the store was restored."""
+        self.write(0)
+        self.control(wipe=True)
+        self.assertEqual("conflict", self.write(0, in_force=57).status)
+        result = self.write(57, in_force=57)
+        self.assertEqual(("written", 58), (result.status, result.version))
+
+    def test_history_is_bounded_and_names_the_changes(self):
+        """Guards against a store that fills up, and against versions without trace."""
+        with mock.patch.object(config_writer, "HISTORY_VERSIONS", 3):
+            for expected in range(6):
+                self.write(expected, domains_out=["b"] if expected % 2 else [])
+        entries = self.writer.read_history(100)
+        self.assertEqual([6, 5, 4], [entry.version for entry in entries])
+        self.assertEqual("+ domains_out b", entries[0].summary)
+        self.assertEqual("op", entries[0].author)
+
+    def test_values_that_the_store_cannot_hold(self):
+        """Guards against a crash on a text that is too large or a foreign value."""
+        names = [{"name": f"{'s' * 50}{n}"} for n in range(1000)]
+        depends_on = [service["name"] for service in names[:20]]
+        services = [{**s, "depends_on": depends_on} for s in names[20:]] + names[:20]
+        self.assertEqual("too_large", self.write(0, services=services).status)
+        self.assertEqual([], self.history())
+        for value in (b"x", b"[]", b'{"version": 1}', b'{"version": "1"}'):
+            self.writer._store.swap(CONFIG_KEY, value, self.store._revision)
+            self.writer._store.swap(CONFIG_KEY, value, 0)
+            self.assertRaises(StoreError, self.new_writer().read_if_changed)
+            self.assertEqual("unavailable", self.write(0).status)
+            self.control(wipe=True)
+
+
+class VersionTest(TestCase):
+    def test_lower_version_is_refused(self):
+        """Guards against a process that puts an old text in force again."""
+        holder = ConfigHolder()
+        out = text_of(domains_out=["a"]).encode()
+        self.assertTrue(holder.offer(5, out, 0.0))
+        for version in (0, 4, 5):
+            self.assertFalse(holder.offer(version, text_of().encode(), 0.0))
+        self.assertEqual((5, out), (holder.version, holder.text))
+        self.assertFalse(holder.offer(6, b'{"services": []}', 0.0))
+        self.assertEqual({"a"}, holder.config.domains_out)
+
+    def test_acceptance_needs_more_than_half_of_the_known_members(self):
+        """Guards against an acceptance that an old majority could contradict."""
+        for accepted, everywhere, versions, up_s in (
+            (False, False, {"a": 3, "b": 2}, 9.0),
+            (True, False, {"a": 3, "b": 4, "c": None}, 9.0),
+            (True, True, {"a": 3}, 9.0),
+            # No majority of none; a new entry does not know the members yet.
+            (False, True, {}, 9.0),
+            (False, False, {"a": 3}, 0.5),
+        ):
+            found = judge(3, versions, up_s)
+            self.assertEqual(
+                (accepted, everywhere),
+                (found.accepted, found.in_force_everywhere),
+                versions,
+            )
+        self.assertTrue(judge(1, {}, 0.0).accepted)
+
+
+class FleetWritesTest(FleetCase):
+    """Operators' changes with real processes."""
+
+    def post(self, fleet, index=0, **fields):
+        document = {"expected_version": 1, "author": "op", "wait_ms": 3000, **fields}
+        return call(fleet.entry(index), "POST", "/admin/config", document)
+
+    def test_rival_operators_at_two_entries(self):
+        """Guards against a change that silently overwrites a rival's change."""
+        fleet = self.start_fleet()
+        texts = [text_of(domains_out=["a"]), text_of(domains_out=["b"])]
+        for expected in (1, 2, 3):
+            tasks = [
+                gevent.spawn(
+                    self.post,
+                    fleet,
+                    index,
+                    text=texts[index],
+                    expected_version=expected,
+                    author=f"op{index}",
+                )
+                for index in (0, 1)
+            ]
+            replies = [task.get(timeout=20) for task in tasks]
+            self.assertEqual([200, 409], sorted(reply.status for reply in replies))
+            winner = [reply.status for reply in replies].index(200)
+            lost = replies[1 - winner].json
+            self.assertEqual(
+                (expected + 1, f"op{winner}"), (lost["version"], lost["author"])
+            )
+            self.assertEqual(texts[winner], lost["text"])
+            self.assertEqual(2, len(lost["differences"]))
+            [since] = lost["changes_since"]
+            self.assertEqual(f"op{winner}", since["author"])
+        self.assertEqual(4, fleet.version())
+
+    def test_invalid_text_changes_nothing(self):
+        """Guards against a text with findings that reaches any process."""
+        fleet = self.start_fleet(runners=[{"domain": "a"}])
+        reply = self.post(fleet, text=text_of(domains_out=["x"]))
+        self.assertEqual(422, reply.status, reply.body)
+        [finding] = reply.json["findings"]
+        self.assertEqual("domains_out[0]", finding["place"])
+        for body in (b"", b"[]", b"[" * 100_000, b'{"text": 1}', b"\xff"):
+            bad = call(fleet.entry(), "POST", "/admin/config", body)
+            self.assertEqual(400, bad.status, bad.body)
+        checked = self.post(fleet, text=text_of(domains_out=["a"]), dry_run=True)
+        self.assertEqual((200, 2), (checked.status, checked.json["version"]))
+        self.assertEqual("a", checked.json["changes"][0]["after"])
+        self.assertEqual(1, fleet.version())
+        history = call(fleet.entry(), "GET", "/admin/history").json["history"]
+        self.assertEqual([1], [entry["version"] for entry in history])
+
+    def test_store_outage_and_processes_that_start_during_it(self):
+        """Guards against a member that stays without the version while the store is
+        down, and against a change that is reported although it failed."""
+        fleet = self.start_fleet()
+        status, reply = fleet.set_domains_out(["c"])
+        self.assertEqual((200, True), (status, reply["in_force_everywhere"]), reply)
+        fleet.control_store(mode="down")
+        self.assertEqual(
+            503, self.post(fleet, text=text_of(), expected_version=2).status
+        )
+        for name in ("e2", "r1"):
+            fleet.kill(name)
+        fleet.start_entry("e2")
+        fleet.start_runner("r1")
+        # The runner in the domain that is out takes no work.
+        fleet.wait_ready(2)
+        fleet.wait_until(lambda: [fleet.version(0), fleet.version(1)] == [2, 2])
+        for member in fleet.status()["members"]:
+            self.assertEqual(2, member["config_version"])
+        self.assertEqual(["c"], fleet.status(1)["domains_out"])
+        self.assertEqual(200, fleet.submit([{"work_ms": 5}]).status)
+
+    def test_wiped_store_takes_no_version_back(self):
+        """Guards against an old or empty store that reverts an accepted version."""
+        fleet = self.start_fleet()
+        fleet.set_domains_out(["c"])
+        fleet.control_store(wipe=True)
+        # Some polls of the store's head.
+        time.sleep(1.0)
+        self.assertEqual([2, 2], [fleet.version(0), fleet.version(1)])
+        status, reply = fleet.set_domains_out([], index=1)
+        self.assertEqual((200, 3, True), (status, reply["version"], reply["accepted"]))
+        fleet.wait_until(lambda: fleet.version(0) == 3)
+
+    def test_lost_answers_at_an_entry(self):
+        """Guards against a change that is in force and reported as failed."""
+        fleet = self.start_fleet(runners=[{"domain": "a"}])
+        fleet.control_store(mode="lose")
+        status, reply = fleet.set_domains_out(["b"])
+        self.assertEqual((200, 2, True), (status, reply["version"], reply["accepted"]))
+        fleet.control_store(mode="ok")
+        # The operator's tool sends the same write again through another entry.
+        fields = {"text": text_of(), "expected_version": 2, "write_id": "ab" * 8}
+        first, again = self.post(fleet, **fields), self.post(fleet, 1, **fields)
+        self.assertEqual((200, 3), (first.status, first.json["version"]))
+        self.assertEqual((200, 3), (again.status, again.json["version"]))
+        self.assertEqual(3, fleet.version())
+
+    def test_paused_members_hold_back_the_acceptance(self):
+        """Guards against an acceptance while most members run the old version."""
+        fleet = self.start_fleet()
+        with paused(fleet, "r1"):
+            status, reply = fleet.set_domains_out(["c"])
+            self.assertEqual((200, True), (status, reply["accepted"]), reply)
+            self.assertEqual(["r1"], reply["unconfirmed"])
+            self.assertFalse(reply["in_force_everywhere"])
+            with paused(fleet, "r2"):
+                reply = self.post(fleet, text=text_of(), expected_version=2).json
+                self.assertEqual((3, False), (reply["version"], reply["accepted"]))
+                self.assertEqual(["r1", "r2"], reply["unconfirmed"])
+        path = "/admin/config/confirmed?version=3"
+        fleet.wait_until(
+            lambda: call(fleet.entry(1), "GET", path).json["in_force_everywhere"]
+        )
+
+
+@contextmanager
+def paused(fleet, name):
+    """Pauses a process of a fleet."""
+    fleet.signal(name, signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        fleet.signal(name, signal.SIGCONT)
