Serve callers that only send an Idempotency-Key

Cause: such callers cannot ask for an identifier first, and two entries share nothing but the store.

--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -8,8 +8,10 @@
 import json
 import time
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from .coordination.home_calls import HomeGone
+from .coordination.idempotency_keys import IdempotencyKeys, KeyLimit
 from .protocol.gen.ttypes import Cancel, Fetch, Refuse, Submit
 from .protocol.identifiers import IdentifierError, parse_job_id
 from .protocol.options import (
@@ -21,10 +23,12 @@
 )
 from .protocol.outcomes import JobOutcome, Outcome, Reason
 from .transport.http_api import Response, json_response, problem
+from .transport.store_client import StoreError
 
 __all__ = ["CallerApi", "JobRequest", "RequestError"]
 
 _MAX_IDS = 1000
+_MAX_KEY_LENGTH = 255
 
 # Time beyond the deadline in which the home's own answer may still arrive.
 _ANSWER_MARGIN_S = 2.0
@@ -33,7 +37,13 @@
     Outcome.COMPLETE: 200,
     Outcome.CANCELLED: 410,
     Outcome.FAILED: 502,
-    Outcome.UNKNOWN: 504,
+}
+_UNKNOWN_STATUS = {
+    Reason.BAD_REQUEST: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.OVERLOADED: 429,
+    Reason.STORE_UNAVAILABLE: 503,
+    Reason.UNKNOWN_SERVICE: 422,
 }
 _NOT_RUN_STATUS = {
     Reason.BAD_REQUEST: 400,
@@ -42,6 +52,7 @@
     Reason.DEADLINE: 408,
     Reason.IDENTIFIER_UNKNOWN: 404,
     Reason.IMPOSSIBLE: 422,
+    Reason.KEY_REUSED: 422,
     Reason.QUOTA: 429,
     Reason.UNKNOWN_SERVICE: 422,
 }
@@ -94,6 +105,8 @@
     def __init__(self, entry):
         self._entry = entry
         self._open = 0
+        self._keys = IdempotencyKeys(entry.store)
+        self._key_limit = KeyLimit(entry.settings.key_writes_per_s)
 
     @property
     def open_requests(self):
@@ -133,6 +146,8 @@
         return json_response(200, {"ids": [str(job_id) for job_id in ids]})
 
     def _post(self, request, single):
+        if "idempotency-key" in request.headers:
+            return self._post_with_key(request, single)
         try:
             job = self._parse_job(request, single)
             self._check_capacity()
@@ -142,6 +157,71 @@
             return self._refusal(error)
         return self._submit(job_id, job, request)
 
+    def _post_with_key(self, request, single):
+        key = request.headers["idempotency-key"]
+        try:
+            job = self._parse_job(request, single)
+            if not 0 < len(key) <= _MAX_KEY_LENGTH:
+                detail = f"the key must have 1 to {_MAX_KEY_LENGTH} characters"
+                raise RequestError(Reason.BAD_REQUEST, detail)
+        except (OptionError, RequestError) as error:
+            return self._refuse_keyed(error)
+        fingerprint = blake2b(request.body, digest_size=16).hexdigest()
+        try:
+            mapping = self._map_key(job, key, fingerprint)
+        except StoreError as error:
+            detail = f"the key cannot be looked up: {error}"
+            return self._refuse_keyed(
+                RequestError(Reason.STORE_UNAVAILABLE, detail, 1000)
+            )
+        except RequestError as error:
+            return self._refuse_keyed(error)
+        if mapping.fingerprint != fingerprint:
+            # This body never ran and never will: the key stands for another one.
+            detail = "the key was used with another body"
+            return self._refusal(RequestError(Reason.KEY_REUSED, detail))
+        response = self._submit(mapping.job_id, job, request)
+        if mapping.revision and b'"not_run"' in response.body[:400]:
+            return self._submit_anew(job, key, mapping, request)
+        return response
+
+    def _map_key(self, job, key, fingerprint):
+        """Returns the mapping of a key, which is created if there is none."""
+        self._check_capacity()
+        mapping = self._keys.find(job.tenant, key)
+        if mapping is not None:
+            return mapping
+        return self._create_mapping(job, key, fingerprint, 0)
+
+    def _create_mapping(self, job, key, fingerprint, revision):
+        now = time.monotonic()
+        if not self._key_limit.take(now):
+            raise RequestError(Reason.OVERLOADED, "too many new keys", 1000)
+        job_id = self._new_ids(self._service(job.service), 1)[0]
+        return self._keys.create(job.tenant, key, job_id, fingerprint, now, revision)
+
+    def _submit_anew(self, job, key, mapping, request):
+        """Submits a job whose earlier identifier was refused for good."""
+        try:
+            mapping = self._create_mapping(
+                job, key, mapping.fingerprint, mapping.revision
+            )
+        except (RequestError, StoreError) as error:
+            return self._refuse_keyed(
+                RequestError(Reason.STORE_UNAVAILABLE, str(error), 1000)
+            )
+        return self._submit(mapping.job_id, job, request)
+
+    def _refuse_keyed(self, error):
+        """Refuses a request with a key that an earlier request may have used."""
+        reason = getattr(error, "reason", Reason.BAD_REQUEST)
+        detail = f"{error}; an earlier submission with this key may have run"
+        retry_after_ms = getattr(error, "retry_after_ms", 0)
+        outcome = JobOutcome(
+            Outcome.UNKNOWN, reason, detail, retry_after_ms=retry_after_ms
+        )
+        return self._answer(None, outcome, False)
+
     def _put(self, request, single):
         try:
             job_id = parse_job_id(request.argument)
@@ -330,19 +410,26 @@
             headers["Retry-After"] = str(-(-outcome.retry_after_ms // 1000))
         if outcome.outcome is Outcome.NOT_RUN:
             status = _NOT_RUN_STATUS.get(outcome.reason, 503)
+        elif outcome.outcome is Outcome.UNKNOWN:
+            status = _UNKNOWN_STATUS.get(outcome.reason, 504)
         else:
             status = _STATUS[outcome.outcome]
+        next_id = None if job_id is None else self._next_id(job_id)
+        if next_id is not None:
+            document["next_id"] = next_id
         return problem(status, document, headers)
 
     def _complete(self, job_id, outcome, single):
-        head = json.dumps(
-            {
-                "job_id": str(job_id),
-                "outcome": outcome.outcome,
-                "queue_ms": outcome.queue_us / 1000,
-                "service_ms": outcome.service_us / 1000,
-            }
-        ).encode()
+        document = {
+            "job_id": str(job_id),
+            "outcome": outcome.outcome,
+            "queue_ms": outcome.queue_us / 1000,
+            "service_ms": outcome.service_us / 1000,
+        }
+        next_id = self._next_id(job_id)
+        if next_id is not None:
+            document["next_id"] = next_id
+        head = json.dumps(document).encode()
         if single:
             results = b'"result":' + outcome.results[0]
         else:
@@ -352,6 +439,21 @@
         body = head[:-1] + b"," + results + b"}\n"
         return Response(200, body, "application/json")
 
+    def _next_id(self, job_id):
+        """Returns an identifier for the caller's next job if one is at hand."""
+        entry = self._entry
+        home = entry.members.get(job_id.member)
+        if home is None:
+            return None
+        service = entry.config.config.services.get(home.hello.service_name)
+        if service is None:
+            return None
+        view = entry.members.choose_coordinator(entry.config.config, service)
+        if view is None:
+            return None
+        next_id = entry.calls.id_at_hand(view, time.monotonic())
+        return None if next_id is None else str(next_id)
+
 
 def _parse_body(request):
     if request.body is None:
--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -159,10 +159,31 @@
             ids += [JobId(hello.member, hello.incarnation, n) for n in taken]
         return ids
 
-    def forget(self, member):
+    def id_at_hand(self, view, now):
+        """Returns an identifier from the present block of a coordinator, or None."""
+        key = (view.hello.member, view.hello.incarnation)
+        numbers, expires = self._blocks.get(key, (range(0), 0.0))
+        if not numbers or expires < now:
+            return None
+        self._blocks[key] = (numbers[1:], expires)
+        return JobId(*key, numbers[0])
+
+    def prepare(self, view, now):
+        """Makes a coordinator ready for jobs: its cell and a block of identifiers.
+
+        Raises:
+            HomeGone: The coordinator cannot be reached.
+            TimeoutError: The coordinator did not answer within a second.
+        """
+        self._node.use_coordinator(view)
+        key = (view.hello.member, view.hello.incarnation)
+        numbers, expires = self._blocks.get(key, (range(0), 0.0))
+        if len(numbers) < _ID_BLOCK // 4 or expires < now:
+            self._blocks[key] = self._request_block(view.hello, _ID_BLOCK, now)
+
+    def forget(self, hello):
         """Drops the identifiers of a runner that is gone."""
-        for key in [key for key in self._blocks if key[0] == member]:
-            del self._blocks[key]
+        self._blocks.pop((hello.member, hello.incarnation), None)
 
     def _request_block(self, hello, wanted, now):
         block = self.ask_once(
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -15,7 +15,7 @@
 from .coordination.config_sync import ConfigHolder
 from .coordination.config_writer import ConfigWriter
 from .coordination.evidence import EntryEvidence, age_ms
-from .coordination.home_calls import HomeCalls
+from .coordination.home_calls import HomeCalls, HomeGone
 from .coordination.membership import Membership, cell_of
 from .operator_api import OperatorApi
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
@@ -31,6 +31,7 @@
 log = logging.getLogger(__name__)
 
 _MAX_HTTP_CONNECTIONS = 20_000
+_PREPARE_S = 0.25
 
 
 class Entry:
@@ -72,6 +73,7 @@
         OperatorApi(self).add_routes(api)
         self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS)
         gevent.spawn(self._store_loop)
+        gevent.spawn(self._prepare_loop)
         log.info("entry_started", extra={"member": settings.member})
 
     def drain(self):
@@ -149,6 +151,8 @@
         """Forgets a closed link and tells the requests that used it."""
         self.calls.on_link_down(link)
         if self.members.on_link_down(link):
+            self.calls.forget(link.peer)
+            self._coordinators.discard((link.peer.member, link.peer.incarnation))
             self._on_membership_change(link)
 
     def on_message(self, link, message, now):
@@ -191,6 +195,23 @@
             if view.config_version < push.version:
                 view.link.try_send(push)
 
+    def _prepare_loop(self):
+        """Keeps the coordinators that new jobs would go to ready for them."""
+        while True:
+            gevent.sleep(_PREPARE_S)
+            config = self.config.config
+            for service in config.services.values():
+                for cell in range(service.cells):
+                    leader = self.members.leader(config, service, cell)
+                    if leader is not None:
+                        self._prepare(leader)
+
+    def _prepare(self, leader):
+        try:
+            self.calls.prepare(leader, time.monotonic())
+        except (HomeGone, TimeoutError) as error:
+            log.info("coordinator_not_prepared", extra={"error": str(error)})
+
     # Store.
 
     def _store_loop(self):
--- a/papayaward/protocol/outcomes.py
+++ b/papayaward/protocol/outcomes.py
@@ -50,6 +50,7 @@
     IDENTIFIER_EXPIRED = "identifier_expired"
     IDENTIFIER_UNKNOWN = "identifier_unknown"
     IMPOSSIBLE = "impossible"
+    KEY_REUSED = "key_reused"
     NO_HOME = "no_home"
     NO_SLOT = "no_slot"
     OVERLOADED = "overloaded"
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -119,6 +119,13 @@
         _ENTRY,
         "Interval between reads of the store's head version, in seconds.",
     ),
+    Setting(
+        "key_writes_per_s",
+        partial(get_int, low=1, high=1000),
+        50,
+        _ENTRY,
+        "New idempotency keys per second; each costs the store one write.",
+    ),
     Setting(
         "max_body_bytes",
         partial(get_int, low=1024, high=64 * 1024 * 1024),
--- a/standins/store.py
+++ b/standins/store.py
@@ -5,8 +5,8 @@
 Stand-in of the platform's key-value service, in the JSON form of etcd v3.
 
 Faults are set with `POST /control`: `mode` is `ok`, `down` (503 after a while),
-`slow` (answers after `delay_s`) or `lose` (writes take effect, the connection
-then breaks).
+`slow` (answers after `delay_s`) or `lose` (writes take effect, their answers
+never come).
 """
 
 import argparse
@@ -21,6 +21,9 @@
 __all__ = ["Store", "main"]
 
 
+_LOST_ANSWER_S = 30.0
+
+
 class Store:
     """Keys with revisions and leases, and the faults that are switched on."""
 
@@ -53,7 +56,8 @@
             return _reply(start_response, 404, {"error": "no such call"})
         answer = operation(document)
         if self._mode == "lose" and path == "/v3/kv/txn":
-            raise ConnectionError("answer lost on purpose")
+            # Longer than any client waits: the write took effect unanswered.
+            gevent.sleep(_LOST_ANSWER_S)
         return _reply(start_response, 200, answer)
 
     def _control(self, document):
