--- a/papayaward/daemon.py
+++ b/papayaward/daemon.py
@@ -15,7 +15,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from . import __version__
-from .protocol.settings import SettingsError, load_settings
+from .protocol.settings import SettingsError, load_settings, settings_reference
 
 __all__ = ["main", "run"]
 
@@ -32,10 +32,17 @@
         int: 0 after a planned stop, 2 for settings that are not allowed.
     """
     parser = argparse.ArgumentParser(prog="papayawardd", description=__doc__)
-    parser.add_argument("--settings", required=True, help="path of the JSON settings")
+    source = parser.add_mutually_exclusive_group(required=True)
+    source.add_argument("--settings", help="path of the JSON settings")
+    source.add_argument(
+        "--reference", action="store_true", help="print the settings reference"
+    )
     parser.add_argument("--check", action="store_true", help="check the settings only")
     parser.add_argument("--version", action="version", version=__version__)
     options = parser.parse_args(args)
+    if options.reference:
+        print(settings_reference(), end="")
+        return 0
     try:
         settings = load_settings(options.settings)
     except SettingsError as error:
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -23,7 +23,14 @@
     get_string_list,
 )
 
-__all__ = ["SETTINGS", "Setting", "SettingsError", "check_settings", "load_settings"]
+__all__ = [
+    "SETTINGS",
+    "Setting",
+    "SettingsError",
+    "check_settings",
+    "load_settings",
+    "settings_reference",
+]
 
 
 class SettingsError(Exception):
@@ -272,3 +279,15 @@
     except (OSError, ValueError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
     return check_settings(document)
+
+
+def settings_reference():
+    """Returns the settings table as Markdown, for the operators' page."""
+    lines = ["| setting | roles | default | meaning |", "| --- | --- | --- | --- |"]
+    for setting in SETTINGS:
+        roles = ", ".join(setting.roles)
+        default = "required"
+        if setting.default is not None:
+            default = f"`{json.dumps(setting.default)}`"
+        lines.append(f"| `{setting.name}` | {roles} | {default} | {setting.doc} |")
+    return "\n".join(lines) + "\n"
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,10 @@
 import shlex
 from pathlib import Path
 
+from testtools import TestCase
+
+from papayaward.protocol.settings import settings_reference
+from papayaward.state import metrics
 from standins.fleet import call
 
 from .fleet_case import FleetCase
@@ -49,3 +53,17 @@
             method, path, headers, body = _parse_curl(command)
             reply = call(fleet.entry(), method, path, body, headers=headers)
             self.assertEqual(200, reply.status, f"{command}: {reply.body}")
+
+
+class OperatorsPageTest(TestCase):
+    def test_settings_reference_matches_the_code(self):
+        """Guards against settings that are undocumented or described wrongly."""
+        text = (_DOCS / "operations.md").read_text(encoding="utf-8")
+        self.assertIn(settings_reference(), text)
+
+    def test_metrics_of_alerts_exist(self):
+        """Guards against alerts on metrics that no process exports."""
+        text = (_DOCS / "operations.md").read_text(encoding="utf-8")
+        exported = metrics.export().decode()
+        for name in set(re.findall(r"`(papayaward_[a-z_]+)", text)):
+            self.assertIn(name.removesuffix("_total"), exported)
