Serve callers over TLS when an entry has a certificate

Cause: callers outside the platform's network need HTTPS and the entries are where their connections end. gevent's WSGI server brings it; two settings name the files and are checked together. Ruled out: the standard library's SSL contexts in tests, which block gevent's event loop during the handshake. Measured: an HTTPS request with a verified certificate is answered; 1 test.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -71,7 +71,10 @@
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
-        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS)
+        tls = {}
+        if settings.tls_certificate:
+            tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
+        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS, **tls)
         gevent.spawn(self._store_loop)
         gevent.spawn(self._prepare_loop)
         log.info("entry_started", extra={"member": settings.member})
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -133,6 +133,14 @@
         _ENTRY,
         "New idempotency keys per second; each costs the store one write.",
     ),
+    Setting(
+        "tls_certificate",
+        get_string,
+        "",
+        _ENTRY,
+        "PEM file with the certificate chain; callers then use HTTPS.",
+    ),
+    Setting("tls_key", get_string, "", _ENTRY, "PEM file with the certificate's key."),
     Setting(
         "max_body_bytes",
         partial(get_int, low=1024, high=64 * 1024 * 1024),
@@ -263,6 +271,8 @@
                 get_address({name: address}, name)
             except OptionError as error:
                 yield f"{name}[{index}]: {error}"
+    if bool(values.get("tls_certificate")) != bool(values.get("tls_key")):
+        yield "tls_certificate: needs tls_key, and the other way round"
     if values.get("disabled_mechanisms") and not values.get("debug_faults"):
         yield "disabled_mechanisms: needs debug_faults"
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -155,6 +155,12 @@
             store=[self.store],
         )
 
+    def start_extra_entry(self, name, **values):
+        """Starts an entry that no runner dials, with settings of its own."""
+        listen = f"127.0.0.1:{free_port()}"
+        values = {"listen": listen, "store": [self.store], **values}
+        self._start_daemon(name, "entry", domain="entry", **values)
+
     def start_runner(self, name):
         """Starts a runner."""
         runner = self._runners[name]
