Survive malformed messages and bodies on every port

Cause: found by sending 300 random, truncated and mutated frames and 36 bodies to each port. A message with missing fields raised out of the link's reader, and a deeply nested body raised RecursionError (500 on the operators' interface; on an upstream's answer the task would have counted as lost). One checked reader of JSON objects replaces four; a link whose message cannot be handled is closed and logged as message_failed.

--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -20,6 +20,7 @@
     get_int,
     get_string,
     get_string_list,
+    read_object,
 )
 from .protocol.outcomes import JobOutcome, Outcome, Reason
 from .transport.http_api import Response, json_response, problem
@@ -458,13 +459,7 @@
 def _parse_body(request):
     if request.body is None:
         raise RequestError(Reason.BODY_TOO_LARGE, "the body is too large")
-    try:
-        document = json.loads(request.body)
-    except (ValueError, RecursionError) as error:
-        raise RequestError(Reason.BAD_REQUEST, f"not JSON: {error}") from None
-    if not isinstance(document, dict):
-        raise RequestError(Reason.BAD_REQUEST, "the body must be a JSON object")
-    return document
+    return read_object(request.body)
 
 
 def _parse_tasks(document, single, max_tasks):
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -51,7 +51,7 @@
     """Returns the body if it is JSON, else the body as a JSON string."""
     try:
         json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return json.dumps(body.decode("utf-8", "replace")).encode()
     return body
 
--- a/papayaward/operator_api.py
+++ b/papayaward/operator_api.py
@@ -15,7 +15,7 @@
 from .protocol.config_text import ConfigError, parse_config
 from .protocol.gen.ttypes import Query
 from .protocol.identifiers import IdentifierError, parse_job_id
-from .protocol.options import OptionError, get_int, get_string
+from .protocol.options import OptionError, get_int, get_string, read_object
 from .state import invariants
 from .transport.http_api import Response, json_response, problem
 
@@ -48,7 +48,7 @@
 
     def _post_config(self, request):
         try:
-            document = json.loads(request.body)
+            document = read_object(request.body)
             text = get_string(document, "text", longest=1_000_000)
             expected = get_int(document, "expected_version")
             author = get_string(document, "author")
@@ -57,7 +57,7 @@
         except ConfigError as error:
             findings = [finding.__dict__ for finding in error.findings]
             return problem(422, {"detail": "invalid text", "findings": findings})
-        except (OptionError, ValueError, TypeError, AttributeError) as error:
+        except OptionError as error:
             return problem(400, {"detail": str(error)})
         return self._apply(text, expected, author, wait_ms)
 
--- a/papayaward/protocol/config_text.py
+++ b/papayaward/protocol/config_text.py
@@ -147,7 +147,7 @@
     """
     try:
         document = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         line, column = getattr(error, "lineno", 1), getattr(error, "colno", 1)
         finding = Finding("$", line, column, str(error), "a JSON document")
         raise ConfigError([finding]) from error
--- a/papayaward/protocol/options.py
+++ b/papayaward/protocol/options.py
@@ -5,6 +5,8 @@
 Checked getters for values that come from outside, with one typed error.
 """
 
+import json
+
 __all__ = [
     "OptionError",
     "get_address",
@@ -14,6 +16,7 @@
     "get_number",
     "get_string",
     "get_string_list",
+    "read_object",
 ]
 
 _MISSING = object()
@@ -34,6 +37,21 @@
         self.allowed = allowed
 
 
+def read_object(text):
+    """Returns the JSON object in a text, str or bytes.
+
+    Raises:
+        OptionError: The text is not a JSON object.
+    """
+    try:
+        document = json.loads(text)
+    except (ValueError, TypeError, RecursionError) as error:
+        raise OptionError("body", str(error)[:60], "a JSON object") from None
+    if not isinstance(document, dict):
+        raise OptionError("body", document, "a JSON object")
+    return document
+
+
 def _get(options, name, default):
     value = options.get(name, _MISSING)
     if value is _MISSING and default is not None:
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -5,7 +5,6 @@
 The runner role: executor, coordinator and announcements beside one upstream.
 """
 
-import json
 import logging
 import secrets
 import time
@@ -17,7 +16,14 @@
 from .coordination.evidence import RunnerEvidence, age_ms
 from .coordination.executor import Executor, Upstream
 from .protocol.gen.ttypes import Heartbeat, Hello, Members
-from .protocol.options import OptionError, get_address, get_bool, get_int, get_string
+from .protocol.options import (
+    OptionError,
+    get_address,
+    get_bool,
+    get_int,
+    get_string,
+    read_object,
+)
 from .state import metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
@@ -231,7 +237,7 @@
 
     def _announce(self, request):
         try:
-            document = json.loads(request.body)
+            document = read_object(request.body)
             service = get_string(document, "service")
             if service != self.settings.service:
                 raise OptionError("service", service, self.settings.service)
@@ -243,7 +249,7 @@
                 get_bool(document, "leaving", False),
                 get_string(document, "instance", ""),
             )
-        except (ValueError, AttributeError) as error:
+        except OptionError as error:
             return json_response(400, {"detail": str(error)})
         self.executor.announce(upstream, time.monotonic())
         return json_response(200, {"slots": self.executor.slots})
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -216,13 +216,25 @@
 
     def _dispatch(self, message, now):
         if not isinstance(message, Heartbeat):
-            self._node.on_message(self, message, now)
+            self._handle(message, now)
             return
         self.last_stamp_us = message.stamp_us
         self._node.on_heartbeat(self, message, now)
         if not self._dialled:
             self.try_send(self._node.heartbeat(self, now))
 
+    def _handle(self, message, now):
+        try:
+            self._node.on_message(self, message, now)
+        except Exception as error:
+            # A message with missing fields or a fault of the handler: the other
+            # links of this process must not suffer from it.
+            name = type(message).__name__
+            log.exception(
+                "message_failed", extra={"peer": self._peer.member, "type": name}
+            )
+            raise FrameError(f"cannot handle {name}: {error}") from error
+
     def _write(self):
         while not self._closed.is_set():
             self._wakeup.wait()
