Split the coordinator into intake, dispatch, results and answers

Cause: coordinator.py held job intake, placement, recovery and answers in one class of 658 lines, so that a change to one decision touched all of them.

--- /dev/null
+++ b/papayaward/coordination/answers.py
@@ -0,0 +1,78 @@
+"""
+papayaward.coordination.answers
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Gives each job its outcome and sends it to the entries that wait for it.
+"""
+
+from ..protocol.gen.ttypes import Answer, CancelTasks
+from ..protocol.outcomes import Outcome
+from ..state import invariants, metrics
+
+__all__ = ["Answers"]
+
+
+class Answers:
+    """Outcomes of the jobs of one home.
+
+    Args:
+        records: `JobRecords`.
+        dispatcher: `Dispatcher` that runs the tasks.
+    """
+
+    def __init__(self, records, dispatcher):
+        self._records = records
+        self._dispatcher = dispatcher
+
+    def wait_or_answer(self, link, request_id, record):
+        """Answers a request now if the job is done, else when it is."""
+        if record.done:
+            self.send(link, request_id, record.spec.job_id, record.outcome, record.spec)
+        else:
+            record.waiters.append((link, request_id))
+
+    def send(self, link, request_id, job_id, outcome, spec=None):
+        """Sends an outcome to an entry."""
+        if spec is not None and outcome.outcome is Outcome.COMPLETE:
+            invariants.check(
+                "answer_whole", len(outcome.results) == len(spec.tasks), job=job_id
+            )
+        link.try_send(
+            Answer(
+                request_id,
+                job_id,
+                outcome.outcome,
+                outcome.reason,
+                outcome.detail,
+                list(outcome.results),
+                outcome.retry_after_ms,
+                outcome.started,
+                outcome.queue_us,
+                outcome.service_us,
+            )
+        )
+
+    def finish(self, record, outcome, now):
+        """Sets the outcome of a job, cancels its tasks and answers its waiters."""
+        spec = record.spec
+        if outcome.outcome is Outcome.NOT_RUN:
+            may_have_run = record.started or record.running or record.maybe_started
+            invariants.check("not_run_is_true", not may_have_run, job=spec.job_id)
+        waiters, record.waiters = record.waiters, []
+        running = set(record.running.values())
+        self._records.finish(record, outcome, now)
+        record.timeline.add(now, "finished", outcome.outcome, outcome.reason)
+        metrics.ANSWERS.labels(spec.tenant, outcome.outcome, outcome.reason).inc()
+        if outcome.outcome is Outcome.COMPLETE:
+            labels = (spec.tenant, spec.job_class)
+            response_s = now - record.arrived
+            metrics.RESPONSE_SECONDS.labels(*labels).observe(response_s)
+            if record.service_s:
+                ratio = response_s / record.service_s
+                metrics.RESPONSE_OVER_SERVICE.labels(*labels).observe(ratio)
+        for member in running:
+            view = self._dispatcher.executors.get(member)
+            if view is not None and view.link is not None:
+                view.link.try_send(CancelTasks([spec.job_id]))
+        for link, request_id in waiters:
+            self.send(link, request_id, spec.job_id, outcome, spec)
--- /dev/null
+++ b/papayaward/coordination/intake.py
@@ -0,0 +1,195 @@
+"""
+papayaward.coordination.intake
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Requests of entries to a home: submissions, fetches, refusals and cancellations.
+"""
+
+from ..protocol.gen.ttypes import (
+    Accepted,
+    Cancel,
+    CancelReply,
+    Fetch,
+    IdBlock,
+    IdBlockRequest,
+    Refuse,
+    Submit,
+)
+from ..protocol.identifiers import IdentifierError, parse_job_id
+from ..protocol.outcomes import JobOutcome, Outcome, Reason
+from ..state.id_blocks import IdBlocks, NumberState
+from ..state.job_records import JobRecord, JobSpec
+from .admission import check_admission
+
+__all__ = ["Intake"]
+
+
+class Intake:
+    """Takes the requests of entries.
+
+    Args:
+        node: The runner.
+        records: `JobRecords`.
+        dispatcher: `Dispatcher` that runs the tasks.
+        answers: `Answers`.
+    """
+
+    def __init__(self, node, records, dispatcher, answers):
+        self._node = node
+        self._settings = node.settings
+        self._records = records
+        self._dispatcher = dispatcher
+        self._answers = answers
+        self._blocks = IdBlocks(node.settings.id_block_ttl_s)
+
+    @property
+    def handlers(self):
+        """Handlers of messages by their class."""
+        return {
+            IdBlockRequest: self._on_id_block_request,
+            Submit: self._on_submit,
+            Fetch: self._on_fetch,
+            Refuse: self._on_refuse,
+            Cancel: self._on_cancel,
+        }
+
+    def _on_id_block_request(self, link, message, now):
+        count = max(1, min(message.count, 4096))
+        first = self._blocks.issue(count, now)
+        ttl_ms = int(self._blocks.ttl_s * 1000)
+        link.try_send(IdBlock(message.request_id, first, count, ttl_ms))
+
+    def _on_submit(self, link, message, now):
+        record = self._records.get(message.job_id)
+        if record is not None:
+            record.timeline.add(now, "resubmitted", link.peer.member)
+            self._answers.wait_or_answer(link, message.request_id, record)
+            return
+        refusal = self._claim_number(message.job_id, now)
+        if refusal is not None:
+            self._answers.send(link, message.request_id, message.job_id, refusal)
+            return
+        spec = JobSpec(
+            job_id=message.job_id,
+            service=message.service_name,
+            tenant=message.tenant,
+            job_class=message.job_class,
+            deadline=now + message.deadline_ms / 1000,
+            idempotent=message.idempotent,
+            tasks=tuple(message.tasks),
+        )
+        record = JobRecord(spec, now)
+        record.timeline.add(now, "received", link.peer.member, len(spec.tasks), "tasks")
+        self._records.add(record)
+        self._admit(record, now)
+        if not record.done:
+            link.try_send(Accepted(message.request_id))
+        self._answers.wait_or_answer(link, message.request_id, record)
+
+    def _claim_number(self, job_id, now):
+        """Marks the job's number as used; returns an outcome if it may not run."""
+        try:
+            parsed = parse_job_id(job_id)
+        except IdentifierError as error:
+            return JobOutcome(Outcome.NOT_RUN, Reason.IDENTIFIER_UNKNOWN, str(error))
+        hello = self._node.hello()
+        if (parsed.member, parsed.incarnation) != (hello.member, hello.incarnation):
+            return JobOutcome(
+                Outcome.UNKNOWN, Reason.HOME_GONE, "the job's home was replaced"
+            )
+        state = self._blocks.use(parsed.number, now)
+        if state is NumberState.UNUSED:
+            return None
+        if state is NumberState.NOT_ISSUED:
+            return JobOutcome(
+                Outcome.NOT_RUN, Reason.IDENTIFIER_UNKNOWN, "no such identifier"
+            )
+        if state is NumberState.USED:
+            return JobOutcome(
+                Outcome.UNKNOWN, Reason.RECORD_EXPIRED, "the answer is no longer kept"
+            )
+        return JobOutcome(
+            Outcome.UNKNOWN, Reason.IDENTIFIER_EXPIRED, "the identifier has expired"
+        )
+
+    def _admit(self, record, now):
+        spec = record.spec
+        service = self._node.hello().service_name
+        if spec.service != service:
+            detail = f"the identifier belongs to the service {service}"
+            self._refuse(record, Reason.BAD_REQUEST, detail, 0, now)
+            return
+        if self._node.draining:
+            self._refuse(record, Reason.DRAINING, "the home is stopping", 100, now)
+            return
+        expected_s = self._dispatcher.speeds.expected_s(spec.job_class)
+        refusal = check_admission(
+            self._dispatcher.load(),
+            self._settings,
+            len(spec.tasks),
+            record.size,
+            expected_s * len(spec.tasks),
+            spec.deadline - now,
+        )
+        if refusal.reason is not Reason.NONE:
+            self._refuse(
+                record, refusal.reason, refusal.detail, refusal.retry_after_ms, now
+            )
+            return
+        record.timeline.add(
+            now, "accepted", f"{self._dispatcher.queued} tasks queued before"
+        )
+        for index in range(len(spec.tasks)):
+            self._dispatcher.enqueue(record, index)
+        if not spec.tasks:
+            self._answers.finish(record, JobOutcome(Outcome.COMPLETE), now)
+        self._dispatcher.wake()
+
+    def _refuse(self, record, reason, detail, retry_after_ms, now):
+        outcome = JobOutcome(
+            Outcome.NOT_RUN, reason, detail, retry_after_ms=retry_after_ms
+        )
+        self._answers.finish(record, outcome, now)
+
+    def _on_fetch(self, link, message, now):
+        record = self._records.get(message.job_id)
+        if record is None:
+            outcome = self._claim_number(message.job_id, now) or JobOutcome(
+                Outcome.NOT_RUN, Reason.CANCELLED, "the identifier was never submitted"
+            )
+            self._answers.send(link, message.request_id, message.job_id, outcome)
+        elif message.wait or record.done:
+            self._answers.wait_or_answer(link, message.request_id, record)
+        else:
+            link.try_send(Accepted(message.request_id))
+
+    def _on_refuse(self, link, message, now):
+        record = self._records.get(message.job_id)
+        if record is not None:
+            self._answers.wait_or_answer(link, message.request_id, record)
+            return
+        outcome = self._claim_number(message.job_id, now) or JobOutcome(
+            Outcome.NOT_RUN, Reason(message.reason), "the request was refused"
+        )
+        self._answers.send(link, message.request_id, message.job_id, outcome)
+
+    def _on_cancel(self, link, message, now):
+        cancelled = 0
+        for job_id in message.job_ids:
+            record = self._records.get(job_id)
+            if record is None:
+                # Marks the number as used, so that a submission that is still
+                # on its way cannot start after the cancellation.
+                self._claim_number(job_id, now)
+            elif not record.done:
+                detail = f"{record.started} tasks had started"
+                outcome = JobOutcome(
+                    Outcome.CANCELLED,
+                    Reason.CANCELLED,
+                    detail,
+                    started=record.started,
+                )
+                self._answers.finish(record, outcome, now)
+                cancelled += 1
+        self._dispatcher.prune()
+        link.try_send(CancelReply(message.request_id, cancelled))
