--- /dev/null
+++ b/benchmarks/delayed_fleet.py
@@ -0,0 +1,71 @@
+"""
+benchmarks.delayed_fleet
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+A fleet whose links and client connections pass through delaying proxies.
+"""
+
+from standins.fleet import Fleet, free_port
+
+__all__ = ["DelayedFleet"]
+
+
+class DelayedFleet(Fleet):
+    """Fleet of a profile.
+
+    Each proxy is a process of its own, so that none of them is a bottleneck that
+    the program would not have.
+
+    Args:
+        profile: `Profile`.
+        delayed: Whether the proxies are used at all.
+        settings: Settings added to each process of a role, by role.
+        entries: Number of entries.
+    """
+
+    def __init__(self, profile, delayed=True, settings=None, entries=2):
+        self.profile = profile
+        self._delayed = delayed
+        self._link_front = {}
+        self._client_front = {}
+        super().__init__(
+            profile.config,
+            entries,
+            profile.runners,
+            settings,
+            lambda entry, address, runner: self._link_front.get(entry, address),
+        )
+
+    @property
+    def client_addresses(self):
+        """HTTP addresses of the entries as clients see them."""
+        return [
+            self._client_front.get(name, self.entry_http[name])
+            for name in self._entries
+        ]
+
+    def start_entry(self, name):
+        """Starts an entry and, the first time, its proxies."""
+        super().start_entry(name)
+        if self._delayed and name not in self._link_front:
+            self._link_front[name] = self._start_proxy(
+                f"p-{name}", self.entry_link[name], self.profile.link_delay_ms
+            )
+            self._client_front[name] = self._start_proxy(
+                f"c-{name}", self.entry_http[name], self.profile.client_delay_ms
+            )
+
+    def start_runner(self, name):
+        """Starts a runner and, the first time, the proxy before its links."""
+        if self._delayed and f"p-{name}" not in self.processes:
+            front = self._start_proxy(
+                f"p-{name}", self.runner_link[name], self.profile.link_delay_ms
+            )
+            self._runners[name]["settings"] = {"advertise": front}
+        super().start_runner(name)
+
+    def _start_proxy(self, name, target, delay_ms):
+        front = f"127.0.0.1:{free_port()}"
+        arguments = ("--delay-ms", str(delay_ms), "--route", f"{front}={target}")
+        self.spawn(name, "standins.proxy", *arguments)
+        return front
--- /dev/null
+++ b/benchmarks/ideal.py
@@ -0,0 +1,145 @@
+"""
+benchmarks.ideal
+~~~~~~~~~~~~~~~~
+
+The ideal: one first-come-first-served queue over all slots, without any delay,
+that knows the true speeds and takes the fastest free slot.
+"""
+
+import heapq
+from collections import deque
+from dataclasses import dataclass
+from itertools import count
+
+__all__ = ["IdealResult", "Outage", "Slot", "run_ideal", "slots_of"]
+
+# Order of events at the same time: a slot that becomes free serves a job that
+# arrives at that moment.
+_FINISH, _OUT, _IN, _ARRIVAL = range(4)
+
+
+@dataclass(frozen=True)
+class Slot:
+    """One slot.
+
+    Attributes:
+        speed: Work done in a second, in seconds at speed 1.
+        domain: Failure domain.
+        runner: Name of the runner.
+    """
+
+    speed: float
+    domain: str = ""
+    runner: str = ""
+
+
+@dataclass(frozen=True)
+class Outage:
+    """Time in which the slots that match start nothing; running tasks finish.
+
+    Attributes:
+        begin_s: Begin, from the start of the trace, in seconds.
+        end_s: End, in seconds.
+        domain: Failure domain that is out, or None.
+        runner: Runner that is out, or None.
+    """
+
+    begin_s: float
+    end_s: float
+    domain: str | None = None
+    runner: str | None = None
+
+    def matches(self, slot):
+        """Returns whether the outage concerns a slot."""
+        return slot.domain == self.domain or slot.runner == self.runner
+
+
+@dataclass(frozen=True)
+class IdealResult:
+    """What the ideal did with a trace.
+
+    Attributes:
+        response_s: Response time of each job, in order of the trace.
+        finishes: (time, work) of each task, both in seconds.
+    """
+
+    response_s: list
+    finishes: list
+
+    def work_done(self, begin_s, end_s):
+        """Returns the work of the tasks that finished in an interval, seconds."""
+        return sum(work for at, work in self.finishes if begin_s <= at < end_s)
+
+
+def slots_of(runners):
+    """Returns the slots of runners described as for `Fleet`."""
+    return [
+        Slot(runner.get("speed", 1.0), runner["domain"], f"r{index + 1}")
+        for index, runner in enumerate(runners)
+        for _ in range(runner.get("slots", 8))
+    ]
+
+
+def run_ideal(arrivals, slots, outages=()):
+    """Returns the `IdealResult` of a trace.
+
+    Args:
+        arrivals: `Arrival` in order of time.
+        slots: List of `Slot`.
+        outages: `Outage` of parts of the slots.
+    """
+    order = count()
+    events = [
+        (arrival.at_s, _ARRIVAL, next(order), position)
+        for position, arrival in enumerate(arrivals)
+    ]
+    for outage in outages:
+        events.append((outage.begin_s, _OUT, next(order), outage))
+        events.append((outage.end_s, _IN, next(order), outage))
+    heapq.heapify(events)
+    # Fastest first; the index only breaks ties.
+    free = [(-slot.speed, index) for index, slot in enumerate(slots)]
+    heapq.heapify(free)
+    out = []
+    parked = []
+    queue = deque()
+    missing = [len(arrival.work_ms) for arrival in arrivals]
+    response_s = [0.0] * len(arrivals)
+    finishes = []
+
+    def release(index):
+        slot = slots[index]
+        if any(outage.matches(slot) for outage in out):
+            parked.append(index)
+        else:
+            heapq.heappush(free, (-slot.speed, index))
+
+    while events:
+        now, kind, _, item = heapq.heappop(events)
+        if kind == _ARRIVAL:
+            works = arrivals[item].work_ms
+            queue.extend((item, work_ms / 1000) for work_ms in works)
+        elif kind == _FINISH:
+            index, position, work_s = item
+            finishes.append((now, work_s))
+            missing[position] -= 1
+            if not missing[position]:
+                response_s[position] = now - arrivals[position].at_s
+            release(index)
+        else:
+            if kind == _OUT:
+                out.append(item)
+            else:
+                out.remove(item)
+            unused = [index for _, index in free] + parked
+            free.clear()
+            parked.clear()
+            for index in unused:
+                release(index)
+        while queue and free:
+            _, index = heapq.heappop(free)
+            position, work_s = queue.popleft()
+            end = now + work_s / slots[index].speed
+            finish = (index, position, work_s)
+            heapq.heappush(events, (end, _FINISH, next(order), finish))
+    return IdealResult(response_s, finishes)
--- /dev/null
+++ b/benchmarks/scenarios.py
@@ -0,0 +1,474 @@
+"""
+benchmarks.scenarios
+~~~~~~~~~~~~~~~~~~~~
+
+Registry of the scenarios; each runs a fleet and returns its figures as a dict.
+"""
+
+import statistics
+import time
+
+import gevent
+
+from standins.fleet import process_cpu_s
+from standins.load import Arrival, percentile, poisson_arrivals
+
+from .delayed_fleet import DelayedFleet
+from .ideal import Outage, run_ideal, slots_of
+from .measure import (
+    LoadRun,
+    check_answers,
+    counters,
+    counters_difference,
+    lag_summary,
+    latest,
+    rss_mib,
+    wasted_messages,
+)
+from .trace import PROFILES, make_trace
+
+__all__ = ["SCENARIOS"]
+
+# Time after a disturbance in which its effects still count.
+_SETTLE_S = 4.0
+
+
+def _runner_settings(options):
+    return {"runner": {"placement": options.policy}} if options.policy else {}
+
+
+def _fleet(options, profile="oberland", **arguments):
+    return DelayedFleet(
+        PROFILES[profile], settings=_runner_settings(options), **arguments
+    )
+
+
+def _ratios(results, ideal, begin_s, arrivals):
+    """Returns the ratios of the medians and 99th percentiles of response times."""
+    pairs = [
+        (result["response_s"], ideal_s)
+        for arrival, result, ideal_s in zip(arrivals, results, ideal.response_s)
+        if arrival.at_s >= begin_s and result["outcome"] == "complete"
+    ]
+    measured, wanted = zip(*pairs)
+    found = {"jobs": len(pairs)}
+    for name, share in (("p50", 0.5), ("p99", 0.99)):
+        at, ideal_at = percentile(measured, share), percentile(wanted, share)
+        found[f"response_over_ideal_{name}"] = round(at / ideal_at, 3)
+        found[f"response_ms_{name}"] = round(at * 1000, 1)
+        found[f"ideal_ms_{name}"] = round(ideal_at * 1000, 1)
+    return found
+
+
+def _work_done(records, arrivals, results, begin, end):
+    """Returns the work that finished in a wall-clock interval, seconds at speed 1."""
+    works = {
+        result["job"]: arrival.work_ms
+        for arrival, result in zip(arrivals, results)
+        if result["job"]
+    }
+    return sum(
+        works[record["job"]][record["task"]] / 1000
+        for record in records
+        if record["end"] is not None and begin <= record["end"] < end
+    )
+
+
+def _work_share(run, results, records, ideal, begin_s, end_s):
+    """Returns the work done in an interval of the trace over that of the ideal."""
+    done = _work_done(
+        records,
+        run.arrivals,
+        results,
+        run.start_at + begin_s,
+        run.start_at + end_s,
+    )
+    return round(done / ideal.work_done(begin_s, end_s), 4)
+
+
+def _entry_cpu_s(fleet):
+    return sum(
+        process_cpu_s(fleet.processes[name].pid)
+        for name in fleet.entry_http
+        if fleet.processes[name].poll() is None
+    )
+
+
+def _run_steady(profile_name):
+    def run(options):
+        profile = PROFILES[profile_name]
+        load = options.load or 0.7
+        arrivals = make_trace(profile, load, options.seconds or 26.0, options.seed)
+        ideal = run_ideal(arrivals, slots_of(profile.runners))
+        with _fleet(options, profile_name) as fleet:
+            before, cpu = counters(fleet), _entry_cpu_s(fleet)
+            load_run = LoadRun(fleet, arrivals)
+            results = load_run.finish()
+            growth = counters_difference(before, counters(fleet))
+            cpu = _entry_cpu_s(fleet) - cpu
+            records = fleet.records()
+        tasks = sum(len(arrival.work_ms) for arrival in arrivals)
+        return {
+            "load": load,
+            **_ratios(results, ideal, options.warm_up, arrivals),
+            **wasted_messages(growth, tasks),
+            **check_answers(arrivals, results, records),
+            "entry_cpu_us_per_task_small_jobs": round(cpu / tasks * 1e6, 1),
+            **lag_summary(results),
+        }
+
+    return run
+
+
+def _leader_of(results):
+    """Returns the home that most jobs name."""
+    homes = [result["job"].split("-")[1] for result in results if result["job"]]
+    return statistics.mode(homes)
+
+
+def _find_leader(fleet):
+    return fleet.new_ids(1)[0].split("-")[1]
+
+
+def _run_domain_cycle(options):
+    profile = PROFILES["oberland"]
+    load = options.load or 0.7
+    out_s, in_s, end_s = 7.0, 17.0, 24.0
+    arrivals = make_trace(profile, load, end_s, options.seed)
+    with _fleet(options) as fleet:
+        # The hardest domain to lose is the one of the coordinator.
+        leader = _find_leader(fleet)
+        domain = fleet._runners[leader]["domain"]
+        load_run = LoadRun(fleet, arrivals)
+        load_run.sleep_until(out_s)
+        out_at, out_force_s = _change_domains(fleet, [domain])
+        load_run.sleep_until(in_s)
+        in_at, in_force_s = _change_domains(fleet, [])
+        results = load_run.finish()
+        records = fleet.records()
+    begin_s, back_s = out_at - load_run.start_at, in_at - load_run.start_at
+    ideal = run_ideal(
+        arrivals, slots_of(profile.runners), [Outage(begin_s, back_s, domain)]
+    )
+    return {
+        "load": load,
+        "domain": domain,
+        "work_done_share": _work_share(
+            load_run, results, records, ideal, begin_s, back_s + _SETTLE_S
+        ),
+        **check_answers(arrivals, results, records),
+        "last_start_after_out_s": round(latest(records, domain, out_at, in_at), 3),
+        "config_in_force_s": round(max(out_force_s, in_force_s), 3),
+        **_ratios(results, ideal, options.warm_up, arrivals),
+        **lag_summary(results),
+    }
+
+
+def _change_domains(fleet, domains):
+    """Changes the domains out; returns the time and how long until in force."""
+    before = fleet.version()
+    at = time.time()
+    status, reply = fleet.set_domains_out(domains)
+    if status != 200:
+        raise RuntimeError(f"the change was refused: {reply}")
+
+    def in_force():
+        return all(
+            fleet.version(index) > before
+            and all(
+                member["config_version"] > before
+                for member in fleet.status(index)["members"]
+            )
+            for index in range(len(fleet.client_addresses))
+        )
+
+    fleet.wait_until(in_force)
+    return at, time.time() - at
+
+
+def _run_burst(options):
+    profile = PROFILES["oberland"]
+    deadline_ms, phase_s, gap_s = 4000, 9.0, 7.0
+    at_capacity = make_trace(profile, 1.0, phase_s, options.seed, deadline_ms)
+    burst = make_trace(profile, 10.0, phase_s, options.seed + 1000, deadline_ms)
+    with _fleet(options) as fleet:
+        first_run = LoadRun(fleet, at_capacity, processes=2, give_up_s=8.0)
+        first = first_run.finish()
+        first_run.sleep_until(phase_s + gap_s)
+        second_run = LoadRun(fleet, burst, processes=4, give_up_s=8.0)
+        second = second_run.finish()
+        records = fleet.records()
+    # From the second at which a queue exists until the load ends.
+    window = (3.0, phase_s)
+    goods = [
+        _goodput(run, results, *window)
+        for run, results in ((first_run, first), (second_run, second))
+    ]
+    job_checks = check_answers(
+        at_capacity + burst, first + second, records, unknown_allowed=False
+    )
+    refusals = [
+        result["response_s"] for result in second if result["outcome"] == "not_run"
+    ]
+    return {
+        "load": 10.0,
+        "goodput_share": round(goods[1] / goods[0], 3),
+        "goodput_at_capacity_of_capacity": round(goods[0] / profile.capacity, 3),
+        "goodput_at_burst_of_capacity": round(goods[1] / profile.capacity, 3),
+        "refusal_ms_p50": round(percentile(refusals, 0.5) * 1000, 1),
+        **job_checks,
+        **lag_summary(second),
+    }
+
+
+def _goodput(run, results, begin_s, end_s):
+    """Returns the work a second of the jobs that were answered complete in time."""
+    done = sum(
+        sum(arrival.work_ms) / 1000
+        for arrival, result in zip(run.arrivals, results)
+        if result["outcome"] == "complete"
+        and begin_s <= result["answered"] - run.start_at < end_s
+    )
+    return done / (end_s - begin_s)
+
+
+def _run_ejection(options):
+    profile = PROFILES["oberland"]
+    load, fault_s, end_s = options.load or 0.5, 8.0, 24.0
+    arrivals = make_trace(profile, load, end_s, options.seed)
+    # The fastest upstream, which placement prefers.
+    victim = "r1"
+    with _fleet(options) as fleet:
+        load_run = LoadRun(fleet, arrivals)
+        load_run.sleep_until(fault_s)
+        fault_at = time.time()
+        fleet.control_upstream(victim, mode="fail")
+        results = load_run.finish()
+        records = fleet.records()
+    begin_s = fault_at - load_run.start_at
+    ideal = run_ideal(
+        arrivals, slots_of(profile.runners), [Outage(begin_s, 1e9, runner=victim)]
+    )
+    after = [
+        result
+        for arrival, result in zip(arrivals, results)
+        if arrival.at_s >= begin_s + 1.0
+    ]
+    failed = sum(result["outcome"] == "failed" for result in after)
+    broken = [r["start"] - fault_at for r in records if r["upstream"] == victim]
+    return {
+        "load": load,
+        "goodput_share": round(
+            _complete_work(arrivals, results, load_run, begin_s, end_s)
+            / ideal.work_done(begin_s, end_s),
+            4,
+        ),
+        "failed_share_after_1_s": round(failed / max(1, len(after)), 4),
+        "starts_on_failing_upstream": sum(at >= 0 for at in broken),
+        **check_answers(arrivals, results, records),
+        **lag_summary(results),
+    }
+
+
+def _complete_work(arrivals, results, run, begin_s, end_s):
+    return _goodput(run, results, begin_s, end_s) * (end_s - begin_s)
+
+
+def _run_entry_loss(options):
+    profile = PROFILES["oberland"]
+    load, kill_s, end_s = options.load or 0.7, 8.0, 18.0
+    arrivals = make_trace(profile, load, end_s, options.seed)
+    with _fleet(options) as fleet:
+        load_run = LoadRun(fleet, arrivals)
+        load_run.sleep_until(kill_s)
+        killed_at = time.time()
+        fleet.kill("e1")
+        results = load_run.finish()
+        records = fleet.records()
+    ideal = run_ideal(arrivals, slots_of(profile.runners))
+    resent = [result for result in results if result["sent"] > 1]
+    return {
+        "load": load,
+        **check_answers(arrivals, results, records),
+        "resubmitted": sum(result["due"] < killed_at for result in resent),
+        "work_done_share": _work_share(
+            load_run, results, records, ideal, kill_s, end_s
+        ),
+        **_ratios(results, ideal, options.warm_up, arrivals),
+        **lag_summary(results),
+    }
+
+
+def _run_runner_loss(options):
+    profile = PROFILES["oberland"]
+    load, end_s = options.load or 0.5, 22.0
+    arrivals = make_trace(profile, load, end_s, options.seed)
+    with _fleet(options) as fleet:
+        leader = _find_leader(fleet)
+        other = next(name for name in ("r4", "r6") if name != leader)
+        load_run = LoadRun(fleet, arrivals)
+        kills = []
+        # First a runner that only executes, then the home of all jobs.
+        for at_s, victim in ((7.0, other), (13.0, leader)):
+            load_run.sleep_until(at_s)
+            kills.append((victim, time.time()))
+            fleet.kill(victim)
+        results = load_run.finish()
+        records = fleet.records()
+    figures = {"load": load}
+    for (_, at), name in zip(kills, ("executor", "home")):
+        waits = [
+            result["answered"] - at
+            for result in results
+            if result["outcome"] == "unknown"
+            and result["due"] < at < result["answered"]
+        ]
+        # Unknown answers of a later kill belong to that one.
+        waits = [wait for wait in waits if wait < 5.5]
+        figures[f"unknown_after_{name}_killed"] = len(waits)
+        figures[f"killed_{name}_answered_s"] = round(max(waits, default=0.0), 3)
+    answered = [figures["killed_executor_answered_s"]]
+    answered.append(figures["killed_home_answered_s"])
+    late = sum(
+        result["outcome"] == "unknown" and result["due"] > kills[-1][1] + 2.0
+        for result in results
+    )
+    return {
+        **figures,
+        "killed_answered_s": max(answered),
+        "unknown_due_2_s_after_kill": late,
+        **check_answers(arrivals, results, records, unknown_allowed=True),
+        **lag_summary(results),
+    }
+
+
+def _run_store_outage(options):
+    profile = PROFILES["oberland"]
+    load, down_s, up_s, end_s = options.load or 0.7, 7.0, 17.0, 22.0
+    arrivals = make_trace(profile, load, end_s, options.seed)
+    ideal = run_ideal(arrivals, slots_of(profile.runners))
+    with _fleet(options) as fleet:
+        load_run = LoadRun(fleet, arrivals)
+        load_run.sleep_until(down_s)
+        fleet.control_store(mode="down")
+        gevent.sleep(2.0)
+        refused = fleet.apply(profile.config, fleet.version())[0]
+        load_run.sleep_until(up_s)
+        fleet.control_store(mode="ok")
+        _, force_s = _change_domains(fleet, [])
+        results = load_run.finish()
+        records = fleet.records()
+    return {
+        "load": load,
+        "work_done_share": _work_share(load_run, results, records, ideal, down_s, up_s),
+        **check_answers(arrivals, results, records),
+        "change_during_outage_status": refused,
+        "config_in_force_s": round(force_s, 3),
+        **_ratios(results, ideal, options.warm_up, arrivals),
+        **lag_summary(results),
+    }
+
+
+def _run_idle(options):
+    with _fleet(options, delayed=False) as fleet:
+        gevent.sleep(3.0)
+        idle = _measure_idle(fleet, 12.0)
+        added = _added_ms(fleet, 150)
+    return {**idle, **added}
+
+
+def _measure_idle(fleet, seconds):
+    """Returns the highest idle figures among the runners."""
+    names = list(fleet.runner_http)
+    pids = {name: fleet.processes[name].pid for name in names}
+    before = counters(fleet, names)
+    cpu = {name: process_cpu_s(pid) for name, pid in pids.items()}
+    began = time.monotonic()
+    gevent.sleep(seconds)
+    elapsed = time.monotonic() - began
+    cpu = {name: process_cpu_s(pid) - cpu[name] for name, pid in pids.items()}
+    after = counters(fleet, names)
+    rates = []
+    for name in names:
+        growth = counters_difference({name: before[name]}, {name: after[name]})
+        size = sum(
+            growth[f"papayaward_link_bytes_{direction}", ""]
+            for direction in ("sent", "received")
+        )
+        rates.append(size / elapsed)
+    return {
+        "idle_cpu_share": round(max(cpu.values()) / elapsed, 5),
+        "idle_cpu_share_p50": round(statistics.median(cpu.values()) / elapsed, 5),
+        "idle_rss_mib": round(max(map(rss_mib, pids.values())), 1),
+        "idle_bytes_per_s": round(max(rates)),
+    }
+
+
+def _added_ms(fleet, jobs):
+    """Returns the added time of one-task jobs, one after the other."""
+    waits = []
+    for number in range(jobs + 20):
+        began = time.monotonic()
+        reply = fleet.submit(
+            [{"work_ms": 50, "echo": number}],
+            tenant=fleet.profile.tenants[0],
+            **{"class": fleet.profile.kinds[0].name},
+        )
+        waits.append((time.monotonic() - began, reply.json["job_id"]))
+    spent = {r["job"]: r["end"] - r["start"] for r in fleet.records()}
+    # The first jobs open the connections.
+    added = [(wait - spent[job]) * 1000 for wait, job in waits[20:]]
+    return {
+        "added_ms_p50": round(percentile(added, 0.5), 2),
+        "added_ms_p99": round(percentile(added, 0.99), 2),
+    }
+
+
+def _run_entry_cpu(options):
+    profile = PROFILES["oberland"]
+    load, seconds, work_ms = options.load or 0.5, 12.0, 100.0
+    rate = load * profile.capacity / (100 * work_ms / 1000)
+    kind, tenant = profile.kinds[0].name, profile.tenants[0]
+    arrivals = [
+        Arrival(a.number, a.at_s, tenant, kind, a.work_ms)
+        for a in poisson_arrivals(rate, seconds, options.seed, 100, work_ms)
+    ]
+    with _fleet(options, delayed=False) as fleet:
+        leader = _find_leader(fleet)
+        pid = fleet.processes[leader].pid
+        idle = _entry_cpu_s(fleet)
+        gevent.sleep(4.0)
+        idle_share = (_entry_cpu_s(fleet) - idle) / 4.0
+        cpu, home_cpu = _entry_cpu_s(fleet), process_cpu_s(pid)
+        began = time.monotonic()
+        results = LoadRun(fleet, arrivals).finish()
+        elapsed = time.monotonic() - began
+        cpu = _entry_cpu_s(fleet) - cpu
+        home_cpu = process_cpu_s(pid) - home_cpu
+        records = fleet.records()
+    tasks = sum(len(arrival.work_ms) for arrival in arrivals)
+    return {
+        "load": load,
+        "tasks": tasks,
+        "entry_cpu_us_per_task": round(cpu / tasks * 1e6, 1),
+        "entry_cpu_us_per_task_without_idle": round(
+            (cpu - idle_share * elapsed) / tasks * 1e6, 1
+        ),
+        "home_cpu_us_per_task": round(home_cpu / tasks * 1e6, 1),
+        **check_answers(arrivals, results, records),
+        **lag_summary(results),
+    }
+
+
+SCENARIOS = {
+    "oberland": _run_steady("oberland"),
+    "cabinetline": _run_steady("cabinetline"),
+    "domain-cycle": _run_domain_cycle,
+    "burst": _run_burst,
+    "ejection": _run_ejection,
+    "entry-loss": _run_entry_loss,
+    "runner-loss": _run_runner_loss,
+    "store-outage": _run_store_outage,
+    "idle": _run_idle,
+    "entry-cpu": _run_entry_cpu,
+}
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -47,6 +47,7 @@
         self.heartbeat_interval_s = settings.heartbeat_interval_s
         self.heartbeat_misses = settings.heartbeat_misses
         self.stats = LinkStats()
+        metrics.watch_links(self.stats)
         self.config = ConfigHolder()
         self.evidence = EntryEvidence()
         self.members = Membership()
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -46,6 +46,7 @@
         self.heartbeat_interval_s = settings.heartbeat_interval_s
         self.heartbeat_misses = settings.heartbeat_misses
         self.stats = LinkStats()
+        metrics.watch_links(self.stats)
         self.config = ConfigHolder()
         self.evidence = RunnerEvidence()
         self.executor = Executor(self)
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -5,7 +5,8 @@
 Metrics of a process, in the format of Prometheus.
 """
 
-from prometheus_client import Counter, Gauge, Histogram, generate_latest
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
 
 __all__ = [
     "ANSWERS",
@@ -20,6 +21,7 @@
     "SERVICE_SECONDS",
     "SLOTS_IN_USE",
     "export",
+    "watch_links",
 ]
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
@@ -75,6 +77,49 @@
 )
 
 
+class _LinkCollector:
+    """Exports the counts that the links keep as plain numbers."""
+
+    def __init__(self):
+        self.stats = None
+
+    def collect(self):
+        """Yields the metric families, read when they are asked for."""
+        stats = self.stats
+        if stats is None:
+            return
+        for direction, counts, size in (
+            ("sent", stats.sent, stats.bytes_sent),
+            ("received", stats.received, stats.bytes_received),
+        ):
+            messages = CounterMetricFamily(
+                f"papayaward_messages_{direction}",
+                f"Messages {direction} on the links, by type.",
+                labels=("type",),
+            )
+            for name, number in sorted(counts.items()):
+                messages.add_metric((name,), number)
+            yield messages
+            yield CounterMetricFamily(
+                f"papayaward_link_bytes_{direction}",
+                f"Bytes {direction} on the links.",
+                value=size,
+            )
+
+
+_LINKS = _LinkCollector()
+REGISTRY.register(_LINKS)
+
+
+def watch_links(stats):
+    """Exports the counts of the links of this process.
+
+    Args:
+        stats: `LinkStats` of the process; replaces any given before.
+    """
+    _LINKS.stats = stats
+
+
 def export():
     """Returns the exposition text of every metric, bytes."""
     return generate_latest()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -3,14 +3,20 @@
 ~~~~~~~~~~~~~~
 
 Fault-injecting TCP proxy: delay, silence in one direction or both, and cuts.
+
+`python -m standins.proxy --delay-ms 1 --route LISTEN=TARGET` delays one or several
+ports in a process of its own.
 """
 
+import argparse
+import sys
+
 import gevent
 from gevent import socket
 from gevent.queue import Queue
 from gevent.server import StreamServer
 
-__all__ = ["TcpProxy"]
+__all__ = ["TcpProxy", "main"]
 
 _CHUNK_BYTES = 65536
 _QUEUED_CHUNKS = 1024
@@ -118,3 +124,26 @@
         if pair in self._silenced:
             return True
         return self.silent_to_target if to_target else self.silent_to_client
+
+
+def main(args):
+    """Runs delaying proxies until the process is killed."""
+    parser = argparse.ArgumentParser(prog="standins.proxy")
+    parser.add_argument("--delay-ms", type=float, default=0.0)
+    parser.add_argument("--route", action="append", required=True)
+    options = parser.parse_args(args)
+    proxies = []
+    for route in options.route:
+        listen, target = (_address(text) for text in route.split("="))
+        proxies.append(TcpProxy(target, options.delay_ms / 1000, listen))
+    gevent.sleep(1e9)
+    return 0
+
+
+def _address(text):
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
