Keep an identifier usable after an early fetch, and bind it to one body

Cause: found by reading. A fetch that overtook its submission marked the number as used, so the submission was answered unknown and never ran. And a second body under a used identifier got the first body's answer, against the promise that each caller gets the answer to its own request. A fetch now only looks; the home keeps a hash of the submission (16 bytes a job).

--- a/papayaward/coordination/intake.py
+++ b/papayaward/coordination/intake.py
@@ -5,6 +5,8 @@
 Requests of entries to a home: submissions, fetches, refusals and cancellations.
 """
 
+from hashlib import blake2b
+
 from ..protocol.gen.ttypes import (
     Accepted,
     Cancel,
@@ -61,6 +63,13 @@
 
     def _on_submit(self, link, message, now):
         record = self._records.get(message.job_id)
+        digest = _digest(message)
+        if record is not None and record.digest != digest:
+            # Not the submission that this identifier stands for: it never runs.
+            detail = "the identifier was used with another body"
+            outcome = JobOutcome(Outcome.NOT_RUN, Reason.KEY_REUSED, detail)
+            self._answers.send(link, message.request_id, message.job_id, outcome)
+            return
         if record is not None:
             record.timeline.add(now, "resubmitted", link.peer.member)
             self._answers.wait_or_answer(link, message.request_id, record)
@@ -78,7 +87,7 @@
             idempotent=message.idempotent,
             tasks=tuple(message.tasks),
         )
-        record = JobRecord(spec, now)
+        record = JobRecord(spec, now, digest)
         record.timeline.add(now, "received", link.peer.member, len(spec.tasks), "tasks")
         self._records.add(record)
         self._admit(record, now)
@@ -88,6 +97,13 @@
 
     def _claim_number(self, job_id, now):
         """Marks the job's number as used; returns an outcome if it may not run."""
+        refusal = self._check_number(job_id, now)
+        if refusal is None:
+            self._blocks.use(parse_job_id(job_id).number, now)
+        return refusal
+
+    def _check_number(self, job_id, now):
+        """Returns an outcome if the job may not run, else None."""
         try:
             parsed = parse_job_id(job_id)
         except IdentifierError as error:
@@ -97,7 +113,7 @@
             return JobOutcome(
                 Outcome.UNKNOWN, Reason.HOME_GONE, "the job's home was replaced"
             )
-        state = self._blocks.use(parsed.number, now)
+        state = self._blocks.state(parsed.number, now)
         if state is NumberState.UNUSED:
             return None
         if state is NumberState.NOT_ISSUED:
@@ -154,8 +170,9 @@
     def _on_fetch(self, link, message, now):
         record = self._records.get(message.job_id)
         if record is None:
-            outcome = self._claim_number(message.job_id, now) or JobOutcome(
-                Outcome.NOT_RUN, Reason.CANCELLED, "the identifier was never submitted"
+            # The number stays usable: its submission may still be on its way.
+            outcome = self._check_number(message.job_id, now) or JobOutcome(
+                Outcome.UNKNOWN, Reason.NOT_SUBMITTED, "no submission has arrived yet"
             )
             self._answers.send(link, message.request_id, message.job_id, outcome)
         elif message.wait or record.done:
@@ -193,3 +210,13 @@
                 cancelled += 1
         self._dispatcher.prune()
         link.try_send(CancelReply(message.request_id, cancelled))
+
+
+def _digest(message):
+    """Returns a hash of what a submission asks for."""
+    head = (message.service_name, message.tenant, message.job_class)
+    digest = blake2b("\0".join(head).encode(), digest_size=16)
+    for task in message.tasks:
+        digest.update(len(task).to_bytes(4, "big"))
+        digest.update(task)
+    return digest.digest()
--- a/papayaward/protocol/outcomes.py
+++ b/papayaward/protocol/outcomes.py
@@ -53,6 +53,7 @@
     KEY_REUSED = "key_reused"
     NO_HOME = "no_home"
     NO_SLOT = "no_slot"
+    NOT_SUBMITTED = "not_submitted"
     OVERLOADED = "overloaded"
     QUOTA = "quota"
     RECORD_EXPIRED = "record_expired"
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -47,10 +47,12 @@
     Args:
         spec: What was submitted.
         now: Time of arrival, monotonic seconds.
+        digest: Hash of the submission, to recognise its copies.
     """
 
     __slots__ = (
         "spec",
+        "digest",
         "arrived",
         "results",
         "missing",
@@ -67,9 +69,10 @@
         "size",
     )
 
-    def __init__(self, spec, now):
+    def __init__(self, spec, now, digest=b""):
         tasks = len(spec.tasks)
         self.spec = spec
+        self.digest = digest
         self.arrived = now
         self.results = [None] * tasks
         self.missing = tasks
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -51,3 +51,23 @@
             self.assertEqual(status, reply.status, reply.body)
             self.assertEqual("not_run", reply.json["outcome"])
         self.assertEqual(200, fleet.submit([{"work_ms": 1}]).status)
+
+    def test_fetch_before_the_submission_does_not_use_up_the_identifier(self):
+        """Guards against a fetch that overtakes its submission and refuses it."""
+        fleet = self.start_fleet(entries=1)
+        job_id = fleet.new_ids(1)[0]
+        early = call(fleet.entry(), "GET", f"/v1/jobs/{job_id}")
+        self.assertEqual((404, "not_submitted"), (early.status, early.json["reason"]))
+        self.assertEqual("unknown", early.json["outcome"])
+        reply = fleet.submit([{"work_ms": 1}], job_id=job_id)
+        self.assertEqual(200, reply.status, reply.body)
+
+    def test_identifier_with_another_body_does_not_get_its_answer(self):
+        """Guards against answering a request with another request's result."""
+        fleet = self.start_fleet()
+        job_id = fleet.new_ids(1)[0]
+        first = fleet.submit([{"work_ms": 1, "echo": "a"}], job_id=job_id)
+        other = fleet.submit([{"work_ms": 1, "echo": "b"}], index=1, job_id=job_id)
+        self.assertEqual(200, first.status, first.body)
+        self.assertEqual((422, "key_reused"), (other.status, other.json["reason"]))
+        self.assert_started_once(fleet, job_id, 1)
