Reserve the ports of test fleets across processes

Cause: one run of test_path failed (1 of 5) because an entry could not bind its link address: ports were taken from the kernel's ephemeral range, and other test processes or outgoing connections took one between its choice and its use. Ports now come from 10000 to 31999 and are held by lock files.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,8 +5,10 @@
 Starts a small fleet of real processes for tests, benchmarks and the demo.
 """
 
+import fcntl
 import json
 import os
+import random
 import shutil
 import signal
 import socket as plain_socket
@@ -67,20 +69,32 @@
         client.close()
 
 
-# Ports handed out by this process: a port is free again as soon as the probe
-# socket is closed, so two calls could otherwise return the same one.
-_handed_out = set()
+# Below the range from which the kernel takes ports of outgoing connections, so
+# that a port cannot be taken between its choice and the start of its process.
+_PORTS = range(10_000, 32_000)
+_port_locks = []
 
 
 def free_port():
-    """Returns a free TCP port of the loopback address."""
+    """Returns a TCP port of the loopback address that is free.
+
+    The port stays reserved until this process ends: several test processes choose
+    ports at the same time, and each keeps a lock file for each of its ports.
+    """
+    directory = Path(tempfile.gettempdir()) / "papayaward-ports"
+    directory.mkdir(exist_ok=True)
     while True:
-        with plain_socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        if port not in _handed_out:
-            _handed_out.add(port)
-            return port
+        port = random.choice(_PORTS)
+        lock = open(directory / str(port), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with plain_socket.socket() as sock:
+                sock.bind(("127.0.0.1", port))
+        except OSError:
+            lock.close()
+            continue
+        _port_locks.append(lock)
+        return port
 
 
 class Fleet:
