Give a job without an identifier to another home if its home is gone

Cause: a job whose home had died between the choice and the send was answered unknown, though nothing had left the entry. A call now knows whether it sent anything; if not, and the identifier was never handed to a caller, up to three homes are tried and the last answer is a proven not_run. Measured: 4 unit tests cover sent, not sent, identified and replaced homes.

--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -31,6 +31,9 @@
 _MAX_IDS = 1000
 _MAX_KEY_LENGTH = 255
 
+# Homes that are tried for a job without an identifier before it is refused.
+_MAX_HOMES = 3
+
 # Time beyond the deadline in which the home's own answer may still arrive.
 _ANSWER_MARGIN_S = 2.0
 
@@ -153,11 +156,20 @@
         try:
             job = self._parse_job(request, single)
             self._check_capacity()
-            service = self._service(job.service)
-            job_id = self._new_ids(service, 1)[0]
+            return self._submit_fresh(job, request)
         except (OptionError, RequestError) as error:
             return self._refusal(error)
-        return self._submit(job_id, job, request)
+
+    def _submit_fresh(self, job, request):
+        """Submits a job under a new identifier, at another home if one is gone."""
+        service = self._service(job.service)
+        for _ in range(_MAX_HOMES):
+            job_id = self._new_ids(service, 1)[0]
+            try:
+                return self._submit(job_id, job, request, fresh=True)
+            except HomeGone:
+                continue
+        raise RequestError(Reason.NO_HOME, "no home could be reached", 500)
 
     def _post_with_key(self, request, single):
         key = request.headers["idempotency-key"]
@@ -290,7 +302,7 @@
 
     # Submission.
 
-    def _submit(self, job_id, job, request):
+    def _submit(self, job_id, job, request, fresh=False):
         no_wait = request.query.get("wait") == "0"
         now = time.monotonic()
         due = now + job.deadline_ms / 1000
@@ -310,7 +322,7 @@
             )
 
         outcome = self._entry.calls.final_answer(
-            job_id, build, due + _ANSWER_MARGIN_S, accepted_only=no_wait
+            job_id, build, due + _ANSWER_MARGIN_S, accepted_only=no_wait, fresh=fresh
         )
         if outcome is None and not no_wait:
             outcome = JobOutcome(Outcome.UNKNOWN, Reason.DEADLINE, "no answer in time")
--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -35,7 +35,13 @@
 
 
 class HomeGone(Exception):
-    """The home of a job cannot be reached, or was replaced."""
+    """The home of a job cannot be reached, or was replaced.
+
+    Attributes:
+        sent: Whether a message may have reached the home before.
+    """
+
+    sent = False
 
 
 class HomeCalls:
@@ -85,13 +91,18 @@
             HomeGone: The home was replaced or not reachable for the grace time.
             TimeoutError: No reply came until the given time.
         """
+        sent = False
         while True:
-            link = self._wait_for_link(home, incarnation)
+            try:
+                link = self._wait_for_link(home, incarnation)
+            except HomeGone as error:
+                error.sent = sent
+                raise
             number = next(self._numbers)
             replies = SimpleQueue()
             self._open[number] = (link, replies)
             try:
-                link.try_send(build(number))
+                sent = link.try_send(build(number)) or sent
                 while True:
                     reply = self._next_reply(link, replies, until)
                     if reply is _LINK_DOWN:
@@ -108,7 +119,7 @@
         finally:
             replies.close()
 
-    def final_answer(self, job_id, build, until, accepted_only=False):
+    def final_answer(self, job_id, build, until, accepted_only=False, fresh=False):
         """Returns the outcome of a job, or None if it is not due yet.
 
         Args:
@@ -116,9 +127,14 @@
             build: Function from a request number to the message.
             until: Monotonic time at which to give up, seconds.
             accepted_only: Returns None as soon as the home has accepted the job.
+            fresh: Whether the identifier was never handed to a caller.
 
         Returns:
             JobOutcome: The answer; `unknown` when the home is gone.
+
+        Raises:
+            HomeGone: The identifier is fresh and nothing was sent to its home, so
+                the job can be given to another home.
         """
         replies = self.ask(job_id.member, job_id.incarnation, build, until)
         try:
@@ -128,6 +144,8 @@
                 if accepted_only:
                     return None
         except HomeGone as error:
+            if fresh and not error.sent:
+                raise
             return JobOutcome(Outcome.UNKNOWN, Reason.HOME_GONE, str(error))
         except TimeoutError:
             return None
--- /dev/null
+++ b/tests/test_home_calls.py
@@ -0,0 +1,72 @@
+"""
+tests.test_home_calls
+~~~~~~~~~~~~~~~~~~~~~
+
+Calls of an entry to homes that are gone.
+"""
+
+import time
+from types import SimpleNamespace
+
+from testtools import TestCase
+
+from papayaward.coordination.home_calls import HomeCalls, HomeGone
+from papayaward.protocol.gen.ttypes import Fetch
+from papayaward.protocol.identifiers import JobId
+from papayaward.protocol.outcomes import Outcome, Reason
+
+__all__ = []
+
+
+class _Link:
+    """A link that takes one message and is closed from then on."""
+
+    def __init__(self, incarnation):
+        self.peer = SimpleNamespace(member="r1", incarnation=incarnation)
+        self.closed = False
+        self.sent = []
+
+    def try_send(self, message):
+        self.sent.append(message)
+        self.closed = True
+        return True
+
+
+class HomeCallsTest(TestCase):
+    def _final_answer(self, link, fresh):
+        view = None if link is None else SimpleNamespace(link=link, hello=link.peer)
+        members = SimpleNamespace(get=lambda name: None if view is None else view)
+        if link is not None:
+            members.get = lambda name: None if link.closed else view
+        node = SimpleNamespace(
+            members=members, settings=SimpleNamespace(reconnect_grace_s=0.05)
+        )
+        return HomeCalls(node).final_answer(
+            JobId("r1", 5, 1),
+            lambda number: Fetch(number, "j-r1-5-1", True),
+            time.monotonic() + 1.0,
+            fresh=fresh,
+        )
+
+    def test_fresh_job_that_was_not_sent_may_go_elsewhere(self):
+        """Guards against unknown answers for jobs that never left the entry."""
+        self.assertRaises(HomeGone, self._final_answer, None, True)
+
+    def test_job_that_was_sent_is_unknown(self):
+        """Guards against a second start: what was sent may have run."""
+        for fresh in (True, False):
+            outcome = self._final_answer(_Link(5), fresh)
+            self.assertEqual(Outcome.UNKNOWN, outcome.outcome)
+            self.assertEqual(Reason.HOME_GONE, outcome.reason)
+
+    def test_identified_job_of_a_missing_home_is_unknown(self):
+        """Guards against not_run for an identifier that an earlier request used."""
+        outcome = self._final_answer(None, False)
+        self.assertEqual(Outcome.UNKNOWN, outcome.outcome)
+
+    def test_other_incarnation_gets_nothing(self):
+        """Guards against sending a job to the successor of its home."""
+        link = _Link(6)
+        outcome = self._final_answer(link, False)
+        self.assertEqual(Outcome.UNKNOWN, outcome.outcome)
+        self.assertEqual([], link.sent)
