Assert that answers reach their callers and planned stops cut nothing

Cause: two of the promises were not asserted inside the program: that the answer an entry hands out belongs to the identifier it was asked for, and that a drain ends with no task, job or request open. Both are now invariants that count and log a violation.

--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -21,6 +21,7 @@
 )
 from ..protocol.identifiers import JobId
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
+from ..state import invariants
 
 __all__ = ["HomeCalls", "HomeGone"]
 
@@ -140,6 +141,12 @@
         try:
             for reply in replies:
                 if isinstance(reply, Answer):
+                    invariants.check(
+                        "answer_to_its_caller",
+                        reply.job_id == str(job_id),
+                        job=str(job_id),
+                        answered=reply.job_id,
+                    )
                     return _outcome(reply)
                 if accepted_only:
                     return None
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -20,7 +20,7 @@
 from .operator_api import OperatorApi
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
 from .protocol.options import get_address
-from .state import metrics
+from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
 from .transport.peers import serve_links
@@ -87,6 +87,11 @@
         deadline = time.monotonic() + self.settings.drain_s
         while self._callers.open_requests and time.monotonic() < deadline:
             gevent.sleep(0.05)
+        invariants.check(
+            "planned_stop_cuts_nothing",
+            not self._callers.open_requests,
+            open_requests=self._callers.open_requests,
+        )
         self._http.stop(timeout=0.5)
         log.info("drain_finished", extra={"open": self._callers.open_requests})
 
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -24,7 +24,7 @@
     get_string,
     read_object,
 )
-from .state import metrics
+from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
 from .transport.loopback import LoopbackLink
@@ -95,6 +95,12 @@
             if not self.executor.running and not self.coordinator.open_jobs:
                 break
             gevent.sleep(_TICK_S)
+        invariants.check(
+            "planned_stop_cuts_nothing",
+            not self.executor.running and not self.coordinator.open_jobs,
+            running=self.executor.running,
+            open_jobs=self.coordinator.open_jobs,
+        )
         # Lets the last answers leave before the links close.
         gevent.sleep(2 * _TICK_S)
         log.info("drain_finished", extra={"running": self.executor.running})
