--- a/papayaward/config_api.py
+++ b/papayaward/config_api.py
@@ -5,7 +5,6 @@
 HTTP interface for operators: the configuration, its changes and its history.
 """
 
-import json
 import re
 import secrets
 import time
@@ -17,7 +16,7 @@
 from .coordination.config_writer import Submission
 from .protocol.config_diff import diff_texts
 from .protocol.config_text import ConfigError, parse_config
-from .protocol.options import OptionError, get_bool, get_int, get_string
+from .protocol.options import OptionError, get_bool, get_int, get_string, read_object
 from .transport.http_api import Response, json_response, problem
 from .transport.store_client import StoreError
 
@@ -75,7 +74,7 @@
 
     def _post(self, request):
         try:
-            document = json.loads(request.body)
+            document = read_object(request.body)
             text = get_string(document, "text", longest=_MAX_TEXT_CHARACTERS)
             wait_ms = get_int(document, "wait_ms", 5000, high=60_000)
             dry_run = get_bool(document, "dry_run", False)
@@ -92,7 +91,7 @@
         except ConfigError as error:
             findings = [asdict(finding) for finding in error.findings]
             return problem(422, {"detail": "invalid text", "findings": findings})
-        except (ValueError, TypeError, AttributeError, RecursionError) as error:
+        except ValueError as error:
             return problem(400, {"detail": str(error)})
         if dry_run:
             return self._preview(submission)
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -23,7 +23,14 @@
     get_string_list,
 )
 
-__all__ = ["SETTINGS", "Setting", "SettingsError", "check_settings", "load_settings"]
+__all__ = [
+    "SETTINGS",
+    "Setting",
+    "SettingsError",
+    "check_settings",
+    "load_settings",
+    "settings_reference",
+]
 
 
 class SettingsError(Exception):
@@ -119,6 +126,21 @@
         _ENTRY,
         "Interval between reads of the store's head version, in seconds.",
     ),
+    Setting(
+        "key_writes_per_s",
+        partial(get_int, low=1, high=1000),
+        50,
+        _ENTRY,
+        "New idempotency keys per second; each costs the store one write.",
+    ),
+    Setting(
+        "tls_certificate",
+        get_string,
+        "",
+        _ENTRY,
+        "PEM file with the certificate chain; callers then use HTTPS.",
+    ),
+    Setting("tls_key", get_string, "", _ENTRY, "PEM file with the certificate's key."),
     Setting(
         "max_body_bytes",
         partial(get_int, low=1024, high=64 * 1024 * 1024),
@@ -249,6 +271,8 @@
                 get_address({name: address}, name)
             except OptionError as error:
                 yield f"{name}[{index}]: {error}"
+    if bool(values.get("tls_certificate")) != bool(values.get("tls_key")):
+        yield "tls_certificate: needs tls_key, and the other way round"
     if values.get("disabled_mechanisms") and not values.get("debug_faults"):
         yield "disabled_mechanisms: needs debug_faults"
 
@@ -265,3 +289,15 @@
     except (OSError, ValueError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
     return check_settings(document)
+
+
+def settings_reference():
+    """Returns the settings table as Markdown, for the operators' page."""
+    lines = ["| setting | roles | default | meaning |", "| --- | --- | --- | --- |"]
+    for setting in SETTINGS:
+        roles = ", ".join(setting.roles)
+        default = "required"
+        if setting.default is not None:
+            default = f"`{json.dumps(setting.default)}`"
+        lines.append(f"| `{setting.name}` | {roles} | {default} | {setting.doc} |")
+    return "\n".join(lines) + "\n"
--- a/standins/store.py
+++ b/standins/store.py
@@ -6,7 +6,7 @@
 
 Faults are set with `POST /control`: `mode` is `ok`, `down` (503), `slow` (carries
 calls out after `delay_s`, also for a client that gave up) or `lose` (writes take
-effect, the connection then breaks). `paths` limits the fault to some calls.
+effect, their answers never come). `paths` limits the fault to some calls.
 `wipe` removes every key, as in a store restored from an empty backup.
 """
 
@@ -15,7 +15,6 @@
 import sys
 import time
 from base64 import b64decode, b64encode
-from errno import ECONNRESET
 from http import HTTPStatus
 
 import gevent
@@ -24,6 +23,7 @@
 __all__ = ["Store", "main"]
 
 _MAX_VALUE_BYTES = 1_000_000
+_LOST_ANSWER_S = 30.0
 
 
 class _BadCall(Exception):
@@ -69,8 +69,8 @@
         except _BadCall as error:
             return _reply(start_response, 400, {"error": str(error), "code": 3})
         if mode == "lose" and path == "/v3/kv/txn":
-            # The server closes the connection without an answer.
-            raise ConnectionResetError(ECONNRESET, "answer lost on purpose")
+            # Longer than any client waits: the write took effect unanswered.
+            gevent.sleep(_LOST_ANSWER_S)
         return _reply(start_response, 200, answer)
 
     def _control(self, document):
