--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,6 +20,8 @@
 import gevent
 from geventhttpclient import HTTPClient
 
+from .proxy import TcpProxy
+
 __all__ = ["Fleet", "HttpReply", "call", "free_port", "process_cpu_s"]
 
 _ROOT = Path(__file__).resolve().parent.parent
@@ -95,9 +97,20 @@
         link_address: Function of an entry's name and its link address that returns
             the address given to a runner; tests put a proxy there. The third
             argument is the runner's name.
+        proxied: Whether every link between two processes goes through a `TcpProxy`
+            of this process: `proxies["r1>e1"]` is the link from a runner to an
+            entry, `proxies[">r1"]` are the links of other runners to a runner.
     """
 
-    def __init__(self, config, entries=2, runners=(), settings=None, link_address=None):
+    def __init__(
+        self,
+        config,
+        entries=2,
+        runners=(),
+        settings=None,
+        link_address=None,
+        proxied=False,
+    ):
         self.directory = Path(tempfile.mkdtemp(prefix="papayaward-"))
         self.processes = {}
         self.entry_http = {}
@@ -105,6 +118,8 @@
         self.runner_http = {}
         self.runner_link = {}
         self.upstream_http = {}
+        self.proxies = {}
+        self._proxied = proxied
         self._config = config
         self._settings = settings or {}
         self._link_address = link_address or (lambda entry, address, runner: address)
@@ -158,6 +173,10 @@
     def start_runner(self, name):
         """Starts a runner."""
         runner = self._runners[name]
+        values = dict(runner.get("settings", {}))
+        if self._proxied:
+            link = self.runner_link[name]
+            values["advertise"] = self._through_proxy(f">{name}", link)
         self._start_daemon(
             name,
             "runner",
@@ -166,11 +185,8 @@
             service=runner.get("service", "dispatch"),
             listen=self.runner_link[name],
             http=self.runner_http[name],
-            entries=[
-                self._link_address(entry, self.entry_link[entry], name)
-                for entry in self._entries
-            ],
-            **runner.get("settings", {}),
+            entries=[self._entry_address(entry, name) for entry in self._entries],
+            **values,
         )
 
     def start_upstream(self, name):
@@ -207,6 +223,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        for proxy in self.proxies.values():
+            proxy.close()
         shutil.rmtree(self.directory, ignore_errors=True)
 
     def signal(self, name, number):
@@ -252,6 +270,10 @@
         """Returns the configuration version in force at an entry."""
         return self.status(index)["config_version"]
 
+    def leader(self, index=0):
+        """Returns the name of the runner that an entry uses as the home of jobs."""
+        return self.new_ids(1, index)[0].split("-")[1]
+
     def status(self, index=0):
         """Returns an entry's status."""
         return call(self.entry(index), "GET", "/admin/status").json
@@ -317,6 +339,19 @@
                 raise TimeoutError("the fleet did not reach the expected state")
             gevent.sleep(0.05)
 
+    def _entry_address(self, entry, runner):
+        address = self._link_address(entry, self.entry_link[entry], runner)
+        if self._proxied:
+            return self._through_proxy(f"{runner}>{entry}", address)
+        return address
+
+    def _through_proxy(self, name, address):
+        if name not in self.proxies:
+            host, _, port = address.rpartition(":")
+            self.proxies[name] = TcpProxy((host, int(port)))
+        host, port = self.proxies[name].address
+        return f"{host}:{port}"
+
     def _store_answers(self):
         return call(self.store, "POST", "/control").status == 200
 
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -27,13 +27,14 @@
 
     def __init__(self, target, delay_s=0.0, listen=("127.0.0.1", 0)):
         self.delay_s = delay_s
+        self.delay_to_client_s = 0.0
         self.silent_to_target = False
         self.silent_to_client = False
         self.refuse = False
         self._target = target
         self._pairs = set()
         # Connections that were silenced stay silent when new ones work.
-        self._silenced = set()
+        self._silenced = {}
         self._server = StreamServer(listen, self._accept)
         self._server.start()
 
@@ -42,15 +43,29 @@
         """The proxy's (host, port)."""
         return self._server.server_host, self._server.server_port
 
+    @property
+    def open_connections(self):
+        """Number of open connections."""
+        return len(self._pairs)
+
     def cut(self):
         """Closes every open connection."""
         for pair in list(self._pairs):
-            for sock in pair:
-                sock.close()
+            _close(pair)
+
+    def silence_open(self, to_target=True, to_client=True):
+        """Silences the open connections for good; new ones work.
 
-    def silence_open(self):
-        """Silences the open connections for good; new ones work."""
-        self._silenced |= self._pairs
+        What arrives on a silenced connection, its end included, is held back.
+        """
+        for pair in self._pairs:
+            directions = self._silenced.setdefault(pair, set())
+            directions |= {True} if to_target else set()
+            directions |= {False} if to_client else set()
+
+    def release(self):
+        """Delivers what was held back on the silenced connections."""
+        self._silenced.clear()
 
     def close(self):
         """Stops to listen and closes every connection."""
@@ -75,30 +90,25 @@
             gevent.spawn(self._pump, pair, client, target, True),
             gevent.spawn(self._pump, pair, target, client, False),
         ]
-        gevent.joinall(pumps, count=1)
-        for sock in pair:
-            sock.close()
+        gevent.joinall(pumps)
+        _close(pair)
         self._pairs.discard(pair)
-        self._silenced.discard(pair)
-        gevent.killall(pumps)
+        self._silenced.pop(pair, None)
 
     def _pump(self, pair, source, sink, to_target):
         queue = Queue(_QUEUED_CHUNKS)
         sender = gevent.spawn(self._send, pair, queue, sink, to_target)
         loop = gevent.get_hub().loop
-        try:
-            while True:
+        data = True
+        while data:
+            try:
                 data = source.recv(_CHUNK_BYTES)
-                if not data:
-                    return
-                loop.update_now()
-                queue.put((loop.now() + self.delay_s, data))
-        except OSError:
-            return
-        finally:
-            if self.delay_s:
-                gevent.sleep(self.delay_s)
-            sender.kill(block=False)
+            except OSError:
+                data = b""
+            delay_s = self.delay_s + (0.0 if to_target else self.delay_to_client_s)
+            loop.update_now()
+            queue.put((loop.now() + delay_s, data))
+        sender.join()
 
     def _send(self, pair, queue, sink, to_target):
         loop = gevent.get_hub().loop
@@ -110,11 +120,24 @@
             while self._is_silent(pair, to_target):
                 gevent.sleep(0.02)
             try:
+                if not data:
+                    sink.shutdown(socket.SHUT_WR)
+                    return
                 sink.sendall(data)
             except OSError:
+                _close(pair)
                 return
 
     def _is_silent(self, pair, to_target):
-        if pair in self._silenced:
+        if to_target in self._silenced.get(pair, ()):
             return True
         return self.silent_to_target if to_target else self.silent_to_client
+
+
+def _close(pair):
+    for sock in pair:
+        try:
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+        sock.close()
--- a/tests/fleet_case.py
+++ b/tests/fleet_case.py
@@ -5,11 +5,15 @@
 Base class of tests that run a fleet of real processes.
 """
 
+from collections import Counter
+
+import gevent
 from testtools import TestCase
 
+from standins.callers import start_findings
 from standins.fleet import Fleet
 
-__all__ = ["FleetCase", "small_config"]
+__all__ = ["FleetCase", "echo_tasks", "small_config"]
 
 
 def small_config(**changes):
@@ -48,3 +52,29 @@
         """Asserts that each task of a job started exactly once."""
         starts = sorted(r["task"] for r in fleet.records() if r["job"] == job_id)
         self.assertEqual(list(range(tasks)), starts)
+
+    def assert_starts(self, fleet, callers, domain_changes=()):
+        """Asserts that the upstreams' record agrees with the callers' view."""
+        self.assertEqual(
+            [], start_findings(callers.views, fleet.records(), domain_changes)
+        )
+
+    def assert_no_second_start(self, fleet):
+        """Asserts that no task of any job started twice."""
+        starts = Counter((r["job"], r["task"]) for r in fleet.records())
+        self.assertEqual([], [key for key, count in starts.items() if count > 1])
+
+    def assert_complete(self, reply, tasks):
+        """Asserts that a reply is the whole answer to a job of the given tasks."""
+        self.assertEqual(200, reply.status, reply.body)
+        echoes = [result["echo"] for result in reply.json["results"]]
+        self.assertEqual([task["echo"] for task in tasks], echoes)
+
+    def submit_later(self, fleet, tasks, **options):
+        """Submits a job in the background; `get()` returns the reply."""
+        return gevent.spawn(fleet.submit, tasks, **options)
+
+
+def echo_tasks(count, work_ms, name="task"):
+    """Returns tasks with unique echo values."""
+    return [{"work_ms": work_ms, "echo": f"{name}/{i}"} for i in range(count)]
--- /dev/null
+++ b/tests/test_silent_links.py
@@ -0,0 +1,130 @@
+"""
+tests.test_silent_links
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Connections that stay silent for good while new ones work.
+"""
+
+import time
+
+import gevent
+
+from standins.callers import Callers
+
+from .fleet_case import FleetCase, echo_tasks
+
+__all__ = []
+
+# Silence is found after 0.9 s, the redial and the answer come on top.
+_FOUND_WITHIN_S = 2.0
+
+_DIRECTIONS = (
+    {"to_target": True, "to_client": True},
+    {"to_target": True, "to_client": False},
+    {"to_target": False, "to_client": True},
+)
+
+
+class SilentLinkTest(FleetCase):
+    def test_entry_link_silent(self):
+        """Guards against a caller that waits forever behind a dead connection."""
+        fleet = self.start_fleet(proxied=True)
+        home = fleet.leader()
+        for number, directions in enumerate(_DIRECTIONS):
+            tasks = echo_tasks(12, 400, number)
+            job = self.submit_later(fleet, tasks)
+            gevent.sleep(0.2)
+            fleet.proxies[f"{home}>e1"].silence_open(**directions)
+            began = time.monotonic()
+            new_tasks = echo_tasks(3, 10, f"new-{number}")
+            new = fleet.submit(new_tasks, timeout_s=10)
+            self.assert_complete(new, new_tasks)
+            self.assertLess(time.monotonic() - began, _FOUND_WITHIN_S)
+            self.assert_complete(job.get(timeout=10), tasks)
+            fleet.wait_ready(3)
+        self.assert_no_second_start(fleet)
+
+    def test_executor_link_silent(self):
+        """Guards against lost or doubled tasks when a home redials an executor."""
+        fleet = self.start_fleet(proxied=True)
+        home = fleet.leader()
+        self.assertEqual(200, fleet.submit(echo_tasks(24, 10)).status)
+        for number, directions in enumerate(_DIRECTIONS):
+            tasks = echo_tasks(48, 300, number)
+            job = self.submit_later(fleet, tasks)
+            gevent.sleep(0.15)
+            began = time.monotonic()
+            for runner in {"r1", "r2", "r3"} - {home}:
+                fleet.proxies[f">{runner}"].silence_open(**directions)
+            self.assert_complete(job.get(timeout=10), tasks)
+            # Two rounds of tasks and one silence.
+            self.assertLess(time.monotonic() - began, 0.6 + _FOUND_WITHIN_S)
+            self.assert_started_once(fleet, job.get().json["job_id"], 48)
+
+    def test_executor_unreachable(self):
+        """Guards against jobs that wait for an executor that cannot be reached."""
+        fleet = self.start_fleet(proxied=True)
+        home = fleet.leader()
+        self.assertEqual(200, fleet.submit(echo_tasks(24, 10)).status)
+        job = self.submit_later(fleet, echo_tasks(24, 8000, "job"))
+        single = {"work_ms": 1500, "echo": "single"}
+        gevent.sleep(0.2)
+        began = time.monotonic()
+        for runner in {"r1", "r2", "r3"} - {home}:
+            fleet.proxies[f">{runner}"].refuse = True
+            fleet.proxies[f">{runner}"].silence_open()
+        reply = job.get(timeout=10)
+        self.assertEqual("unknown", reply.json["outcome"], reply.body)
+        self.assertLess(time.monotonic() - began, 2.5)
+        # The home itself still serves.
+        reply = fleet.submit([single], timeout_s=10)
+        self.assert_complete(reply, [single])
+        self.assert_no_second_start(fleet)
+
+    def test_delayed_and_crossed_answers(self):
+        """Guards against answers that reach another caller or arrive in part."""
+        fleet = self.start_fleet(proxied=True)
+        for number, name in enumerate(sorted(fleet.proxies)):
+            fleet.proxies[name].delay_s = 0.02 * (number % 4)
+            fleet.proxies[name].delay_to_client_s = 0.05 * (number % 3)
+        callers = Callers(fleet, 16, tasks=6, work_ms=80, resubmit_share=0.3)
+        gevent.sleep(2.0)
+        for name, proxy in fleet.proxies.items():
+            proxy.delay_s, proxy.delay_to_client_s = 0.0, 0.0
+            if name.startswith(">"):
+                proxy.silence_open()
+        gevent.sleep(2.5)
+        self.assertTrue(callers.stop())
+        self.assertEqual({"complete"}, set(callers.outcomes()), callers.outcomes())
+        self.assert_starts(fleet, callers)
+
+    def test_delayed_copy_of_a_grant(self):
+        """Guards against a start by a grant that arrives after it was given up."""
+        fleet = self.start_fleet(proxied=True)
+        home = fleet.leader()
+        other = sorted({"r1", "r2", "r3"} - {home})
+        self.assertEqual(200, fleet.submit(echo_tasks(24, 10)).status)
+        # Only the silenced executor is free for the task at first.
+        job_id = fleet.new_ids(1)[0]
+        for name in (home, other[1]):
+            fleet.control_upstream(name, leaving=True)
+        fleet.wait_until(lambda: _ready(fleet) == 1)
+        proxy = fleet.proxies[f">{other[0]}"]
+        proxy.silence_open(to_client=False)
+        proxy.refuse = True
+        before = len(fleet.records())
+        job = self.submit_later(fleet, echo_tasks(1, 10), job_id=job_id)
+        gevent.sleep(0.1)
+        for name in (home, other[1]):
+            fleet.control_upstream(name, leaving=False)
+        reply = job.get(timeout=10)
+        self.assertEqual("unknown", reply.json["outcome"], reply.body)
+        proxy.release()
+        gevent.sleep(0.5)
+        proxy.refuse = False
+        gevent.sleep(0.5)
+        self.assertEqual(before, len(fleet.records()))
+
+
+def _ready(fleet):
+    return sum(member["ready"] for member in fleet.status()["members"])
