--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -251,6 +251,11 @@
                         found.append(document)
         return found
 
+    @property
+    def config(self):
+        """The operators' text that the fleet started with, as a document."""
+        return self._config
+
     def entry(self, index=0):
         """Returns the HTTP address of an entry."""
         return self.entry_http[self._entries[index]]
