--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -15,12 +15,12 @@
 from .coordination.config_sync import ConfigHolder
 from .coordination.config_writer import ConfigWriter
 from .coordination.evidence import EntryEvidence, age_ms
-from .coordination.home_calls import HomeCalls
+from .coordination.home_calls import HomeCalls, HomeGone
 from .coordination.membership import Membership, cell_of
 from .operator_api import OperatorApi
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
 from .protocol.options import get_address
-from .state import metrics
+from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
 from .transport.peers import serve_links
@@ -31,6 +31,7 @@
 log = logging.getLogger(__name__)
 
 _MAX_HTTP_CONNECTIONS = 20_000
+_PREPARE_S = 0.25
 
 
 class Entry:
@@ -47,6 +48,7 @@
         self.heartbeat_interval_s = settings.heartbeat_interval_s
         self.heartbeat_misses = settings.heartbeat_misses
         self.stats = LinkStats()
+        metrics.watch_links(self.stats)
         self.config = ConfigHolder()
         self.evidence = EntryEvidence()
         self.members = Membership()
@@ -70,8 +72,12 @@
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
-        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS)
+        tls = {}
+        if settings.tls_certificate:
+            tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
+        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS, **tls)
         gevent.spawn(self._store_loop)
+        gevent.spawn(self._prepare_loop)
         log.info("entry_started", extra={"member": settings.member})
 
     def drain(self):
@@ -81,6 +87,11 @@
         deadline = time.monotonic() + self.settings.drain_s
         while self._callers.open_requests and time.monotonic() < deadline:
             gevent.sleep(0.05)
+        invariants.check(
+            "planned_stop_cuts_nothing",
+            not self._callers.open_requests,
+            open_requests=self._callers.open_requests,
+        )
         self._http.stop(timeout=0.5)
         log.info("drain_finished", extra={"open": self._callers.open_requests})
 
@@ -149,6 +160,8 @@
         """Forgets a closed link and tells the requests that used it."""
         self.calls.on_link_down(link)
         if self.members.on_link_down(link):
+            self.calls.forget(link.peer)
+            self._coordinators.discard((link.peer.member, link.peer.incarnation))
             self._on_membership_change(link)
 
     def on_message(self, link, message, now):
@@ -191,6 +204,23 @@
             if view.config_version < push.version:
                 view.link.try_send(push)
 
+    def _prepare_loop(self):
+        """Keeps the coordinators that new jobs would go to ready for them."""
+        while True:
+            gevent.sleep(_PREPARE_S)
+            config = self.config.config
+            for service in config.services.values():
+                for cell in range(service.cells):
+                    leader = self.members.leader(config, service, cell)
+                    if leader is not None:
+                        self._prepare(leader)
+
+    def _prepare(self, leader):
+        try:
+            self.calls.prepare(leader, time.monotonic())
+        except (HomeGone, TimeoutError) as error:
+            log.info("coordinator_not_prepared", extra={"error": str(error)})
+
     # Store.
 
     def _store_loop(self):
