--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -20,7 +20,7 @@
 from .operator_api import OperatorApi
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
 from .protocol.options import get_address
-from .state import metrics
+from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
 from .transport.peers import serve_links
@@ -84,7 +84,12 @@
         """Finishes the open requests and stops."""
         self.draining = True
         log.info("drain_started", extra={"open": len(self._http.open_requests)})
-        self._http.drain(time.monotonic() + self.settings.drain_s)
+        finished = self._http.drain(time.monotonic() + self.settings.drain_s)
+        invariants.check(
+            "planned_stop_cuts_nothing",
+            finished,
+            open_requests=len(self._http.open_requests),
+        )
         log.info("drain_finished", extra={"open": len(self._http.open_requests)})
 
     def use_coordinator(self, view):
--- a/papayaward/transport/http_api.py
+++ b/papayaward/transport/http_api.py
@@ -105,6 +105,9 @@
 
         Args:
             until: Monotonic time at which to give up, seconds.
+
+        Returns:
+            bool: Whether every request was finished.
         """
         self.draining = True
         self._wait_for(set(self.open_requests), until)
@@ -112,7 +115,9 @@
         # Lets connections that were accepted last send their request.
         gevent.sleep(_LAST_REQUESTS_S)
         self._wait_for(self.open_requests, until)
+        finished = not self.open_requests
         self.stop(timeout=0)
+        return finished
 
     def _wait_for(self, handlers, until):
         while handlers & self.open_requests and time.monotonic() < until:
