Judge logs by process and treat a cut reply as a broken connection

Change: call() raises ConnectionError, and the fleet writes a line into the log when it starts a process. Ruled out: a version that falls; the log shows version 5, a stop and a new process that learns version 5.

--- a/standins/callers.py
+++ b/standins/callers.py
@@ -275,7 +275,7 @@
             name = event.get("event")
             if name in ("invariant_violated", "request_failed"):
                 findings.append(f"{path.stem}: {line[:300]}")
-            elif name in ("runner_started", "entry_started"):
+            elif name == "process_spawned":
                 version = 0
             elif name == "config_in_force":
                 if event["version"] <= version:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -21,6 +21,7 @@
 
 import gevent
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from .proxy import TcpProxy
 
@@ -67,6 +68,9 @@
         response = client.request(method, path, body=body, headers=headers or {})
         content = bytes(response.read())
         return HttpReply(response.status_code, content, dict(response.items()))
+    except HTTPParseError as error:
+        # The library's name for a connection that ended within a reply.
+        raise ConnectionError(str(error)) from error
     finally:
         client.close()
 
@@ -227,6 +231,9 @@
     def spawn(self, name, module, *arguments):
         """Starts a Python module as a process with its log in the directory."""
         with open(self.directory / f"{name}.log", "ab") as stream:
+            # Separates the processes that write to this log one after the other.
+            stream.write(b'{"event": "process_spawned"}\n')
+            stream.flush()
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
                 cwd=_ROOT,
