Wait while the link to a home is closed but still listed

Cause: found by reading. A link that its watchdog or a full send queue closed stays in the member view until its reader task has ended. A request that ran in between took the closed link, failed to send, saw the closed link and took it again, without ever yielding: the entry hung with all its callers. Change: a closed link counts as no link, so the call waits for its replacement within the reconnect grace. Before: the new test never ends (killed after 20 s). After: 5 tests pass. Conclusion: no loop over links may go on without a wait; the other users of the view only send once.

--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -228,7 +228,9 @@
             if view is not None:
                 if view.hello.incarnation != incarnation:
                     raise HomeGone(f"{home} was replaced")
-                return view.link
+                # A closed link stays in the view until its reader has ended.
+                if not view.link.closed:
+                    return view.link
             if time.monotonic() >= give_up:
                 raise HomeGone(f"{home} cannot be reached")
             gevent.sleep(_POLL_S)
--- a/tests/test_home_calls.py
+++ b/tests/test_home_calls.py
@@ -8,6 +8,7 @@
 import time
 from types import SimpleNamespace
 
+import gevent
 from testtools import TestCase
 
 from papayaward.coordination.home_calls import HomeCalls, HomeGone
@@ -70,3 +71,21 @@
         outcome = self._final_answer(link, False)
         self.assertEqual(Outcome.UNKNOWN, outcome.outcome)
         self.assertEqual([], link.sent)
+
+    def test_closed_link_in_the_member_view(self):
+        """Guards against a loop that never yields while a closed link is listed."""
+        link = _Link(5)
+        link.closed = True
+        link.try_send = lambda message: False
+        view = SimpleNamespace(link=link, hello=link.peer)
+        node = SimpleNamespace(
+            members=SimpleNamespace(get=lambda name: view),
+            settings=SimpleNamespace(reconnect_grace_s=0.05),
+        )
+        calls = HomeCalls(node)
+        until = time.monotonic() + 1.0
+        with gevent.Timeout(2.0):
+            outcome = calls.final_answer(
+                JobId("r1", 5, 1), lambda number: Fetch(number, "j-r1-5-1", True), until
+            )
+        self.assertEqual(Reason.HOME_GONE, outcome.reason)
