Keep a linked executor when an entry lists an earlier incarnation

Cause: found by reading. An entry may list a restarted runner under its earlier incarnation for up to a second. The home then replaced the view of the linked, restarted executor by one without a link, gave its tasks up, and the next list replaced that by another view without a link: the executor stayed unused until its link broke. Change: a member list replaces a view only if it has no link and is not within the reconnect grace; the greeting on a link decides otherwise. Before: the new unit test fails (no link in the view). After: it passes.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -87,7 +87,12 @@
         present = {(member.member, member.incarnation) for member in members}
         for member in members:
             view = self.executors.get(member.member)
-            if view is None or view.incarnation != member.incarnation:
+            # The greeting on a link is newer than what an entry still lists.
+            if view is None or (
+                view.incarnation != member.incarnation
+                and view.link is None
+                and view.lost_at is None
+            ):
                 if view is not None:
                     replaced.append(view)
                 self.executors[member.member] = ExecutorView(
