Send grants again only while the executor remembers their starts

Cause: found by reading. A home that was paused for over a minute sees its links close when it wakes, so the reconnect grace of 0.9 s began then. It sent its outstanding grants again, and the executor, which remembers starts for 60 s, would have started the tasks a second time if their deadline was ahead. Change: a link knows the latest own stamp that the peer sent back. Grants go out again only if that stamp is at most 8 s old, less than the 10 s for which results are kept; otherwise the tasks are lost, as after the grace.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -21,6 +21,11 @@
 __all__ = ["Dispatcher"]
 
 
+# Grants are sent again only while the executor surely remembers their starts
+# (60 s) and keeps their results (10 s).
+_SEND_AGAIN_WITHIN_S = 8.0
+
+
 class Dispatcher:
     """Queue of a home and the executors of its cell.
 
@@ -114,7 +119,11 @@
         replaced = None
         hello = link.peer
         view = self.executors.get(hello.member)
-        if view is None or view.incarnation != hello.incarnation:
+        if (
+            view is None
+            or view.incarnation != hello.incarnation
+            or _too_late(view, now)
+        ):
             replaced = view
             view = ExecutorView(hello.member, hello.incarnation, hello.domain)
             self.executors[hello.member] = view
@@ -131,6 +140,7 @@
         if view is not None and view.link is link:
             view.link = None
             view.lost_at = now
+            view.heard = link.echoed_us / 1e6
 
     def _dequeue(self, total_slots):
         tenants = self._node.config.config.tenants
@@ -208,3 +218,12 @@
         ]
         if view.link is not None:
             view.link.try_send(RunBatch(view.incarnation, grants))
+
+
+def _too_late(view, now):
+    # A paused home sees its links close when it wakes, not when they broke. The
+    # last own stamp that came back tells how old its knowledge is.
+    if not view.outstanding:
+        return False
+    heard = view.heard if view.link is None else view.link.echoed_us / 1e6
+    return now - heard > _SEND_AGAIN_WITHIN_S
--- a/papayaward/coordination/executor_views.py
+++ b/papayaward/coordination/executor_views.py
@@ -23,6 +23,7 @@
         self.domain = domain
         self.link = None
         self.lost_at = None
+        self.heard = 0.0
         self.slots = 0
         self.used_by_others = 0
         self.accepting = False
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -75,6 +75,7 @@
         self._last_received = time.monotonic()
         self._peer = None
         self.last_stamp_us = 0
+        self._echoed_us = int(self._last_received * 1e6)
         self.state = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -83,6 +84,14 @@
         """The peer's `Hello`."""
         return self._peer
 
+    @property
+    def echoed_us(self):
+        """Latest own stamp that the peer sent back; the start before the first.
+
+        Everything that the peer sent before it saw that stamp has been received.
+        """
+        return self._echoed_us
+
     @property
     def closed(self):
         """Whether the link is closed."""
@@ -219,6 +228,7 @@
             self._handle(message, now)
             return
         self.last_stamp_us = message.stamp_us
+        self._echoed_us = max(self._echoed_us, message.echo_us)
         self._node.on_heartbeat(self, message, now)
         if not self._dialled:
             self.try_send(self._node.heartbeat(self, now))
