Remember a task for 60 s after its end, not after its start

Cause: found by reading. The memory of a start ended 60 s after the start. A task that ran longer, whose link broke at its end and whose result was dropped for the bound on bytes, was neither running nor remembered when the home sent its grant again, and started a second time. Change: the result of a task renews the memory of its start. Before: the new unit test fails (the long task is forgotten at its end). After: 4 tests pass.

--- a/papayaward/state/started_tasks.py
+++ b/papayaward/state/started_tasks.py
@@ -42,7 +42,11 @@
         self._starts[key] = now
 
     def record_result(self, key, result, now):
-        """Keeps the result of a task that was started."""
+        """Keeps the result of a task that was started, and renews its start."""
+        # A copy of the grant may come until the home has seen the result, however
+        # long the task ran.
+        self._starts[key] = now
+        self._starts.move_to_end(key)
         self._results[key] = (now, result)
         self._result_bytes += len(result.body or b"")
         self._expire(now)
