--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -85,17 +85,14 @@
     def drain(self):
         """Finishes the open requests and stops."""
         self.draining = True
-        log.info("drain_started", extra={"open": self._callers.open_requests})
-        deadline = time.monotonic() + self.settings.drain_s
-        while self._callers.open_requests and time.monotonic() < deadline:
-            gevent.sleep(0.05)
+        log.info("drain_started", extra={"open": len(self._http.open_requests)})
+        finished = self._http.drain(time.monotonic() + self.settings.drain_s)
         invariants.check(
             "planned_stop_cuts_nothing",
-            not self._callers.open_requests,
-            open_requests=self._callers.open_requests,
+            finished,
+            open_requests=len(self._http.open_requests),
         )
-        self._http.stop(timeout=0.5)
-        log.info("drain_finished", extra={"open": self._callers.open_requests})
+        log.info("drain_finished", extra={"open": len(self._http.open_requests)})
 
     def use_coordinator(self, view):
         """Sends the members of its cell to a coordinator that gets work."""
