--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,8 @@
+"""
+benchmarks
+~~~~~~~~~~
+
+Measurements of papayaward with real processes; not installed.
+"""
+
+__all__ = []
--- /dev/null
+++ b/benchmarks/sampling.py
@@ -0,0 +1,181 @@
+"""
+benchmarks.sampling
+~~~~~~~~~~~~~~~~~~~
+
+Processor time, memory and link counters of a process, and linear fits.
+"""
+
+import os
+import re
+import statistics
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import gevent
+
+from standins.fleet import call
+
+__all__ = [
+    "CONTROL",
+    "Fit",
+    "Usage",
+    "cpu_s",
+    "fit_line",
+    "link_counters",
+    "measure",
+    "rss_mib",
+]
+
+# Message types that are exchanged whether or not there is work. All others carry
+# jobs, tasks, results and cancellations, so their number follows the work.
+CONTROL = frozenset(
+    ("Hello", "Heartbeat", "ConfigPull", "ConfigPush", "Members")
+    + ("IdBlockRequest", "IdBlock")
+)
+
+_LINK_SAMPLE = re.compile(
+    r"papayaward_link_(messages|bytes)_total"
+    r'\{direction="(\w+)",type="(\w+)"\} ([0-9.e+]+)'
+)
+
+
+@dataclass(frozen=True)
+class Fit:
+    """A line through measured points.
+
+    Attributes:
+        slope: Rise for each unit of x.
+        intercept: Value at x = 0.
+        residual: Largest distance of a point from the line over the largest
+            absolute y, 0 for points on a line.
+    """
+
+    slope: float
+    intercept: float
+    residual: float
+
+    def at(self, x):
+        """Returns the value of the line at x."""
+        return self.intercept + self.slope * x
+
+
+def fit_line(points):
+    """Returns the least-squares `Fit` of (x, y) pairs.
+
+    Args:
+        points: At least two pairs with different x.
+    """
+    xs, ys = zip(*points, strict=True)
+    slope, intercept = statistics.linear_regression(xs, ys)
+    distance = max(abs(y - intercept - slope * x) for x, y in points)
+    scale = max(map(abs, ys))
+    return Fit(slope, intercept, distance / scale if scale else 0.0)
+
+
+def cpu_s(pid):
+    """Returns the processor time of a process (user and system), in seconds.
+
+    `schedstat` counts in ns; the ticks of `stat` (10 ms) are too coarse for an
+    idle process and are used only where the kernel lacks `schedstat`.
+    """
+    try:
+        tasks = list(Path(f"/proc/{pid}/task").iterdir())
+        return sum(int((t / "schedstat").read_text().split()[0]) for t in tasks) / 1e9
+    except FileNotFoundError:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def rss_mib(pid):
+    """Returns the resident memory of a process, in MiB."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024
+
+
+@dataclass(frozen=True)
+class Usage:
+    """Use of resources by a process during a window.
+
+    Attributes:
+        seconds: Length of the window.
+        cpu: Processor seconds a second (1 is a whole core).
+        rss_mib: Resident memory at the end.
+        messages: Messages a second by (direction, type).
+        bytes: Bytes a second by (direction, type).
+    """
+
+    seconds: float
+    cpu: float
+    rss_mib: float
+    messages: dict
+    bytes: dict
+
+    def control_messages(self):
+        """Returns the control messages a second, both directions."""
+        return sum(n for (_, name), n in self.messages.items() if name in CONTROL)
+
+    def control_bytes(self):
+        """Returns the bytes of control messages a second, both directions."""
+        return sum(n for (_, name), n in self.bytes.items() if name in CONTROL)
+
+    def work_messages(self):
+        """Returns the messages a second that carry work, both directions."""
+        return sum(n for (_, name), n in self.messages.items() if name not in CONTROL)
+
+    def work_bytes(self):
+        """Returns the bytes a second that carry work, both directions."""
+        return sum(n for (_, name), n in self.bytes.items() if name not in CONTROL)
+
+
+def link_counters(http):
+    """Returns a process's link counters: `messages`, `bytes` by (direction, type)."""
+    text = call(http, "GET", "/metrics").body.decode()
+    found = {"messages": {}, "bytes": {}}
+    for kind, direction, name, value in _LINK_SAMPLE.findall(text):
+        found[kind][direction, name] = float(value)
+    return found
+
+
+def _counters(http):
+    counters = link_counters(http)
+    return time.monotonic(), counters
+
+
+def _rates(before, after, seconds):
+    return {key: (n - before.get(key, 0.0)) / seconds for key, n in after.items()}
+
+
+def measure(processes, seconds):
+    """Measures processes over one window.
+
+    The counters are read outside the window of the processor time, since reading
+    them costs processor time itself.
+
+    Args:
+        processes: (pid, HTTP address) by name.
+        seconds: Length of the window.
+
+    Returns:
+        dict: `Usage` by name.
+    """
+    before = {name: _counters(http) for name, (_, http) in processes.items()}
+    started = time.monotonic()
+    cpu = {name: cpu_s(pid) for name, (pid, _) in processes.items()}
+    gevent.sleep(seconds)
+    length = time.monotonic() - started
+    cpu = {name: cpu_s(pid) - cpu[name] for name, (pid, _) in processes.items()}
+    rss = {name: rss_mib(pid) for name, (pid, _) in processes.items()}
+    usage = {}
+    for name, (_, http) in processes.items():
+        read_at, counters = _counters(http)
+        first_at, first = before[name]
+        window = read_at - first_at
+        usage[name] = Usage(
+            length,
+            cpu[name] / length,
+            rss[name],
+            _rates(first["messages"], counters["messages"], window),
+            _rates(first["bytes"], counters["bytes"], window),
+        )
+    return usage
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -63,6 +63,7 @@
     def start(self):
         """Starts to listen for links, to read the store and to serve HTTP."""
         settings = self.settings
+        metrics.export_links(self.stats)
         self.config.on_change(self._push_config)
         self._server = serve_links(settings.listen, self)
         api = HttpApi(settings.max_body_bytes)
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -60,6 +60,7 @@
     def start(self):
         """Starts to listen, to dial the entries and to serve HTTP."""
         settings = self.settings
+        metrics.export_links(self.stats)
         self._server = serve_links(settings.listen, self)
         loopback = LoopbackLink(self)
         self.executor.on_link_up(loopback)
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -5,7 +5,8 @@
 Metrics of a process, in the format of Prometheus.
 """
 
-from prometheus_client import Counter, Gauge, Histogram, generate_latest
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
 
 __all__ = [
     "ANSWERS",
@@ -20,6 +21,7 @@
     "SERVICE_SECONDS",
     "SLOTS_IN_USE",
     "export",
+    "export_links",
 ]
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
@@ -78,3 +80,27 @@
 def export():
     """Returns the exposition text of every metric, bytes."""
     return generate_latest()
+
+
+class _LinkCollector:
+    def __init__(self, stats):
+        self._stats = stats
+
+    def collect(self):
+        stats = self._stats
+        for name, text, sent, received in (
+            ("messages", "Messages on links.", stats.sent, stats.received),
+            ("bytes", "Bytes on links.", stats.sent_bytes, stats.received_bytes),
+        ):
+            family = CounterMetricFamily(
+                f"papayaward_link_{name}", text, labels=("direction", "type")
+            )
+            for direction, counts in (("sent", sent), ("received", received)):
+                for kind, count in list(counts.items()):
+                    family.add_metric((direction, kind), count)
+            yield family
+
+
+def export_links(stats):
+    """Adds the counts of a `LinkStats` to the exposition."""
+    REGISTRY.register(_LinkCollector(stats))
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -33,21 +33,21 @@
 
 
 class LinkStats:
-    """Counts of the messages and bytes of all links of a process."""
+    """Counts of the messages and bytes of all links of a process, by type."""
 
     def __init__(self):
         self.sent = {}
         self.received = {}
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.sent_bytes = {}
+        self.received_bytes = {}
 
     def count_sent(self, name, size):
         self.sent[name] = self.sent.get(name, 0) + 1
-        self.bytes_sent += size
+        self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
 
     def count_received(self, name, size):
         self.received[name] = self.received.get(name, 0) + 1
-        self.bytes_received += size
+        self.received_bytes[name] = self.received_bytes.get(name, 0) + size
 
 
 class Link:
