--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -2,7 +2,7 @@
 benchmarks
 ~~~~~~~~~~
 
-Measurements of papayaward with real processes; not installed.
+Measurements on one machine, the report of them and the demo; not installed.
 """
 
 __all__ = []
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -333,7 +333,10 @@
         reply = head + b"Content-Length: %d\r\n\r\n" % len(_RESULT) + _RESULT
         data = b""
         while True:
-            received = sock.recv(65536)
+            try:
+                received = sock.recv(65536)
+            except ConnectionResetError:
+                return
             if not received:
                 return
             data += received
--- a/benchmarks/sampling.py
+++ b/benchmarks/sampling.py
@@ -35,8 +35,8 @@
 )
 
 _LINK_SAMPLE = re.compile(
-    r"papayaward_link_(messages|bytes)_total"
-    r'\{direction="(\w+)",type="(\w+)"\} ([0-9.e+]+)'
+    r"papayaward_message(s|_bytes)_(sent|received)_total"
+    r'\{type="(\w+)"\} ([0-9.e+]+)'
 )
 
 
@@ -95,17 +95,15 @@
 
 @dataclass(frozen=True)
 class Usage:
-    """Use of resources by a process during a window.
+    """Use of resources by a process.
 
     Attributes:
-        seconds: Length of the window.
         cpu: Processor seconds a second (1 is a whole core).
-        rss_mib: Resident memory at the end.
+        rss_mib: Resident memory at the end, in MiB.
         messages: Messages a second by (direction, type).
         bytes: Bytes a second by (direction, type).
     """
 
-    seconds: float
     cpu: float
     rss_mib: float
     messages: dict
@@ -133,6 +131,7 @@
     text = call(http, "GET", "/metrics").body.decode()
     found = {"messages": {}, "bytes": {}}
     for kind, direction, name, value in _LINK_SAMPLE.findall(text):
+        kind = "messages" if kind == "s" else "bytes"
         found[kind][direction, name] = float(value)
     return found
 
@@ -146,35 +145,38 @@
     return {key: (n - before.get(key, 0.0)) / seconds for key, n in after.items()}
 
 
-def measure(processes, seconds):
-    """Measures processes over one window.
+def measure(processes, seconds, windows=1):
+    """Measures processes over windows that follow each other.
 
-    The counters are read outside the window of the processor time, since reading
-    them costs processor time itself.
+    The counters are read outside the windows of the processor time, since reading
+    them costs processor time itself. Of several windows the median processor time
+    counts: other work on the machine raises single ones.
 
     Args:
         processes: (pid, HTTP address) by name.
-        seconds: Length of the window.
+        seconds: Length of a window.
+        windows: Number of windows.
 
     Returns:
         dict: `Usage` by name.
     """
     before = {name: _counters(http) for name, (_, http) in processes.items()}
-    started = time.monotonic()
-    cpu = {name: cpu_s(pid) for name, (pid, _) in processes.items()}
-    gevent.sleep(seconds)
-    length = time.monotonic() - started
-    cpu = {name: cpu_s(pid) - cpu[name] for name, (pid, _) in processes.items()}
-    rss = {name: rss_mib(pid) for name, (pid, _) in processes.items()}
+    shares = {name: [] for name in processes}
+    for _ in range(windows):
+        started = time.monotonic()
+        used = {name: cpu_s(pid) for name, (pid, _) in processes.items()}
+        gevent.sleep(seconds)
+        length = time.monotonic() - started
+        for name, (pid, _) in processes.items():
+            shares[name].append((cpu_s(pid) - used[name]) / length)
     usage = {}
-    for name, (_, http) in processes.items():
+    for name, (pid, http) in processes.items():
         read_at, counters = _counters(http)
         first_at, first = before[name]
         window = read_at - first_at
         usage[name] = Usage(
-            length,
-            cpu[name] / length,
-            rss[name],
+            statistics.median(shares[name]),
+            rss_mib(pid),
             _rates(first["messages"], counters["messages"], window),
             _rates(first["bytes"], counters["bytes"], window),
         )
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -37,6 +37,9 @@
 __all__ = ["SERIES", "Series", "main", "operators_text", "run_series"]
 
 _SETTLE_S = 1.0
+_WINDOWS = 3
+_SHORT_S = 0.3
+_LONG_S = 1.5
 _BASE = {"executors": 50, "tasks_s": 1000, "job_size": 100, "tenants": 68}
 
 
@@ -182,7 +185,7 @@
             _add_runners(fleet, runners, members)
             gevent.sleep(_SETTLE_S)
             calls, began = _store_calls(fleet), time.monotonic()
-            usage = measure(_entry_processes(fleet), seconds)["e1"]
+            usage = measure(_entry_processes(fleet), seconds, _WINDOWS)["e1"]
             calls = (_store_calls(fleet) - calls) / (time.monotonic() - began)
             values = _values(usage)
             values["linked"] = sum(len(r.links) for r in runners)
@@ -239,7 +242,7 @@
             gevent.sleep(_SETTLE_S)
             answered, calls = callers.answered, _store_calls(fleet)
             began = time.monotonic()
-            usage = measure(_entry_processes(fleet), seconds)["e1"]
+            usage = measure(_entry_processes(fleet), seconds, _WINDOWS)["e1"]
             window = time.monotonic() - began
             jobs = (callers.answered - answered) / window
             values = _values(usage)
@@ -255,7 +258,7 @@
     with _entry(members, operators_text(1)) as (fleet, runners):
         pid, http = _entry_processes(fleet)["e1"]
         gevent.sleep(_SETTLE_S)
-        idle = measure({"e1": (pid, http)}, seconds)["e1"]
+        idle = measure({"e1": (pid, http)}, seconds, _WINDOWS)["e1"]
         for size in points:
             document = operators_text(1, size=size)
             changes = max(3, int(seconds * 3))
@@ -333,7 +336,7 @@
         for x in points:
             _link_executors(entry, executors, x)
             gevent.sleep(_SETTLE_S)
-            yield x, _values(measure(_runner_process(fleet), seconds)["r1"])
+            yield x, _values(measure(_runner_process(fleet), seconds, _WINDOWS)["r1"])
         for executor in executors:
             executor.stop()
 
@@ -358,7 +361,7 @@
             gevent.sleep(_SETTLE_S)
             jobs = entry.outcomes.get("complete", 0)
             began = time.monotonic()
-            usage = measure(_runner_process(fleet), seconds)["r1"]
+            usage = measure(_runner_process(fleet), seconds, _WINDOWS)["r1"]
             jobs = entry.outcomes.get("complete", 0) - jobs
             jobs /= time.monotonic() - began
             values = _per_task(_values(usage), usage, jobs * size, jobs)
@@ -376,7 +379,7 @@
         gevent.sleep(_SETTLE_S)
         process = _runner_process(fleet)
         pid = process["r1"][0]
-        idle = measure(process, seconds)["r1"]
+        idle = measure(process, seconds, _WINDOWS)["r1"]
         for size in points:
             text = json.dumps(operators_text(1, size=size)).encode()
             changes = max(3, int(seconds * 5))
@@ -461,7 +464,7 @@
             gevent.sleep(_SETTLE_S)
             done, reports = _done(homes), sum(h.reports for h in homes)
             began = time.monotonic()
-            usage = measure(_runner_process(fleet), seconds)["r1"]
+            usage = measure(_runner_process(fleet), seconds, _WINDOWS)["r1"]
             window = time.monotonic() - began
             tasks_s = (_done(homes) - done) / window
             values = _per_task(_values(usage), usage, tasks_s, 0)
@@ -482,7 +485,7 @@
     for x in points:
         with _executor(x, 8, operators_text()) as (fleet, _):
             gevent.sleep(_SETTLE_S)
-            yield x, _values(measure(_runner_process(fleet), seconds)["r1"])
+            yield x, _values(measure(_runner_process(fleet), seconds, _WINDOWS)["r1"])
 
 
 def _executor_started(points, seconds):
@@ -503,7 +506,7 @@
     for x in points:
         with _runner(operators_text(), entries=x) as (fleet, _):
             gevent.sleep(_SETTLE_S)
-            yield x, _values(measure(_runner_process(fleet), seconds)["r1"])
+            yield x, _values(measure(_runner_process(fleet), seconds, _WINDOWS)["r1"])
 
 
 # Store and operators.
@@ -526,7 +529,7 @@
         for members in points:
             _add_runners(fleet, runners, members)
             gevent.sleep(_SETTLE_S)
-            idle = measure({"e1": (pid, http)}, seconds)["e1"]
+            idle = measure({"e1": (pid, http)}, seconds, _WINDOWS)["e1"]
             calls, size = 20, 0
             began, used = time.monotonic(), cpu_s(pid)
             for _ in range(calls):
@@ -551,9 +554,7 @@
         }
         gevent.sleep(2 * _SETTLE_S)
         for x in points:
-            windows = measure(processes, seconds)
-            # The reading of the counters itself is left out of the processor
-            # time; the busiest runner counts.
+            windows = measure(processes, seconds, _WINDOWS)
             values = [_values(usage) for usage in windows.values()]
             summary = {}
             for name in ("cpu_core", "rss_mib", "control_bytes_s"):
@@ -734,7 +735,7 @@
     series = SERIES[name]
     xs = series.short if short else series.points
     points = []
-    for x, values in series.run(xs, 0.5 if short else 4.0):
+    for x, values in series.run(xs, _SHORT_S if short else _LONG_S):
         points.append({"x": x, **values})
     fits = {}
     for key in points[0]:
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -48,6 +48,7 @@
         self.heartbeat_interval_s = settings.heartbeat_interval_s
         self.heartbeat_misses = settings.heartbeat_misses
         self.stats = LinkStats()
+        metrics.watch_links(self.stats)
         self.config = ConfigHolder()
         self.evidence = EntryEvidence()
         self.members = Membership()
@@ -63,7 +64,6 @@
     def start(self):
         """Starts to listen for links, to read the store and to serve HTTP."""
         settings = self.settings
-        metrics.export_links(self.stats)
         self.config.on_change(self._push_config)
         self._server = serve_links(settings.listen, self)
         api = HttpApi(settings.max_body_bytes)
@@ -72,7 +72,10 @@
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
-        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS)
+        tls = {}
+        if settings.tls_certificate:
+            tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
+        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS, **tls)
         gevent.spawn(self._store_loop)
         gevent.spawn(self._prepare_loop)
         log.info("entry_started", extra={"member": settings.member})
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -21,7 +21,7 @@
     "SERVICE_SECONDS",
     "SLOTS_IN_USE",
     "export",
-    "export_links",
+    "watch_links",
 ]
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
@@ -77,30 +77,50 @@
 )
 
 
-def export():
-    """Returns the exposition text of every metric, bytes."""
-    return generate_latest()
-
-
 class _LinkCollector:
-    def __init__(self, stats):
-        self._stats = stats
+    """Exports the counts that the links keep as plain numbers."""
+
+    def __init__(self):
+        self.stats = None
 
     def collect(self):
-        stats = self._stats
-        for name, text, sent, received in (
-            ("messages", "Messages on links.", stats.sent, stats.received),
-            ("bytes", "Bytes on links.", stats.sent_bytes, stats.received_bytes),
+        """Yields the metric families, read when they are asked for."""
+        stats = self.stats
+        if stats is None:
+            return
+        for direction, counts, sizes, size in (
+            ("sent", stats.sent, stats.sent_bytes, stats.bytes_sent),
+            ("received", stats.received, stats.received_bytes, stats.bytes_received),
         ):
-            family = CounterMetricFamily(
-                f"papayaward_link_{name}", text, labels=("direction", "type")
+            for what, numbers in (("messages", counts), ("message_bytes", sizes)):
+                family = CounterMetricFamily(
+                    f"papayaward_{what}_{direction}",
+                    f"{what.capitalize().replace('_', ' ')} {direction}, by type.",
+                    labels=("type",),
+                )
+                for name, number in sorted(numbers.items()):
+                    family.add_metric((name,), number)
+                yield family
+            yield CounterMetricFamily(
+                f"papayaward_link_bytes_{direction}",
+                f"Bytes {direction} on the links.",
+                value=size,
             )
-            for direction, counts in (("sent", sent), ("received", received)):
-                for kind, count in list(counts.items()):
-                    family.add_metric((direction, kind), count)
-            yield family
 
 
-def export_links(stats):
-    """Adds the counts of a `LinkStats` to the exposition."""
-    REGISTRY.register(_LinkCollector(stats))
+_LINKS = _LinkCollector()
+REGISTRY.register(_LINKS)
+
+
+def watch_links(stats):
+    """Exports the counts of the links of this process.
+
+    Args:
+        stats: `LinkStats` of the process; replaces any given before.
+    """
+    _LINKS.stats = stats
+
+
+def export():
+    """Returns the exposition text of every metric, bytes."""
+    return generate_latest()
