Load only geventhttpclient's parser in runners

Cause: `geventhttpclient.response` runs the package's `__init__`, which loads its client with cookies, certificates, TLS contexts and compression. A runner sends plain HTTP on loopback. Changed: `transport/http_parser.py` loads the C parser alone and reads one response with it, including interim responses and responses without a length.

--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -11,7 +11,8 @@
 
 from gevent import socket
 from gevent.select import select
-from geventhttpclient.response import HTTPSocketResponse
+
+from .http_parser import read_response
 
 __all__ = ["NotSent", "UpstreamClient", "UpstreamLost"]
 
@@ -59,10 +60,8 @@
         keep = False
         try:
             sock.sendall(self._request(path, body, headers))
-            response = HTTPSocketResponse(sock, method="POST")
-            content = bytes(response.read())
-            keep = response.should_keep_alive()
-            return response.status_code, content
+            status, content, keep = read_response(sock)
+            return status, content
         except Exception as error:
             raise UpstreamLost(str(error) or type(error).__name__) from error
         finally:
--- /dev/null
+++ b/tests/test_http_parser.py
@@ -0,0 +1,80 @@
+"""
+tests.test_http_parser
+~~~~~~~~~~~~~~~~~~~~~~
+
+Responses of upstreams, whole and broken.
+"""
+
+import subprocess
+import sys
+from http.client import HTTPException
+
+from testtools import TestCase
+
+from papayaward.transport.http_parser import BrokenResponse, read_response
+
+__all__ = []
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+
+
+class _Socket:
+    def __init__(self, parts):
+        self._parts = list(parts)
+
+    def recv(self, size):
+        return self._parts.pop(0) if self._parts else b""
+
+
+class HttpParserTest(TestCase):
+    def test_whole_responses(self):
+        """Guards against lost bytes, and against reuse of a closing connection."""
+        length = b"Content-Length: 3\r\n"
+        for parts, expected in (
+            ([_OK + length + b"\r\nabc"], (200, b"abc", True)),
+            ([_OK + length + b"\r\na", b"b", b"c"], (200, b"abc", True)),
+            ([_OK[:5], _OK[5:] + length, b"\r\nabc"], (200, b"abc", True)),
+            ([_OK + b"Connection: close\r\n\r\nabc"], (200, b"abc", False)),
+            ([b"HTTP/1.0 200 OK\r\n" + length + b"\r\nabc"], (200, b"abc", False)),
+            ([b"HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n"], (429, b"", True)),
+            (
+                [_OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", b"0\r\n\r\n"],
+                (200, b"abc", True),
+            ),
+            (
+                [b"HTTP/1.1 100 Continue\r\n\r\n", _OK + length + b"\r\nabc"],
+                (200, b"abc", True),
+            ),
+            (
+                [b"HTTP/1.1 100 Continue\r\n\r\n" + _OK + length + b"\r\nabc"],
+                (200, b"abc", True),
+            ),
+        ):
+            self.assertEqual(expected, read_response(_Socket(parts)), parts)
+
+    def test_broken_responses(self):
+        """Guards against taking a part of a response for the whole."""
+        for parts in (
+            [],
+            [b"HTTP/1.1 200"],
+            [_OK + b"Content-Length: 3\r\n\r\nab"],
+            [_OK + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"],
+            [b"HTTP/1.1 100 Continue\r\n\r\n"],
+            [b"garbage\r\n\r\n"],
+            [(_OK + b"Content-Length: 1\r\n\r\na") * 2],
+        ):
+            self.assertRaises(
+                (BrokenResponse, HTTPException), read_response, _Socket(parts)
+            )
+
+    def test_runner_does_not_load_the_client(self):
+        """Guards against an import that costs every runner megabytes."""
+        code = (
+            "import sys, papayaward.runner;"
+            "print([n for n in ('geventhttpclient', 'http.cookiejar', 'asyncio')"
+            " if n in sys.modules])"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, timeout=60
+        )
+        self.assertEqual("[]", done.stdout.strip(), done.stderr)
