--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -88,18 +88,19 @@
         stats = self.stats
         if stats is None:
             return
-        for direction, counts, size in (
-            ("sent", stats.sent, stats.bytes_sent),
-            ("received", stats.received, stats.bytes_received),
+        for direction, counts, sizes, size in (
+            ("sent", stats.sent, stats.sent_bytes, stats.bytes_sent),
+            ("received", stats.received, stats.received_bytes, stats.bytes_received),
         ):
-            messages = CounterMetricFamily(
-                f"papayaward_messages_{direction}",
-                f"Messages {direction} on the links, by type.",
-                labels=("type",),
-            )
-            for name, number in sorted(counts.items()):
-                messages.add_metric((name,), number)
-            yield messages
+            for what, numbers in (("messages", counts), ("message_bytes", sizes)):
+                family = CounterMetricFamily(
+                    f"papayaward_{what}_{direction}",
+                    f"{what.capitalize().replace('_', ' ')} {direction}, by type.",
+                    labels=("type",),
+                )
+                for name, number in sorted(numbers.items()):
+                    family.add_metric((name,), number)
+                yield family
             yield CounterMetricFamily(
                 f"papayaward_link_bytes_{direction}",
                 f"Bytes {direction} on the links.",
