Silence both directions of dialling in the test of delayed grants

Cause: the test silenced only the links that the home dials. The test now silences and refuses both; it still asks for unknown and for no start.

--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -109,9 +109,11 @@
         for name in (home, other[1]):
             fleet.control_upstream(name, leaving=True)
         fleet.wait_until(lambda: _ready(fleet) == 1)
-        proxy = fleet.proxies[f">{other[0]}"]
+        # The two are linked in the direction in which either of them dialled.
+        proxy, back = fleet.proxies[f">{other[0]}"], fleet.proxies[f">{home}"]
+        proxy.refuse = back.refuse = True
         proxy.silence_open(to_client=False)
-        proxy.refuse = True
+        back.silence_open(to_target=False)
         before = len(fleet.records())
         job = self.submit_later(fleet, echo_tasks(1, 10), job_id=job_id)
         gevent.sleep(0.1)
@@ -120,8 +122,9 @@
         reply = job.get(timeout=10)
         self.assertEqual("unknown", reply.json["outcome"], reply.body)
         proxy.release()
+        back.release()
         gevent.sleep(0.5)
-        proxy.refuse = False
+        proxy.refuse = back.refuse = False
         gevent.sleep(0.5)
         self.assertEqual(before, len(fleet.records()))
 
