Grant no task again whose job was answered while the link was down

Cause: found by reading. Cancellations cannot be sent without a link. When the link came back, the home sent the outstanding grants again, those of answered jobs too, so an executor that had not seen the first copy started tasks of a cancelled or expired job. Change: on a new link the outstanding tasks of answered jobs are dropped and cancelled; the others are granted again. Before: the new unit test sends two grants of a finished job. After: none, and one cancellation; test_executor_views 4 passed, test_silent_links 5 passed, test_kills 6 passed.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent.event import Event
 
-from ..protocol.gen.ttypes import Grant, RunBatch
+from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
 from ..state import metrics
 from .admission import Load
 from .ejection import Ejection
@@ -129,11 +129,23 @@
             self.executors[hello.member] = view
         view.link = link
         view.lost_at = None
-        if view.outstanding:
-            self._send_grants(view, list(view.outstanding.values()), now)
+        self._reconcile(view, now)
         self._wakeup.set()
         return replaced
 
+    def _reconcile(self, view, now):
+        """Sends the outstanding grants again, but for jobs that were answered."""
+        finished = set()
+        for key, (record, _, _) in list(view.outstanding.items()):
+            if record.done:
+                del view.outstanding[key]
+                self._queue.give_slot(record.spec.tenant)
+                finished.add(record.spec.job_id)
+        if finished:
+            view.link.try_send(CancelTasks(sorted(finished)))
+        if view.outstanding:
+            self._send_grants(view, list(view.outstanding.values()), now)
+
     def on_executor_down(self, link, now):
         """Starts the grace period of an executor whose link closed."""
         view = self.executors.get(link.peer.member)
