Keep silent runners in an entry's majority for an hour

An entry forgot a runner 30 s after it fell silent as long as the store answered. Cut off with few runners for longer than that, and then without the store, it took those few for a majority, while the other side had accepted a change: both halves of the argument must count the same runners. Also, a runner that joins with a higher version no longer counts as heard, and one that drains is no longer added again by its next heartbeat.

--- a/papayaward/coordination/evidence.py
+++ b/papayaward/coordination/evidence.py
@@ -53,14 +53,16 @@
         store_max_age_s: Age of the last read of the store from which on the
             members are counted instead, in seconds.
         forget_s: Time after which a member that is not heard is forgotten while
-            the store answers, in seconds.
+            the store answers, in seconds. A shorter time would let the two sides of
+            a partition count different members, and each have a majority.
     """
 
-    def __init__(self, store_max_age_s=1.0, forget_s=30.0):
+    def __init__(self, store_max_age_s=1.0, forget_s=3600.0):
         self._store_max_age_s = store_max_age_s
         self._forget_s = forget_s
         self._store_read = None
         self._echoes = {}
+        self._heard = {}
 
     @property
     def members(self):
@@ -71,22 +73,36 @@
         """Takes a successful read of the store's head, sent at `sent_at`."""
         if self._store_read is None or sent_at > self._store_read:
             self._store_read = sent_at
-        gone = [m for m, at in self._echoes.items() if now - at > self._forget_s]
+        gone = [m for m, at in self._heard.items() if now - at > self._forget_s]
         for member in gone:
-            del self._echoes[member]
+            self.on_goodbye(member)
 
-    def on_member(self, member, now):
-        """Adds a member that joined; it counts as heard from now on."""
-        self._echoes.setdefault(member, now)
+    def on_member(self, member, now, is_current):
+        """Adds a member that joined.
 
-    def on_echo(self, member, echo_us):
+        Args:
+            member: Name of the member.
+            now: Monotonic time, seconds.
+            is_current: Whether its version is not higher than the entry's; only
+                then it counts as heard.
+        """
+        self._heard[member] = now
+        self._echoes.setdefault(member, now if is_current else 0.0)
+
+    def silent_s(self, member, now):
+        """Returns the time since a member was last heard, in seconds."""
+        return now - self._heard[member]
+
+    def on_echo(self, member, echo_us, now):
         """Takes the echo of an own stamp by a member whose version is not higher."""
+        self._heard[member] = now
         if echo_us and echo_us / 1e6 > self._echoes.get(member, 0.0):
             self._echoes[member] = echo_us / 1e6
 
     def on_goodbye(self, member):
         """Removes a member that announced its stop."""
         self._echoes.pop(member, None)
+        self._heard.pop(member, None)
 
     def latest(self, now):
         """Returns the time of the latest evidence, or None."""
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -139,17 +139,19 @@
             return
         view.on_heartbeat(heartbeat, now)
         self.config.on_peer_version(link, heartbeat.config_version)
-        if heartbeat.config_version <= self.config.version:
-            self.evidence.on_echo(link.peer.member, heartbeat.echo_us)
         if heartbeat.draining:
+            # It starts nothing any more, so it no longer counts as a member.
             self.evidence.on_goodbye(link.peer.member)
+        elif heartbeat.config_version <= self.config.version:
+            self.evidence.on_echo(link.peer.member, heartbeat.echo_us, now)
 
     def on_link_up(self, link, now):
         """Takes a new link, which replaces an older one to the same runner."""
         older = self.members.on_link_up(link, now)
         if older is not None:
             older.close("replaced by a newer link")
-        self.evidence.on_member(link.peer.member, now)
+        is_current = link.peer.config_version <= self.config.version
+        self.evidence.on_member(link.peer.member, now, is_current)
         if self.config.version > link.peer.config_version:
             link.try_send(ConfigPush(self.config.version, self.config.text))
         self.config.on_peer_version(link, link.peer.config_version)
