--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -118,6 +118,8 @@
         proxied: Whether every link between two processes goes through a `TcpProxy`
             of this process: `proxies["r1>e1"]` is the link from a runner to an
             entry, `proxies[">r1"]` are the links of other runners to a runner.
+        store_proxies: Whether each entry reaches the store through a `TcpProxy`,
+            `proxies["e1>store"]`.
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         settings=None,
         link_address=None,
         proxied=False,
+        store_proxies=False,
     ):
         self.directory = Path(tempfile.mkdtemp(prefix="papayaward-"))
         self.processes = {}
@@ -138,6 +141,7 @@
         self.upstream_http = {}
         self.proxies = {}
         self._proxied = proxied
+        self._store_proxies = store_proxies
         self._config = config
         self._settings = settings or {}
         self._link_address = link_address or (lambda entry, address, runner: address)
@@ -179,13 +183,16 @@
 
     def start_entry(self, name):
         """Starts an entry."""
+        store = self.store
+        if self._store_proxies:
+            store = self._through_proxy(f"{name}>store", store)
         self._start_daemon(
             name,
             "entry",
             domain="entry",
             listen=self.entry_link[name],
             http=self.entry_http[name],
-            store=[self.store],
+            store=[store],
         )
 
     def start_extra_entry(self, name, **values):
--- /dev/null
+++ b/tests/test_store_outage.py
@@ -0,0 +1,134 @@
+"""
+tests.test_store_outage
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The store is down, slow or loses answers; runners lose all entries.
+"""
+
+import time
+
+import gevent
+
+from standins.callers import Callers, fleet_findings
+from standins.fleet import call
+
+from .fleet_case import FleetCase, echo_tasks
+
+__all__ = []
+
+# Longer than the silence limit, the reconnect grace and the evidence bound.
+_OUTAGE_S = 4.0
+
+
+class StoreOutageTest(FleetCase):
+    def test_work_goes_on_without_the_store(self):
+        """Guards against a fleet that stops with its store."""
+        fleet = self.start_fleet()
+        callers = Callers(fleet, 12, seed=6, work_ms=100)
+        for fault in (
+            {"mode": "down"},
+            {"mode": "slow", "delay_s": 0.9},
+            {"mode": "slow", "delay_s": 3.0},
+            {"mode": "lose"},
+        ):
+            fleet.control_store(**fault)
+            gevent.sleep(_OUTAGE_S)
+            began = time.time()
+            gevent.sleep(0.5)
+            starts = [r for r in fleet.records() if r["start"] > began]
+            self.assertEqual({"a", "b", "c"}, {r["domain"] for r in starts}, fault)
+            fleet.control_store(mode="ok")
+        self.assertTrue(callers.stop())
+        self.assertEqual({"complete"}, set(callers.outcomes()), callers.outcomes())
+        self.assert_starts(fleet, callers)
+        self.assertEqual([], fleet_findings(fleet))
+
+    def test_lost_answer_of_a_change(self):
+        """Guards against a change that took effect but is reported as refused."""
+        fleet = self.start_fleet()
+        fleet.control_store(mode="lose")
+        status, reply = fleet.set_domains_out(["a"])
+        fleet.control_store(mode="ok")
+        self.assertEqual(200, status, reply)
+        self.assertTrue(reply["accepted"], reply)
+        status, reply = fleet.set_domains_out([])
+        self.assertEqual(200, status, reply)
+        self.assertEqual(3, reply["version"])
+
+    def test_new_processes_learn_the_version_from_their_peers(self):
+        """Guards against new processes that work with no or an old version."""
+        fleet = self.start_fleet()
+        self.assertEqual(200, fleet.set_domains_out(["a"])[0])
+        home = fleet.leader()
+        fleet.control_store(mode="down")
+        gevent.sleep(1.5)
+        fleet.kill("e1")
+        fleet.start_entry("e1")
+        fleet.kill(home)
+        fleet.start_runner(home)
+        fleet.wait_until(lambda: fleet.version(0) == 2 and fleet.version(1) == 2)
+        fleet.wait_until(
+            lambda: [m["config_version"] for m in fleet.status(1)["members"]] == [2] * 3
+        )
+        gevent.sleep(_OUTAGE_S)
+        before = len(fleet.records())
+        tasks = echo_tasks(24, 50)
+        self.assert_complete(fleet.submit(tasks, index=0), tasks)
+        self.assert_complete(fleet.submit(tasks, index=1), tasks)
+        self.assertEqual({"b", "c"}, {r["domain"] for r in fleet.records()[before:]})
+        fleet.control_store(mode="ok")
+        fleet.wait_until(lambda: fleet.set_domains_out([])[0] == 200)
+
+    def test_runner_without_entries(self):
+        """Guards against starts with old evidence, and against lost tasks.
+
+        A runner that no entry reaches finishes what it runs; its home keeps the
+        link to it.
+        """
+        fleet = self.start_fleet(proxied=True)
+        home = fleet.leader()
+        victim = min({"r1", "r2", "r3"} - {home})
+        long_tasks = echo_tasks(24, 4500, "long")
+        job = self.submit_later(fleet, long_tasks)
+        gevent.sleep(0.5)
+        self.assertTrue(fleet.records(victim))
+        for name in ("e1", "e2"):
+            fleet.proxies[f"{victim}>{name}"].refuse = True
+            fleet.proxies[f"{victim}>{name}"].cut()
+        cut = time.time()
+        more = echo_tasks(48, 100, "more")
+        later = self.submit_later(fleet, more)
+        self.assert_complete(job.get(timeout=15), long_tasks)
+        self.assert_complete(later.get(timeout=15), more)
+        late = [r["start"] - cut for r in fleet.records(victim)]
+        self.assertEqual([], [start for start in late if start > 2.1])
+        for name in ("e1", "e2"):
+            fleet.proxies[f"{victim}>{name}"].refuse = False
+        fleet.wait_ready(3)
+        back = time.time()
+        self.assert_complete(fleet.submit(more), more)
+        self.assertTrue([r for r in fleet.records(victim) if r["start"] > back])
+        self.assert_no_second_start(fleet)
+
+    def test_home_without_entries(self):
+        """Guards against a home that goes on starting work that nobody awaits."""
+        fleet = self.start_fleet(proxied=True)
+        home = fleet.leader()
+        ids = fleet.new_ids(1)
+        job = self.submit_later(fleet, echo_tasks(200, 400), job_id=ids[0])
+        gevent.sleep(0.5)
+        for name in ("e1", "e2"):
+            fleet.proxies[f"{home}>{name}"].refuse = True
+            fleet.proxies[f"{home}>{name}"].cut()
+        cut = time.time()
+        self.assertEqual("unknown", job.get(timeout=10).json["outcome"])
+        gevent.sleep(max(0.0, cut + 3.0 - time.time()))
+        late = [r["start"] - cut for r in fleet.records(home)]
+        self.assertEqual([], [start for start in late if start > 2.1])
+        for name in ("e1", "e2"):
+            fleet.proxies[f"{home}>{name}"].refuse = False
+        fleet.wait_ready(3)
+        # The home is the same incarnation, so the answer can be refined.
+        path = f"/v1/jobs/{ids[0]}?wait_ms=15000"
+        self.assertEqual(200, call(fleet.entry(1), "GET", path).status)
+        self.assert_started_once(fleet, ids[0], 200)
