Keep the link to an executor that still runs tasks of this home

Cause: when no entry lists a runner any more, its home stopped to dial it and closed the link. The tasks in progress there were given up after the grace, although the home could reach the executor all the time. Change: the dialler of an unlisted member stays while it holds tasks of this home; the member gets no new ones meanwhile. The list of an entry is dropped only with the link that is in use, not with one that was replaced.

--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -55,6 +55,11 @@
         """Number of jobs without an answer."""
         return self._records.open_count
 
+    def waits_for(self, member):
+        """Returns whether an executor holds tasks of this home."""
+        view = self._dispatcher.executors.get(member)
+        return view is not None and bool(view.outstanding)
+
     def on_message(self, link, message, now):
         """Handles a message and returns whether it was meant for a coordinator."""
         handler = self._handlers.get(type(message))
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -103,7 +103,9 @@
                 self.executors[member.member] = ExecutorView(
                     member.member, member.incarnation, member.domain
                 )
+        names = {member.member for member in members}
         for view in list(self.executors.values()):
+            view.listed = view.member in names
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
                 del self.executors[view.member]
--- a/papayaward/coordination/executor_views.py
+++ b/papayaward/coordination/executor_views.py
@@ -24,6 +24,8 @@
         self.link = None
         self.lost_at = None
         self.heard = 0.0
+        # Whether an entry lists the runner; an unlisted one gets no new tasks.
+        self.listed = True
         self.slots = 0
         self.used_by_others = 0
         self.accepting = False
@@ -36,6 +38,7 @@
         """Whether grants may be sent to the executor at all."""
         return (
             self.link is not None
+            and self.listed
             and self.accepting
             and self.in_service
             and self.limit > 0
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -8,6 +8,7 @@
 import logging
 import secrets
 import time
+from functools import partial
 
 import gevent
 
@@ -59,6 +60,8 @@
         self.coordinator = Coordinator(self)
         self._links = {}
         self._members_by_entry = {}
+        # Members that entries list, by address, and who is dialled.
+        self._wanted = {}
         self._diallers = {}
         self._was_accepting = False
         self._http = None
@@ -165,12 +168,12 @@
     def on_link_down(self, link, now):
         """Forgets a closed link."""
         member = link.peer.member
-        if self._links.get(member) is link:
-            del self._links[member]
         if link.peer.role == "runner":
             self.executor.on_link_down(link)
             self.coordinator.on_executor_down(link, now)
-        else:
+        if self._links.get(member) is link:
+            del self._links[member]
+            # Of a link that was replaced, the newer one's list stays in use.
             self._members_by_entry.pop(member, None)
 
     def on_message(self, link, message, now):
@@ -204,16 +207,27 @@
             for member in known
         }
         self.coordinator.on_members(list(members.values()))
-        wanted = {m.address: m.member for m in members.values()}
-        wanted = {a: m for a, m in wanted.items() if m != self.settings.member}
-        for address in set(self._diallers) - set(wanted):
-            self._diallers.pop(address).stop()
-        for address in set(wanted) - set(self._diallers):
-            member = wanted[address]
-            host, port = get_address({"address": address}, "address")
-            self._diallers[address] = Dialler(
-                (host, port), self, lambda member=member: member in self._links
-            )
+        self._wanted = {
+            member.address: member.member
+            for member in members.values()
+            if member.member != self.settings.member
+        }
+        self._stop_diallers()
+        for address, member in self._wanted.items():
+            if address not in self._diallers:
+                host, port = get_address({"address": address}, "address")
+                is_linked = partial(self._links.__contains__, member)
+                dialler = Dialler((host, port), self, is_linked)
+                self._diallers[address] = (member, dialler)
+
+    def _stop_diallers(self):
+        """Stops to dial members that no entry lists and that run nothing for us."""
+        for address in set(self._diallers) - set(self._wanted):
+            member, dialler = self._diallers[address]
+            # Entries may lose a runner that still runs this home's tasks.
+            if not self.coordinator.waits_for(member):
+                del self._diallers[address]
+                dialler.stop()
 
     def _on_config(self, now):
         # Confirms the version at once instead of with the next heartbeat.
@@ -231,6 +245,7 @@
             gevent.sleep(_TICK_S)
             now = time.monotonic()
             self.executor.expire_upstream(now)
+            self._stop_diallers()
             accepting = self.executor.accepting
             if accepting != self._was_accepting:
                 self._was_accepting = accepting
