Add papayawardctl with every command of the operators

Cause: operators had only the HTTP interface; the console script named in pyproject.toml did not exist. Change: cli (arguments, exit codes), cli_config (check, diff, apply, show, history, domain out and in), cli_commands (status, explain, submit, cancel, ids, domain list), cli_format (tables of 80 columns) and transport.entry_client, which tries the next entry. Every request can be carried out twice without harm: a change carries its write_id, a job its identifier, so a lost answer is asked for again at another entry. apply and domain return when every entry and runner confirmed, or name those that did not (exit code 4). domain out and in start again from the text that the conflict returned.

--- /dev/null
+++ b/papayaward/cli_config.py
@@ -0,0 +1,280 @@
+"""
+papayaward.cli_config
+~~~~~~~~~~~~~~~~~~~~~
+
+Commands of `papayawardctl` on the configuration.
+"""
+
+import json
+import random
+import secrets
+import sys
+import time
+from dataclasses import asdict
+
+import gevent
+
+from .cli_commands import CommandError, Exit, print_result, read_file
+from .cli_format import format_changes, format_findings, format_history
+from .protocol.config_diff import diff_texts
+from .protocol.config_text import ConfigError, parse_config
+from .transport.entry_client import NoEntry
+
+__all__ = ["apply", "check", "diff", "domain", "history", "show"]
+
+# The entry waits this long; the tool then asks all entries and shows progress.
+_ENTRY_WAIT_MS = 300
+_POLL_S = 0.2
+_ATTEMPTS_AT_CONFLICT = 20
+_LONGEST_PAUSE_S = 0.3
+
+
+def check(client, options):
+    """Checks a text without any entry."""
+    _read_checked(options.file)
+    print_result(options, {"findings": []}, f"{options.file}: no findings")
+    return Exit.DONE
+
+
+def show(client, options):
+    """Prints the text in force."""
+    version, text = _in_force(client)
+    if options.json:
+        print(json.dumps({"version": version, "text": text}))
+    else:
+        _say(f"version {version}")
+        print(text)
+    return Exit.DONE
+
+
+def diff(client, options):
+    """Shows what an apply of a text would change."""
+    after = _read_checked(options.file)
+    version, before = _in_force(client)
+    changes = [asdict(change) for change in diff_texts(before, after)]
+    document = {"version": version, "changes": changes}
+    print_result(options, document, format_changes(changes))
+    return Exit.DONE
+
+
+def history(client, options):
+    """Shows the last versions."""
+    path = f"/admin/history?limit={options.limit}"
+    reply = client.request("GET", path, again=(503,))
+    if reply.status != 200:
+        raise CommandError(Exit.UNREACHABLE, reply.json.get("detail", ""), reply.json)
+    print_result(options, reply.json, format_history(reply.json["history"]))
+    return Exit.DONE
+
+
+def apply(client, options):
+    """Writes a text and waits until it is in force everywhere."""
+    text = _read_checked(options.file)
+    base = options.base
+    if base is None:
+        base, _ = _in_force(client)
+    if options.dry_run:
+        return _dry_run(client, options, text, base)
+    return _write(client, options, text, base)
+
+
+def domain(client, options):
+    """Takes failure domains out of service or brings them back.
+
+    The change is made anew from the present text when another operator was faster.
+    """
+    version, text = _in_force(client)
+    for _ in range(_ATTEMPTS_AT_CONFLICT):
+        changed = _with_domains(text, options)
+        if changed is None:
+            return _wait_in_force(client, options, version, "already so in")
+        try:
+            return _write(client, options, changed, version)
+        except CommandError as error:
+            if error.code is not Exit.CONFLICT or "text" not in error.document:
+                raise
+            version, text = error.document["version"], error.document["text"]
+            _say(f"version {version} was written meanwhile; trying again")
+        # Rivals that retry in step would meet again.
+        gevent.sleep(random.uniform(0, _LONGEST_PAUSE_S))
+    raise CommandError(Exit.CONFLICT, "other operators were faster each time")
+
+
+def _with_domains(text, options):
+    """Returns the changed text, or None if nothing is to change."""
+    document = json.loads(text)
+    known, out = document.get("domains", []), document.get("domains_out", [])
+    unknown = [name for name in options.name if name not in known]
+    if unknown:
+        detail = f"unknown domains: {', '.join(unknown)}; known: {', '.join(known)}"
+        raise CommandError(Exit.REFUSED, detail)
+    if options.direction == "out":
+        new = out + [n for n in dict.fromkeys(options.name) if n not in out]
+    else:
+        new = [name for name in out if name not in options.name]
+    if new == out:
+        return None
+    return json.dumps({**document, "domains_out": new}, indent=2, ensure_ascii=False)
+
+
+# Steps.
+
+
+def _read_checked(path):
+    text = read_file(path)
+    try:
+        parse_config(text)
+    except ConfigError as error:
+        findings = [asdict(finding) for finding in error.findings]
+        _refuse_findings(path, findings)
+    return text.decode()
+
+
+def _refuse_findings(path, findings):
+    message = f"{path}: {len(findings)} findings\n{format_findings(findings)}"
+    raise CommandError(Exit.REFUSED, message, {"findings": findings})
+
+
+def _in_force(client):
+    reply = client.request("GET", "/admin/config")
+    return int(reply.headers["papayaward-version"]), reply.body.decode()
+
+
+def _dry_run(client, options, text, base):
+    document = {"text": text, "expected_version": base, "author": options.author}
+    reply = client.request(
+        "POST", "/admin/config", {**document, "dry_run": True}, again=(503,)
+    )
+    if reply.status != 200:
+        _raise_refusal(reply, options, base, False)
+    changes = reply.json["changes"]
+    text = f"would become version {reply.json['version']}\n{format_changes(changes)}"
+    print_result(options, reply.json, text)
+    return Exit.DONE
+
+
+def _write(client, options, text, base):
+    document = {
+        "text": text,
+        "expected_version": base,
+        "author": options.author,
+        "wait_ms": _ENTRY_WAIT_MS,
+        # Lets another entry recognise the write if this answer is lost.
+        "write_id": secrets.token_hex(8),
+    }
+    give_up = time.monotonic() + options.timeout
+    uncertain = False
+    while True:
+        try:
+            reply = client.request("POST", "/admin/config", document, 10.0, (503, 504))
+        except NoEntry as error:
+            uncertain = uncertain or error.sent
+            if not uncertain:
+                raise
+            message = f"no entry answered after the change was sent: {error}"
+        else:
+            uncertain = uncertain or reply.uncertain
+            if reply.status == 200:
+                return _wait_in_force(client, options, reply.json["version"], "applied")
+            if not uncertain or reply.status not in (503, 504):
+                _raise_refusal(reply, options, base, uncertain)
+            message = reply.json.get("detail", "")
+        if time.monotonic() >= give_up:
+            message += f"\nwhether version {base + 1} was written is unknown;"
+            message += " look at `config history` before trying again"
+            raise CommandError(
+                Exit.UNKNOWN, message, {"write_id": document["write_id"]}
+            )
+        _say("no certain answer; asking again")
+        gevent.sleep(_POLL_S)
+
+
+def _raise_refusal(reply, options, base, uncertain):
+    document = reply.json
+    detail = document.get("detail", str(reply.status))
+    if reply.status == 409:
+        since = document.get("changes_since", [])
+        if uncertain and all(entry["version"] != base + 1 for entry in since):
+            detail = f"nothing shows who wrote version {base + 1}"
+            raise CommandError(Exit.UNKNOWN, detail, document)
+        lines = [f"{detail}: version {document['version']}, expected {base}"]
+        if since:
+            lines += ["", "changes since:", format_history(since)]
+        if document.get("differences"):
+            lines += ["", "from the present text to yours:"]
+            lines.append(format_changes(document["differences"]))
+        raise CommandError(Exit.CONFLICT, "\n".join(lines), document)
+    if document.get("findings"):
+        _refuse_findings("the entry's check", document["findings"])
+    if reply.status == 503:
+        message = f"{detail}; nothing was changed"
+        raise CommandError(Exit.UNREACHABLE, message, document)
+    raise CommandError(Exit.REFUSED, detail, document)
+
+
+def _wait_in_force(client, options, version, verb):
+    give_up = time.monotonic() + options.timeout
+    shown = None
+    while True:
+        state = _spread(client, version)
+        done = state["in_force_everywhere"] and state["accepted"]
+        confirmed, missing = state["confirmed"], state["unconfirmed"]
+        line = f"version {version}: confirmed by {len(confirmed)} processes"
+        if missing:
+            line += f", waiting for {_list(missing)}"
+        if not done and line != shown:
+            _say(line)
+            shown = line
+        if done:
+            text = f"{verb} version {version}, in force everywhere ({len(confirmed)})"
+            print_result(options, state, text)
+            return Exit.DONE
+        if time.monotonic() >= give_up:
+            break
+        gevent.sleep(_POLL_S)
+    how = "accepted" if state["accepted"] else "written but not accepted"
+    message = f"version {version} is {how}; "
+    if missing:
+        message += f"not confirmed by {', '.join(missing)}"
+    else:
+        message += "no runner is linked to the entries"
+    raise CommandError(Exit.UNCONFIRMED, message, state)
+
+
+def _spread(client, version):
+    """Returns how far a version has spread, as seen by every entry."""
+    confirmed, missing, accepted = set(), set(), False
+    for entry in client.entries:
+        path = f"/admin/config/confirmed?version={version}"
+        try:
+            reply = client.request_one(entry, "GET", path, timeout_s=2.0)
+        except NoEntry:
+            missing.add(f"entry {entry}")
+            continue
+        if reply.status != 200:
+            missing.add(f"entry {entry}")
+            continue
+        found = reply.json
+        has_it = found["entry_version"] >= version
+        (confirmed if has_it else missing).add(f"entry {found['entry']}")
+        confirmed.update(found["confirmed"])
+        missing.update(found["unconfirmed"])
+        accepted = accepted or found["accepted"]
+    # A runner that one entry lost may have confirmed through another.
+    missing -= confirmed
+    return {
+        "version": version,
+        "accepted": accepted,
+        "in_force_everywhere": not missing,
+        "confirmed": sorted(confirmed),
+        "unconfirmed": sorted(missing),
+    }
+
+
+def _list(names):
+    shown = ", ".join(names[:5])
+    return shown if len(names) <= 5 else f"{shown} and {len(names) - 5} more"
+
+
+def _say(line):
+    print(f"papayawardctl: {line}", file=sys.stderr, flush=True)
--- /dev/null
+++ b/papayaward/cli_format.py
@@ -0,0 +1,186 @@
+"""
+papayaward.cli_format
+~~~~~~~~~~~~~~~~~~~~~
+
+Output of `papayawardctl` for people: tables that fit an 80-column terminal.
+"""
+
+import textwrap
+import time
+
+from .protocol.config_diff import ConfigChange
+
+__all__ = [
+    "WIDTH",
+    "format_changes",
+    "format_explain",
+    "format_findings",
+    "format_history",
+    "format_status",
+    "table",
+]
+
+WIDTH = 80
+
+# Columns are not made narrower than this.
+_LEAST = 6
+_FIRST_COLUMN_EXTRA = 10
+_AUTHOR = 16
+
+
+def table(headers, rows, width=WIDTH):
+    """Returns an aligned table; the widest columns are shortened to fit.
+
+    Args:
+        headers: Titles of the columns.
+        rows: Lists of values; numbers are aligned to the right.
+        width: Most columns of the terminal to use.
+    """
+    cells = [[str(value) for value in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(headers, *cells)]
+    while sum(widths) + 2 * (len(widths) - 1) > width:
+        # The first column names the row, so it stays wider than the others.
+        spare = [size - _LEAST for size in widths]
+        spare[0] -= _FIRST_COLUMN_EXTRA
+        if max(spare) <= 0:
+            break
+        widths[spare.index(max(spare))] -= 1
+    lines = [_line(headers, headers, widths)]
+    lines += [_line(row, text, widths) for row, text in zip(rows, cells)]
+    return "\n".join(lines)
+
+
+def _line(values, texts, widths):
+    parts = []
+    for value, text, width in zip(values, texts, widths):
+        if len(text) > width:
+            # Names differ at both ends more often than in the middle.
+            end = (width - 2) // 2
+            text = text[: width - 2 - end] + ".." + text[len(text) - end :]
+        is_number = isinstance(value, (int, float)) and not isinstance(value, bool)
+        parts.append(text.rjust(width) if is_number else text.ljust(width))
+    return "  ".join(parts).rstrip()
+
+
+def format_findings(findings):
+    """Returns the findings, each with its place first."""
+    return "\n".join(
+        f"{f['line']}:{f['column']}: {f['place']}: found {f['found']}, "
+        f"allowed is {f['allowed']}"
+        for f in findings
+    )
+
+
+def format_changes(changes):
+    """Returns one line for each change, a dict as an entry reports it."""
+    lines = [str(ConfigChange(c["place"], c["before"], c["after"])) for c in changes]
+    return "\n".join(lines) or "no change of the content"
+
+
+def format_history(entries):
+    """Returns a table of history entries."""
+    rows = []
+    authors = [_shorten(entry["author"], _AUTHOR) for entry in entries]
+    # Version, time and the gaps between the columns take 32 columns.
+    widest = WIDTH - 32 - max(map(len, [*authors, "AUTHOR"]))
+    for entry, author in zip(entries, authors):
+        written = time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(entry["time"]))
+        row = [entry["version"], written, author]
+        for change in entry["summary"].split("; "):
+            for line in textwrap.wrap(change, widest, break_on_hyphens=False) or [""]:
+                rows.append([*row, line])
+                row = ["", "", ""]
+    return table(("VERSION", "TIME (UTC)", "AUTHOR", "CHANGES"), rows)
+
+
+def format_status(entries):
+    """Returns entries and members.
+
+    Args:
+        entries: Status document by entry, or an error text.
+    """
+    known = {e: s for e, s in entries.items() if isinstance(s, dict)}
+    out = sorted({domain for s in known.values() for domain in s["domains_out"]})
+    lines = [
+        table(
+            ("ENTRY", "NAME", "VERSION", "EVIDENCE", "MEMBERS", "VIOLATIONS"),
+            [_entry_row(entry, status) for entry, status in entries.items()],
+        ),
+        f"domains out: {', '.join(out) or 'none'}",
+    ]
+    rows = list(_member_rows(known.values(), out))
+    headers = ("MEMBER", "DOMAIN", "SERVICE", "VERSION", "STATE")
+    headers += ("SLOTS", "BUSY", "QUEUED", "HEARD")
+    lines += ["", table(headers, rows)]
+    versions = {s["config_version"] for s in known.values()}
+    versions |= {m["config_version"] for s in known.values() for m in s["members"]}
+    if len(versions) > 1:
+        lines.append(f"versions in force differ: {', '.join(map(str, versions))}")
+    return "\n".join(lines)
+
+
+def _entry_row(entry, status):
+    if not isinstance(status, dict):
+        return [entry, "unreachable", "", "", "", ""]
+    age = status["evidence_age_ms"]
+    return [
+        entry,
+        status["entry"],
+        status["config_version"],
+        "none" if age < 0 else f"{age} ms",
+        len(status["members"]),
+        sum(status["violations"].values()),
+    ]
+
+
+def _member_rows(statuses, out):
+    members, slots, busy, ejected = {}, {}, {}, set()
+    for status in statuses:
+        for member in status["members"]:
+            # The entry that heard the member last knows it best.
+            older = members.get(member["member"])
+            if older is None or member["heard_ms"] < older["heard_ms"]:
+                members[member["member"]] = member
+    coordinators = {c["member"]: c for s in statuses for c in s["coordinators"]}
+    for coordinator in coordinators.values():
+        ejected.update(coordinator["ejected"])
+        for executor in coordinator["executors"]:
+            name = executor["member"]
+            slots[name] = max(slots.get(name, 0), executor["slots"])
+            busy[name] = busy.get(name, 0) + executor["outstanding"]
+    for name, member in sorted(members.items()):
+        yield [
+            name,
+            member["domain"],
+            member["service"],
+            member["config_version"],
+            _state(member, name in ejected, out),
+            slots.get(name, "?"),
+            busy.get(name, "?"),
+            member["queued"],
+            f"{member['heard_ms'] / 1000:.1f}s",
+        ]
+
+
+def _state(member, is_ejected, out):
+    if member["draining"]:
+        return "draining"
+    if member["domain"] in out:
+        return "out"
+    if is_ejected:
+        return "ejected"
+    return "ready" if member["ready"] else "not ready"
+
+
+def format_explain(document):
+    """Returns a job's facts and its timeline."""
+    if not document.get("found"):
+        return f"{document['job_id']}: its home has no record of it"
+    facts = {name: value for name, value in document.items() if name != "events"}
+    lines = [f"{name}: {value}" for name, value in facts.items() if value != ""]
+    rows = [[e.get("ms", ""), e["event"], e["detail"]] for e in document["events"]]
+    return "\n".join([*lines, "", table(("MS", "EVENT", "DETAIL"), rows)])
+
+
+def _shorten(text, longest):
+    return text if len(text) <= longest else text[: longest - 2] + ".."
