--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -21,6 +21,11 @@
 __all__ = ["Dispatcher"]
 
 
+# Grants are sent again only while the executor surely remembers their starts
+# (60 s) and keeps their results (10 s).
+_SEND_AGAIN_WITHIN_S = 8.0
+
+
 class Dispatcher:
     """Queue of a home and the executors of its cell.
 
@@ -87,7 +92,12 @@
         present = {(member.member, member.incarnation) for member in members}
         for member in members:
             view = self.executors.get(member.member)
-            if view is None or view.incarnation != member.incarnation:
+            # The greeting on a link is newer than what an entry still lists.
+            if view is None or (
+                view.incarnation != member.incarnation
+                and view.link is None
+                and view.lost_at is None
+            ):
                 if view is not None:
                     replaced.append(view)
                 self.executors[member.member] = ExecutorView(
@@ -109,7 +119,11 @@
         replaced = None
         hello = link.peer
         view = self.executors.get(hello.member)
-        if view is None or view.incarnation != hello.incarnation:
+        if (
+            view is None
+            or view.incarnation != hello.incarnation
+            or _too_late(view, now)
+        ):
             replaced = view
             view = ExecutorView(hello.member, hello.incarnation, hello.domain)
             self.executors[hello.member] = view
@@ -126,6 +140,7 @@
         if view is not None and view.link is link:
             view.link = None
             view.lost_at = now
+            view.heard = link.echoed_us / 1e6
 
     def _dequeue(self, total_slots):
         tenants = self._node.config.config.tenants
@@ -203,3 +218,12 @@
         ]
         if view.link is not None:
             view.link.try_send(RunBatch(view.incarnation, grants))
+
+
+def _too_late(view, now):
+    # A paused home sees its links close when it wakes, not when they broke. The
+    # last own stamp that came back tells how old its knowledge is.
+    if not view.outstanding:
+        return False
+    heard = view.heard if view.link is None else view.link.echoed_us / 1e6
+    return now - heard > _SEND_AGAIN_WITHIN_S
--- a/papayaward/protocol/codec.py
+++ b/papayaward/protocol/codec.py
@@ -12,7 +12,14 @@
 
 from .gen import ttypes
 
-__all__ = ["HEADER", "MAX_FRAME_BYTES", "FrameError", "decode", "encode"]
+__all__ = [
+    "HEADER",
+    "MAX_FRAME_BYTES",
+    "MESSAGE_CODES",
+    "FrameError",
+    "decode",
+    "encode",
+]
 
 # Frame header: length of the body in bytes, then the message's type code.
 HEADER = struct.Struct(">IB")
@@ -21,7 +28,7 @@
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
 # Codes are part of the wire format: they are only ever added.
-_CODES = {
+MESSAGE_CODES = {
     "Hello": 1,
     "Heartbeat": 2,
     "ConfigPull": 3,
@@ -43,7 +50,7 @@
     "CancelTasks": 19,
     "SlotReport": 20,
 }
-_CODE_BY_CLASS = {getattr(ttypes, name): code for name, code in _CODES.items()}
+_CODE_BY_CLASS = {getattr(ttypes, name): code for name, code in MESSAGE_CODES.items()}
 _CLASS_BY_CODE = {code: cls for cls, code in _CODE_BY_CLASS.items()}
 
 
