--- a/papayaward/protocol/config_schema.py
+++ b/papayaward/protocol/config_schema.py
@@ -10,7 +10,7 @@
 from .config_findings import MISSING, show
 from .config_model import JobClass, Limits, Service, Tenant
 
-__all__ = ["TEXT", "Key"]
+__all__ = ["TEXT", "Key", "text_reference"]
 
 _NAME_CHARACTERS = 64
 _NAME = f"a name of 1 to {_NAME_CHARACTERS} printable characters without blanks"
@@ -209,3 +209,24 @@
 
 # Check of the whole document; returns a dict of its sections.
 TEXT = _record(dict, _TEXT)
+
+_OBJECTS = (
+    ("", _TEXT),
+    ("services[].", _SERVICE),
+    ("tenants[].", _TENANT),
+    ("classes[].", _CLASS),
+    ("limits.", _LIMITS),
+)
+
+
+def text_reference():
+    """Returns the table of every key for the operators' page, in Markdown."""
+    lines = ["| key | default | meaning |", "| --- | --- | --- |"]
+    for prefix, keys in _OBJECTS:
+        for key in keys:
+            plain = isinstance(key.default, (int, float))
+            default = f"`{key.default}`" if plain else "empty"
+            if key.default is None:
+                default = "required"
+            lines.append(f"| `{prefix}{key.name}` | {default} | {key.doc} |")
+    return "\n".join(lines)
--- a/tests/test_operator_tool.py
+++ b/tests/test_operator_tool.py
@@ -21,6 +21,7 @@
 from papayaward import cli
 from papayaward.cli_commands import Exit
 from papayaward.cli_format import format_status, table
+from papayaward.protocol.config_schema import text_reference
 from standins.fleet import call, free_port
 from standins.proxy import TcpProxy
 
@@ -240,6 +241,16 @@
         self.assertEqual(Exit.USAGE, run_tool("--entry=x", "domain", "list")[0])
 
 
+class PagesTest(TestCase):
+    def test_operators_page_matches_the_code(self):
+        """Guards against keys and exit codes that are documented wrongly."""
+        page = Path(__file__).resolve().parent.parent / "docs" / "operations.md"
+        text = page.read_text(encoding="utf-8")
+        self.assertIn(text_reference(), text)
+        for code in Exit:
+            self.assertIn(f"| {code.value} | {code.help} |", text)
+
+
 class FormatTest(TestCase):
     def test_long_names_fit_the_terminal(self):
         """Guards against tables that wrap on an 80-column terminal."""
