Test foreign texts in the store and how fast versions spread

Cause: two properties had no test: a head that no process can put in force is no evidence, and a version is in force everywhere within 2 s. Change: a test writes a text with findings straight into the store; the runner then vouches for the old version, and with the runner paused the evidence ages. Another applies ten versions on six runners and two entries, bound 2 s.

--- a/tests/test_config_writes.py
+++ b/tests/test_config_writes.py
@@ -286,6 +286,39 @@
         self.assertEqual((200, 3, True), (status, reply["version"], reply["accepted"]))
         fleet.wait_until(lambda: fleet.version(0) == 3)
 
+    def test_foreign_text_with_findings_is_not_vouched_for(self):
+        """Guards against starts under a version that the store no longer holds, when
+        another program wrote a text that no process can put in force."""
+        fleet = self.start_fleet(entries=1, runners=[{"domain": "a"}])
+        host, port = fleet.store.split(":")
+        store = StoreClient([(host, int(port))])
+        value = {"version": 2, "write_id": "x", "author": "x", "text": "{}"}
+        revision = store.revision(CONFIG_KEY)
+        store.swap(CONFIG_KEY, json.dumps(value).encode(), revision)
+        # The runner vouches for the version instead of the store.
+        time.sleep(1.5)
+        self.assertEqual(200, fleet.submit([{"work_ms": 5}]).status)
+        with paused(fleet, "r1"):
+            time.sleep(2.0)
+            status = fleet.status()
+        self.assertEqual(1, status["config_version"])
+        self.assertGreater(status["evidence_age_ms"], 1500)
+        status, reply = fleet.apply(small_config(), 2)
+        self.assertEqual((200, 3, True), (status, reply["version"], reply["accepted"]))
+
+    def test_versions_are_in_force_everywhere_within_the_target(self):
+        """Guards against versions that spread too slowly, also to other entries."""
+        fleet = self.start_fleet(runners=[{"domain": d} for d in "abcabc"])
+        times = []
+        for expected in range(1, 11):
+            start = time.monotonic()
+            status, reply = fleet.set_domains_out(["c"] if expected % 2 else [])
+            self.assertEqual((200, True), (status, reply["in_force_everywhere"]))
+            fleet.wait_until(lambda: fleet.version(1) == expected + 1)
+            times.append(time.monotonic() - start)
+        print(f"in force everywhere: {min(times):.3f} to {max(times):.3f} s")
+        self.assertLess(max(times), 2.0)
+
     def test_lost_answers_at_an_entry(self):
         """Guards against a change that is in force and reported as failed."""
         fleet = self.start_fleet(runners=[{"domain": "a"}])
