--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -244,7 +244,7 @@
         while True:
             gevent.sleep(_TICK_S)
             now = time.monotonic()
-            self.executor.expire_upstream(now)
+            self.executor.tick(now)
             self._stop_diallers()
             accepting = self.executor.accepting
             if accepting != self._was_accepting:
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -12,6 +12,7 @@
     "ANSWERS",
     "CONFIG_VERSION",
     "EVIDENCE_AGE",
+    "HEDGES",
     "INVARIANT_VIOLATIONS",
     "QUEUED_TASKS",
     "QUEUE_SECONDS",
@@ -67,6 +68,11 @@
     "Violations of invariants; any is a fault of the program.",
     ("invariant",),
 )
+HEDGES = Counter(
+    "papayaward_hedges_total",
+    "Second copies of slow idempotent requests, started and answered first.",
+    ("event",),
+)
 QUEUED_TASKS = Gauge(
     "papayaward_queued_tasks", "Tasks that wait for a slot at this coordinator."
 )
--- a/tests/test_executor_views.py
+++ b/tests/test_executor_views.py
@@ -51,10 +51,11 @@
             max_queued_tasks=1000,
             id_block_ttl_s=600.0,
             reconnect_grace_s=0.9,
+            disabled_mechanisms=(),
         )
         node = SimpleNamespace(
             settings=settings,
-            config=SimpleNamespace(config=FleetConfig()),
+            config=SimpleNamespace(config=FleetConfig(), version=0),
             draining=False,
         )
         self.home = Coordinator(node)
@@ -67,9 +68,8 @@
         record = JobRecord(spec, now)
         self.records.add(record)
         self.home.on_executor_up(link, now)
-        self.dispatcher.executors["x"].on_report(SlotReport(2, 0, True))
-        for index in range(2):
-            self.dispatcher.enqueue(record, index)
+        self.home.on_message(link, SlotReport(2, 0, True), now)
+        self.dispatcher.enqueue(record)
         self.dispatcher._dispatch(now)
         self.assertEqual([("j", 0, 1), ("j", 1, 1)], link.grants())
         return record
