Report slots in use only to coordinators that have work

Executors sent a slot report at each start and end of a task to every linked runner but the task's home, and runners that had coordinated before stay linked. Now only coordinators that sent a batch within 10 s get these reports; one that gets work again asks with an empty batch, at most once a second.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -18,6 +18,7 @@
 from ..state import metrics
 from .admission import Demand, Load, fair_share
 from .ejection import Ejection
+from .executor import ACTIVE_S
 from .executor_views import ExecutorView, Placed
 from .fair_queue import FairQueue, QueuedJob
 from .placement import (
@@ -41,6 +42,7 @@
 _SHORT_ABSENCE_S = 0.5
 _RECENTRE_INTERVAL_S = 1.0
 _SHARE_TTL_S = 0.05
+_ASK_INTERVAL_S = 1.0
 _SUSPECT_RANK = 10_000
 
 
@@ -70,6 +72,7 @@
         self._reports_until = 0.0
         self._holds = "hold_slow_slots" not in settings.disabled_mechanisms
         self._hold_until = None
+        self._asked = 0.0
         self._slots = 0
         self._config_version = None
         self._shares = {}
@@ -142,6 +145,7 @@
             tuple(map(len, spec.tasks)),
         )
         self._queue.add(record.queued, range(len(spec.tasks)))
+        self._ask_for_reports(record.arrived)
         self.wake()
 
     def put_back(self, record, index):
@@ -206,6 +210,7 @@
         names = {member.member for member in members}
         for view in list(self.executors.values()):
             view.listed = view.member in names
+            self.touch(view, now)
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
                 self._unbind(view)
@@ -499,6 +504,19 @@
             for one in placed
         ]
         view.link.try_send(RunBatch(view.incarnation, grants))
+        view.active = now
+
+    def _ask_for_reports(self, now):
+        """Asks executors that this home has not used for a while for their slots.
+
+        They report to active homes only, and an old report may show no free slot.
+        """
+        if now - self._asked < _ASK_INTERVAL_S:
+            return
+        self._asked = now
+        for view in self.executors.values():
+            if view.link is not None and now - view.active > ACTIVE_S / 2:
+                self._send_grants(view, [], now)
 
     def _send_cancels(self):
         cancels, self._cancels = self._cancels, {}
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -21,10 +21,13 @@
 from .gate import GateState, check_start
 from .usable_slots import UsableSlots
 
-__all__ = ["Executor", "Upstream"]
+__all__ = ["ACTIVE_S", "Executor", "Upstream"]
 
 log = logging.getLogger(__name__)
 
+# A coordinator that sent nothing for this time gets no reports on slots in use.
+ACTIVE_S = 10.0
+
 _HTTP_OK = 200
 _HTTP_TOO_MANY_REQUESTS = 429
 
@@ -81,6 +84,7 @@
         self._started = StartedTasks()
         self._cancelled = {}
         self._links = {}
+        self._active = {}
         self._unsent = {}
 
     @property
@@ -156,11 +160,22 @@
         if self._links.get(link.peer.member) is link:
             del self._links[link.peer.member]
 
-    def report_to_all(self, but=None):
-        """Sends the slot report to every coordinator except one."""
+    def report_to_all(self):
+        """Sends the slot report to every linked coordinator."""
         for member, link in self._links.items():
-            if member != but:
-                link.try_send(self._report(member))
+            link.try_send(self._report(member))
+
+    def _report_use(self, but, now):
+        """Tells the other active coordinators that slots were taken or freed.
+
+        A linked coordinator without work does not need to know; it asks with an
+        empty batch when it gets some.
+        """
+        for member, active in list(self._active.items()):
+            if now - active > ACTIVE_S:
+                del self._active[member]
+            elif member != but and member in self._links:
+                self._links[member].try_send(self._report(member))
 
     def _report(self, member):
         others = sum(home != member for home, _ in self._running.values())
@@ -182,6 +197,7 @@
 
     def _on_run_batch(self, link, batch, now):
         home = link.peer.member
+        self._active[home] = now
         rejected = []
         for grant in batch.grants:
             key = (grant.job_id, grant.index, grant.attempt)
@@ -206,7 +222,9 @@
                 rejected.append(self._reject(key, reason, now))
         for result in rejected:
             self._queue_result(home, result)
-        self.report_to_all(but=home)
+        if not batch.grants:
+            link.try_send(self._report(home))
+        self._report_use(home, now)
 
     def _reject(self, key, reason, now):
         metrics.REJECTED_GRANTS.labels(reason).inc()
@@ -284,7 +302,7 @@
         message = Result(*key, status, body, int((now - started) * 1e6), reason)
         self._started.record_result(key, message, now)
         self._queue_result(home, message)
-        self.report_to_all(but=home)
+        self._report_use(home, now)
 
     def _queue_result(self, home, result):
         # Results that are ready in the same turn of the event loop share a message.
--- a/papayaward/coordination/executor_views.py
+++ b/papayaward/coordination/executor_views.py
@@ -51,6 +51,8 @@
         self.link = None
         self.lost_at = None
         self.heard = 0.0
+        # Last time at which this home sent it a batch.
+        self.active = float("-inf")
         # Whether an entry lists the runner; an unlisted one gets no new tasks.
         self.listed = True
         self.slots = 0
--- a/papayaward/coordination/retries.py
+++ b/papayaward/coordination/retries.py
@@ -23,10 +23,11 @@
 
     Args:
         share: Second starts allowed for each success.
-        reserve: Second starts allowed without any success.
+        reserve: Second starts allowed without any success; enough for the
+            requests that run on the 8 slots of an executor that dies.
     """
 
-    def __init__(self, share=0.1, reserve=3.0):
+    def __init__(self, share=0.1, reserve=10.0):
         self._share = share
         self._reserve = reserve
         self._tokens = reserve
