Run rival writers under random faults; answer at once in the store stand-in

Cause: the fate of a write had tests for single faults only. And the stand-in of the store took 44 ms for an answer that the platform's store gives in milliseconds: its server writes head and body apart, and the body waited for the delayed acknowledgement. Change: four writers submit 240 changes while the store is down, slow, late or loses answers at random. Then the versions have no gap, each reported `written` is in the history, and no change reported as a conflict or unavailable is. TCP_NODELAY in the stand-in. Authors must be printable, since tables show them. The tool says `unknown` when it is interrupted and prints names that the terminal's encoding does not have.

--- a/papayaward/cli.py
+++ b/papayaward/cli.py
@@ -52,7 +52,14 @@
 
 def run():
     """Entry point of the console script."""
-    sys.exit(main(sys.argv[1:]))
+    # Names may hold characters that the terminal's encoding does not have.
+    for stream in (sys.stdout, sys.stderr):
+        stream.reconfigure(errors="backslashreplace")
+    try:
+        sys.exit(main(sys.argv[1:]))
+    except KeyboardInterrupt:
+        print("papayawardctl: interrupted; the command may go on", file=sys.stderr)
+        sys.exit(int(Exit.UNKNOWN))
 
 
 def _entries(options):
--- a/papayaward/config_api.py
+++ b/papayaward/config_api.py
@@ -86,7 +86,8 @@
             )
             if not _WRITE_ID.fullmatch(submission.write_id):
                 raise OptionError("write_id", submission.write_id, _WRITE_ID.pattern)
-            submission.author.encode()
+            if not submission.author.isprintable():
+                raise OptionError("author", submission.author, "printable characters")
             parse_config(text)
         except ConfigError as error:
             findings = [asdict(finding) for finding in error.findings]
--- a/standins/store.py
+++ b/standins/store.py
@@ -18,6 +18,7 @@
 from http import HTTPStatus
 
 import gevent
+from gevent import socket
 from gevent.pywsgi import WSGIServer
 
 __all__ = ["Store", "main"]
@@ -192,8 +193,14 @@
     parser = argparse.ArgumentParser(prog="standins.store")
     parser.add_argument("--port", type=int, required=True)
     options = parser.parse_args(args)
-    address = ("127.0.0.1", options.port)
-    WSGIServer(address, Store().handle, log=None, error_log=None).serve_forever()
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # The server writes head and body apart; without this each answer waits 40 ms
+    # for the client's delayed acknowledgement.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.bind(("127.0.0.1", options.port))
+    listener.listen(256)
+    WSGIServer(listener, Store().handle, log=None, error_log=None).serve_forever()
     return 0
 
 
--- a/tests/test_config_writes.py
+++ b/tests/test_config_writes.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import random
 import signal
 import time
 from contextlib import contextmanager
@@ -19,6 +20,7 @@
 from papayaward.coordination.acceptance import judge
 from papayaward.coordination.config_sync import ConfigHolder
 from papayaward.coordination.config_writer import CONFIG_KEY, ConfigWriter, Submission
+from papayaward.transport import store_client
 from papayaward.transport.store_client import StoreClient, StoreError
 from standins.fleet import call
 from standins.store import Store
@@ -29,6 +31,17 @@
 
 _RIVALS = 8
 _ROUNDS = 20
+_SEED = 20261204
+_WRITES = 60
+_TXN = ["/v3/kv/txn"]
+_FAULTS = (
+    {"mode": "ok"},
+    {"mode": "ok"},
+    {"mode": "down"},
+    {"mode": "lose"},
+    {"mode": "slow", "delay_s": 0.3, "paths": _TXN},
+    {"mode": "slow", "delay_s": 0.8, "paths": _TXN},
+)
 
 
 def text_of(**changes):
@@ -119,15 +132,62 @@
 
     def test_late_write_is_unknown_and_takes_effect_once(self):
         """Guards against a late write that is called a failure, or a second version."""
-        self.control(mode="slow", delay_s=4.0, paths=["/v3/kv/txn"])
+        self.control(mode="slow", delay_s=6.0, paths=["/v3/kv/txn"])
         first = self.write(0, write_id="same")
         self.assertEqual("unknown", first.status)
-        gevent.sleep(2.0)
+        with gevent.Timeout(20):
+            while not self.history():
+                gevent.sleep(0.1)
         self.control(mode="ok")
         again = self.write(0, write_id="same")
         self.assertEqual(("written", 1), (again.status, again.version))
         self.assertEqual([1], self.history())
 
+    def test_random_faults_and_rivals(self):
+        """Guards against any report of a write that the history contradicts."""
+        rng = random.Random(_SEED)
+        reports = []
+
+        def operate(name):
+            writer = self.new_writer()
+            for number in range(_WRITES):
+                write_id = f"{name}-{number}"
+                result = self.write(max(versions), writer, write_id=write_id)
+                versions.add(result.version if result.status != "unknown" else 0)
+                reports.append((write_id, result))
+                gevent.sleep(rng.uniform(0, 0.05))
+
+        def disturb():
+            while True:
+                self.control(**rng.choice(_FAULTS))
+                gevent.sleep(rng.uniform(0.02, 0.2))
+
+        versions = {0}
+        with (
+            mock.patch.object(store_client, "_TIMEOUT_S", 0.1),
+            mock.patch.object(config_writer, "_READ_BACK_S", 0.3),
+        ):
+            faults = gevent.spawn(disturb)
+            operators = [gevent.spawn(operate, f"op{n}") for n in range(4)]
+            gevent.joinall(operators, timeout=60, raise_error=True)
+            faults.kill()
+        self.assertEqual(4 * _WRITES, len(reports))
+        self.control(mode="ok")
+        # Longer than a late write takes.
+        gevent.sleep(1.0)
+        entries = self.writer.read_history(1000)
+        found = [entry.version for entry in entries]
+        self.assertEqual(list(range(len(found), 0, -1)), found)
+        written = {entry.write_id: entry.version for entry in entries}
+        self.assertEqual(len(entries), len(written))
+        for write_id, result in reports:
+            if result.status == "written":
+                self.assertEqual(result.version, written.get(write_id), result)
+            elif result.status != "unknown":
+                self.assertNotIn(write_id, written, result)
+        statuses = {result.status for _, result in reports}
+        self.assertEqual({"written", "conflict", "unavailable", "unknown"}, statuses)
+
     def test_store_down_changes_nothing(self):
         """Guards against an outage that is reported as a conflict or a success."""
         self.control(mode="down")
