--- a/papayaward/coordination/config_sync.py
+++ b/papayaward/coordination/config_sync.py
@@ -9,7 +9,7 @@
 
 from ..protocol.config_text import ConfigError, FleetConfig, parse_config
 from ..protocol.gen.ttypes import ConfigPull, ConfigPush
-from ..state import metrics
+from ..state import mechanisms, metrics
 
 __all__ = ["ConfigHolder"]
 
@@ -55,7 +55,9 @@
         Returns:
             bool: Whether the version was put in force.
         """
-        if version <= self._version:
+        if version == self._version:
+            return False
+        if version < self._version and mechanisms.is_on("version_order"):
             return False
         try:
             config = parse_config(text, allow_unknown=True)
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
-from ..state import metrics
+from ..state import mechanisms, metrics
 from .admission import Load
 from .ejection import Ejection
 from .executor_views import ExecutorView
@@ -214,7 +214,9 @@
     def _refresh_views(self, now):
         domains_out = self._node.config.config.domains_out
         for view in self.executors.values():
-            view.in_service = view.domain not in domains_out
+            view.in_service = view.domain not in domains_out or not mechanisms.is_on(
+                "domain_gate"
+            )
             view.limit = self.ejection.limit(view.member, view.slots, now)
 
     def _send_grants(self, view, entries, now):
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -15,7 +15,7 @@
 from ..protocol.gen.ttypes import CancelTasks, ResultBatch, RunBatch, SlotReport
 from ..protocol.gen.ttypes import TaskResult as Result
 from ..protocol.outcomes import Reason, TaskStatus
-from ..state import invariants, metrics
+from ..state import invariants, mechanisms, metrics
 from ..state.started_tasks import StartedTasks
 from ..transport.upstream_http import NotSent, UpstreamClient, UpstreamLost
 from .gate import GateState, check_start
@@ -161,11 +161,22 @@
         node = self._node
         return GateState(
             incarnation=node.incarnation,
-            domain_out=node.domain in node.config.config.domains_out,
-            evidence=node.evidence.latest,
+            domain_out=(
+                node.domain in node.config.config.domains_out
+                and mechanisms.is_on("domain_gate")
+            ),
+            evidence=(
+                node.evidence.latest
+                if mechanisms.is_on("evidence")
+                else time.monotonic()
+            ),
             evidence_max_age_s=node.settings.evidence_max_age_s,
             upstream_present=upstream is not None,
-            upstream_leaving=upstream is not None and upstream.leaving,
+            upstream_leaving=(
+                upstream is not None
+                and upstream.leaving
+                and mechanisms.is_on("leaving_gate")
+            ),
             draining=node.draining,
             free_slots=self._slots - len(self._running),
         )
@@ -175,9 +186,10 @@
         rejected = []
         for grant in batch.grants:
             key = (grant.job_id, grant.index, grant.attempt)
-            if key in self._running:
+            remembers = mechanisms.is_on("start_dedup")
+            if remembers and key in self._running:
                 continue
-            kept = self._started.result(key)
+            kept = self._started.result(key) if remembers else None
             if kept is not None:
                 self._queue_result(home, kept)
                 continue
@@ -185,7 +197,7 @@
             reason = check_start(
                 self._gate_state(),
                 batch.executor_incarnation,
-                key in self._started,
+                remembers and key in self._started,
                 grant.job_id in self._cancelled,
                 deadline,
                 now,
@@ -264,7 +276,7 @@
         elif value is None:
             value = (TaskStatus.LOST, b"", Reason.TASK_LOST)
         status, body, reason = value
-        del self._running[key]
+        self._running.pop(key, None)
         metrics.SLOTS_IN_USE.set(len(self._running))
         message = Result(*key, status, body, int((now - started) * 1e6), reason)
         self._started.record_result(key, message, now)
--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -21,7 +21,7 @@
 )
 from ..protocol.identifiers import JobId
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
-from ..state import invariants
+from ..state import invariants, mechanisms
 
 __all__ = ["HomeCalls", "HomeGone"]
 
@@ -63,6 +63,8 @@
         if not isinstance(message, _REPLIES):
             return False
         call = self._open.get(message.request_id)
+        if not mechanisms.is_on("answer_matching"):
+            call = next((c for c in self._open.values() if c[0] is link), None)
         if call is not None and call[0] is link:
             call[1].put(message)
         return True
@@ -226,7 +228,8 @@
         while True:
             view = self._node.members.get(home)
             if view is not None:
-                if view.hello.incarnation != incarnation:
+                same = view.hello.incarnation == incarnation
+                if not same and mechanisms.is_on("incarnation_check"):
                     raise HomeGone(f"{home} was replaced")
                 # A closed link stays in the view until its reader has ended.
                 if not view.link.closed:
--- a/papayaward/coordination/intake.py
+++ b/papayaward/coordination/intake.py
@@ -19,6 +19,7 @@
 )
 from ..protocol.identifiers import IdentifierError, parse_job_id
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
+from ..state import mechanisms
 from ..state.id_blocks import IdBlocks, NumberState
 from ..state.job_records import JobRecord, JobSpec
 from .admission import check_admission
@@ -63,6 +64,8 @@
 
     def _on_submit(self, link, message, now):
         record = self._records.get(message.job_id)
+        if not mechanisms.is_on("record_dedup"):
+            record = None
         digest = _digest(message)
         if record is not None and record.digest != digest:
             # Not the submission that this identifier stands for: it never runs.
@@ -109,11 +112,16 @@
         except IdentifierError as error:
             return JobOutcome(Outcome.NOT_RUN, Reason.IDENTIFIER_UNKNOWN, str(error))
         hello = self._node.hello()
-        if (parsed.member, parsed.incarnation) != (hello.member, hello.incarnation):
+        own = (parsed.member, parsed.incarnation) == (hello.member, hello.incarnation)
+        if not own and mechanisms.is_on("incarnation_check"):
             return JobOutcome(
                 Outcome.UNKNOWN, Reason.HOME_GONE, "the job's home was replaced"
             )
         state = self._blocks.state(parsed.number, now)
+        if state is NumberState.USED and not mechanisms.is_on("record_dedup"):
+            return None
+        if state is NumberState.EXPIRED and not mechanisms.is_on("block_expiry"):
+            return None
         if state is NumberState.UNUSED:
             return None
         if state is NumberState.NOT_ISSUED:
@@ -185,7 +193,10 @@
         if record is not None:
             self._answers.wait_or_answer(link, message.request_id, record)
             return
-        outcome = self._claim_number(message.job_id, now) or JobOutcome(
+        mark = self._claim_number
+        if not mechanisms.is_on("refusal_kept"):
+            mark = self._check_number
+        outcome = mark(message.job_id, now) or JobOutcome(
             Outcome.NOT_RUN, Reason(message.reason), "the request was refused"
         )
         self._answers.send(link, message.request_id, message.job_id, outcome)
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -11,7 +11,7 @@
 
 from ..protocol.gen.ttypes import ResultBatch, SlotReport
 from ..protocol.outcomes import JobOutcome, Outcome, Reason, TaskStatus
-from ..state import invariants, metrics
+from ..state import invariants, mechanisms, metrics
 from .retries import RetryBudget, backoff_s
 
 __all__ = ["Results"]
@@ -125,11 +125,11 @@
         record.results[index] = result.body
         record.missing -= 1
         record.service_s = max(record.service_s, result.service_us / 1e6)
-        if record.missing:
+        if record.missing and mechanisms.is_on("whole_answers"):
             return
         outcome = JobOutcome(
             Outcome.COMPLETE,
-            results=tuple(record.results),
+            results=tuple(body or b"null" for body in record.results),
             started=record.started,
             queue_us=int(record.queue_s * 1e6),
             service_us=int(record.service_s * 1e6),
@@ -170,7 +170,8 @@
     def _retry(self, record, index, detail, now):
         """Schedules an idempotent task again and returns whether it may be."""
         attempt = record.attempts[index]
-        if not record.spec.idempotent or attempt > _MAX_RETRIES:
+        may_repeat = record.spec.idempotent or not mechanisms.is_on("retry_guard")
+        if not may_repeat or attempt > _MAX_RETRIES:
             return False
         if not self._budget.take():
             record.timeline.add(now, "retry_refused", Reason.RETRY_BUDGET)
--- a/papayaward/daemon.py
+++ b/papayaward/daemon.py
@@ -16,6 +16,7 @@
 
 from . import __version__
 from .protocol.settings import SettingsError, load_settings, settings_reference
+from .state import mechanisms
 
 __all__ = ["main", "run"]
 
@@ -52,13 +53,15 @@
     if options.check:
         return 0
     _set_up_logging(settings)
+    mechanisms.disable(settings.disabled_mechanisms)
     node = _build(settings)
     stop = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop.set)
     node.start()
     stop.wait()
-    node.drain()
+    if mechanisms.is_on("drain"):
+        node.drain()
     return 0
 
 
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -11,6 +11,7 @@
 from functools import partial
 from types import SimpleNamespace
 
+from ..state.mechanisms import MECHANISMS
 from .identifiers import MEMBER_PATTERN
 from .options import (
     OptionError,
@@ -273,6 +274,10 @@
                 yield f"{name}[{index}]: {error}"
     if bool(values.get("tls_certificate")) != bool(values.get("tls_key")):
         yield "tls_certificate: needs tls_key, and the other way round"
+    for name in values.get("disabled_mechanisms", ()):
+        if name not in MECHANISMS:
+            allowed = ", ".join(sorted(MECHANISMS))
+            yield f"disabled_mechanisms: found {name!r}, allowed is one of {allowed}"
     if values.get("disabled_mechanisms") and not values.get("debug_faults"):
         yield "disabled_mechanisms: needs debug_faults"
 
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -14,6 +14,7 @@
 
 from ..protocol.codec import HEADER, MAX_FRAME_BYTES, FrameError, decode, encode
 from ..protocol.gen.ttypes import Heartbeat, Hello
+from ..state import mechanisms
 
 __all__ = ["PROTOCOL_VERSION", "Link", "LinkClosed", "LinkStats"]
 
@@ -283,5 +284,5 @@
                 # This process was paused or busy: the silence is its own, so
                 # the peer gets one interval to be heard.
                 self._last_received = max(self._last_received, woken - limit + interval)
-            elif woken - self._last_received > limit:
+            elif woken - self._last_received > limit and mechanisms.is_on("watchdog"):
                 self.close(f"silent for {woken - self._last_received:.2f} s")
--- /dev/null
+++ b/tests/test_mechanisms.py
@@ -0,0 +1,289 @@
+"""
+tests.test_mechanisms
+~~~~~~~~~~~~~~~~~~~~~
+
+Each invariant is seen to break when the mechanism that keeps it is turned off.
+
+Every scenario runs twice, with the mechanism and without. The judgement is the
+upstreams' own record of starts and the callers' view, never the program's logs,
+except for the order of versions.
+"""
+
+import signal
+import time
+from collections import Counter
+
+import gevent
+from gevent.pool import Pool
+from testtools import TestCase
+
+from papayaward.protocol.settings import SettingsError, check_settings
+from papayaward.state.mechanisms import MECHANISMS
+from standins.callers import Callers, fleet_findings, start_findings
+from standins.fleet import Fleet, call
+
+from .fleet_case import echo_tasks, small_config
+
+__all__ = []
+
+_AT_ONCE = 3
+
+_RUNNERS = [{"domain": "a"}, {"domain": "b"}]
+
+
+def _double_starts(fleet):
+    starts = Counter((r["job"], r["task"]) for r in fleet.records())
+    return [key for key, count in starts.items() if count > 1]
+
+
+def _other(fleet):
+    return min(set(fleet.runner_http) - {fleet.leader()})
+
+
+def _late_starts(fleet, name, since):
+    return [r["start"] - since for r in fleet.records(name) if r["start"] > since]
+
+
+def start_dedup(fleet):
+    """Invariant 1: the home sends its grants again after a silent link."""
+    home, other = fleet.leader(), _other(fleet)
+    fleet.submit(echo_tasks(16, 5))
+    job = gevent.spawn(fleet.submit, echo_tasks(16, 2500, "job"))
+    gevent.sleep(0.3)
+    for name in (f">{home}", f">{other}"):
+        fleet.proxies[name].silence_open()
+    job.get(timeout=15)
+    return _double_starts(fleet)
+
+
+def record_dedup(fleet):
+    """Invariant 1: the caller submits the same job twice."""
+    job_id = fleet.new_ids(1)[0]
+    fleet.submit(echo_tasks(4, 5), job_id=job_id)
+    fleet.submit(echo_tasks(4, 5), index=1, job_id=job_id)
+    return _double_starts(fleet)
+
+
+def block_expiry(fleet):
+    """Invariant 1: a duplicate arrives after its record and block expired."""
+    job_id = fleet.new_ids(1)[0]
+    fleet.submit(echo_tasks(4, 5), job_id=job_id)
+    gevent.sleep(2.2)
+    fleet.submit(echo_tasks(4, 5), index=1, job_id=job_id)
+    return _double_starts(fleet)
+
+
+def incarnation_check(fleet):
+    """Invariant 1: a duplicate arrives after the home was replaced."""
+    home = fleet.leader()
+    job_id = fleet.new_ids(3)[-1]
+    fleet.submit(echo_tasks(4, 5), job_id=job_id)
+    fleet.kill(home)
+    fleet.start_runner(home)
+    fleet.wait_ready(2)
+    fleet.new_ids(3)
+    fleet.submit(echo_tasks(4, 5), job_id=job_id)
+    return _double_starts(fleet)
+
+
+def whole_answers(fleet):
+    """Invariant 2: a job has a fast and a slow task."""
+    tasks = [{"work_ms": 1, "echo": 0}, {"work_ms": 300, "echo": 1}]
+    reply = fleet.submit(tasks)
+    echoes = [result and result["echo"] for result in reply.json["results"]]
+    return [] if echoes == [0, 1] else [f"partial answer {echoes}"]
+
+
+def domain_gate(fleet):
+    """Invariant 3: work goes on while a domain is out."""
+    callers = Callers(fleet, 6, tasks=6)
+    gevent.sleep(0.3)
+    status, reply = fleet.set_domains_out(["a"])
+    assert status == 200 and reply["accepted"], reply
+    accepted = time.time()
+    gevent.sleep(3.4)
+    callers.stop()
+    changes = [("a", accepted, time.time())]
+    return start_findings(callers.views, fleet.records(), changes)
+
+
+def evidence(fleet):
+    """Invariant 3: a cut-off home goes on while its domain is taken out."""
+    home = fleet.leader()
+    domain = {"r1": "a", "r2": "b", "r3": "c"}[home]
+    job = gevent.spawn(fleet.submit, echo_tasks(1200, 250, "job"), deadline_ms=30_000)
+    gevent.sleep(0.3)
+    # Runners learn versions from each other, too.
+    for name in (f"{home}>e1", f"{home}>e2", ">r1", ">r2", ">r3"):
+        fleet.proxies[name].refuse = True
+        fleet.proxies[name].cut()
+    # The others outvote the home that cannot be reached.
+    out = {**fleet.config, "domains_out": [domain]}
+    status, reply = fleet.apply(out, 1, wait_ms=2000)
+    assert status == 200 and reply["accepted"], reply
+    accepted = time.time()
+    gevent.sleep(3.6)
+    job.kill()
+    return [s for s in _late_starts(fleet, home, accepted) if s > 3.0]
+
+
+def answer_matching(fleet):
+    """Invariant 4: answers arrive in another order than the requests."""
+    jobs = [
+        gevent.spawn(fleet.submit, echo_tasks(1, 400 - 40 * number, number))
+        for number in range(8)
+    ]
+    gevent.joinall(jobs, timeout=4)
+    findings = []
+    for number, job in enumerate(jobs):
+        results = job.value and job.value.json.get("results")
+        if not results or results[0]["echo"] != f"{number}/0":
+            findings.append(f"caller {number} got {results}")
+    return findings
+
+
+def refusal_kept(fleet):
+    """Invariant 5: a copy of a submission arrives after its refusal."""
+    job_id = fleet.new_ids(1)[0]
+    path = f"/v1/jobs/{job_id}"
+    refused = call(fleet.entry(), "PUT", path, {"service": "dispatch"})
+    assert refused.json["outcome"] == "not_run", refused.body
+    fleet.submit(echo_tasks(2, 5), index=1, job_id=job_id)
+    return [r for r in fleet.records() if r["job"] == job_id]
+
+
+def retry_guard(fleet):
+    """Invariant 6: an executor dies with a request that must not be repeated."""
+    victim = _other(fleet)
+    body = {"service": "dispatch", "tenant": "t1", "class": "c1"}
+    requests = [
+        gevent.spawn(
+            call,
+            fleet.entry(),
+            "POST",
+            "/v1/requests",
+            {**body, "body": {"work_ms": 700, "echo": number}},
+        )
+        for number in range(12)
+    ]
+    gevent.sleep(0.3)
+    fleet.kill(victim)
+    gevent.joinall(requests, timeout=10)
+    return _double_starts(fleet)
+
+
+def leaving_gate(fleet):
+    """Invariant 7: an upstream announces that it leaves."""
+    callers = Callers(fleet, 6, tasks=6)
+    name = _other(fleet)
+    gevent.sleep(0.3)
+    fleet.control_upstream(name, leaving=True)
+    left = time.time()
+    gevent.sleep(3.4)
+    callers.stop()
+    return [start for start in _late_starts(fleet, name, left) if start > 3.0]
+
+
+def drain(fleet):
+    """Invariant 8: a home is stopped with a job in progress."""
+    job = gevent.spawn(fleet.submit, echo_tasks(24, 500, "job"))
+    gevent.sleep(0.2)
+    fleet.signal(fleet.leader(), signal.SIGTERM)
+    reply = job.get(timeout=20)
+    return [] if reply.status == 200 else [reply.body]
+
+
+def version_order(fleet):
+    """Invariant 9: a push of a version arrives after a later version."""
+    proxy = fleet.proxies["r1>e1"]
+    proxy.silent_to_client = True
+    out = {**fleet.config, "domains_out": ["b"]}
+    assert fleet.apply(out, 1, 0, wait_ms=0)[0] == 200
+    fleet.wait_until(lambda: fleet.version(1) == 2)
+    assert fleet.apply(fleet.config, 2, 1, wait_ms=0)[0] == 200
+    proxy.silent_to_client = False
+    gevent.sleep(0.6)
+    return fleet_findings(fleet)
+
+
+def watchdog(fleet):
+    """Callers wait behind a connection that is silent for good."""
+    home = fleet.leader()
+    job = gevent.spawn(fleet.submit, echo_tasks(2, 50))
+    fleet.proxies[f"{home}>e1"].silence_open()
+    gevent.joinall([job], timeout=4.0)
+    return [] if job.successful() else ["no answer after 4 s"]
+
+
+_SHORT_BLOCKS = {"runner": {"id_block_ttl_s": 2.0, "result_ttl_s": 1.0}}
+
+# Scenario, further settings by role and whether links go through proxies.
+SCENARIOS = {
+    "start_dedup": (start_dedup, {}, True),
+    "record_dedup": (record_dedup, {}, False),
+    "block_expiry": (block_expiry, _SHORT_BLOCKS, False),
+    "incarnation_check": (incarnation_check, {}, False),
+    "whole_answers": (whole_answers, {}, False),
+    "domain_gate": (domain_gate, {}, False),
+    "evidence": (evidence, {}, True),
+    "answer_matching": (answer_matching, {}, False),
+    "refusal_kept": (refusal_kept, {}, False),
+    "retry_guard": (retry_guard, {}, False),
+    "leaving_gate": (leaving_gate, {}, False),
+    "drain": (drain, {}, False),
+    "version_order": (version_order, {}, True),
+    "watchdog": (watchdog, {}, True),
+}
+
+
+def run_scenario(name, disabled):
+    """Returns what the scenario of a mechanism finds, with or without it."""
+    scenario, settings, proxied = SCENARIOS[name]
+    settings = {role: dict(settings.get(role, {})) for role in ("entry", "runner")}
+    if disabled:
+        for values in settings.values():
+            values.update(debug_faults=True, disabled_mechanisms=[name])
+    config = small_config(domains=["a", "b"])
+    runners = _RUNNERS + ([{"domain": "c"}] if name == "evidence" else [])
+    if name == "evidence":
+        config = small_config()
+    with Fleet(config, 2, runners, settings, proxied=proxied) as fleet:
+        return scenario(fleet)
+
+
+class MechanismTest(TestCase):
+    def test_every_mechanism_has_a_scenario(self):
+        """Guards against a switch that no test uses."""
+        self.assertEqual(set(MECHANISMS), set(SCENARIOS))
+
+    def test_switches_need_the_debug_setting(self):
+        """Guards against a mechanism that is turned off by mistake."""
+        document = {
+            **{"role": "entry", "member": "e", "domain": "a", "store": []},
+            **{"listen": "127.0.0.1:1", "http": "127.0.0.1:2"},
+            "disabled_mechanisms": ["drain"],
+        }
+        self.assertRaises(SettingsError, check_settings, document)
+        document["debug_faults"] = True
+        check_settings(document)
+        document["disabled_mechanisms"] = ["dream"]
+        self.assertRaises(SettingsError, check_settings, document)
+
+    def test_violations_show_without_the_mechanisms(self):
+        """Guards against tests that would not notice a violation."""
+        found = _run_all(True)
+        missed = [name for name in found if not found[name]]
+        self.assertEqual([], missed)
+
+    def test_no_violation_shows_with_the_mechanisms(self):
+        """Guards against scenarios that find a violation where there is none."""
+        found = _run_all(False)
+        self.assertEqual({}, {name: f for name, f in found.items() if f})
+
+
+def _run_all(disabled):
+    # Scenarios wait most of the time, so a few of them run side by side.
+    pool = Pool(_AT_ONCE)
+    runs = {name: pool.spawn(run_scenario, name, disabled) for name in SCENARIOS}
+    pool.join()
+    return {name: run.get() for name, run in runs.items()}
