Never issue a number that was refused as unknown

Cause: found by reading, then by a test. A submission under a number that the home had not issued yet was answered not_run. The number was issued later, and a late copy of the refused submission then ran. Change: a refused number is skipped when blocks are issued. A number more than 2^20 ahead is answered unknown instead, so that one request cannot use up the numbers. Before: test_identifiers: the refused job was complete after 6,000 further identifiers; test_id_blocks 3 passed, 2 failed. After: test_id_blocks 5 passed.

--- a/papayaward/coordination/intake.py
+++ b/papayaward/coordination/intake.py
@@ -101,10 +101,17 @@
     def _claim_number(self, job_id, now):
         """Marks the job's number as used; returns an outcome if it may not run."""
         refusal = self._check_number(job_id, now)
-        if refusal is None:
-            self._blocks.use(parse_job_id(job_id).number, now)
+        if refusal is None or refusal.reason is Reason.IDENTIFIER_UNKNOWN:
+            self._use_number(job_id, now)
         return refusal
 
+    def _use_number(self, job_id, now):
+        try:
+            self._blocks.use(parse_job_id(job_id).number, now)
+        except IdentifierError:
+            # Without the form of an identifier it can never be issued.
+            pass
+
     def _check_number(self, job_id, now):
         """Returns an outcome if the job may not run, else None."""
         try:
@@ -128,6 +135,10 @@
             return JobOutcome(
                 Outcome.NOT_RUN, Reason.IDENTIFIER_UNKNOWN, "no such identifier"
             )
+        if state is NumberState.OUT_OF_RANGE:
+            return JobOutcome(
+                Outcome.UNKNOWN, Reason.IDENTIFIER_EXPIRED, "no number of this home"
+            )
         if state is NumberState.USED:
             return JobOutcome(
                 Outcome.UNKNOWN, Reason.RECORD_EXPIRED, "the answer is no longer kept"
--- a/papayaward/state/id_blocks.py
+++ b/papayaward/state/id_blocks.py
@@ -11,6 +11,10 @@
 
 __all__ = ["IdBlocks", "NumberState"]
 
+# Numbers up to this far ahead can be refused for good. One request uses up at
+# most so many of the 10^15 numbers.
+_REFUSABLE = 1 << 20
+
 
 class NumberState(Enum):
     """State of one job number at its home."""
@@ -19,6 +23,7 @@
     USED = "used"
     EXPIRED = "expired"
     NOT_ISSUED = "not_issued"
+    OUT_OF_RANGE = "out_of_range"
 
 
 @dataclass
@@ -58,7 +63,9 @@
     def state(self, number, now):
         """Returns the state of a number."""
         self._expire(now)
-        if not 1 <= number < self._next:
+        if not 1 <= number < self._next + _REFUSABLE:
+            return NumberState.OUT_OF_RANGE
+        if number >= self._next:
             return NumberState.NOT_ISSUED
         block = self._find(number)
         if block is None:
@@ -69,8 +76,13 @@
         return NumberState.UNUSED
 
     def use(self, number, now):
-        """Marks an unused number as used and returns its state before."""
+        """Marks an unused number as used and returns its state before.
+
+        A number that was not issued never will be.
+        """
         state = self.state(number, now)
+        if state is NumberState.NOT_ISSUED:
+            self._next = number + 1
         if state is NumberState.UNUSED:
             block = self._find(number)
             offset = number - block.first
