Do not take a result that contains not_run for a refusal

Cause: a submission with an idempotency key searched the first 400 bytes of the answer for the text not_run, whatever its status. A complete answer whose result contains that text was taken for a refusal when the key was sent again, and the job ran a second time under a new identifier. Change: only an answer other than complete is read, as JSON, for its outcome. Before: test_identifiers 6 passed, 1 failed (2 starts for one key). After: 7 passed; test_idempotency_keys 5 passed. The other cases of test_identifiers found nothing: late duplicates, expired blocks, other incarnations, bad bodies and cancellation before submission.

--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -195,7 +195,7 @@
             detail = "the key was used with another body"
             return self._refusal(RequestError(Reason.KEY_REUSED, detail))
         response = self._submit(mapping.job_id, job, request)
-        if mapping.revision and b'"not_run"' in response.body[:400]:
+        if mapping.revision and _is_not_run(response):
             return self._submit_anew(job, key, mapping, request)
         return response
 
@@ -475,6 +475,13 @@
     return read_object(request.body)
 
 
+def _is_not_run(response):
+    # A complete answer holds results that may read like anything.
+    if response.status == _STATUS[Outcome.COMPLETE]:
+        return False
+    return json.loads(response.body).get("outcome") == Outcome.NOT_RUN
+
+
 def _parse_tasks(document, single, max_tasks):
     if single:
         if "body" not in document:
