Encode header values and check once more before a task is sent

Cause: found by reading. The names of tenants and classes went into the headers of a task as they were. A line break in one would have written a second request to the upstream; a character outside latin-1 made the task count as lost. Change: the values are percent-encoded, and post() takes a check that runs after the connection is open and before anything is sent.

--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -9,6 +9,8 @@
 sends on its own sockets and uses the library's response parser.
 """
 
+from urllib.parse import quote
+
 from gevent import socket
 from gevent.select import select
 
@@ -17,6 +19,7 @@
 __all__ = ["NotSent", "UpstreamClient", "UpstreamLost"]
 
 _CONNECT_TIMEOUT_S = 1.0
+_HEADER_SAFE = " !#$&'()*+,/:;<=>?@[]^`{|}~"
 
 
 class NotSent(Exception):
@@ -41,13 +44,15 @@
         self._max_idle = max_idle
         self._idle = []
 
-    def post(self, path, body, headers):
+    def post(self, path, body, headers, check=lambda: None):
         """Sends one POST request and returns its status and body.
 
         Args:
             path: Path of the request.
             body: bytes.
             headers: Header values by name.
+            check: Function that is called last before the request is sent; raises
+                `NotSent` to prevent that.
 
         Returns:
             tuple: Status code and body, bytes.
@@ -59,9 +64,13 @@
         sock = self._connect()
         keep = False
         try:
+            check()
             sock.sendall(self._request(path, body, headers))
             status, content, keep = read_response(sock)
             return status, content
+        except NotSent:
+            keep = True
+            raise
         except Exception as error:
             raise UpstreamLost(str(error) or type(error).__name__) from error
         finally:
@@ -99,5 +108,10 @@
         lines = [f"POST {path} HTTP/1.1", f"Host: {host}:{port}"]
         lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(body)}")
-        lines += [f"{name}: {value}" for name, value in headers.items()]
+        # Names of tenants and classes come from callers; a line break in one would
+        # let it write a second request.
+        lines += [
+            f"{name}: {quote(str(value), safe=_HEADER_SAFE)}"
+            for name, value in headers.items()
+        ]
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
