Pass the start gate again when the connection to the upstream is open

Cause: found by reading. Up to a second may pass between the gate and the sending, for the connection to the upstream, and more if the process is paused there. Together with evidence of up to 2 s, a task could start later than 3 s after its domain was taken out. Change: the executor checks the gate once more right before it sends; a task that may not start any more is rejected with the gate's reason, which proves that it did not start, and goes elsewhere. Before: trial by reading only, no test hits the window by chance. Conclusion: only a pause within the system call itself is left.

--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -47,6 +47,18 @@
     instance: str = ""
 
 
+class _HeldBack(NotSent):
+    """The gate closed between a task's start and its sending.
+
+    Attributes:
+        reason: `Reason`.
+    """
+
+    def __init__(self, reason):
+        super().__init__(reason)
+        self.reason = reason
+
+
 def _as_json(body):
     """Returns the body if it is JSON, else the body as a JSON string."""
     try:
@@ -242,10 +254,25 @@
 
     def _run(self, key, grant, deadline, now):
         with gevent.Timeout(max(0.001, deadline - now), False):
-            return self._call_upstream(key, grant)
+            return self._call_upstream(key, grant, deadline)
         return TaskStatus.FAILED, b"", Reason.DEADLINE
 
-    def _call_upstream(self, key, grant):
+    def _check_again(self, deadline):
+        """Passes the gate a second time, now that the connection is open.
+
+        A pause or a slow connection may lie between the first time and the sending.
+
+        Raises:
+            _HeldBack: The task may not start any more.
+        """
+        state = self._gate_state()
+        now = time.monotonic()
+        reason = check_start(state, state.incarnation, False, False, deadline, now)
+        # The task itself holds the slot.
+        if reason not in (Reason.NONE, Reason.NO_SLOT):
+            raise _HeldBack(reason)
+
+    def _call_upstream(self, key, grant, deadline):
         job_id, index, attempt = key
         headers = {
             "Papayaward-Job": job_id,
@@ -255,7 +282,11 @@
             "Papayaward-Class": grant.job_class,
         }
         try:
-            status, body = self._client.post("/run", grant.body, headers)
+            status, body = self._client.post(
+                "/run", grant.body, headers, lambda: self._check_again(deadline)
+            )
+        except _HeldBack as error:
+            return TaskStatus.REJECTED, b"", error.reason
         except NotSent:
             # Not offered again until the next announcement.
             self._upstream = None
