--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -15,7 +15,7 @@
 from gevent.event import Event
 
 from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
-from ..state import metrics
+from ..state import mechanisms, metrics
 from .admission import Demand, Load, fair_share
 from .ejection import Ejection
 from .executor import ACTIVE_S
@@ -281,7 +281,10 @@
         """Updates what depends on the state of an executor after it changed."""
         if self.executors.get(view.member) is not view:
             return
-        view.in_service = view.domain not in self._node.config.config.domains_out
+        domains_out = self._node.config.config.domains_out
+        view.in_service = view.domain not in domains_out or not mechanisms.is_on(
+            "domain_gate"
+        )
         self._note_absence(view, now)
         view.limit = self.ejection.limit(view.member, view.slots, now)
         if now < view.paused_until:
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -15,7 +15,7 @@
 from ..protocol.gen.ttypes import CancelTasks, ResultBatch, RunBatch, SlotReport
 from ..protocol.gen.ttypes import TaskResult as Result
 from ..protocol.outcomes import Reason, TaskStatus
-from ..state import invariants, metrics
+from ..state import invariants, mechanisms, metrics
 from ..state.started_tasks import StartedTasks
 from ..transport.upstream_http import NotSent, UpstreamClient, UpstreamLost
 from .gate import GateState, check_start
@@ -55,6 +55,18 @@
     return upstream.host, upstream.port
 
 
+class _HeldBack(NotSent):
+    """The gate closed between a task's start and its sending.
+
+    Attributes:
+        reason: `Reason`.
+    """
+
+    def __init__(self, reason):
+        super().__init__(reason)
+        self.reason = reason
+
+
 def _as_json(body):
     """Returns the body if it is JSON, else the body as a JSON string."""
     try:
@@ -186,11 +198,22 @@
         node = self._node
         return GateState(
             incarnation=node.incarnation,
-            domain_out=node.domain in node.config.config.domains_out,
-            evidence=node.evidence.latest,
+            domain_out=(
+                node.domain in node.config.config.domains_out
+                and mechanisms.is_on("domain_gate")
+            ),
+            evidence=(
+                node.evidence.latest
+                if mechanisms.is_on("evidence")
+                else time.monotonic()
+            ),
             evidence_max_age_s=node.settings.evidence_max_age_s,
             upstream_present=upstream is not None,
-            upstream_leaving=upstream is not None and upstream.leaving,
+            upstream_leaving=(
+                upstream is not None
+                and upstream.leaving
+                and mechanisms.is_on("leaving_gate")
+            ),
             draining=node.draining,
             free_slots=self._slots - len(self._running),
         )
@@ -201,9 +224,10 @@
         rejected = []
         for grant in batch.grants:
             key = (grant.job_id, grant.index, grant.attempt)
-            if key in self._running:
+            remembers = mechanisms.is_on("start_dedup")
+            if remembers and key in self._running:
                 continue
-            kept = self._started.result(key)
+            kept = self._started.result(key) if remembers else None
             if kept is not None:
                 self._queue_result(home, kept)
                 continue
@@ -211,7 +235,7 @@
             reason = check_start(
                 self._gate_state(),
                 batch.executor_incarnation,
-                key in self._started,
+                remembers and key in self._started,
                 grant.job_id in self._cancelled,
                 deadline,
                 now,
@@ -258,10 +282,25 @@
 
     def _run(self, key, grant, deadline, now):
         with gevent.Timeout(max(0.001, deadline - now), False):
-            return self._call_upstream(key, grant)
+            return self._call_upstream(key, grant, deadline)
         return TaskStatus.FAILED, b"", Reason.DEADLINE
 
-    def _call_upstream(self, key, grant):
+    def _check_again(self, deadline):
+        """Passes the gate a second time, now that the connection is open.
+
+        A pause or a slow connection may lie between the first time and the sending.
+
+        Raises:
+            _HeldBack: The task may not start any more.
+        """
+        state = self._gate_state()
+        now = time.monotonic()
+        reason = check_start(state, state.incarnation, False, False, deadline, now)
+        # The task itself holds the slot.
+        if reason not in (Reason.NONE, Reason.NO_SLOT):
+            raise _HeldBack(reason)
+
+    def _call_upstream(self, key, grant, deadline):
         job_id, index, attempt = key
         headers = {
             "Papayaward-Job": job_id,
@@ -271,7 +310,11 @@
             "Papayaward-Class": grant.job_class,
         }
         try:
-            status, body = self._client.post("/run", grant.body, headers)
+            status, body = self._client.post(
+                "/run", grant.body, headers, lambda: self._check_again(deadline)
+            )
+        except _HeldBack as error:
+            return TaskStatus.REJECTED, b"", error.reason
         except NotSent:
             # Not offered again until the next announcement, and then with care.
             self._present = False
@@ -297,7 +340,7 @@
         elif value is None:
             value = (TaskStatus.LOST, b"", Reason.TASK_LOST)
         status, body, reason = value
-        del self._running[key]
+        self._running.pop(key, None)
         metrics.SLOTS_IN_USE.set(len(self._running))
         message = Result(*key, status, body, int((now - started) * 1e6), reason)
         self._started.record_result(key, message, now)
--- a/papayaward/coordination/intake.py
+++ b/papayaward/coordination/intake.py
@@ -19,6 +19,7 @@
 )
 from ..protocol.identifiers import IdentifierError, parse_job_id
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
+from ..state import mechanisms
 from ..state.id_blocks import IdBlocks, NumberState
 from ..state.job_records import JobRecord, JobSpec
 from .admission import check_admission
@@ -63,6 +64,8 @@
 
     def _on_submit(self, link, message, now):
         record = self._records.get(message.job_id)
+        if not mechanisms.is_on("record_dedup"):
+            record = None
         digest = _digest(message)
         if record is not None and record.digest != digest:
             # Not the submission that this identifier stands for: it never runs.
@@ -99,10 +102,17 @@
     def _claim_number(self, job_id, now):
         """Marks the job's number as used; returns an outcome if it may not run."""
         refusal = self._check_number(job_id, now)
-        if refusal is None:
-            self._blocks.use(parse_job_id(job_id).number, now)
+        if refusal is None or refusal.reason is Reason.IDENTIFIER_UNKNOWN:
+            self._use_number(job_id, now)
         return refusal
 
+    def _use_number(self, job_id, now):
+        try:
+            self._blocks.use(parse_job_id(job_id).number, now)
+        except IdentifierError:
+            # Without the form of an identifier it can never be issued.
+            pass
+
     def _check_number(self, job_id, now):
         """Returns an outcome if the job may not run, else None."""
         try:
@@ -110,17 +120,26 @@
         except IdentifierError as error:
             return JobOutcome(Outcome.NOT_RUN, Reason.IDENTIFIER_UNKNOWN, str(error))
         hello = self._node.hello()
-        if (parsed.member, parsed.incarnation) != (hello.member, hello.incarnation):
+        own = (parsed.member, parsed.incarnation) == (hello.member, hello.incarnation)
+        if not own and mechanisms.is_on("incarnation_check"):
             return JobOutcome(
                 Outcome.UNKNOWN, Reason.HOME_GONE, "the job's home was replaced"
             )
         state = self._blocks.state(parsed.number, now)
+        if state is NumberState.USED and not mechanisms.is_on("record_dedup"):
+            return None
+        if state is NumberState.EXPIRED and not mechanisms.is_on("block_expiry"):
+            return None
         if state is NumberState.UNUSED:
             return None
         if state is NumberState.NOT_ISSUED:
             return JobOutcome(
                 Outcome.NOT_RUN, Reason.IDENTIFIER_UNKNOWN, "no such identifier"
             )
+        if state is NumberState.OUT_OF_RANGE:
+            return JobOutcome(
+                Outcome.UNKNOWN, Reason.IDENTIFIER_EXPIRED, "no number of this home"
+            )
         if state is NumberState.USED:
             return JobOutcome(
                 Outcome.UNKNOWN, Reason.RECORD_EXPIRED, "the answer is no longer kept"
@@ -182,7 +201,10 @@
         if record is not None:
             self._answers.wait_or_answer(link, message.request_id, record)
             return
-        outcome = self._claim_number(message.job_id, now) or JobOutcome(
+        mark = self._claim_number
+        if not mechanisms.is_on("refusal_kept"):
+            mark = self._check_number
+        outcome = mark(message.job_id, now) or JobOutcome(
             Outcome.NOT_RUN, Reason(message.reason), "the request was refused"
         )
         self._answers.send(link, message.request_id, message.job_id, outcome)
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -13,7 +13,7 @@
 
 from ..protocol.gen.ttypes import ResultBatch, SlotReport
 from ..protocol.outcomes import JobOutcome, Outcome, Reason, TaskStatus
-from ..state import invariants, metrics
+from ..state import invariants, mechanisms, metrics
 from .retries import MAX_RETRIES, RetryBudget, backoff_s
 
 __all__ = ["Results"]
@@ -147,11 +147,11 @@
         self._records.grow(record, len(result.body))
         record.missing -= 1
         record.service_s = max(record.service_s, result.service_us / 1e6)
-        if record.missing:
+        if record.missing and mechanisms.is_on("whole_answers"):
             return
         outcome = JobOutcome(
             Outcome.COMPLETE,
-            results=tuple(record.results),
+            results=tuple(body or b"null" for body in record.results),
             started=record.started,
             queue_us=int(record.queue_s * 1e6),
             service_us=int(record.service_s * 1e6),
@@ -199,7 +199,8 @@
 
     def _retry(self, record, index, detail, now):
         """Starts an idempotent task again and returns whether it may be."""
-        if not record.spec.idempotent or record.second_starts >= MAX_RETRIES:
+        may_repeat = record.spec.idempotent or not mechanisms.is_on("retry_guard")
+        if not may_repeat or record.second_starts >= MAX_RETRIES:
             return False
         if not self._budget.take(now):
             record.timeline.add(now, "retry_refused", Reason.RETRY_BUDGET)
