--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -12,6 +12,7 @@
 import gevent
 
 from .caller_api import CallerApi
+from .config_api import ConfigApi
 from .coordination.config_sync import ConfigHolder
 from .coordination.config_writer import ConfigWriter
 from .coordination.evidence import EntryEvidence, age_ms
@@ -20,7 +21,7 @@
 from .operator_api import OperatorApi
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
 from .protocol.options import get_address
-from .state import metrics
+from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
 from .transport.peers import serve_links
@@ -72,6 +73,7 @@
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
+        ConfigApi(self, time.monotonic()).add_routes(api)
         tls = {}
         if settings.tls_certificate:
             tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
@@ -83,12 +85,14 @@
     def drain(self):
         """Finishes the open requests and stops."""
         self.draining = True
-        log.info("drain_started", extra={"open": self._callers.open_requests})
-        deadline = time.monotonic() + self.settings.drain_s
-        while self._callers.open_requests and time.monotonic() < deadline:
-            gevent.sleep(0.05)
-        self._http.stop(timeout=0.5)
-        log.info("drain_finished", extra={"open": self._callers.open_requests})
+        log.info("drain_started", extra={"open": len(self._http.open_requests)})
+        finished = self._http.drain(time.monotonic() + self.settings.drain_s)
+        invariants.check(
+            "planned_stop_cuts_nothing",
+            finished,
+            open_requests=len(self._http.open_requests),
+        )
+        log.info("drain_finished", extra={"open": len(self._http.open_requests)})
 
     def use_coordinator(self, view):
         """Sends the members of its cell to a coordinator that gets work."""
@@ -233,7 +237,10 @@
                 if envelope is not None:
                     text = envelope.text.encode()
                     self.config.offer(envelope.version, text, now)
-                self.evidence.on_store_read(sent_at, now)
+                # A head that is not in force here, such as a text that another
+                # program wrote and that has findings, is no evidence.
+                if self.config.version >= self.config_writer.head_version:
+                    self.evidence.on_store_read(sent_at, now)
                 if not reachable:
                     log.info("store_reachable")
                 reachable = True
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -5,8 +5,10 @@
 Starts a small fleet of real processes for tests, benchmarks and the demo.
 """
 
+import fcntl
 import json
 import os
+import random
 import shutil
 import signal
 import socket as plain_socket
@@ -19,6 +21,9 @@
 
 import gevent
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from .proxy import TcpProxy
 
 __all__ = ["Fleet", "HttpReply", "call", "free_port", "process_cpu_s"]
 
@@ -63,24 +68,39 @@
         response = client.request(method, path, body=body, headers=headers or {})
         content = bytes(response.read())
         return HttpReply(response.status_code, content, dict(response.items()))
+    except HTTPParseError as error:
+        # The library's name for a connection that ended within a reply.
+        raise ConnectionError(str(error)) from error
     finally:
         client.close()
 
 
-# Ports handed out by this process: a port is free again as soon as the probe
-# socket is closed, so two calls could otherwise return the same one.
-_handed_out = set()
+# Below the range from which the kernel takes ports of outgoing connections, so
+# that a port cannot be taken between its choice and the start of its process.
+_PORTS = range(10_000, 32_000)
+_port_locks = []
 
 
 def free_port():
-    """Returns a free TCP port of the loopback address."""
+    """Returns a TCP port of the loopback address that is free.
+
+    The port stays reserved until this process ends: several test processes choose
+    ports at the same time, and each keeps a lock file for each of its ports.
+    """
+    directory = Path(tempfile.gettempdir()) / "papayaward-ports"
+    directory.mkdir(exist_ok=True)
     while True:
-        with plain_socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            port = sock.getsockname()[1]
-        if port not in _handed_out:
-            _handed_out.add(port)
-            return port
+        port = random.choice(_PORTS)
+        lock = open(directory / str(port), "w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            with plain_socket.socket() as sock:
+                sock.bind(("127.0.0.1", port))
+        except OSError:
+            lock.close()
+            continue
+        _port_locks.append(lock)
+        return port
 
 
 class Fleet:
@@ -95,9 +115,20 @@
         link_address: Function of an entry's name and its link address that returns
             the address given to a runner; tests put a proxy there. The third
             argument is the runner's name.
+        proxied: Whether every link between two processes goes through a `TcpProxy`
+            of this process: `proxies["r1>e1"]` is the link from a runner to an
+            entry, `proxies[">r1"]` are the links of other runners to a runner.
     """
 
-    def __init__(self, config, entries=2, runners=(), settings=None, link_address=None):
+    def __init__(
+        self,
+        config,
+        entries=2,
+        runners=(),
+        settings=None,
+        link_address=None,
+        proxied=False,
+    ):
         self.directory = Path(tempfile.mkdtemp(prefix="papayaward-"))
         self.processes = {}
         self.entry_http = {}
@@ -105,6 +136,8 @@
         self.runner_http = {}
         self.runner_link = {}
         self.upstream_http = {}
+        self.proxies = {}
+        self._proxied = proxied
         self._config = config
         self._settings = settings or {}
         self._link_address = link_address or (lambda entry, address, runner: address)
@@ -164,6 +197,10 @@
     def start_runner(self, name):
         """Starts a runner."""
         runner = self._runners[name]
+        values = dict(runner.get("settings", {}))
+        if self._proxied:
+            link = self.runner_link[name]
+            values["advertise"] = self._through_proxy(f">{name}", link)
         self._start_daemon(
             name,
             "runner",
@@ -172,11 +209,8 @@
             service=runner.get("service", "dispatch"),
             listen=self.runner_link[name],
             http=self.runner_http[name],
-            entries=[
-                self._link_address(entry, self.entry_link[entry], name)
-                for entry in self._entries
-            ],
-            **runner.get("settings", {}),
+            entries=[self._entry_address(entry, name) for entry in self._entries],
+            **values,
         )
 
     def start_upstream(self, name):
@@ -197,6 +231,9 @@
     def spawn(self, name, module, *arguments):
         """Starts a Python module as a process with its log in the directory."""
         with open(self.directory / f"{name}.log", "ab") as stream:
+            # Separates the processes that write to this log one after the other.
+            stream.write(b'{"event": "process_spawned"}\n')
+            stream.flush()
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
                 cwd=_ROOT,
@@ -213,6 +250,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        for proxy in self.proxies.values():
+            proxy.close()
         shutil.rmtree(self.directory, ignore_errors=True)
 
     def signal(self, name, number):
@@ -239,6 +278,11 @@
                         found.append(document)
         return found
 
+    @property
+    def config(self):
+        """The operators' text that the fleet started with, as a document."""
+        return self._config
+
     def entry(self, index=0):
         """Returns the HTTP address of an entry."""
         return self.entry_http[self._entries[index]]
@@ -258,6 +302,10 @@
         """Returns the configuration version in force at an entry."""
         return self.status(index)["config_version"]
 
+    def leader(self, index=0):
+        """Returns the name of the runner that an entry uses as the home of jobs."""
+        return self.new_ids(1, index)[0].split("-")[1]
+
     def status(self, index=0):
         """Returns an entry's status."""
         return call(self.entry(index), "GET", "/admin/status").json
@@ -323,6 +371,19 @@
                 raise TimeoutError("the fleet did not reach the expected state")
             gevent.sleep(0.05)
 
+    def _entry_address(self, entry, runner):
+        address = self._link_address(entry, self.entry_link[entry], runner)
+        if self._proxied:
+            return self._through_proxy(f"{runner}>{entry}", address)
+        return address
+
+    def _through_proxy(self, name, address):
+        if name not in self.proxies:
+            host, _, port = address.rpartition(":")
+            self.proxies[name] = TcpProxy((host, int(port)))
+        host, port = self.proxies[name].address
+        return f"{host}:{port}"
+
     def _store_answers(self):
         return call(self.store, "POST", "/control").status == 200
 
