--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -205,6 +205,7 @@
         self.port = free_port()
         super().__init__(member, f"127.0.0.1:{self.port}")
         self.config_version = 1
+        self.confirmed = 0
         self.outcomes = {}
         self._text = text
         self._numbers = count(1)
@@ -235,6 +236,10 @@
             outcome = message.outcome
             self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
 
+    def on_heartbeat(self, link, heartbeat, now):
+        """Remembers the version that the runner confirmed."""
+        self.confirmed = heartbeat.config_version
+
     def set_members(self, executors):
         """Announces the executors of the cell to the runner."""
         self._members = [
