--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -626,6 +626,13 @@
     "entry_members": Series(
         "entry", "members", _MEMBERS, (10, 20, 30, 40), _entry_members
     ),
+    "entry_members_loaded": Series(
+        "entry",
+        "members, 10 jobs a second",
+        (20, 100, 200, 400),
+        (5, 10),
+        partial(_entry_load, variable="members"),
+    ),
     "entry_tasks": Series(
         "entry",
         "tasks a second",
