--- a/benchmarks/delayed_fleet.py
+++ b/benchmarks/delayed_fleet.py
@@ -6,6 +6,7 @@
 """
 
 from standins.fleet import Fleet, free_port
+from standins.proxy import TcpProxy
 
 __all__ = ["DelayedFleet"]
 
@@ -21,21 +22,42 @@
         delayed: Whether the proxies are used at all.
         settings: Settings added to each process of a role, by role.
         entries: Number of entries.
+        runners: Number of runners; None for all of the profile.
+        proxied: Whether links to entries pass through a `TcpProxy` of this process
+            for each runner, which can be silenced.
     """
 
-    def __init__(self, profile, delayed=True, settings=None, entries=2):
+    def __init__(
+        self,
+        profile,
+        delayed=True,
+        settings=None,
+        entries=2,
+        runners=None,
+        proxied=False,
+    ):
         self.profile = profile
+        self.link_proxies = []
+        self._proxied = proxied
         self._delayed = delayed
         self._link_front = {}
         self._client_front = {}
         super().__init__(
             profile.config,
             entries,
-            profile.runners,
+            profile.runners[:runners],
             settings,
-            lambda entry, address, runner: self._link_front.get(entry, address),
+            self._link_for_runner,
         )
 
+    def _link_for_runner(self, entry, address, runner):
+        if not self._proxied:
+            return self._link_front.get(entry, address)
+        host, _, port = address.rpartition(":")
+        proxy = TcpProxy((host, int(port)))
+        self.link_proxies.append(proxy)
+        return "%s:%d" % proxy.address
+
     @property
     def client_addresses(self):
         """HTTP addresses of the entries as clients see them."""
--- a/standins/load.py
+++ b/standins/load.py
@@ -38,6 +38,10 @@
 _IDS_LOW = 16
 _RESEND_DELAY_S = 0.05
 
+# An entry that broke a connection gets no new jobs for this time, as behind a load
+# balancer that checks the entries.
+_AVOID_S = 2.0
+
 
 @dataclass(frozen=True)
 class Arrival:
@@ -116,6 +120,7 @@
         self._give_up_s = give_up_s
         self._clients = [self._client(address) for address in entries]
         self._first = 0
+        self._avoid_until = [0.0] * len(entries)
         self._ids = _Ids(self._ask_any, service)
         self._results = []
 
@@ -172,6 +177,8 @@
         if job_id is None:
             return
         index = arrival.number % len(self._clients)
+        if self._avoid_until[index] > time.monotonic():
+            index = (index + 1) % len(self._clients)
         while time.monotonic() - due < self._give_up_s:
             result["sent"] += 1
             remaining = due + self._give_up_s - time.monotonic()
@@ -186,6 +193,7 @@
                 if b"home_gone" in content[:1000]:
                     self._ids.drop(job_id)
                 return
+            self._avoid_until[index] = time.monotonic() + _AVOID_S
             index = (index + 1) % len(self._clients)
             gevent.sleep(_RESEND_DELAY_S)
 
@@ -198,7 +206,11 @@
             connection_timeout=1.0,
             network_timeout=self._give_up_s + 1.0,
         )
-        client._connection_pool.after_connect = _no_delay
+        pool = client._connection_pool
+        pool.after_connect = _no_delay
+        # The library repeats a PUT whose connection broke as often as the pool is
+        # large; here the next entry gets it instead.
+        pool.size = -1
         return client
 
     def _ask_any(self, method, path, body, timeout_s):
