--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -33,21 +33,31 @@
 
 
 class LinkStats:
-    """Counts of the messages and bytes of all links of a process."""
+    """Counts of the messages and bytes of all links of a process, by type."""
 
     def __init__(self):
         self.sent = {}
         self.received = {}
-        self.bytes_sent = 0
-        self.bytes_received = 0
+        self.sent_bytes = {}
+        self.received_bytes = {}
+
+    @property
+    def bytes_sent(self):
+        """Bytes sent, of all types."""
+        return sum(self.sent_bytes.values())
+
+    @property
+    def bytes_received(self):
+        """Bytes received, of all types."""
+        return sum(self.received_bytes.values())
 
     def count_sent(self, name, size):
         self.sent[name] = self.sent.get(name, 0) + 1
-        self.bytes_sent += size
+        self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
 
     def count_received(self, name, size):
         self.received[name] = self.received.get(name, 0) + 1
-        self.bytes_received += size
+        self.received_bytes[name] = self.received_bytes.get(name, 0) + size
 
 
 class Link:
@@ -75,6 +85,7 @@
         self._last_received = time.monotonic()
         self._peer = None
         self.last_stamp_us = 0
+        self._echoed_us = int(self._last_received * 1e6)
         self.state = None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -83,6 +94,14 @@
         """The peer's `Hello`."""
         return self._peer
 
+    @property
+    def echoed_us(self):
+        """Latest own stamp that the peer sent back; the start before the first.
+
+        Everything that the peer sent before it saw that stamp has been received.
+        """
+        return self._echoed_us
+
     @property
     def closed(self):
         """Whether the link is closed."""
@@ -216,13 +235,26 @@
 
     def _dispatch(self, message, now):
         if not isinstance(message, Heartbeat):
-            self._node.on_message(self, message, now)
+            self._handle(message, now)
             return
         self.last_stamp_us = message.stamp_us
+        self._echoed_us = max(self._echoed_us, message.echo_us)
         self._node.on_heartbeat(self, message, now)
         if not self._dialled:
             self.try_send(self._node.heartbeat(self, now))
 
+    def _handle(self, message, now):
+        try:
+            self._node.on_message(self, message, now)
+        except Exception as error:
+            # A message with missing fields or a fault of the handler: the other
+            # links of this process must not suffer from it.
+            name = type(message).__name__
+            log.exception(
+                "message_failed", extra={"peer": self._peer.member, "type": name}
+            )
+            raise FrameError(f"cannot handle {name}: {error}") from error
+
     def _write(self):
         while not self._closed.is_set():
             self._wakeup.wait()
