--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -86,6 +86,38 @@
     return round(done / ideal.work_done(begin_s, end_s), 4)
 
 
+def _slot_losses(run, results, records, slots):
+    """Returns where slots lost time, in ms a task.
+
+    `idle_slot_ms_per_task` is the time of slots that were idle while a task that was
+    due had not started; `service_excess_ms` what tasks took beyond their size on the
+    upstream stand-ins.
+    """
+    works = {result["job"]: a.work_ms for a, result in zip(run.arrivals, results)}
+    speeds = {slot.runner: slot.speed for slot in slots}
+    events = []
+    for arrival, result in zip(run.arrivals, results):
+        events.append((result["due"], len(arrival.work_ms), 0))
+    excess = []
+    for record in records:
+        if record["end"] is None:
+            continue
+        events.append((record["start"], -1, 1))
+        events.append((record["end"], 0, -1))
+        work_ms = works[record["job"]][record["task"]] / speeds[record["upstream"]]
+        excess.append((record["end"] - record["start"]) * 1000 - work_ms)
+    waiting = running = 0
+    idle_s, last = 0.0, 0.0
+    for at, more_waiting, more_running in sorted(events):
+        if waiting > 0:
+            idle_s += (len(slots) - running) * (at - last)
+        waiting, running, last = waiting + more_waiting, running + more_running, at
+    return {
+        "idle_slot_ms_per_task": round(idle_s / max(1, len(excess)) * 1000, 2),
+        "service_excess_ms": round(statistics.fmean(excess), 2),
+    }
+
+
 def _entry_cpu_s(fleet):
     return sum(
         process_cpu_s(fleet.processes[name].pid)
@@ -113,6 +145,7 @@
             **_ratios(results, ideal, options.warm_up, arrivals),
             **wasted_messages(growth, tasks),
             **check_answers(arrivals, results, records),
+            **_slot_losses(load_run, results, records, slots_of(profile.runners)),
             "entry_cpu_us_per_task_small_jobs": round(cpu / tasks * 1e6, 1),
             **lag_summary(results),
         }
