--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -111,7 +111,7 @@
         unknown_allowed: Whether `unknown` is a true answer here.
 
     Returns:
-        dict: `lost`, `double_starts`, `outcomes` and `lost_why`.
+        dict: `lost`, `double_starts`, `outcomes`, `lost_why` and `reasons`.
     """
     starts = Counter()
     ended = set()
@@ -143,6 +143,13 @@
         "double_starts": sum(number - 1 for number in starts.values()),
         "outcomes": dict(Counter(str(result["outcome"]) for result in results)),
         "lost_why": dict(why),
+        "reasons": dict(
+            Counter(
+                f"{result['outcome']}: {result['reason']}"
+                for result in results
+                if result["outcome"] not in (None, "complete")
+            )
+        ),
     }
 
 
