--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent.event import Event
 
-from ..protocol.gen.ttypes import Grant, RunBatch
+from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
 from ..state import metrics
 from .admission import Load
 from .ejection import Ejection
@@ -103,7 +103,9 @@
                 self.executors[member.member] = ExecutorView(
                     member.member, member.incarnation, member.domain
                 )
+        names = {member.member for member in members}
         for view in list(self.executors.values()):
+            view.listed = view.member in names
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
                 del self.executors[view.member]
@@ -129,11 +131,23 @@
             self.executors[hello.member] = view
         view.link = link
         view.lost_at = None
-        if view.outstanding:
-            self._send_grants(view, list(view.outstanding.values()), now)
+        self._reconcile(view, now)
         self._wakeup.set()
         return replaced
 
+    def _reconcile(self, view, now):
+        """Sends the outstanding grants again, but for jobs that were answered."""
+        finished = set()
+        for key, (record, _, _) in list(view.outstanding.items()):
+            if record.done:
+                del view.outstanding[key]
+                self._queue.give_slot(record.spec.tenant)
+                finished.add(record.spec.job_id)
+        if finished:
+            view.link.try_send(CancelTasks(sorted(finished)))
+        if view.outstanding:
+            self._send_grants(view, list(view.outstanding.values()), now)
+
     def on_executor_down(self, link, now):
         """Starts the grace period of an executor whose link closed."""
         view = self.executors.get(link.peer.member)
