--- a/benchmarks/delayed_fleet.py
+++ b/benchmarks/delayed_fleet.py
@@ -21,9 +21,19 @@
         delayed: Whether the proxies are used at all.
         settings: Settings added to each process of a role, by role.
         entries: Number of entries.
+        runners: Number of runners; None for all of the profile.
+        proxied: Whether links pass through proxies of this process, as for `Fleet`.
     """
 
-    def __init__(self, profile, delayed=True, settings=None, entries=2):
+    def __init__(
+        self,
+        profile,
+        delayed=True,
+        settings=None,
+        entries=2,
+        runners=None,
+        proxied=False,
+    ):
         self.profile = profile
         self._delayed = delayed
         self._link_front = {}
@@ -31,9 +41,10 @@
         super().__init__(
             profile.config,
             entries,
-            profile.runners,
+            profile.runners[:runners],
             settings,
             lambda entry, address, runner: self._link_front.get(entry, address),
+            proxied,
         )
 
     @property
--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -26,6 +26,7 @@
     "counters_difference",
     "lag_summary",
     "latest",
+    "parse_metrics",
     "rss_mib",
     "wasted_messages",
 ]
@@ -111,7 +112,7 @@
         unknown_allowed: Whether `unknown` is a true answer here.
 
     Returns:
-        dict: `lost`, `double_starts`, `outcomes` and `lost_why`.
+        dict: `lost`, `double_starts`, `outcomes`, `lost_why` and `reasons`.
     """
     starts = Counter()
     ended = set()
@@ -143,6 +144,13 @@
         "double_starts": sum(number - 1 for number in starts.values()),
         "outcomes": dict(Counter(str(result["outcome"]) for result in results)),
         "lost_why": dict(why),
+        "reasons": dict(
+            Counter(
+                f"{result['outcome']}: {result['reason']}"
+                for result in results
+                if result["outcome"] not in (None, "complete")
+            )
+        ),
     }
 
 
@@ -154,14 +162,20 @@
         if fleet.processes[name].poll() is not None:
             continue
         text = call(addresses[name], "GET", "/metrics").body.decode()
-        values = found[name] = {}
-        for line in text.splitlines():
-            match = _COUNTER.match(line)
-            if match:
-                values[match[1], match[2] or ""] = float(match[3])
+        found[name] = parse_metrics(text)
     return found
 
 
+def parse_metrics(text):
+    """Returns the values in an exposition text by name and labels."""
+    values = {}
+    for line in text.splitlines():
+        match = _COUNTER.match(line)
+        if match:
+            values[match[1], match[2] or ""] = float(match[3])
+    return values
+
+
 def counters_difference(before, after):
     """Returns the growth of each metric, summed over the processes."""
     total = defaultdict(float)
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -5,8 +5,10 @@
 Registry of the scenarios; each runs a fleet and returns its figures as a dict.
 """
 
+import signal
 import statistics
 import time
+from datetime import datetime
 
 import gevent
 
@@ -14,7 +16,7 @@
 from standins.load import Arrival, percentile, poisson_arrivals
 
 from .delayed_fleet import DelayedFleet
-from .ideal import Outage, run_ideal, slots_of
+from .ideal import Outage, run_ideal, slots_of, work_within
 from .measure import (
     LoadRun,
     check_answers,
@@ -60,32 +62,62 @@
     return found
 
 
-def _work_done(records, arrivals, results, begin, end):
-    """Returns the work that finished in a wall-clock interval, seconds at speed 1."""
+def _runs(records, arrivals, results):
+    """Returns (start, end, work) of each task that finished, in seconds."""
     works = {
         result["job"]: arrival.work_ms
         for arrival, result in zip(arrivals, results)
         if result["job"]
     }
-    return sum(
-        works[record["job"]][record["task"]] / 1000
+    return [
+        (record["start"], record["end"], works[record["job"]][record["task"]] / 1000)
         for record in records
-        if record["end"] is not None and begin <= record["end"] < end
-    )
+        if record["end"] is not None
+    ]
 
 
 def _work_share(run, results, records, ideal, begin_s, end_s):
     """Returns the work done in an interval of the trace over that of the ideal."""
-    done = _work_done(
-        records,
-        run.arrivals,
-        results,
+    done = work_within(
+        _runs(records, run.arrivals, results),
         run.start_at + begin_s,
         run.start_at + end_s,
     )
     return round(done / ideal.work_done(begin_s, end_s), 4)
 
 
+def _slot_losses(run, results, records, slots):
+    """Returns where slots lost time, in ms a task.
+
+    `idle_slot_ms_per_task` is the time of slots that were idle while a task that was
+    due had not started; `service_excess_ms` what tasks took beyond their size on the
+    upstream stand-ins.
+    """
+    works = {result["job"]: a.work_ms for a, result in zip(run.arrivals, results)}
+    speeds = {slot.runner: slot.speed for slot in slots}
+    events = []
+    for arrival, result in zip(run.arrivals, results):
+        events.append((result["due"], len(arrival.work_ms), 0))
+    excess = []
+    for record in records:
+        if record["end"] is None:
+            continue
+        events.append((record["start"], -1, 1))
+        events.append((record["end"], 0, -1))
+        work_ms = works[record["job"]][record["task"]] / speeds[record["upstream"]]
+        excess.append((record["end"] - record["start"]) * 1000 - work_ms)
+    waiting = running = 0
+    idle_s, last = 0.0, 0.0
+    for at, more_waiting, more_running in sorted(events):
+        if waiting > 0:
+            idle_s += (len(slots) - running) * (at - last)
+        waiting, running, last = waiting + more_waiting, running + more_running, at
+    return {
+        "idle_slot_ms_per_task": round(idle_s / max(1, len(excess)) * 1000, 2),
+        "service_excess_ms": round(statistics.fmean(excess), 2),
+    }
+
+
 def _entry_cpu_s(fleet):
     return sum(
         process_cpu_s(fleet.processes[name].pid)
@@ -113,6 +145,7 @@
             **_ratios(results, ideal, options.warm_up, arrivals),
             **wasted_messages(growth, tasks),
             **check_answers(arrivals, results, records),
+            **_slot_losses(load_run, results, records, slots_of(profile.runners)),
             "entry_cpu_us_per_task_small_jobs": round(cpu / tasks * 1e6, 1),
             **lag_summary(results),
         }
@@ -188,35 +221,31 @@
 
 def _run_burst(options):
     profile = PROFILES["oberland"]
-    deadline_ms, phase_s, gap_s = 4000, 9.0, 7.0
-    at_capacity = make_trace(profile, 1.0, phase_s, options.seed, deadline_ms)
-    burst = make_trace(profile, 10.0, phase_s, options.seed + 1000, deadline_ms)
+    # Longer than nearly all tasks on the slowest upstream, shorter than the burst.
+    deadline_ms = 6000
+    first_s, second_s, begin_s = 9.0, 10.0, 3.0
+    at_capacity = make_trace(profile, 1.0, first_s, options.seed, deadline_ms)
+    burst = make_trace(profile, 10.0, second_s, options.seed + 1000, deadline_ms)
     with _fleet(options) as fleet:
-        first_run = LoadRun(fleet, at_capacity, processes=2, give_up_s=8.0)
+        first_run = LoadRun(fleet, at_capacity, processes=2, give_up_s=9.0)
         first = first_run.finish()
-        first_run.sleep_until(phase_s + gap_s)
-        second_run = LoadRun(fleet, burst, processes=4, give_up_s=8.0)
+        second_run = LoadRun(fleet, burst, processes=4, give_up_s=9.0)
         second = second_run.finish()
         records = fleet.records()
-    # From the second at which a queue exists until the load ends.
-    window = (3.0, phase_s)
     goods = [
-        _goodput(run, results, *window)
-        for run, results in ((first_run, first), (second_run, second))
+        _goodput(first_run, first, begin_s, first_s),
+        _goodput(second_run, second, begin_s, second_s),
     ]
-    job_checks = check_answers(
-        at_capacity + burst, first + second, records, unknown_allowed=False
-    )
     refusals = [
         result["response_s"] for result in second if result["outcome"] == "not_run"
     ]
     return {
         "load": 10.0,
         "goodput_share": round(goods[1] / goods[0], 3),
-        "goodput_at_capacity_of_capacity": round(goods[0] / profile.capacity, 3),
-        "goodput_at_burst_of_capacity": round(goods[1] / profile.capacity, 3),
+        "goodput_at_capacity_of_slots": round(goods[0] / profile.capacity, 3),
+        "goodput_at_burst_of_slots": round(goods[1] / profile.capacity, 3),
         "refusal_ms_p50": round(percentile(refusals, 0.5) * 1000, 1),
-        **job_checks,
+        **check_answers(at_capacity + burst, first + second, records),
         **lag_summary(second),
     }
 
@@ -305,7 +334,7 @@
     arrivals = make_trace(profile, load, end_s, options.seed)
     with _fleet(options) as fleet:
         leader = _find_leader(fleet)
-        other = next(name for name in ("r4", "r6") if name != leader)
+        other = next(name for name in ("r1", "r6") if name != leader)
         load_run = LoadRun(fleet, arrivals)
         kills = []
         # First a runner that only executes, then the home of all jobs.
@@ -373,7 +402,7 @@
     with _fleet(options, delayed=False) as fleet:
         gevent.sleep(3.0)
         idle = _measure_idle(fleet, 12.0)
-        added = _added_ms(fleet, 150)
+        added = _added_ms(fleet, 120)
     return {**idle, **added}
 
 
@@ -406,18 +435,17 @@
 
 def _added_ms(fleet, jobs):
     """Returns the added time of one-task jobs, one after the other."""
-    waits = []
-    for number in range(jobs + 20):
-        began = time.monotonic()
-        reply = fleet.submit(
-            [{"work_ms": 50, "echo": number}],
-            tenant=fleet.profile.tenants[0],
-            **{"class": fleet.profile.kinds[0].name},
-        )
-        waits.append((time.monotonic() - began, reply.json["job_id"]))
+    kind, tenant = fleet.profile.kinds[0].name, fleet.profile.tenants[0]
+    arrivals = [
+        Arrival(number, number * 0.08, tenant, kind, (20.0,)) for number in range(jobs)
+    ]
+    results = LoadRun(fleet, arrivals, processes=1).finish()
     spent = {r["job"]: r["end"] - r["start"] for r in fleet.records()}
-    # The first jobs open the connections.
-    added = [(wait - spent[job]) * 1000 for wait, job in waits[20:]]
+    # The first jobs open the connections. The lag of the load tool is its own.
+    added = [
+        (result["response_s"] - result["lag_s"] - spent[result["job"]]) * 1000
+        for result in results[10:]
+    ]
     return {
         "added_ms_p50": round(percentile(added, 0.5), 2),
         "added_ms_p99": round(percentile(added, 0.99), 2),
@@ -426,7 +454,7 @@
 
 def _run_entry_cpu(options):
     profile = PROFILES["oberland"]
-    load, seconds, work_ms = options.load or 0.5, 12.0, 100.0
+    load, seconds, work_ms = options.load or 0.5, 12.0, 40.0
     rate = load * profile.capacity / (100 * work_ms / 1000)
     kind, tenant = profile.kinds[0].name, profile.tenants[0]
     arrivals = [
@@ -460,6 +488,80 @@
     }
 
 
+# Interval in seconds and missed intervals after which a link is closed.
+_HEARTBEATS = ((0.3, 3), (1.0, 3))
+_PAUSES_S = (0.2, 0.5, 0.8, 1.2)
+
+
+def _run_heartbeats(options):
+    figures = {}
+    # Both fleets run at once, so that both see the same machine.
+    fleets = [
+        DelayedFleet(
+            PROFILES["cabinetline"],
+            delayed=False,
+            settings={
+                role: {"heartbeat_interval_s": interval, "heartbeat_misses": misses}
+                for role in ("entry", "runner")
+            },
+            entries=1,
+            runners=3,
+            proxied=True,
+        )
+        for interval, misses in _HEARTBEATS
+    ]
+    try:
+        for fleet in fleets:
+            fleet.start()
+        parts = [gevent.spawn(_measure_heartbeats, fleet) for fleet in fleets]
+        for (interval, misses), part in zip(_HEARTBEATS, parts):
+            name = f"{interval:g}s_x_{misses}"
+            figures.update({f"{k}_{name}": v for k, v in part.get(timeout=60).items()})
+    finally:
+        for fleet in fleets:
+            fleet.stop()
+    return figures
+
+
+def _measure_heartbeats(fleet):
+    """Returns cost, detection times and false alarms of one setting."""
+    gevent.sleep(2.0)
+    idle = _measure_idle(fleet, 6.0)
+    found = {
+        "cpu_share": idle["idle_cpu_share_p50"],
+        "bytes_per_s": idle["idle_bytes_per_s"],
+    }
+    detections = []
+    proxies = [fleet.proxies["r1>e1"], fleet.proxies["r2>e1"]] * 2
+    for proxy in proxies:
+        proxy.silence_open()
+        at = time.time()
+        gevent.sleep(4.0)
+        closed = [_log_time(e) - at for e in fleet.log_events("link_closed")]
+        detections += [wait for wait in closed if 0 <= wait < 4.0][:1]
+        fleet.wait_ready(len(fleet.runner_http))
+    found["detected_share"] = len(detections) / len(proxies)
+    if detections:
+        found["detection_s_p50"] = round(percentile(detections, 0.5), 2)
+        found["detection_s_max"] = round(max(detections), 2)
+    for pause_s in _PAUSES_S:
+        before = len(fleet.log_events("link_closed"))
+        for name in ("r1", "r2"):
+            fleet.signal(name, signal.SIGSTOP)
+            gevent.sleep(pause_s)
+            fleet.signal(name, signal.SIGCONT)
+            gevent.sleep(0.4)
+        fleet.wait_ready(len(fleet.runner_http))
+        closed = len(fleet.log_events("link_closed")) - before
+        # Each lost link is logged by both of its ends.
+        found[f"links_closed_by_2_pauses_of_{pause_s:g}_s"] = closed / 2
+    return found
+
+
+def _log_time(event):
+    return datetime.fromisoformat(event["time"]).timestamp()
+
+
 SCENARIOS = {
     "oberland": _run_steady("oberland"),
     "cabinetline": _run_steady("cabinetline"),
@@ -471,4 +573,5 @@
     "store-outage": _run_store_outage,
     "idle": _run_idle,
     "entry-cpu": _run_entry_cpu,
+    "heartbeats": _run_heartbeats,
 }
--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -13,8 +13,10 @@
 from testtools import TestCase
 
 from benchmarks.ideal import Outage, Slot, run_ideal
-from benchmarks.measure import check_answers
+from benchmarks.measure import check_answers, parse_metrics, wasted_messages
 from benchmarks.trace import PROFILES, make_trace
+from papayaward.state import metrics
+from papayaward.transport.link import LinkStats
 from standins.load import Arrival, judge
 
 __all__ = []
@@ -52,7 +54,8 @@
         self.assertEqual(
             [1.0, 2.0, 0.2], [round(value, 6) for value in ideal.response_s]
         )
-        self.assertEqual(1.0, ideal.work_done(0.0, 2.0))
+        # The second task has run for 1.5 of its 2 s.
+        self.assertEqual(1.75, ideal.work_done(0.0, 2.0))
 
     def test_trace_depends_on_the_seed_alone(self):
         """Guards against figures that cannot be repeated for the same load."""
@@ -73,7 +76,7 @@
         records = [record("j0"), record("j0"), record("j2"), record("j5", None)]
         outcomes = ("complete", "complete", "not_run", "not_run", None, "complete")
         results = [
-            {"job": f"j{number}", "outcome": outcome, "whole": True}
+            {"job": f"j{number}", "outcome": outcome, "whole": True, "reason": ""}
             for number, outcome in enumerate(outcomes)
         ]
         found = check_answers(arrivals, results, records)
@@ -96,6 +99,24 @@
         self.assertTrue(judge(_arrival(8, 0.0, 10), result)["whole"])
 
 
+class LinkCountersTest(TestCase):
+    def test_exported_counts_are_read_by_type(self):
+        """Guards against wasted messages that the metrics do not show."""
+        stats = LinkStats()
+        metrics.watch_links(stats)
+        stats.count_sent("SlotReport", 20)
+        stats.count_sent("SlotReport", 20)
+        stats.count_received("Heartbeat", 50)
+        text = metrics.export().decode()
+        values = parse_metrics(text)
+        sent = values["papayaward_messages_sent", 'type="SlotReport"']
+        self.assertEqual(2.0, sent)
+        self.assertEqual(40.0, values["papayaward_link_bytes_sent", ""])
+        self.assertEqual(50.0, values["papayaward_link_bytes_received", ""])
+        rate = wasted_messages(values, 20)["wasted_messages_per_task"]
+        self.assertEqual(0.1, rate)
+
+
 class ScenarioTest(TestCase):
     def test_short_run_yields_the_documented_keys(self):
         """Guards against a report that reads keys which no scenario prints."""
