--- a/papayaward/coordination/answers.py
+++ b/papayaward/coordination/answers.py
@@ -5,7 +5,7 @@
 Gives each job its outcome and sends it to the entries that wait for it.
 """
 
-from ..protocol.gen.ttypes import Answer, CancelTasks
+from ..protocol.gen.ttypes import Answer
 from ..protocol.outcomes import Outcome
 from ..state import invariants, metrics
 
@@ -27,16 +27,17 @@
     def wait_or_answer(self, link, request_id, record):
         """Answers a request now if the job is done, else when it is."""
         if record.done:
-            self.send(link, request_id, record.spec.job_id, record.outcome, record.spec)
+            self.send(
+                link, request_id, record.spec.job_id, record.outcome, record.tasks
+            )
         else:
             record.waiters.append((link, request_id))
 
-    def send(self, link, request_id, job_id, outcome, spec=None):
+    def send(self, link, request_id, job_id, outcome, tasks=None):
         """Sends an outcome to an entry."""
-        if spec is not None and outcome.outcome is Outcome.COMPLETE:
-            invariants.check(
-                "answer_whole", len(outcome.results) == len(spec.tasks), job=job_id
-            )
+        if tasks is not None and outcome.outcome is Outcome.COMPLETE:
+            whole = len(outcome.results) == tasks
+            invariants.check("answer_whole", whole, job=job_id)
         link.try_send(
             Answer(
                 request_id,
@@ -60,6 +61,7 @@
             invariants.check("not_run_is_true", not may_have_run, job=spec.job_id)
         waiters, record.waiters = record.waiters, []
         running = set(record.running.values())
+        self._dispatcher.discard(record)
         self._records.finish(record, outcome, now)
         record.timeline.add(now, "finished", outcome.outcome, outcome.reason)
         metrics.ANSWERS.labels(spec.tenant, outcome.outcome, outcome.reason).inc()
@@ -71,8 +73,6 @@
                 ratio = response_s / record.service_s
                 metrics.RESPONSE_OVER_SERVICE.labels(*labels).observe(ratio)
         for member in running:
-            view = self._dispatcher.executors.get(member)
-            if view is not None and view.link is not None:
-                view.link.try_send(CancelTasks([spec.job_id]))
+            self._dispatcher.cancel(member, spec.job_id)
         for link, request_id in waiters:
-            self.send(link, request_id, spec.job_id, outcome, spec)
+            self.send(link, request_id, spec.job_id, outcome, record.tasks)
--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -33,10 +33,12 @@
     def __init__(self, node):
         settings = node.settings
         self._settings = settings
-        self._records = JobRecords(settings.result_ttl_s, settings.max_queued_bytes)
+        self._records = JobRecords(
+            settings.result_ttl_s, settings.max_queued_bytes // 2
+        )
         self._dispatcher = Dispatcher(node, self._records)
         self._answers = Answers(self._records, self._dispatcher)
-        self._results = Results(self._dispatcher, self._answers)
+        self._results = Results(node, self._records, self._dispatcher, self._answers)
         self._intake = Intake(node, self._records, self._dispatcher, self._answers)
         self._handlers = {
             Query: self._on_query,
@@ -65,12 +67,11 @@
 
     def on_config(self):
         """Places tasks anew after a change of the configuration."""
-        self._dispatcher.wake()
+        self._dispatcher.refresh(time.monotonic())
 
     def on_members(self, members):
         """Takes the members of the cell, a list of `Member`."""
-        for view in self._dispatcher.on_members(members):
-            self._results.lose(view, time.monotonic())
+        self._dispatcher.on_members(members, time.monotonic())
 
     def on_executor_up(self, link, now):
         """Takes a link to an executor and sends it the outstanding grants again."""
@@ -99,7 +100,7 @@
             "found": True,
             "tenant": record.spec.tenant,
             "class": record.spec.job_class,
-            "tasks": len(record.spec.tasks),
+            "tasks": record.tasks,
             "missing": record.missing,
             "outcome": record.outcome.outcome if record.done else "running",
             "reason": record.outcome.reason if record.done else "",
@@ -138,9 +139,8 @@
             grace_s = self._settings.reconnect_grace_s
             if lost_at is not None and now - lost_at > grace_s:
                 self._results.lose(view, now)
-                view.lost_at = None
         for record in self._records.take_due(now):
             self._results.expire(record, now)
         self._records.expire(now)
-        if self._dispatcher.queued:
-            self._dispatcher.wake()
+        self._results.hedge_due(now)
+        self._dispatcher.refresh(now)
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -5,37 +5,72 @@
 Places queued tasks on the executors of a cell.
 """
 
+import heapq
+import logging
 import time
+from collections import deque
+from operator import attrgetter
 
 import gevent
 from gevent.event import Event
 
-from ..protocol.gen.ttypes import Grant, RunBatch
+from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
 from ..state import metrics
-from .admission import Load
+from .admission import Demand, Load, fair_share
 from .ejection import Ejection
-from .executor_views import ExecutorView
-from .fair_queue import FairQueue
-from .placement import POLICIES, SpeedEstimates
+from .executor_views import ExecutorView, Placed
+from .fair_queue import FairQueue, QueuedJob
+from .placement import (
+    BINDING_POLICIES,
+    REPORT_INTERVAL_S,
+    compare_speeds,
+    load_reports,
+    worth_waiting,
+)
+from .speeds import SpeedEstimates
 
 __all__ = ["Dispatcher"]
 
+log = logging.getLogger(__name__)
+
+_DEFAULT_PRIORITY = 10
+# Bounds the time that a slow slot is left free for a faster one, in case the
+# faster ones do not get free as expected.
+_LONGEST_HOLD_S = 0.25
+# A shorter absence of an executor is not followed by a ramp.
+_SHORT_ABSENCE_S = 0.5
+_RECENTRE_INTERVAL_S = 1.0
+_SHARE_TTL_S = 0.05
+_SUSPECT_RANK = 10_000
+
 
 class Dispatcher:
     """Queue of a home and the executors of its cell.
 
     Args:
         node: The runner.
-        records: `JobRecords`, whose kept results count against the bound on bytes.
+        records: `JobRecords`, whose bytes count against the bound.
     """
 
     def __init__(self, node, records):
+        settings = node.settings
         self._node = node
         self._records = records
         self._queue = FairQueue()
-        self._queued_bytes = 0
-        self._queued_work_s = 0.0
-        self._policy = POLICIES[node.settings.placement]
+        self._second_starts = deque()
+        self._free = {}
+        self._bind = BINDING_POLICIES.get(settings.placement)
+        self._bound = 0
+        self._reports = {}
+        self._reports_until = 0.0
+        self._holds = "hold_slow_slots" not in settings.disabled_mechanisms
+        self._hold_until = None
+        self._slots = 0
+        self._config_version = None
+        self._shares = {}
+        self._recentre_at = 0.0
+        self._cancels = {}
+        self._hedgeable = []
         self._wakeup = Event()
         self.executors = {}
         self.speeds = SpeedEstimates()
@@ -45,60 +80,127 @@
     @property
     def queued(self):
         """Number of tasks that wait for a slot."""
-        return len(self._queue)
+        return len(self._queue) + len(self._second_starts) + self._bound
+
+    @property
+    def slots(self):
+        """Slots of the usable executors."""
+        return self._slots
 
     def wake(self):
         """Places tasks in the next turn of the event loop."""
         self._wakeup.set()
 
-    def give_slot(self, tenant):
-        """Counts a slot as no longer used by a tenant."""
-        self._queue.give_slot(tenant)
+    # Queue.
 
-    def load(self):
-        """Returns the `Load` of this home."""
-        slots = sum(view.slots for view in self.executors.values() if view.usable)
+    def demand(self, spec, size):
+        """Returns the `Demand` of a job."""
+        task_s = best_s = 0.0
+        if self.speeds.knows(spec.job_class):
+            task_s = self.speeds.expected_s(spec.job_class)
+            best_s = task_s * self.speeds.least_slowness()
+        return Demand(
+            len(spec.tasks),
+            size,
+            task_s,
+            best_s,
+            self.speeds.fastest_s(spec.job_class),
+            self._priority(spec.job_class),
+            spec.deadline,
+        )
+
+    def load(self, tenant, now):
+        """Returns the `Load` of this home for a job of a tenant."""
         return Load(
-            len(self._queue),
-            self._queued_bytes + self._records.kept_bytes,
-            slots,
-            self._queued_work_s,
+            self.queued,
+            self._records.open_bytes,
+            self._slots,
+            sum(view.slots for view in self.executors.values()),
+            self._share(tenant, now),
+            self._queue.waiting_work(tenant),
         )
 
-    def enqueue(self, record, index, front=False):
-        """Queues one task."""
+    def enqueue(self, record):
+        """Queues every task of a job."""
         spec = record.spec
-        job_class = self._node.config.config.classes.get(spec.job_class)
-        priority = job_class.priority if job_class is not None else 10
-        self._queue.push(spec.tenant, priority, (record, index), front)
-        self._queued_bytes += len(spec.tasks[index])
-        self._queued_work_s += self.speeds.expected_s(spec.job_class)
-
-    def prune(self):
-        """Drops the queued tasks of jobs that are done."""
-        self._queue.prune(lambda entry: not entry[0].done)
-        if not self._queue:
-            self._queued_bytes = 0
-            self._queued_work_s = 0.0
-
-    def on_members(self, members):
-        """Takes the members of the cell; returns the views that were replaced."""
-        replaced = []
+        record.queued = QueuedJob(
+            record,
+            spec.tenant,
+            self._priority(spec.job_class),
+            spec.deadline,
+            int(self.speeds.expected_s(spec.job_class) * 1e6),
+            tuple(map(len, spec.tasks)),
+        )
+        self._queue.add(record.queued, range(len(spec.tasks)))
+        self.wake()
+
+    def put_back(self, record, index):
+        """Queues a task again whose grant was rejected."""
+        self._queue.put_back(record.queued, index)
+        self.wake()
+
+    def start_again(self, record, index, avoid):
+        """Has an idempotent task started on another executor than `avoid`."""
+        self._second_starts.append((record, index, avoid))
+        self.wake()
+
+    def start_hedge(self, record, index, avoid, now):
+        """Starts a second copy of a task if a slot is free that nobody waits for."""
+        if self._queue or self._second_starts:
+            return False
+        view = self._best_other(avoid)
+        if view is None:
+            return False
+        self._queue.take_slot(record.spec.tenant)
+        self._send_grants(view, [self._place(view, record, index, now)], now)
+        return True
+
+    def take_hedgeable(self):
+        """Returns (time to hedge, `Placed`, member) of new idempotent starts."""
+        taken, self._hedgeable = self._hedgeable, []
+        return taken
+
+    def discard(self, record):
+        """Drops the waiting tasks of a job that is done."""
+        if record.queued is not None:
+            self._queue.remove(record.queued)
+            record.queued = None
+
+    def cancel(self, member, job_id):
+        """Cancels a job at an executor; a wave of them shares one message."""
+        if not self._cancels:
+            gevent.get_hub().loop.run_callback(self._send_cancels)
+        self._cancels.setdefault(member, []).append(job_id)
+
+    def take(self, view, job_id, index, attempt):
+        """Frees the slot of a grant and returns its `Placed`, or None if unknown."""
+        key = (job_id, index)
+        placed = view.outstanding.get(key)
+        if placed is None or placed.attempt != attempt:
+            return None
+        del view.outstanding[key]
+        self._queue.give_slot(placed.record.spec.tenant)
+        return placed
+
+    # Executors.
+
+    def on_members(self, members, now):
+        """Takes the members of the cell."""
         present = {(member.member, member.incarnation) for member in members}
         for member in members:
             view = self.executors.get(member.member)
-            if view is None or view.incarnation != member.incarnation:
-                if view is not None:
-                    replaced.append(view)
-                self.executors[member.member] = ExecutorView(
-                    member.member, member.incarnation, member.domain
-                )
+            # A link shows the incarnation better than an entry's view, which may
+            # be older.
+            unused = view is None or (view.link is None and not view.outstanding)
+            if unused and (view is None or view.incarnation != member.incarnation):
+                self._add_view(member.member, member.incarnation, member.domain, now)
         for view in list(self.executors.values()):
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
+                self._unbind(view)
                 del self.executors[view.member]
-        self._wakeup.set()
-        return replaced
+                self._free.pop(view.member, None)
+        self.wake()
 
     def on_executor_up(self, link, now):
         """Takes a link to an executor and sends it the outstanding grants again.
@@ -111,13 +213,13 @@
         view = self.executors.get(hello.member)
         if view is None or view.incarnation != hello.incarnation:
             replaced = view
-            view = ExecutorView(hello.member, hello.incarnation, hello.domain)
-            self.executors[hello.member] = view
+            view = self._add_view(hello.member, hello.incarnation, hello.domain, now)
         view.link = link
         view.lost_at = None
         if view.outstanding:
             self._send_grants(view, list(view.outstanding.values()), now)
-        self._wakeup.set()
+        self.touch(view, now)
+        self.wake()
         return replaced
 
     def on_executor_down(self, link, now):
@@ -126,25 +228,109 @@
         if view is not None and view.link is link:
             view.link = None
             view.lost_at = now
+            self.touch(view, now)
+
+    def lose(self, view, now):
+        """Gives up an executor and returns its outstanding `Placed`."""
+        view.link = None
+        view.lost_at = None
+        placed = list(view.outstanding.values())
+        view.outstanding = {}
+        for one in placed:
+            self._queue.give_slot(one.record.spec.tenant)
+        self._unbind(view)
+        self.speeds.forget(view.member)
+        self.ejection.forget(view.member)
+        self.touch(view, now)
+        return placed
+
+    def touch(self, view, now):
+        """Updates what depends on the state of an executor after it changed."""
+        if self.executors.get(view.member) is not view:
+            return
+        view.in_service = view.domain not in self._node.config.config.domains_out
+        self._note_absence(view, now)
+        view.limit = self.ejection.limit(view.member, view.slots, now)
+        if now < view.paused_until:
+            view.limit = 0
+        free = view.free
+        if free <= 0:
+            self._free.pop(view.member, None)
+            return
+        rank = self.speeds.rank(view.member, bool(view.outstanding), now)
+        if self.ejection.is_suspect(view.member, now):
+            rank += _SUSPECT_RANK
+        view.order = (rank, -free, view.member)
+        self._free[view.member] = view
+
+    def refresh(self, now):
+        """Updates every executor; called at each tick and after a configuration."""
+        views = self.executors.values()
+        for view in views:
+            self.touch(view, now)
+        usable = [view for view in views if view.usable]
+        compare_speeds(usable, self.speeds.slowness)
+        if now >= self._recentre_at:
+            self._recentre_at = now + _RECENTRE_INTERVAL_S
+            self.speeds.recentre()
+        self._set_shares(sum(view.slots for view in usable))
+        if self._bind is not None:
+            for view in views:
+                if not view.usable:
+                    self._unbind(view)
+        if self.queued:
+            self.wake()
+
+    def _add_view(self, member, incarnation, domain, now):
+        view = ExecutorView(member, incarnation, domain)
+        older = self.executors.get(member)
+        if older is not None:
+            self._unbind(older)
+        self.executors[member] = view
+        self._free.pop(member, None)
+        return view
+
+    def _note_absence(self, view, now):
+        """Starts a ramp when an executor appears or comes back."""
+        if view.link is None or not view.accepting or not view.in_service:
+            if view.absent_since is None:
+                view.absent_since = now
+        elif view.absent_since is not None:
+            absent_s = now - view.absent_since
+            view.absent_since = None
+            # At the start of the whole cell there is nothing to protect.
+            if absent_s > _SHORT_ABSENCE_S and self.speeds.any_known:
+                self.ejection.start_ramp(view.member, view.slots)
 
-    def _dequeue(self, total_slots):
-        tenants = self._node.config.config.tenants
-
-        def shares(name):
-            tenant = tenants.get(name)
-            if tenant is None:
-                return 0.0, 1.0
-            return tenant.quota * total_slots, tenant.weight
-
-        item = self._queue.pop(shares, lambda entry: not entry[0].done)
-        if not self._queue:
-            self._queued_bytes = 0
-            self._queued_work_s = 0.0
-        elif item is not None:
-            record, index = item
-            self._queued_bytes -= len(record.spec.tasks[index])
-            self._queued_work_s -= self.speeds.expected_s(record.spec.job_class)
-        return item
+    def _set_shares(self, slots):
+        version = self._node.config.version
+        if slots == self._slots and version == self._config_version:
+            return
+        self._slots = slots
+        self._config_version = version
+        self._shares = {}
+        self._queue.set_shares(self._quota_and_weight)
+
+    def _quota_and_weight(self, name):
+        tenant = self._node.config.config.tenants.get(name)
+        if tenant is None:
+            return 0.0, 1.0
+        return tenant.quota * self._slots, tenant.weight
+
+    def _share(self, name, now):
+        share, until = self._shares.get(name, (0.0, 0.0))
+        if now >= until:
+            quota, weight = self._quota_and_weight(name)
+            demands = self._queue.demands()
+            share = fair_share(self._slots, name, quota, weight, demands)
+            self._shares[name] = (share, now + _SHARE_TTL_S)
+        return share
+
+    def _priority(self, name):
+        job_class = self._node.config.config.classes.get(name)
+        return _DEFAULT_PRIORITY if job_class is None else job_class.priority
+
+    # Placement.
 
     def _dispatch_loop(self):
         while True:
@@ -153,53 +339,159 @@
             self._dispatch(time.monotonic())
 
     def _dispatch(self, now):
-        self._refresh_views(now)
-        executors = list(self.executors.values())
-        total_slots = sum(view.slots for view in executors if view.usable)
         batches = {}
-        while self._queue:
-            view = self._policy(executors, self.speeds)
+        if self._second_starts:
+            self._place_second_starts(batches, now)
+        if self._bind is None:
+            self._place_on_fastest(batches, now)
+        else:
+            self._bind_tasks(now)
+            self._place_bound(batches, now)
+        for member, placed in batches.items():
+            self._send_grants(self.executors[member], placed, now)
+        metrics.QUEUED_TASKS.set(self.queued)
+
+    def _place_on_fastest(self, batches, now):
+        queue = self._queue
+        if not queue or not self._free:
+            return
+        if len(queue) == 1:
+            heap = [min(map(_order_and_view, self._free.values()))]
+        else:
+            heap = [*map(_order_and_view, self._free.values())]
+            heapq.heapify(heap)
+        while queue and heap:
+            view = heap[0][1]
+            if self._hold(view, now):
+                return
+            queued, index = queue.pop()
+            placed = self._place(view, queued.job, index, now)
+            batches.setdefault(view.member, []).append(placed)
+            if view.free > 0:
+                heapq.heapreplace(heap, _order_and_view(view))
+            else:
+                heapq.heappop(heap)
+
+    def _hold(self, view, now):
+        """Returns whether to leave the best free slot for a faster one to come."""
+        if not self._holds or not view.outranked:
+            return False
+        slowness = self.speeds.slowness(view.member)
+        waits = worth_waiting(view, slowness, len(self._queue))
+        if not waits or self.speeds.is_uncertain(view.member, now):
+            self._hold_until = None
+            return False
+        if self._hold_until is None:
+            self._hold_until = now + _LONGEST_HOLD_S
+        if now < self._hold_until:
+            return True
+        self._hold_until = None
+        return False
+
+    def _place(self, view, record, index, now):
+        attempt = record.attempts.get(index, 0) + 1
+        record.attempts[index] = attempt
+        spec = record.spec
+        placed = Placed(record, index, attempt, now)
+        view.outstanding[spec.job_id, index] = placed
+        record.running[index, attempt] = view.member
+        if spec.idempotent:
+            straggler_s = self.speeds.straggler_s(spec.job_class)
+            if straggler_s is not None:
+                self._hedgeable.append((now + straggler_s, placed, view.member))
+        self.touch(view, now)
+        record.timeline.add(now, "granted", index, "to", view.member)
+        waited_s = now - record.arrived
+        record.queue_s = max(record.queue_s, waited_s)
+        metrics.QUEUE_SECONDS.labels(spec.tenant, spec.job_class).observe(waited_s)
+        return placed
+
+    def _place_second_starts(self, batches, now):
+        waiting, self._second_starts = self._second_starts, deque()
+        for record, index, avoid in waiting:
+            if record.done:
+                continue
+            view = self._best_other(avoid)
+            if view is None and self._only_usable(avoid):
+                view = self._free.get(avoid)
             if view is None:
-                break
-            item = self._dequeue(total_slots)
-            if item is None:
-                break
-            record, index = item
-            attempt = record.attempts.get(index, 0) + 1
-            record.attempts[index] = attempt
-            entry = (record, index, attempt)
-            view.outstanding[record.spec.job_id, index] = entry
-            record.running[index] = view.member
+                self._second_starts.append((record, index, avoid))
+                continue
             self._queue.take_slot(record.spec.tenant)
-            record.timeline.add(now, "granted", index, "to", view.member)
-            waited_s = now - record.arrived
-            record.queue_s = max(record.queue_s, waited_s)
-            metrics.QUEUE_SECONDS.labels(
-                record.spec.tenant, record.spec.job_class
-            ).observe(waited_s)
-            batches.setdefault(view.member, []).append(entry)
-        for member, entries in batches.items():
-            self._send_grants(self.executors[member], entries, now)
-        metrics.QUEUED_TASKS.set(len(self._queue))
-
-    def _refresh_views(self, now):
-        domains_out = self._node.config.config.domains_out
-        for view in self.executors.values():
-            view.in_service = view.domain not in domains_out
-            view.limit = self.ejection.limit(view.member, view.slots, now)
-
-    def _send_grants(self, view, entries, now):
-        grants = [
-            Grant(
-                record.spec.job_id,
-                index,
-                attempt,
-                record.spec.tasks[index],
-                max(0, int((record.spec.deadline - now) * 1000)),
-                record.spec.tenant,
-                record.spec.job_class,
-            )
-            for record, index, attempt in entries
-        ]
-        if view.link is not None:
+            placed = self._place(view, record, index, now)
+            batches.setdefault(view.member, []).append(placed)
+
+    def _best_other(self, avoid):
+        others = (view for view in self._free.values() if view.member != avoid)
+        return min(others, key=attrgetter("order"), default=None)
+
+    def _only_usable(self, member):
+        return not any(
+            view.usable for view in self.executors.values() if view.member != member
+        )
+
+    def _send_grants(self, view, placed, now):
+        if view.link is None:
+            return
+        grants = []
+        for one in placed:
+            record = one.record
+            spec = record.spec
+            # A job that was answered meanwhile no longer holds its tasks.
+            if not record.done:
+                grants.append(
+                    Grant(
+                        spec.job_id,
+                        one.index,
+                        one.attempt,
+                        spec.tasks[one.index],
+                        max(0, int((spec.deadline - now) * 1000)),
+                        spec.tenant,
+                        spec.job_class,
+                    )
+                )
+        if grants:
             view.link.try_send(RunBatch(view.incarnation, grants))
+
+    def _send_cancels(self):
+        cancels, self._cancels = self._cancels, {}
+        for member, job_ids in cancels.items():
+            view = self.executors.get(member)
+            if view is not None and view.link is not None:
+                view.link.try_send(CancelTasks(job_ids))
+
+    # Baselines that bind a task to an executor.
+
+    def _bind_tasks(self, now):
+        usable = [view for view in self.executors.values() if view.usable]
+        if not usable:
+            return
+        if now >= self._reports_until:
+            self._reports = load_reports(usable)
+            self._reports_until = now + REPORT_INTERVAL_S
+        while self._queue:
+            self._bind(usable, self._reports).backlog.append(self._queue.pop())
+            self._bound += 1
+
+    def _place_bound(self, batches, now):
+        for view in self.executors.values():
+            while view.backlog and view.free > 0:
+                queued, index = view.backlog.popleft()
+                self._bound -= 1
+                if queued.job.done:
+                    self._queue.give_slot(queued.tenant)
+                    continue
+                placed = self._place(view, queued.job, index, now)
+                batches.setdefault(view.member, []).append(placed)
+
+    def _unbind(self, view):
+        self._bound -= len(view.backlog)
+        while view.backlog:
+            queued, index = view.backlog.pop()
+            self._queue.give_slot(queued.tenant)
+            if not queued.job.done:
+                self._queue.put_back(queued, index)
+
+
+def _order_and_view(view):
+    return view.order, view
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -19,6 +19,7 @@
 from ..state.started_tasks import StartedTasks
 from ..transport.upstream_http import NotSent, UpstreamClient, UpstreamLost
 from .gate import GateState, check_start
+from .usable_slots import UsableSlots
 
 __all__ = ["Executor", "Upstream"]
 
@@ -47,6 +48,10 @@
     instance: str = ""
 
 
+def _place(upstream):
+    return upstream.host, upstream.port
+
+
 def _as_json(body):
     """Returns the body if it is JSON, else the body as a JSON string."""
     try:
@@ -67,8 +72,10 @@
     def __init__(self, node):
         self._node = node
         self._upstream = None
+        self._present = False
         self._announced = 0.0
         self._client = None
+        self._usable = UsableSlots()
         self._slots = 0
         self._running = {}
         self._started = StartedTasks()
@@ -98,32 +105,35 @@
 
     def announce(self, upstream, now):
         """Takes an announcement of the upstream."""
-        previous = self._upstream
+        previous, was_present = self._upstream, self._present
         self._announced = now
-        if upstream == previous:
+        self._present = True
+        if upstream == previous and was_present:
             return
         self._upstream = upstream
-        moved = previous is None or (previous.host, previous.port) != (
-            upstream.host,
-            upstream.port,
-        )
-        if moved:
+        if previous is None or _place(previous) != _place(upstream):
             self._client = UpstreamClient(upstream.host, upstream.port)
-        if moved or previous.slots != upstream.slots:
-            self._slots = upstream.slots
+        if previous is None or previous.instance != upstream.instance:
+            # What an earlier process refused says nothing about this one.
+            self._usable = UsableSlots()
+        self._usable.announce(upstream.slots)
+        self._slots = self._usable.usable(now)
         log.info(
             "upstream_announced",
             extra={"slots": upstream.slots, "leaving": upstream.leaving},
         )
         self.report_to_all()
 
-    def expire_upstream(self, now):
-        """Drops an upstream that stopped announcing itself."""
-        if self._upstream is None:
-            return
-        if now - self._announced > self._node.settings.announce_ttl_s:
-            log.warning("upstream_gone", extra={"last_announced_s": self._announced})
-            self._upstream = None
+    def tick(self, now):
+        """Drops an upstream that is silent; reports a change of usable slots."""
+        silent_s = now - self._announced
+        if self._present and silent_s > self._node.settings.announce_ttl_s:
+            log.warning("upstream_gone", extra={"silent_s": round(silent_s, 1)})
+            self._present = False
+            self.report_to_all()
+        slots = self._usable.usable(now)
+        if slots != self._slots:
+            self._slots = slots
             self.report_to_all()
 
     def on_message(self, link, message, now):
@@ -157,7 +167,7 @@
         return SlotReport(self._slots, others, self.accepting)
 
     def _gate_state(self):
-        upstream = self._upstream
+        upstream = self._upstream if self._present else None
         node = self._node
         return GateState(
             incarnation=node.incarnation,
@@ -245,16 +255,20 @@
         try:
             status, body = self._client.post("/run", grant.body, headers)
         except NotSent:
-            # Not offered again until the next announcement.
-            self._upstream = None
+            # Not offered again until the next announcement, and then with care.
+            self._present = False
+            self._usable.on_unreachable(time.monotonic())
             return TaskStatus.REJECTED, b"", Reason.UPSTREAM_GONE
         except UpstreamLost:
             return TaskStatus.LOST, b"", Reason.TASK_LOST
-        if status == _HTTP_OK:
-            return TaskStatus.OK, _as_json(body), Reason.NONE
         if status == _HTTP_TOO_MANY_REQUESTS:
-            self._slots = max(1, len(self._running) - 1)
+            now = time.monotonic()
+            self._usable.on_refused(len(self._running) - 1, now)
+            self._slots = self._usable.usable(now)
             return TaskStatus.REJECTED, b"", Reason.NO_SLOT
+        self._usable.on_served()
+        if status == _HTTP_OK:
+            return TaskStatus.OK, _as_json(body), Reason.NONE
         return TaskStatus.FAILED, body[:1000], Reason.TASK_FAILED
 
     def _finish(self, home, key, value, started):
--- a/papayaward/coordination/executor_views.py
+++ b/papayaward/coordination/executor_views.py
@@ -5,7 +5,34 @@
 What a coordinator knows of each executor of its cell.
 """
 
-__all__ = ["ExecutorView"]
+from collections import deque
+
+__all__ = ["ExecutorView", "Placed"]
+
+# Rejections in a row, beyond one for each slot, after which an executor gets no
+# grants for a while: each costs two messages and starts nothing.
+_REJECTIONS = 8
+_REJECTION_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 2.0
+
+
+class Placed:
+    """One grant: a task that was given to an executor.
+
+    Args:
+        record: `JobRecord`.
+        index: Index of the task.
+        attempt: Number of the grant, from 1.
+        now: Monotonic time of the grant, seconds.
+    """
+
+    __slots__ = ("record", "index", "attempt", "granted")
+
+    def __init__(self, record, index, attempt, now):
+        self.record = record
+        self.index = index
+        self.attempt = attempt
+        self.granted = now
 
 
 class ExecutorView:
@@ -28,7 +55,24 @@
         self.accepting = False
         self.in_service = True
         self.limit = 0
+        # Order of placement: rank by speed, free slots with the sign changed, name.
+        self.order = (0, 0, member)
+        self.paused_until = 0.0
+        # A new executor counts as one that was away for long.
+        self.absent_since = float("-inf")
+        # Executors that are faster: their tasks per task of an average executor's
+        # time, and their mean slowness.
+        self.faster_rate = 0.0
+        self.faster_slowness = 0.0
         self.outstanding = {}
+        # Tasks that a baseline policy has bound to this executor.
+        self.backlog = deque()
+        self._rejections = 0
+
+    @property
+    def outranked(self):
+        """Whether faster executors are known."""
+        return self.faster_rate > 0.0
 
     @property
     def usable(self):
@@ -53,3 +97,15 @@
         self.slots = report.slots
         self.used_by_others = report.used_by_others
         self.accepting = report.accepting
+
+    def on_start(self):
+        """Notes that a grant led to a start."""
+        self._rejections = 0
+
+    def on_rejection(self, now):
+        """Notes a rejected grant; many in a row pause the executor."""
+        self._rejections += 1
+        excess = self._rejections - max(_REJECTIONS, self.slots)
+        if excess > 0:
+            pause_s = _REJECTION_PAUSE_S * 2 ** min(excess, 10)
+            self.paused_until = now + min(_LONGEST_PAUSE_S, pause_s)
--- a/papayaward/coordination/intake.py
+++ b/papayaward/coordination/intake.py
@@ -75,7 +75,8 @@
             tenant=message.tenant,
             job_class=message.job_class,
             deadline=now + message.deadline_ms / 1000,
-            idempotent=message.idempotent,
+            # Tasks of jobs are never started a second time.
+            idempotent=message.idempotent and len(message.tasks) == 1,
             tasks=tuple(message.tasks),
         )
         record = JobRecord(spec, now)
@@ -122,14 +123,11 @@
         if self._node.draining:
             self._refuse(record, Reason.DRAINING, "the home is stopping", 100, now)
             return
-        expected_s = self._dispatcher.speeds.expected_s(spec.job_class)
         refusal = check_admission(
-            self._dispatcher.load(),
+            self._dispatcher.load(spec.tenant, now),
             self._settings,
-            len(spec.tasks),
-            record.size,
-            expected_s * len(spec.tasks),
-            spec.deadline - now,
+            self._dispatcher.demand(spec, record.size),
+            now,
         )
         if refusal.reason is not Reason.NONE:
             self._refuse(
@@ -139,11 +137,10 @@
         record.timeline.add(
             now, "accepted", f"{self._dispatcher.queued} tasks queued before"
         )
-        for index in range(len(spec.tasks)):
-            self._dispatcher.enqueue(record, index)
-        if not spec.tasks:
+        if spec.tasks:
+            self._dispatcher.enqueue(record)
+        else:
             self._answers.finish(record, JobOutcome(Outcome.COMPLETE), now)
-        self._dispatcher.wake()
 
     def _refuse(self, record, reason, detail, retry_after_ms, now):
         outcome = JobOutcome(
@@ -191,5 +188,4 @@
                 )
                 self._answers.finish(record, outcome, now)
                 cancelled += 1
-        self._dispatcher.prune()
         link.try_send(CancelReply(message.request_id, cancelled))
--- a/papayaward/coordination/placement.py
+++ b/papayaward/coordination/placement.py
@@ -2,80 +2,93 @@
 papayaward.coordination.placement
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Policies that choose an executor for the next task, and learned speeds.
+Policies that choose an executor for the next task.
+
+`fastest_free` gives a task the fastest free slot when it starts. The others are
+baselines for measurements: they bind a task to an executor when it is submitted,
+and the task waits in that executor's backlog.
 """
 
 import random
 
-__all__ = ["POLICIES", "SpeedEstimates"]
+__all__ = [
+    "BINDING_POLICIES",
+    "FASTEST_FREE",
+    "REPORT_INTERVAL_S",
+    "compare_speeds",
+    "load_reports",
+    "worth_waiting",
+]
 
-# Weight of one sample in the moving averages: the last twenty or so tasks count.
-_SAMPLE_WEIGHT = 0.1
+FASTEST_FREE = "fastest_free"
 
+# Age up to which the baseline `reports` uses a load report, seconds. Reports
+# would travel with the heartbeats.
+REPORT_INTERVAL_S = 0.3
 
-class SpeedEstimates:
-    """Slowness of each executor, learned from service times.
+# Waiting must finish a task earlier by this part of its time on the slow slot.
+_WAIT_MARGIN = 0.05
 
-    Slowness is the moving average of an executor's service time over the class's
-    average, so 1 is an average executor and 2 one that takes twice as long. What
-    an upstream declares is not used.
-    """
 
-    def __init__(self):
-        self._class_average = {}
-        self._slowness = {}
-
-    def add(self, executor, job_class, service_s):
-        """Adds the service time of a finished task."""
-        average = self._class_average.get(job_class)
-        slowness = self._slowness.get(executor, 1.0)
-        normal = service_s / max(slowness, 1e-3)
-        if average is None:
-            self._class_average[job_class] = service_s
-            self._slowness.setdefault(executor, 1.0)
-            return
-        self._class_average[job_class] = average + _SAMPLE_WEIGHT * (normal - average)
-        ratio = service_s / max(average, 1e-6)
-        self._slowness[executor] = slowness + _SAMPLE_WEIGHT * (ratio - slowness)
-
-    def slowness(self, executor):
-        """Returns the slowness of an executor, 1 when nothing is known."""
-        return self._slowness.get(executor, 1.0)
-
-    def expected_s(self, job_class, default=0.3):
-        """Returns the expected service time of a class on an average executor."""
-        return self._class_average.get(job_class, default)
-
-    def forget(self, executor):
-        """Drops what was learned about an executor."""
-        self._slowness.pop(executor, None)
-
-
-def fastest_free(executors, speeds):
-    """Chooses the free slot with the lowest learned slowness."""
-    free = [executor for executor in executors if executor.free > 0]
-    if not free:
-        return None
-    return min(free, key=lambda e: (speeds.slowness(e.member), -e.free))
-
-
-def random_executor(executors, speeds):
-    """Chooses any executor, free or not; a baseline for measurements."""
-    usable = [executor for executor in executors if executor.usable]
-    return random.choice(usable) if usable else None
-
-
-def power_of_two(executors, speeds):
-    """Chooses the shorter queue of two random executors; a baseline."""
-    usable = [executor for executor in executors if executor.usable]
-    if not usable:
-        return None
-    pair = random.sample(usable, min(2, len(usable)))
-    return max(pair, key=lambda executor: executor.free)
-
-
-POLICIES = {
-    "fastest_free": fastest_free,
-    "random": random_executor,
+def _load(view):
+    return (len(view.backlog) + len(view.outstanding)) / max(1, view.slots)
+
+
+def random_executor(views, reports):
+    """Chooses any executor."""
+    return random.choice(views)
+
+
+def power_of_two(views, reports):
+    """Chooses the less loaded of two random executors."""
+    return min(random.sample(views, min(2, len(views))), key=_load)
+
+
+def least_reported(views, reports):
+    """Chooses the executor with the least load in the last periodic report."""
+    return min(views, key=lambda view: (reports.get(view.member, 0), random.random()))
+
+
+# Functions of the usable views and of the load by member in the last report.
+BINDING_POLICIES = {
     "power_of_two": power_of_two,
+    "random": random_executor,
+    "reports": least_reported,
 }
+
+
+def load_reports(views):
+    """Returns the load of each executor by member."""
+    return {view.member: _load(view) for view in views}
+
+
+def compare_speeds(views, slowness):
+    """Sets for each view how fast the faster executors work off tasks.
+
+    Args:
+        views: Usable views.
+        slowness: Function of a member's name that returns its slowness.
+    """
+    rate, slots = 0.0, 0
+    ordered = sorted((slowness(view.member), view.member, view) for view in views)
+    for slow, _, view in ordered:
+        view.faster_rate = rate
+        view.faster_slowness = slots / rate if rate else 0.0
+        rate += view.slots / slow
+        slots += view.slots
+
+
+def worth_waiting(view, slowness, waiting):
+    """Returns whether the last of some tasks finishes earlier by waiting.
+
+    Times are in units of the task's time on an average executor.
+
+    Args:
+        view: View of the executor with the fastest free slot.
+        slowness: Slowness of that executor.
+        waiting: Number of tasks that wait, at least 1.
+    """
+    if not view.faster_rate:
+        return False
+    by_waiting = waiting / view.faster_rate + view.faster_slowness
+    return by_waiting < slowness * (1 - _WAIT_MARGIN)
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -5,34 +5,42 @@
 What a home does with results, rejections and losses of tasks.
 """
 
+import heapq
 import logging
+from itertools import count
 
 import gevent
 
 from ..protocol.gen.ttypes import ResultBatch, SlotReport
 from ..protocol.outcomes import JobOutcome, Outcome, Reason, TaskStatus
 from ..state import invariants, metrics
-from .retries import RetryBudget, backoff_s
+from .retries import MAX_RETRIES, RetryBudget, backoff_s
 
 __all__ = ["Results"]
 
 log = logging.getLogger(__name__)
 
-_MAX_RETRIES = 3
-
 
 class Results:
     """Takes what became of the granted tasks.
 
     Args:
+        node: The runner.
+        records: `JobRecords`.
         dispatcher: `Dispatcher` that granted them.
         answers: `Answers`.
     """
 
-    def __init__(self, dispatcher, answers):
+    def __init__(self, node, records, dispatcher, answers):
+        disabled = node.settings.disabled_mechanisms
+        self._records = records
         self._dispatcher = dispatcher
         self._answers = answers
         self._budget = RetryBudget()
+        self._ejects = "ejection" not in disabled
+        self._hedges = "hedging" not in disabled
+        self._hedge_heap = []
+        self._sequence = count()
 
     @property
     def handlers(self):
@@ -41,13 +49,8 @@
 
     def lose(self, view, now):
         """Gives up the tasks of an executor that is gone."""
-        view.link = None
-        outstanding, view.outstanding = view.outstanding, {}
-        for key, (record, index, _) in outstanding.items():
-            self._dispatcher.give_slot(record.spec.tenant)
-            self._task_lost(record, index, view.member, now)
-        self._dispatcher.speeds.forget(view.member)
-        self._dispatcher.ejection.forget(view.member)
+        for placed in self._dispatcher.lose(view, now):
+            self._task_lost(placed, view.member, now)
 
     def expire(self, record, now):
         """Answers a job whose deadline has passed."""
@@ -68,6 +71,7 @@
         view = self._dispatcher.executors.get(link.peer.member)
         if view is not None and view.link is link:
             view.on_report(report)
+            self._dispatcher.touch(view, now)
             self._dispatcher.wake()
 
     def _on_results(self, link, batch, now):
@@ -77,52 +81,60 @@
         if batch.report is not None:
             view.on_report(batch.report)
         for result in batch.results:
-            key = (result.job_id, result.index)
-            entry = view.outstanding.get(key)
-            if entry is None or entry[2] != result.attempt:
-                continue
-            del view.outstanding[key]
-            record, index, _ = entry
-            self._dispatcher.give_slot(record.spec.tenant)
-            self._on_task_result(view, record, index, result, now)
+            placed = self._dispatcher.take(
+                view, result.job_id, result.index, result.attempt
+            )
+            if placed is not None:
+                self._on_task_result(view, placed, result, now)
+        self._dispatcher.touch(view, now)
         self._dispatcher.wake()
 
-    def _on_task_result(self, view, record, index, result, now):
+    def _on_task_result(self, view, placed, result, now):
+        record = placed.record
         status = result.status
-        record.running.pop(index, None)
+        record.running.pop((placed.index, placed.attempt), None)
         if status == TaskStatus.REJECTED:
-            self._on_rejected(view, record, index, result, now)
+            self._on_rejected(view, placed, result, now)
             return
+        view.on_start()
         record.started += 1
         if status != TaskStatus.CANCELLED:
             service_s = result.service_us / 1e6
             spec = record.spec
-            metrics.SERVICE_SECONDS.labels(spec.tenant, spec.job_class).observe(
-                service_s
-            )
+            labels = (spec.tenant, spec.job_class)
+            metrics.SERVICE_SECONDS.labels(*labels).observe(service_s)
             self._note_health(view, spec, status, service_s, now)
         if record.done:
             return
         if status == TaskStatus.OK:
-            self._on_task_ok(record, index, result, now)
+            self._on_task_ok(placed, result, now)
         elif status == TaskStatus.FAILED:
-            self._on_task_failed(record, index, result, view.member, now)
+            self._on_task_failed(placed, result, view.member, now)
         else:
-            self._task_lost(record, index, view.member, now)
+            self._task_lost(placed, view.member, now)
 
     def _note_health(self, view, spec, status, service_s, now):
         succeeded = status == TaskStatus.OK
+        dispatcher = self._dispatcher
         if succeeded:
-            self._dispatcher.speeds.add(view.member, spec.job_class, service_s)
-            self._budget.on_success()
-        if self._dispatcher.ejection.add(view.member, succeeded, view.slots, now):
+            dispatcher.speeds.add(view.member, spec.job_class, service_s, now)
+            self._budget.on_success(now)
+        kind = (spec.tenant, spec.job_class)
+        executors = len(dispatcher.executors)
+        if self._ejects and dispatcher.ejection.add(
+            view.member, kind, succeeded, view.slots, executors, now
+        ):
             log.warning("executor_ejected", extra={"executor": view.member})
 
-    def _on_task_ok(self, record, index, result, now):
+    def _on_task_ok(self, placed, result, now):
+        record, index = placed.record, placed.index
         invariants.check(
             "result_once", record.results[index] is None, job=record.spec.job_id
         )
+        if placed.attempt > 1 and record.running:
+            metrics.HEDGES.labels("won").inc()
         record.results[index] = result.body
+        self._records.grow(record, len(result.body))
         record.missing -= 1
         record.service_s = max(record.service_s, result.service_us / 1e6)
         if record.missing:
@@ -136,51 +148,84 @@
         )
         self._answers.finish(record, outcome, now)
 
-    def _on_task_failed(self, record, index, result, member, now):
+    def _on_task_failed(self, placed, result, member, now):
+        record, index = placed.record, placed.index
+        if _other_copy_runs(record, index):
+            return
         detail = f"task {index} failed on {member}: {result.reason}"
-        if self._retry(record, index, detail, now):
+        if self._retry(record, index, member, detail, now):
             return
         outcome = JobOutcome(
             Outcome.FAILED, Reason(result.reason), detail, started=record.started
         )
         self._answers.finish(record, outcome, now)
 
-    def _on_rejected(self, view, record, index, result, now):
+    def _on_rejected(self, view, placed, result, now):
+        record, index = placed.record, placed.index
+        view.on_rejection(now)
         record.timeline.add(now, "rejected", index, view.member, result.reason)
-        if record.done:
+        if record.done or _other_copy_runs(record, index):
             return
         if record.spec.deadline <= now:
             self.expire(record, now)
         else:
-            self._dispatcher.enqueue(record, index, front=True)
+            self._dispatcher.put_back(record, index)
 
-    def _task_lost(self, record, index, member, now):
-        record.running.pop(index, None)
+    def _task_lost(self, placed, member, now):
+        record, index = placed.record, placed.index
+        record.running.pop((index, placed.attempt), None)
         record.maybe_started = True
-        if record.done:
+        if record.done or _other_copy_runs(record, index):
             return
         detail = f"task {index} may have run on {member}, its result is lost"
-        if self._retry(record, index, detail, now):
+        if self._retry(record, index, member, detail, now):
             return
         outcome = JobOutcome(
             Outcome.UNKNOWN, Reason.TASK_LOST, detail, started=record.started
         )
         self._answers.finish(record, outcome, now)
 
-    def _retry(self, record, index, detail, now):
-        """Schedules an idempotent task again and returns whether it may be."""
-        attempt = record.attempts[index]
-        if not record.spec.idempotent or attempt > _MAX_RETRIES:
+    # Second starts of idempotent requests.
+
+    def _retry(self, record, index, member, detail, now):
+        """Starts an idempotent task again and returns whether it may be."""
+        if not record.spec.idempotent or record.second_starts >= MAX_RETRIES:
             return False
-        if not self._budget.take():
+        if not self._budget.take(now):
             record.timeline.add(now, "retry_refused", Reason.RETRY_BUDGET)
             return False
-        delay_s = backoff_s(attempt)
+        record.second_starts += 1
+        delay_s = backoff_s(record.second_starts)
         record.timeline.add(now, "retry", index, detail)
-        gevent.spawn_later(delay_s, self._requeue, record, index)
+        gevent.spawn_later(delay_s, self._start_again, record, index, member)
         return True
 
-    def _requeue(self, record, index):
+    def _start_again(self, record, index, avoid):
         if not record.done:
-            self._dispatcher.enqueue(record, index, front=True)
-            self._dispatcher.wake()
+            self._dispatcher.start_again(record, index, avoid)
+
+    def hedge_due(self, now):
+        """Starts second copies of idempotent requests that take long."""
+        if not self._hedges:
+            return
+        heap = self._hedge_heap
+        for due, placed, member in self._dispatcher.take_hedgeable():
+            heapq.heappush(heap, (due, next(self._sequence), placed, member))
+        while heap and heap[0][0] <= now:
+            _, _, placed, member = heapq.heappop(heap)
+            record = placed.record
+            if record.done or (placed.index, placed.attempt) not in record.running:
+                continue
+            if record.second_starts >= MAX_RETRIES or not self._budget.take(now):
+                continue
+            if self._dispatcher.start_hedge(record, placed.index, member, now):
+                record.second_starts += 1
+                record.timeline.add(now, "hedged", placed.index)
+                metrics.HEDGES.labels("started").inc()
+            else:
+                self._budget.give_back()
+
+
+def _other_copy_runs(record, index):
+    """Returns whether a hedged task still runs elsewhere."""
+    return bool(record.second_starts) and any(k[0] == index for k in record.running)
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -217,7 +217,7 @@
         while True:
             gevent.sleep(_TICK_S)
             now = time.monotonic()
-            self.executor.expire_upstream(now)
+            self.executor.tick(now)
             accepting = self.executor.accepting
             if accepting != self._was_accepting:
                 self._was_accepting = accepting
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -7,13 +7,21 @@
 
 import heapq
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import count
 
+from ..protocol.outcomes import Outcome
 from .timeline import Timeline
 
 __all__ = ["JobRecord", "JobRecords", "JobSpec"]
 
+# Memory of a record without tasks and results, about.
+_RECORD_BYTES = 1000
+
+# Refused jobs are kept apart, so that a flood of them does not push out answers.
+# After that the number's bit in its block still tells a duplicate.
+_MAX_REFUSED = 20_000
+
 
 @dataclass(frozen=True)
 class JobSpec:
@@ -42,7 +50,9 @@
     """One job at its home.
 
     `started` counts tasks known to have started; `maybe_started` is set when the
-    fate of a granted task is not known.
+    fate of a granted task is not known. `running` maps (index, attempt) to the
+    executor. `tasks` is the number of tasks, which a finished job keeps without
+    the tasks themselves.
 
     Args:
         spec: What was submitted.
@@ -51,10 +61,13 @@
 
     __slots__ = (
         "spec",
+        "tasks",
+        "queued",
         "arrived",
         "results",
         "missing",
         "attempts",
+        "second_starts",
         "started",
         "maybe_started",
         "running",
@@ -70,10 +83,13 @@
     def __init__(self, spec, now):
         tasks = len(spec.tasks)
         self.spec = spec
+        self.tasks = tasks
+        self.queued = None
         self.arrived = now
         self.results = [None] * tasks
         self.missing = tasks
         self.attempts = {}
+        self.second_starts = 0
         self.started = 0
         self.maybe_started = False
         self.running = {}
@@ -107,7 +123,9 @@
         self._max_bytes = max_bytes
         self._records = {}
         self._finished = deque()
+        self._refused = deque()
         self._kept_bytes = 0
+        self._open_bytes = 0
         self._open = 0
         self._deadlines = []
         self._sequence = count()
@@ -123,6 +141,7 @@
         """Adds the record of a new job."""
         self._records[record.spec.job_id] = record
         self._open += 1
+        self._open_bytes += record.size
         due = (record.spec.deadline, next(self._sequence), record)
         heapq.heappush(self._deadlines, due)
 
@@ -140,6 +159,16 @@
                 due.append(record)
         return due
 
+    @property
+    def open_bytes(self):
+        """Bytes of the tasks and results of jobs without an outcome."""
+        return self._open_bytes
+
+    def grow(self, record, size):
+        """Counts bytes that were added to an open record."""
+        record.size += size
+        self._open_bytes += size
+
     @property
     def kept_bytes(self):
         """Bytes of the kept results of finished jobs."""
@@ -148,13 +177,20 @@
     def finish(self, record, outcome, now):
         """Sets the outcome of a record and starts its retention."""
         self._open -= 1
+        self._open_bytes -= record.size
         record.outcome = outcome
         record.finished = now
         record.results = ()
         record.running = {}
-        record.size = sum(map(len, outcome.results))
-        self._kept_bytes += record.size
-        self._finished.append(record)
+        # The tasks would otherwise stay in memory as long as the answer.
+        record.spec = replace(record.spec, tasks=())
+        if outcome.outcome is Outcome.NOT_RUN:
+            record.size = 0
+            self._refused.append(record)
+        else:
+            record.size = _RECORD_BYTES + sum(map(len, outcome.results))
+            self._kept_bytes += record.size
+            self._finished.append(record)
         self.expire(now)
 
     def expire(self, now):
@@ -167,3 +203,10 @@
             self._finished.popleft()
             self._kept_bytes -= record.size
             self._records.pop(record.spec.job_id, None)
+        while self._refused:
+            record = self._refused[0]
+            fits = len(self._refused) <= _MAX_REFUSED
+            if fits and now - record.finished < self._ttl_s:
+                break
+            self._refused.popleft()
+            self._records.pop(record.spec.job_id, None)
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -11,6 +11,7 @@
     "ANSWERS",
     "CONFIG_VERSION",
     "EVIDENCE_AGE",
+    "HEDGES",
     "INVARIANT_VIOLATIONS",
     "QUEUED_TASKS",
     "QUEUE_SECONDS",
@@ -65,6 +66,11 @@
     "Violations of invariants; any is a fault of the program.",
     ("invariant",),
 )
+HEDGES = Counter(
+    "papayaward_hedges_total",
+    "Second copies of slow idempotent requests, started and answered first.",
+    ("event",),
+)
 QUEUED_TASKS = Gauge(
     "papayaward_queued_tasks", "Tasks that wait for a slot at this coordinator."
 )
