Test the decisions under load as functions of the time

Cause: the decision modules had no tests of their own.

An unmeasured executor ranked as one step faster than average and so stayed behind a much faster one; it now ranks first while idle. The doubt about an idle executor was capped below the gap to a fast one, so a slow executor that recovered was never tried again. One straggler moved a regular executor's speed by 60 percent; the spread of a class has a floor now.

A tenant may now hold as many queued tasks and bytes as it leaves free, so one that floods leaves room for others (before: one shared bound).

--- a/papayaward/coordination/admission.py
+++ b/papayaward/coordination/admission.py
@@ -36,7 +36,9 @@
 
     Attributes:
         queued_tasks: Tasks that wait for a slot.
-        queued_bytes: Bytes of the tasks of open jobs.
+        queued_bytes: Bytes of the open jobs.
+        tenant_tasks: Waiting tasks of the job's tenant.
+        tenant_bytes: Bytes of its open jobs.
         slots: Slots that may be used now.
         all_slots: Slots of every executor of the cell.
         share_slots: Slots that the job's tenant gets while all tenants that have
@@ -47,6 +49,8 @@
 
     queued_tasks: int
     queued_bytes: int
+    tenant_tasks: int
+    tenant_bytes: int
     slots: int
     all_slots: int
     share_slots: float
@@ -143,18 +147,21 @@
     refusal = _check_possible(load, settings, demand, remaining_s)
     if refusal is not None:
         return refusal
-    task_us = demand.task_s * _US
     waiting_us = sum(load.waiting_us.values())
     drain_s = waiting_us / _US / max(1.0, load.share_slots)
-    if load.queued_tasks + demand.tasks > settings.max_queued_tasks:
+    # A tenant may take as much as it leaves free, so one that floods the queue
+    # leaves room for the others.
+    free_tasks = settings.max_queued_tasks - load.queued_tasks
+    if load.tenant_tasks + demand.tasks > free_tasks:
         return _overloaded("too many queued tasks", drain_s / 2)
-    if load.queued_bytes + demand.size > _open_bytes_bound(settings):
+    free_bytes = _open_bytes_bound(settings) - load.queued_bytes
+    if load.tenant_bytes + demand.size > free_bytes:
         return _overloaded("too many queued bytes", drain_s / 2)
     if not load.slots:
         # Nothing is known of the executors yet, or all are out of reach for a
         # moment; the deadline bounds the wait.
         return ACCEPTED
-    excess_s = _excess_s(load, demand, task_us * demand.tasks, now)
+    excess_s = _excess_s(load, demand, now)
     if excess_s > 0:
         detail = f"the queue exceeds what the deadlines allow by {excess_s:.1f} s"
         return _overloaded(detail, excess_s)
@@ -182,13 +189,14 @@
     return None
 
 
-def _excess_s(load, demand, work_us, now):
+def _excess_s(load, demand, now):
     """Returns by how much the job makes a deadline be missed, 0 or less for none.
 
     Work is summed in the order in which it is started, and each deadline from
     the job's own on is checked, so that a job that goes first does not cost a
     job that was accepted before it its deadline.
     """
+    work_us = demand.tasks * demand.task_s * _US
     capacity_us = max(load.share_slots, _LEAST_SHARE_SLOTS) * _US
     own = (demand.priority, int(demand.deadline / BUCKET_S))
     # The last task to start still has to run, and may be a short one.
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -114,6 +114,8 @@
         return Load(
             self.queued,
             self._records.open_bytes,
+            self._queue.waiting(tenant),
+            self._records.tenant_bytes(tenant),
             self._slots,
             sum(view.slots for view in self.executors.values()),
             self._share(tenant, now),
--- a/papayaward/coordination/fair_queue.py
+++ b/papayaward/coordination/fair_queue.py
@@ -131,6 +131,11 @@
             for tenant in self._tenants.values()
         ]
 
+    def waiting(self, name):
+        """Returns the number of a tenant's waiting tasks."""
+        tenant = self._tenants.get(name)
+        return 0 if tenant is None else tenant.tasks
+
     def waiting_work(self, name):
         """Returns a tenant's waiting work in microseconds by `QueuedJob.bucket`."""
         tenant = self._tenants.get(name)
--- a/papayaward/coordination/speeds.py
+++ b/papayaward/coordination/speeds.py
@@ -15,11 +15,13 @@
 
 # Variances are of natural logarithms of service times.
 _NEW_EXECUTOR_VARIANCE = 1.0
+# Bounds how much faster than last seen an idle executor may be thought: 20 times.
+_LARGEST_VARIANCE = 9.0
 _NEW_CLASS_VARIANCE = 0.25
-_LEAST_VARIANCE = 0.01
+_LEAST_VARIANCE = 0.03
 # Change of an executor's speed that is expected between two of its tasks, and in
 # each second in which it runs none.
-_DRIFT_PER_TASK = 0.001
+_DRIFT_PER_TASK = 0.0001
 _DRIFT_PER_IDLE_S = 0.005
 
 # As many deviations in a row by this many standard deviations mean that the
@@ -33,6 +35,8 @@
 
 # Steps of the rank: smaller differences of speed than 3 % are noise.
 _RANK_STEP = 0.03
+# Before every executor that was measured.
+_UNMEASURED_RANK = -1000
 # An estimate that is less certain than this is tried with one task.
 _UNCERTAIN_DEVIATION = 0.3
 
@@ -130,7 +134,7 @@
         """
         speed = self._executors.get(executor)
         if speed is None:
-            return 0 if busy else round(-_NEW_EXECUTOR_VARIANCE / _RANK_STEP)
+            return 0 if busy else _UNMEASURED_RANK
         log = speed.log
         if not busy:
             deviation = math.sqrt(self._variance(speed, now))
@@ -172,7 +176,7 @@
 
     def _variance(self, speed, now):
         idle_s = max(0.0, now - speed.updated - 1.0)
-        return min(_NEW_EXECUTOR_VARIANCE, speed.variance + _DRIFT_PER_IDLE_S * idle_s)
+        return min(_LARGEST_VARIANCE, speed.variance + _DRIFT_PER_IDLE_S * idle_s)
 
     def _update_executor(self, speed, usual, log_s, now):
         variance = self._variance(speed, now) + _DRIFT_PER_TASK
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -126,6 +126,7 @@
         self._refused = deque()
         self._kept_bytes = 0
         self._open_bytes = 0
+        self._tenant_bytes = {}
         self._open = 0
         self._deadlines = []
         self._sequence = count()
@@ -141,7 +142,7 @@
         """Adds the record of a new job."""
         self._records[record.spec.job_id] = record
         self._open += 1
-        self._open_bytes += record.size
+        self._count_open(record, record.size)
         due = (record.spec.deadline, next(self._sequence), record)
         heapq.heappush(self._deadlines, due)
 
@@ -167,7 +168,20 @@
     def grow(self, record, size):
         """Counts bytes that were added to an open record."""
         record.size += size
+        self._count_open(record, size)
+
+    def tenant_bytes(self, tenant):
+        """Returns the open bytes of one tenant."""
+        return self._tenant_bytes.get(tenant, 0)
+
+    def _count_open(self, record, size):
         self._open_bytes += size
+        tenant = record.spec.tenant
+        left = self._tenant_bytes.get(tenant, 0) + size
+        if left:
+            self._tenant_bytes[tenant] = left
+        else:
+            self._tenant_bytes.pop(tenant, None)
 
     @property
     def kept_bytes(self):
@@ -177,7 +191,7 @@
     def finish(self, record, outcome, now):
         """Sets the outcome of a record and starts its retention."""
         self._open -= 1
-        self._open_bytes -= record.size
+        self._count_open(record, -record.size)
         record.outcome = outcome
         record.finished = now
         record.results = ()
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,138 @@
+"""
+tests.test_placement
+~~~~~~~~~~~~~~~~~~~~
+
+Learned speeds, exploration and the choice to wait for a faster slot.
+"""
+
+import random
+
+from testtools import TestCase
+
+from papayaward.coordination.executor_views import ExecutorView
+from papayaward.coordination.placement import (
+    BINDING_POLICIES,
+    compare_speeds,
+    worth_waiting,
+)
+from papayaward.coordination.speeds import SpeedEstimates
+
+__all__ = []
+
+_TRUE = {"slow": 2.0, "middle": 1.0, "fast": 0.5}
+
+
+def _learn(classes, tasks=400, true=None, speeds=None, now=0.0, seed=1):
+    """Feeds tasks; classes maps a name to a function that draws a time."""
+    rng = random.Random(seed)
+    speeds = speeds or SpeedEstimates()
+    for number in range(tasks):
+        name = rng.choice(list(classes))
+        for executor, slowness in (true or _TRUE).items():
+            service_s = classes[name](rng) * slowness
+            speeds.add(executor, name, service_s, now + number * 0.05)
+    return speeds
+
+
+class SpeedTest(TestCase):
+    def _assert_ratio(self, speeds, expected, first, second, within=0.25):
+        found = speeds.slowness(first) / speeds.slowness(second)
+        self.assertTrue(
+            expected * (1 - within) < found < expected * (1 + within), found
+        )
+
+    def test_speed_with_regular_tasks(self):
+        """Guards against an order of executors that does not follow their speed."""
+        speeds = _learn({"c": lambda rng: 0.2})
+        self._assert_ratio(speeds, 4.0, "slow", "fast", 0.05)
+
+    def test_speed_with_tasks_from_50_ms_to_5_s(self):
+        """Guards against calling an executor slow for one long task."""
+        for seed in range(10):
+            times = {"c": lambda rng: 0.05 * 100 ** rng.random()}
+            speeds = _learn(times, seed=seed)
+            self._assert_ratio(speeds, 4.0, "slow", "fast", 0.5)
+
+    def test_classes_that_run_on_some_executors_only(self):
+        """Guards against calling an executor slow for the classes it gets."""
+        speeds = SpeedEstimates()
+        rng = random.Random(1)
+        for number in range(1000):
+            long = rng.random() < 0.5
+            executor = "a" if rng.random() < (0.8 if long else 0.2) else "b"
+            name, service_s = ("long", 2.0) if long else ("short", 0.1)
+            speeds.add(executor, name, service_s, number * 0.05)
+        self._assert_ratio(speeds, 1.0, "a", "b", 0.1)
+
+    def test_change_of_speed_is_learned_from_few_tasks(self):
+        """Guards against sending work to an executor that became slow."""
+        speeds = _learn({"c": lambda rng: 0.2 * rng.uniform(0.9, 1.1)})
+        for number in range(10):
+            speeds.add("fast", "c", 0.8, 30.0 + number)
+        self._assert_ratio(speeds, 4.0, "fast", "middle", 0.4)
+
+    def test_one_outlier_changes_little(self):
+        """Guards against calling an executor slow for one straggler."""
+        speeds = _learn({"c": lambda rng: 0.2 * rng.uniform(0.9, 1.1)})
+        speeds.add("fast", "c", 5.0, 20.1)
+        self._assert_ratio(speeds, 0.5, "fast", "middle", 0.2)
+
+    def test_unmeasured_executor_is_explored(self):
+        """Guards against an executor that never gets its first task."""
+        speeds = _learn({"c": lambda rng: 0.2})
+        ranks = [speeds.rank(name, False, 20.0) for name in _TRUE]
+        self.assertTrue(speeds.rank("new", False, 20.0) < min(ranks))
+        self.assertTrue(speeds.is_uncertain("new", 20.0))
+
+    def test_idle_slow_executor_is_tried_again(self):
+        """Guards against never noticing that a slow executor has recovered."""
+        speeds = _learn({"c": lambda rng: 0.2})
+        fast = speeds.rank("fast", False, 20.0)
+        self.assertTrue(speeds.rank("slow", False, 20.0) > fast)
+        self.assertTrue(speeds.rank("slow", False, 1000.0) < fast)
+        self.assertTrue(speeds.rank("slow", True, 1000.0) > fast)
+
+    def test_recentring_keeps_the_order_and_averages_one(self):
+        """Guards against estimates that drift away together."""
+        speeds = _learn({"c": lambda rng: 0.2})
+        speeds.recentre()
+        product = 1.0
+        for name in _TRUE:
+            product *= speeds.slowness(name)
+        self.assertTrue(abs(product - 1.0) < 1e-6)
+        self._assert_ratio(speeds, 4.0, "slow", "fast", 0.05)
+
+
+class WaitTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.views = []
+        for name in _TRUE:
+            view = ExecutorView(name, 1, "a")
+            view.slots = 8
+            self.views.append(view)
+        compare_speeds(self.views, _TRUE.get)
+
+    def test_slow_slot_is_left_for_a_fast_one_only_while_few_wait(self):
+        """Guards against slow executors that get no work at all."""
+        slow, middle, fast = self.views
+        self.assertTrue(worth_waiting(slow, 2.0, 1))
+        self.assertFalse(worth_waiting(slow, 2.0, 60))
+        self.assertFalse(worth_waiting(fast, 0.5, 1))
+
+    def test_equal_executors_do_not_wait_for_each_other(self):
+        """Guards against idle slots in a fleet of equal executors."""
+        compare_speeds(self.views, lambda name: 1.0)
+        for view in self.views:
+            self.assertFalse(worth_waiting(view, 1.0, 1))
+
+    def test_baselines_bind_as_their_names_say(self):
+        """Guards against comparing with baselines that are not what they claim."""
+        slow, middle, fast = self.views
+        slow.backlog.extend(range(100))
+        chosen = [BINDING_POLICIES["power_of_two"](self.views, {}) for _ in range(300)]
+        self.assertNotIn(slow, chosen)
+        chosen = [BINDING_POLICIES["random"](self.views, {}) for _ in range(300)]
+        self.assertIn(slow, chosen)
+        stale = {"slow": 0.0, "middle": 1.0, "fast": 1.0}
+        self.assertIs(slow, BINDING_POLICIES["reports"](self.views, stale))
