--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -32,6 +32,7 @@
 
     def __init__(self, node):
         settings = node.settings
+        self._node = node
         self._settings = settings
         self._records = JobRecords(
             settings.result_ttl_s, settings.max_queued_bytes // 2
@@ -39,6 +40,7 @@
         self._dispatcher = Dispatcher(node, self._records)
         self._answers = Answers(self._records, self._dispatcher)
         self._results = Results(node, self._records, self._dispatcher, self._answers)
+        self._dispatcher.on_hopeless = self._results.give_up
         self._intake = Intake(node, self._records, self._dispatcher, self._answers)
         self._handlers = {
             Query: self._on_query,
@@ -112,6 +114,8 @@
         return {
             "queued": self._dispatcher.queued,
             "open_jobs": self.open_jobs,
+            "open_bytes": self._records.open_bytes,
+            "messages_sent": dict(self._node.stats.sent),
             "executors": [
                 {
                     "member": view.member,
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -75,6 +75,9 @@
         self.executors = {}
         self.speeds = SpeedEstimates()
         self.ejection = Ejection()
+        # Called with the record of a job that can no longer meet its deadline
+        # and of which nothing has started.
+        self.on_hopeless = None
         gevent.spawn(self._dispatch_loop)
 
     @property
@@ -141,16 +144,16 @@
         self._queue.put_back(record.queued, index)
         self.wake()
 
-    def start_again(self, record, index, avoid):
-        """Has an idempotent task started on another executor than `avoid`."""
-        self._second_starts.append((record, index, avoid))
+    def start_again(self, record, index):
+        """Has an idempotent task started on an executor that it was not on."""
+        self._second_starts.append((record, index))
         self.wake()
 
-    def start_hedge(self, record, index, avoid, now):
+    def start_hedge(self, record, index, now):
         """Starts a second copy of a task if a slot is free that nobody waits for."""
         if self._queue or self._second_starts:
             return False
-        view = self._best_other(avoid)
+        view = self._best_untried(record)
         if view is None:
             return False
         self._queue.take_slot(record.spec.tenant)
@@ -158,7 +161,7 @@
         return True
 
     def take_hedgeable(self):
-        """Returns (time to hedge, `Placed`, member) of new idempotent starts."""
+        """Returns (time to hedge, `Placed`) of new idempotent starts."""
         taken, self._hedgeable = self._hedgeable, []
         return taken
 
@@ -367,6 +370,10 @@
             if self._hold(view, now):
                 return
             queued, index = queue.pop()
+            if not queued.job.attempts and self._is_hopeless(queued, now):
+                queue.give_slot(queued.tenant)
+                self.on_hopeless(queued.job, now)
+                continue
             placed = self._place(view, queued.job, index, now)
             batches.setdefault(view.member, []).append(placed)
             if view.free > 0:
@@ -374,6 +381,25 @@
             else:
                 heapq.heappop(heap)
 
+    def _is_hopeless(self, queued, now):
+        """Returns whether a job is certain to miss its deadline, as far as learned.
+
+        Tasks that turn out longer than those before make the queue longer than
+        admission assumed. A job that cannot be complete in time is answered
+        before it costs slots.
+        """
+        spec = queued.job.spec
+        left_s = spec.deadline - now
+        tasks = queued.job.tasks
+        needed_s = self.speeds.fastest_s(spec.job_class)
+        if tasks > 1 and self.speeds.knows(spec.job_class):
+            task_s = self.speeds.expected_s(spec.job_class)
+            slots = max(1.0, self._share(spec.tenant, now))
+            needed_s = max(
+                task_s * self.speeds.least_slowness(), tasks * task_s / slots
+            )
+        return needed_s > left_s
+
     def _hold(self, view, now):
         """Returns whether to leave the best free slot for a faster one to come."""
         if not self._holds or not view.outranked:
@@ -398,9 +424,10 @@
         view.outstanding[spec.job_id, index] = placed
         record.running[index, attempt] = view.member
         if spec.idempotent:
+            record.tried += (view.member,)
             straggler_s = self.speeds.straggler_s(spec.job_class)
             if straggler_s is not None:
-                self._hedgeable.append((now + straggler_s, placed, view.member))
+                self._hedgeable.append((now + straggler_s, placed))
         self.touch(view, now)
         record.timeline.add(now, "granted", index, "to", view.member)
         waited_s = now - record.arrived
@@ -410,27 +437,28 @@
 
     def _place_second_starts(self, batches, now):
         waiting, self._second_starts = self._second_starts, deque()
-        for record, index, avoid in waiting:
+        for record, index in waiting:
             if record.done:
                 continue
-            view = self._best_other(avoid)
-            if view is None and self._only_usable(avoid):
-                view = self._free.get(avoid)
+            view = self._best_untried(record)
             if view is None:
-                self._second_starts.append((record, index, avoid))
+                self._second_starts.append((record, index))
                 continue
             self._queue.take_slot(record.spec.tenant)
             placed = self._place(view, record, index, now)
             batches.setdefault(view.member, []).append(placed)
 
-    def _best_other(self, avoid):
-        others = (view for view in self._free.values() if view.member != avoid)
-        return min(others, key=attrgetter("order"), default=None)
+    def _best_untried(self, record):
+        """Returns the fastest free executor that a request was not on, or None.
 
-    def _only_usable(self, member):
-        return not any(
-            view.usable for view in self.executors.values() if view.member != member
-        )
+        When it was on every usable executor, any may get it.
+        """
+        tried = record.tried
+        usable = (view for view in self.executors.values() if view.usable)
+        if all(view.member in tried for view in usable):
+            tried = ()
+        others = (view for view in self._free.values() if view.member not in tried)
+        return min(others, key=attrgetter("order"), default=None)
 
     def _send_grants(self, view, placed, now):
         if view.link is None:
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -263,6 +263,7 @@
             return TaskStatus.LOST, b"", Reason.TASK_LOST
         if status == _HTTP_TOO_MANY_REQUESTS:
             now = time.monotonic()
+            metrics.REJECTED_GRANTS.labels("upstream_busy").inc()
             self._usable.on_refused(len(self._running) - 1, now)
             self._slots = self._usable.usable(now)
             return TaskStatus.REJECTED, b"", Reason.NO_SLOT
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -20,6 +20,8 @@
 
 log = logging.getLogger(__name__)
 
+_GIVE_UP_RETRY_MS = 1000
+
 
 class Results:
     """Takes what became of the granted tasks.
@@ -67,6 +69,14 @@
             now,
         )
 
+    def give_up(self, record, now):
+        """Answers a job that waited so long that it cannot meet its deadline."""
+        detail = "tasks took longer than expected; the job cannot be done in time"
+        outcome = JobOutcome(
+            Outcome.NOT_RUN, Reason.OVERLOADED, detail, retry_after_ms=_GIVE_UP_RETRY_MS
+        )
+        self._answers.finish(record, outcome, now)
+
     def _on_slot_report(self, link, report, now):
         view = self._dispatcher.executors.get(link.peer.member)
         if view is not None and view.link is link:
@@ -153,7 +163,7 @@
         if _other_copy_runs(record, index):
             return
         detail = f"task {index} failed on {member}: {result.reason}"
-        if self._retry(record, index, member, detail, now):
+        if self._retry(record, index, detail, now):
             return
         outcome = JobOutcome(
             Outcome.FAILED, Reason(result.reason), detail, started=record.started
@@ -178,7 +188,7 @@
         if record.done or _other_copy_runs(record, index):
             return
         detail = f"task {index} may have run on {member}, its result is lost"
-        if self._retry(record, index, member, detail, now):
+        if self._retry(record, index, detail, now):
             return
         outcome = JobOutcome(
             Outcome.UNKNOWN, Reason.TASK_LOST, detail, started=record.started
@@ -187,7 +197,7 @@
 
     # Second starts of idempotent requests.
 
-    def _retry(self, record, index, member, detail, now):
+    def _retry(self, record, index, detail, now):
         """Starts an idempotent task again and returns whether it may be."""
         if not record.spec.idempotent or record.second_starts >= MAX_RETRIES:
             return False
@@ -197,28 +207,28 @@
         record.second_starts += 1
         delay_s = backoff_s(record.second_starts)
         record.timeline.add(now, "retry", index, detail)
-        gevent.spawn_later(delay_s, self._start_again, record, index, member)
+        gevent.spawn_later(delay_s, self._start_again, record, index)
         return True
 
-    def _start_again(self, record, index, avoid):
+    def _start_again(self, record, index):
         if not record.done:
-            self._dispatcher.start_again(record, index, avoid)
+            self._dispatcher.start_again(record, index)
 
     def hedge_due(self, now):
         """Starts second copies of idempotent requests that take long."""
         if not self._hedges:
             return
         heap = self._hedge_heap
-        for due, placed, member in self._dispatcher.take_hedgeable():
-            heapq.heappush(heap, (due, next(self._sequence), placed, member))
+        for due, placed in self._dispatcher.take_hedgeable():
+            heapq.heappush(heap, (due, next(self._sequence), placed))
         while heap and heap[0][0] <= now:
-            _, _, placed, member = heapq.heappop(heap)
+            placed = heapq.heappop(heap)[2]
             record = placed.record
             if record.done or (placed.index, placed.attempt) not in record.running:
                 continue
             if record.second_starts >= MAX_RETRIES or not self._budget.take(now):
                 continue
-            if self._dispatcher.start_hedge(record, placed.index, member, now):
+            if self._dispatcher.start_hedge(record, placed.index, now):
                 record.second_starts += 1
                 record.timeline.add(now, "hedged", placed.index)
                 metrics.HEDGES.labels("started").inc()
--- a/papayaward/coordination/speeds.py
+++ b/papayaward/coordination/speeds.py
@@ -28,10 +28,14 @@
 # executor's speed has changed.
 _CHANGE_TASKS = 3
 _CHANGE_DEVIATIONS = 2.5
+# As many deviations in a row on several executors mean that the class has changed.
+_CLASS_CHANGE_TASKS = 4
 
-_CLASS_WEIGHT = 0.02
+_CLASS_WEIGHT = 0.05
+_SPREAD_WEIGHT = 0.02
 _STRAGGLER_QUANTILE = 0.95
 _QUANTILE_STEP = 0.05
+_STRAGGLER_SAMPLES = 50
 
 # Steps of the rank: smaller differences of speed than 3 % are noise.
 _RANK_STEP = 0.03
@@ -49,6 +53,17 @@
         self.mean_s = service_s
         self.fastest_s = service_s
         self.straggler_s = service_s
+        self.deviations = 0
+        self.deviating = set()
+
+    def note(self, executor, sign):
+        """Counts deviations in a row and the executors that they come from."""
+        if not sign or sign * self.deviations < 0:
+            self.deviations = 0
+            self.deviating.clear()
+        if sign:
+            self.deviations += sign
+            self.deviating.add(executor)
 
 
 class _Executor:
@@ -92,7 +107,7 @@
         usual = self._classes.get(job_class)
         if usual is None:
             usual = self._classes[job_class] = _JobClass(service_s, speed.log)
-        self._update_executor(speed, usual, math.log(service_s), now)
+        self._update_executor(executor, usual, math.log(service_s), now)
         self._update_class(usual, math.log(service_s) - speed.log, service_s)
 
     @property
@@ -155,7 +170,7 @@
     def straggler_s(self, job_class):
         """Returns about the 95th percentile of a class's service time, or None."""
         usual = self._classes.get(job_class)
-        if usual is None or usual.samples < 1 / _CLASS_WEIGHT:
+        if usual is None or usual.samples < _STRAGGLER_SAMPLES:
             return None
         return usual.straggler_s
 
@@ -178,15 +193,22 @@
         idle_s = max(0.0, now - speed.updated - 1.0)
         return min(_LARGEST_VARIANCE, speed.variance + _DRIFT_PER_IDLE_S * idle_s)
 
-    def _update_executor(self, speed, usual, log_s, now):
+    def _update_executor(self, executor, usual, log_s, now):
+        speed = self._executors[executor]
         variance = self._variance(speed, now) + _DRIFT_PER_TASK
         error = log_s - usual.log_s - speed.log
         spread = max(usual.variance, _LEAST_VARIANCE)
         limit = _CHANGE_DEVIATIONS * math.sqrt(variance + spread)
-        if abs(error) < limit:
+        sign = 0 if abs(error) < limit else (1 if error > 0 else -1)
+        usual.note(executor, sign)
+        if len(usual.deviating) > 1:
+            # Several executors deviate together: the tasks have changed.
+            if abs(usual.deviations) >= _CLASS_CHANGE_TASKS:
+                usual.log_s += error / 2
+            return
+        if not sign:
             speed.deviations = 0
         else:
-            sign = 1 if error > 0 else -1
             speed.deviations = sign * (max(0, sign * speed.deviations) + 1)
         if abs(speed.deviations) >= _CHANGE_TASKS:
             speed.deviations = 0
@@ -204,10 +226,10 @@
         weight = max(_CLASS_WEIGHT, 1 / usual.samples)
         error = log_s - usual.log_s
         usual.log_s += weight * error
-        usual.variance += _CLASS_WEIGHT * (error * error - usual.variance)
+        usual.variance += _SPREAD_WEIGHT * (error * error - usual.variance)
         usual.mean_s += weight * (service_s - usual.mean_s)
         # Falls to the shortest time at once and forgets it slowly.
-        rise = _CLASS_WEIGHT * (service_s - usual.fastest_s)
+        rise = _SPREAD_WEIGHT * (service_s - usual.fastest_s)
         usual.fastest_s = min(service_s, usual.fastest_s + rise)
         below = service_s < usual.straggler_s
         step = _STRAGGLER_QUANTILE - 1 if below else _STRAGGLER_QUANTILE
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -52,7 +52,8 @@
     `started` counts tasks known to have started; `maybe_started` is set when the
     fate of a granted task is not known. `running` maps (index, attempt) to the
     executor. `tasks` is the number of tasks, which a finished job keeps without
-    the tasks themselves.
+    the tasks themselves. `tried` names the executors that an idempotent request
+    was granted to.
 
     Args:
         spec: What was submitted.
@@ -68,6 +69,7 @@
         "missing",
         "attempts",
         "second_starts",
+        "tried",
         "started",
         "maybe_started",
         "running",
@@ -90,6 +92,7 @@
         self.missing = tasks
         self.attempts = {}
         self.second_starts = 0
+        self.tried = ()
         self.started = 0
         self.maybe_started = False
         self.running = {}
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -71,6 +71,15 @@
             speeds.add("fast", "c", 0.8, 30.0 + number)
         self._assert_ratio(speeds, 4.0, "fast", "middle", 0.4)
 
+    def test_jobs_of_other_sizes_do_not_change_speeds(self):
+        """Guards against calling executors slow that get a job of long tasks first."""
+        speeds = _learn({"c": lambda rng: 0.05 * rng.uniform(0.9, 1.1)})
+        for number in range(40):
+            for executor in ("fast", "middle"):
+                speeds.add(executor, "c", 0.4 * _TRUE[executor], 20.0 + number * 0.1)
+        self._assert_ratio(speeds, 4.0, "slow", "fast", 0.3)
+        self._assert_ratio(speeds, 2.0, "middle", "fast", 0.3)
+
     def test_one_outlier_changes_little(self):
         """Guards against calling an executor slow for one straggler."""
         speeds = _learn({"c": lambda rng: 0.2 * rng.uniform(0.9, 1.1)})
