--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -44,6 +44,11 @@
 _SUSPECT_RANK = 10_000
 
 
+# Grants are sent again only while the executor surely remembers their starts
+# (60 s) and keeps their results (10 s).
+_SEND_AGAIN_WITHIN_S = 8.0
+
+
 class Dispatcher:
     """Queue of a home and the executors of its cell.
 
@@ -194,11 +199,10 @@
         present = {(member.member, member.incarnation) for member in members}
         for member in members:
             view = self.executors.get(member.member)
-            # A link shows the incarnation better than an entry's view, which may
-            # be older.
-            unused = view is None or (view.link is None and not view.outstanding)
+            # The greeting on a link is newer than what an entry still lists.
+            unused = view is None or (view.link is None and view.lost_at is None)
             if unused and (view is None or view.incarnation != member.incarnation):
-                self._add_view(member.member, member.incarnation, member.domain, now)
+                self._add_view(member.member, member.incarnation, member.domain)
         for view in list(self.executors.values()):
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
@@ -216,23 +220,40 @@
         replaced = None
         hello = link.peer
         view = self.executors.get(hello.member)
-        if view is None or view.incarnation != hello.incarnation:
+        if (
+            view is None
+            or view.incarnation != hello.incarnation
+            or _too_late(view, now)
+        ):
             replaced = view
-            view = self._add_view(hello.member, hello.incarnation, hello.domain, now)
+            view = self._add_view(hello.member, hello.incarnation, hello.domain)
         view.link = link
         view.lost_at = None
-        if view.outstanding:
-            self._send_grants(view, list(view.outstanding.values()), now)
+        self._reconcile(view, now)
         self.touch(view, now)
         self.wake()
         return replaced
 
+    def _reconcile(self, view, now):
+        """Sends the outstanding grants again, but for jobs that were answered."""
+        finished = set()
+        for key, placed in list(view.outstanding.items()):
+            if placed.record.done:
+                del view.outstanding[key]
+                self._queue.give_slot(placed.record.spec.tenant)
+                finished.add(placed.record.spec.job_id)
+        if finished:
+            view.link.try_send(CancelTasks(sorted(finished)))
+        if view.outstanding:
+            self._send_grants(view, list(view.outstanding.values()), now)
+
     def on_executor_down(self, link, now):
         """Starts the grace period of an executor whose link closed."""
         view = self.executors.get(link.peer.member)
         if view is not None and view.link is link:
             view.link = None
             view.lost_at = now
+            view.heard = link.echoed_us / 1e6
             self.touch(view, now)
 
     def lose(self, view, now):
@@ -286,7 +307,7 @@
         if self.queued:
             self.wake()
 
-    def _add_view(self, member, incarnation, domain, now):
+    def _add_view(self, member, incarnation, domain):
         view = ExecutorView(member, incarnation, domain)
         older = self.executors.get(member)
         if older is not None:
@@ -463,25 +484,19 @@
     def _send_grants(self, view, placed, now):
         if view.link is None:
             return
-        grants = []
-        for one in placed:
-            record = one.record
-            spec = record.spec
-            # A job that was answered meanwhile no longer holds its tasks.
-            if not record.done:
-                grants.append(
-                    Grant(
-                        spec.job_id,
-                        one.index,
-                        one.attempt,
-                        spec.tasks[one.index],
-                        max(0, int((spec.deadline - now) * 1000)),
-                        spec.tenant,
-                        spec.job_class,
-                    )
-                )
-        if grants:
-            view.link.try_send(RunBatch(view.incarnation, grants))
+        grants = [
+            Grant(
+                one.record.spec.job_id,
+                one.index,
+                one.attempt,
+                one.record.spec.tasks[one.index],
+                max(0, int((one.record.spec.deadline - now) * 1000)),
+                one.record.spec.tenant,
+                one.record.spec.job_class,
+            )
+            for one in placed
+        ]
+        view.link.try_send(RunBatch(view.incarnation, grants))
 
     def _send_cancels(self):
         cancels, self._cancels = self._cancels, {}
@@ -525,3 +540,12 @@
 
 def _order_and_view(view):
     return view.order, view
+
+
+def _too_late(view, now):
+    # A paused home sees its links close when it wakes, not when they broke. The
+    # last own stamp that came back tells how old its knowledge is.
+    if not view.outstanding:
+        return False
+    heard = view.heard if view.link is None else view.link.echoed_us / 1e6
+    return now - heard > _SEND_AGAIN_WITHIN_S
--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -21,6 +21,7 @@
 )
 from ..protocol.identifiers import JobId
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
+from ..state import invariants
 
 __all__ = ["HomeCalls", "HomeGone"]
 
@@ -35,7 +36,13 @@
 
 
 class HomeGone(Exception):
-    """The home of a job cannot be reached, or was replaced."""
+    """The home of a job cannot be reached, or was replaced.
+
+    Attributes:
+        sent: Whether a message may have reached the home before.
+    """
+
+    sent = False
 
 
 class HomeCalls:
@@ -85,13 +92,18 @@
             HomeGone: The home was replaced or not reachable for the grace time.
             TimeoutError: No reply came until the given time.
         """
+        sent = False
         while True:
-            link = self._wait_for_link(home, incarnation)
+            try:
+                link = self._wait_for_link(home, incarnation)
+            except HomeGone as error:
+                error.sent = sent
+                raise
             number = next(self._numbers)
             replies = SimpleQueue()
             self._open[number] = (link, replies)
             try:
-                link.try_send(build(number))
+                sent = link.try_send(build(number)) or sent
                 while True:
                     reply = self._next_reply(link, replies, until)
                     if reply is _LINK_DOWN:
@@ -108,7 +120,7 @@
         finally:
             replies.close()
 
-    def final_answer(self, job_id, build, until, accepted_only=False):
+    def final_answer(self, job_id, build, until, accepted_only=False, fresh=False):
         """Returns the outcome of a job, or None if it is not due yet.
 
         Args:
@@ -116,18 +128,31 @@
             build: Function from a request number to the message.
             until: Monotonic time at which to give up, seconds.
             accepted_only: Returns None as soon as the home has accepted the job.
+            fresh: Whether the identifier was never handed to a caller.
 
         Returns:
             JobOutcome: The answer; `unknown` when the home is gone.
+
+        Raises:
+            HomeGone: The identifier is fresh and nothing was sent to its home, so
+                the job can be given to another home.
         """
         replies = self.ask(job_id.member, job_id.incarnation, build, until)
         try:
             for reply in replies:
                 if isinstance(reply, Answer):
+                    invariants.check(
+                        "answer_to_its_caller",
+                        reply.job_id == str(job_id),
+                        job=str(job_id),
+                        answered=reply.job_id,
+                    )
                     return _outcome(reply)
                 if accepted_only:
                     return None
         except HomeGone as error:
+            if fresh and not error.sent:
+                raise
             return JobOutcome(Outcome.UNKNOWN, Reason.HOME_GONE, str(error))
         except TimeoutError:
             return None
@@ -159,10 +184,31 @@
             ids += [JobId(hello.member, hello.incarnation, n) for n in taken]
         return ids
 
-    def forget(self, member):
+    def id_at_hand(self, view, now):
+        """Returns an identifier from the present block of a coordinator, or None."""
+        key = (view.hello.member, view.hello.incarnation)
+        numbers, expires = self._blocks.get(key, (range(0), 0.0))
+        if not numbers or expires < now:
+            return None
+        self._blocks[key] = (numbers[1:], expires)
+        return JobId(*key, numbers[0])
+
+    def prepare(self, view, now):
+        """Makes a coordinator ready for jobs: its cell and a block of identifiers.
+
+        Raises:
+            HomeGone: The coordinator cannot be reached.
+            TimeoutError: The coordinator did not answer within a second.
+        """
+        self._node.use_coordinator(view)
+        key = (view.hello.member, view.hello.incarnation)
+        numbers, expires = self._blocks.get(key, (range(0), 0.0))
+        if len(numbers) < _ID_BLOCK // 4 or expires < now:
+            self._blocks[key] = self._request_block(view.hello, _ID_BLOCK, now)
+
+    def forget(self, hello):
         """Drops the identifiers of a runner that is gone."""
-        for key in [key for key in self._blocks if key[0] == member]:
-            del self._blocks[key]
+        self._blocks.pop((hello.member, hello.incarnation), None)
 
     def _request_block(self, hello, wanted, now):
         block = self.ask_once(
@@ -182,7 +228,9 @@
             if view is not None:
                 if view.hello.incarnation != incarnation:
                     raise HomeGone(f"{home} was replaced")
-                return view.link
+                # A closed link stays in the view until its reader has ended.
+                if not view.link.closed:
+                    return view.link
             if time.monotonic() >= give_up:
                 raise HomeGone(f"{home} cannot be reached")
             gevent.sleep(_POLL_S)
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -58,12 +58,14 @@
     Args:
         spec: What was submitted.
         now: Time of arrival, monotonic seconds.
+        digest: Hash of the submission, to recognise its copies.
     """
 
     __slots__ = (
         "spec",
         "tasks",
         "queued",
+        "digest",
         "arrived",
         "results",
         "missing",
@@ -82,11 +84,12 @@
         "size",
     )
 
-    def __init__(self, spec, now):
+    def __init__(self, spec, now, digest=b""):
         tasks = len(spec.tasks)
         self.spec = spec
         self.tasks = tasks
         self.queued = None
+        self.digest = digest
         self.arrived = now
         self.results = [None] * tasks
         self.missing = tasks
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -5,7 +5,8 @@
 Metrics of a process, in the format of Prometheus.
 """
 
-from prometheus_client import Counter, Gauge, Histogram, generate_latest
+from prometheus_client import REGISTRY, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily
 
 __all__ = [
     "ANSWERS",
@@ -21,6 +22,7 @@
     "SERVICE_SECONDS",
     "SLOTS_IN_USE",
     "export",
+    "watch_links",
 ]
 
 _SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0)
@@ -81,6 +83,50 @@
 )
 
 
+class _LinkCollector:
+    """Exports the counts that the links keep as plain numbers."""
+
+    def __init__(self):
+        self.stats = None
+
+    def collect(self):
+        """Yields the metric families, read when they are asked for."""
+        stats = self.stats
+        if stats is None:
+            return
+        for direction, counts, sizes, size in (
+            ("sent", stats.sent, stats.sent_bytes, stats.bytes_sent),
+            ("received", stats.received, stats.received_bytes, stats.bytes_received),
+        ):
+            for what, numbers in (("messages", counts), ("message_bytes", sizes)):
+                family = CounterMetricFamily(
+                    f"papayaward_{what}_{direction}",
+                    f"{what.capitalize().replace('_', ' ')} {direction}, by type.",
+                    labels=("type",),
+                )
+                for name, number in sorted(numbers.items()):
+                    family.add_metric((name,), number)
+                yield family
+            yield CounterMetricFamily(
+                f"papayaward_link_bytes_{direction}",
+                f"Bytes {direction} on the links.",
+                value=size,
+            )
+
+
+_LINKS = _LinkCollector()
+REGISTRY.register(_LINKS)
+
+
+def watch_links(stats):
+    """Exports the counts of the links of this process.
+
+    Args:
+        stats: `LinkStats` of the process; replaces any given before.
+    """
+    _LINKS.stats = stats
+
+
 def export():
     """Returns the exposition text of every metric, bytes."""
     return generate_latest()
