--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -204,12 +204,16 @@
             unused = view is None or (view.link is None and view.lost_at is None)
             if unused and (view is None or view.incarnation != member.incarnation):
                 self._add_view(member.member, member.incarnation, member.domain)
+        names = {member.member for member in members}
         for view in list(self.executors.values()):
+            view.listed = view.member in names
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
                 self._unbind(view)
                 del self.executors[view.member]
                 self._free.pop(view.member, None)
+            else:
+                self.touch(view, now)
         self.wake()
 
     def on_executor_up(self, link, now):
