Add slots only while all are in use; pay for the retries of one lost executor

An upstream with 2 slots that claimed 16 had a limit of 4 some seconds after its job, since the limit rose by one a second also while nothing ran and no refusal could correct it. And test_kills lost 5 of 24 idempotent requests when an executor of 8 slots was killed in a fleet without successes: the reserve of the retry budget had been lowered from 10 to 3.

--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -117,7 +117,7 @@
             # What an earlier process refused says nothing about this one.
             self._usable = UsableSlots()
         self._usable.announce(upstream.slots)
-        self._slots = self._usable.usable(now)
+        self._slots = self._usable.usable(len(self._running), now)
         log.info(
             "upstream_announced",
             extra={"slots": upstream.slots, "leaving": upstream.leaving},
@@ -131,7 +131,7 @@
             log.warning("upstream_gone", extra={"silent_s": round(silent_s, 1)})
             self._present = False
             self.report_to_all()
-        slots = self._usable.usable(now)
+        slots = self._usable.usable(len(self._running), now)
         if slots != self._slots:
             self._slots = slots
             self.report_to_all()
@@ -264,8 +264,9 @@
         if status == _HTTP_TOO_MANY_REQUESTS:
             now = time.monotonic()
             metrics.REJECTED_GRANTS.labels("upstream_busy").inc()
-            self._usable.on_refused(len(self._running) - 1, now)
-            self._slots = self._usable.usable(now)
+            running = len(self._running) - 1
+            self._usable.on_refused(running, now)
+            self._slots = self._usable.usable(running, now)
             return TaskStatus.REJECTED, b"", Reason.NO_SLOT
         self._usable.on_served()
         if status == _HTTP_OK:
--- a/papayaward/coordination/retries.py
+++ b/papayaward/coordination/retries.py
@@ -26,7 +26,7 @@
         reserve: Second starts allowed without any success.
     """
 
-    def __init__(self, share=0.1, reserve=3.0):
+    def __init__(self, share=0.1, reserve=10.0):
         self._share = share
         self._reserve = reserve
         self._tokens = reserve
--- a/papayaward/coordination/usable_slots.py
+++ b/papayaward/coordination/usable_slots.py
@@ -40,13 +40,20 @@
             self._raise_s = _FIRST_RAISE_S
             self._raise_at = None
 
-    def usable(self, now):
-        """Returns the number of tasks that may run at once."""
+    def usable(self, running, now):
+        """Returns the number of tasks that may run at once.
+
+        Args:
+            running: Tasks that run now; a slot is added only while all are in use,
+                since an addition is otherwise neither needed nor tried.
+            now: Monotonic time, seconds.
+        """
         if now < self._paused_until:
             return 0
         if self._probing:
             return min(1, self._limit)
-        if self._raise_at is not None and now >= self._raise_at:
+        due = self._raise_at is not None and now >= self._raise_at
+        if due and running >= self._limit:
             self._limit += 1
             self._raised = True
             self._raise_at = now + self._raise_s
