--- a/benchmarks/causes.py
+++ b/benchmarks/causes.py
@@ -45,6 +45,8 @@
     "wasted_messages_per_task": (
         "executors send a `SlotReport` at each start and each end of a task to every "
         "linked runner but the task's home; runners that coordinated before, for "
-        "instance while the entries' views differed at the start, stay linked."
+        "instance while the entries' views differed at the start, stay linked. In a "
+        "trial without these reports (seed 2, oberland at 0.7) nothing was wasted and "
+        "the median over the ideal was 1.12 instead of 1.22."
     ),
 }
