--- a/benchmarks/causes.py
+++ b/benchmarks/causes.py
@@ -7,7 +7,7 @@
 
 __all__ = ["CAUSES"]
 
-# By key of the figures, or by command and key.
+# By key of the figures.
 CAUSES = {
     "response_over_ideal_p50": (
         "three parts, each of 3 to 10 % of the median: the fixed network delay (6 ms "
@@ -27,6 +27,16 @@
         "reads of the store, spread over some 1,000 tasks a second; the rest is near "
         "35 us."
     ),
+    "added_ms_p50": (
+        "processor time of six processes on the way, which grows with the load of "
+        "the shared machine; a run while it was less busy had 4.7 ms."
+    ),
+    "idle_cpu_share": (
+        "processor time of the same work grows with the load of the shared machine; "
+        "a run while it was less busy had 0.9 %. In a profile, sends, receives and "
+        "codec of heartbeats lead, then the gate's state for `accepting`, which is "
+        "computed 33 times a second."
+    ),
     "goodput_share": (
         "admission fills the queue up to the deadline by mean service times without "
         "a margin, so jobs that take longer than the mean fail at the deadline after "
@@ -35,6 +45,8 @@
     "wasted_messages_per_task": (
         "executors send a `SlotReport` at each start and each end of a task to every "
         "linked runner but the task's home; runners that coordinated before, for "
-        "instance while the entries' views differed at the start, stay linked."
+        "instance while the entries' views differed at the start, stay linked. In a "
+        "trial without these reports (seed 2, oberland at 0.7) nothing was wasted and "
+        "the median over the ideal was 1.12 instead of 1.22."
     ),
 }
