Learn an executor's slowness from hedged copies that were cancelled

Cause: a request on a slow executor was hedged and its slow copy cancelled, and cancelled tasks taught nothing, so the executor was never known as slow and got more tasks. Hedging also began at the 95th percentile, where healthy requests are started twice.

A cancelled copy now counts with the time it ran if that exceeds the percentile, and a hedge starts after twice the percentile.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -40,6 +40,9 @@
 _RECENTRE_INTERVAL_S = 1.0
 _SHARE_TTL_S = 0.05
 _SUSPECT_RANK = 10_000
+# A request is hedged after this many times the 95th percentile of its class. At
+# once, 1 in 20 healthy requests is started twice.
+_HEDGE_AFTER = 2.0
 
 # The library looks a child up under a lock; that is a tenth of the work for a task.
 _queue_seconds = lru_cache(4096)(metrics.QUEUE_SECONDS.labels)
@@ -453,7 +456,7 @@
             record.tried += (view.member,)
             straggler_s = self.speeds.straggler_s(spec.job_class)
             if straggler_s is not None:
-                self._hedgeable.append((now + straggler_s, placed))
+                self._hedgeable.append((now + _HEDGE_AFTER * straggler_s, placed))
         self.touch(view, now)
         record.timeline.add(now, "granted", index, "to", view.member)
         waited_s = now - record.arrived
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -116,6 +116,8 @@
             spec = record.spec
             _service_seconds(spec.tenant, spec.job_class).observe(service_s)
             self._note_health(view, spec, status, service_s, now)
+        elif record.second_starts:
+            self._note_loser(view, record.spec, result, now)
         if record.done:
             return
         if status == TaskStatus.OK:
@@ -125,6 +127,17 @@
         else:
             self._task_lost(placed, view.member, now)
 
+    def _note_loser(self, view, spec, result, now):
+        """Learns from a cancelled copy, which took at least the time it ran.
+
+        A slow executor whose tasks are all hedged would otherwise never be known
+        as slow.
+        """
+        service_s = result.service_us / 1e6
+        straggler_s = self._dispatcher.speeds.straggler_s(spec.job_class)
+        if straggler_s is not None and service_s > straggler_s:
+            self._dispatcher.speeds.add(view.member, spec.job_class, service_s, now)
+
     def _note_health(self, view, spec, status, service_s, now):
         succeeded = status == TaskStatus.OK
         dispatcher = self._dispatcher
