--- a/papayaward/coordination/config_sync.py
+++ b/papayaward/coordination/config_sync.py
@@ -7,9 +7,10 @@
 
 import logging
 
+from ..protocol import mechanisms
 from ..protocol.config_text import ConfigError, FleetConfig, parse_config
 from ..protocol.gen.ttypes import ConfigPull, ConfigPush
-from ..state import mechanisms, metrics
+from ..state import metrics
 
 __all__ = ["ConfigHolder"]
 
--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -43,7 +43,7 @@
         )
         self._dispatcher = Dispatcher(node, self._records)
         self._answers = Answers(self._records, self._dispatcher)
-        self._results = Results(node, self._records, self._dispatcher, self._answers)
+        self._results = Results(self._records, self._dispatcher, self._answers)
         self._dispatcher.on_hopeless = self._results.give_up
         self._intake = Intake(node, self._records, self._dispatcher, self._answers)
         self._handlers = {
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -14,8 +14,9 @@
 import gevent
 from gevent.event import Event
 
+from ..protocol import mechanisms
 from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
-from ..state import mechanisms, metrics
+from ..state import metrics
 from .admission import Demand, Load, fair_share
 from .ejection import Ejection
 from .executor import ACTIVE_S
@@ -74,7 +75,7 @@
         self._bound = 0
         self._reports = {}
         self._reports_until = 0.0
-        self._holds = "hold_slow_slots" not in settings.disabled_mechanisms
+        self._holds = mechanisms.is_on("hold_slow_slots")
         self._hold_until = None
         self._asked = 0.0
         self._slots = 0
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -12,10 +12,11 @@
 
 import gevent
 
+from ..protocol import mechanisms
 from ..protocol.gen.ttypes import CancelTasks, ResultBatch, RunBatch, SlotReport
 from ..protocol.gen.ttypes import TaskResult as Result
 from ..protocol.outcomes import Reason, TaskStatus
-from ..state import invariants, mechanisms, metrics
+from ..state import invariants, metrics
 from ..state.started_tasks import StartedTasks
 from ..transport.upstream_http import NotSent, UpstreamClient, UpstreamLost
 from .gate import GateState, check_start
--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -11,6 +11,7 @@
 import gevent
 from gevent.queue import Empty, SimpleQueue
 
+from ..protocol import mechanisms
 from ..protocol.gen.ttypes import (
     Accepted,
     Answer,
@@ -21,7 +22,7 @@
 )
 from ..protocol.identifiers import JobId
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
-from ..state import invariants, mechanisms
+from ..state import invariants
 
 __all__ = ["HomeCalls", "HomeGone"]
 
--- a/papayaward/coordination/intake.py
+++ b/papayaward/coordination/intake.py
@@ -7,6 +7,7 @@
 
 from hashlib import blake2b
 
+from ..protocol import mechanisms
 from ..protocol.gen.ttypes import (
     Accepted,
     Cancel,
@@ -19,7 +20,6 @@
 )
 from ..protocol.identifiers import IdentifierError, parse_job_id
 from ..protocol.outcomes import JobOutcome, Outcome, Reason
-from ..state import mechanisms
 from ..state.id_blocks import IdBlocks, NumberState
 from ..state.job_records import JobRecord, JobSpec
 from .admission import check_admission
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -12,9 +12,10 @@
 
 import gevent
 
+from ..protocol import mechanisms
 from ..protocol.gen.ttypes import ResultBatch, SlotReport
 from ..protocol.outcomes import JobOutcome, Outcome, Reason, TaskStatus
-from ..state import invariants, mechanisms, metrics
+from ..state import invariants, metrics
 from .retries import MAX_RETRIES, RetryBudget, backoff_s
 
 __all__ = ["Results"]
@@ -30,20 +31,18 @@
     """Takes what became of the granted tasks.
 
     Args:
-        node: The runner.
         records: `JobRecords`.
         dispatcher: `Dispatcher` that granted them.
         answers: `Answers`.
     """
 
-    def __init__(self, node, records, dispatcher, answers):
-        disabled = node.settings.disabled_mechanisms
+    def __init__(self, records, dispatcher, answers):
         self._records = records
         self._dispatcher = dispatcher
         self._answers = answers
         self._budget = RetryBudget()
-        self._ejects = "ejection" not in disabled
-        self._hedges = "hedging" not in disabled
+        self._ejects = mechanisms.is_on("ejection")
+        self._hedges = mechanisms.is_on("hedging")
         self._hedge_heap = []
         self._sequence = count()
 
--- a/papayaward/daemon.py
+++ b/papayaward/daemon.py
@@ -15,8 +15,8 @@
 from pythonjsonlogger.json import JsonFormatter
 
 from . import __version__
+from .protocol import mechanisms
 from .protocol.settings import SettingsError, load_settings, settings_reference
-from .state import mechanisms
 
 __all__ = ["main", "run"]
 
--- a/papayaward/state/mechanisms.py
+++ b/papayaward/protocol/mechanisms.py
@@ -1,11 +1,11 @@
 """
-papayaward.state.mechanisms
-~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.protocol.mechanisms
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Mechanisms that tests turn off to show that the tests would notice.
 """
 
-__all__ = ["MECHANISMS", "disable", "is_on"]
+__all__ = ["MECHANISMS", "TUNING", "disable", "is_on"]
 
 # Name and what the mechanism prevents.
 MECHANISMS = {
@@ -25,6 +25,13 @@
     "version_order": "a configuration that reverts",
 }
 
+# Mechanisms that no promise depends on; measurements compare with and without.
+TUNING = {
+    "ejection": "taking executors that fail everything out of use",
+    "hedging": "second starts of idempotent requests that take long",
+    "hold_slow_slots": "leaving a slow slot free when a fast one is due",
+}
+
 _disabled = set()
 
 
@@ -39,7 +46,7 @@
     Raises:
         ValueError: A name is not in the registry.
     """
-    unknown = sorted(set(names) - set(MECHANISMS))
+    unknown = sorted(set(names) - set(MECHANISMS) - set(TUNING))
     if unknown:
         raise ValueError(f"unknown mechanisms: {', '.join(unknown)}")
     _disabled.update(names)
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -12,9 +12,9 @@
 from gevent import socket
 from gevent.event import Event
 
+from ..protocol import mechanisms
 from ..protocol.codec import HEADER, MAX_FRAME_BYTES, FrameError, decode, encode
 from ..protocol.gen.ttypes import Heartbeat, Hello
-from ..state import mechanisms
 
 __all__ = ["PROTOCOL_VERSION", "Link", "LinkClosed", "LinkStats"]
 
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -17,8 +17,8 @@
 from gevent.pool import Pool
 from testtools import TestCase
 
+from papayaward.protocol.mechanisms import MECHANISMS
 from papayaward.protocol.settings import SettingsError, check_settings
-from papayaward.state.mechanisms import MECHANISMS
 from standins.callers import Callers, fleet_findings, start_findings
 from standins.fleet import Fleet, call
 
