--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
+import gevent
+
 from .coordination.home_calls import HomeGone
 from .coordination.idempotency_keys import IdempotencyKeys, KeyLimit
 from .protocol.gen.ttypes import Cancel, Fetch, Refuse, Submit
@@ -34,6 +36,8 @@
 _MAX_IDS = 1000
 _MAX_KEY_LENGTH = 255
 
+_POLL_S = 0.02
+
 # Homes that are tried for a job without an identifier before it is refused.
 _MAX_HOMES = 3
 
@@ -388,7 +392,7 @@
 
     def _new_ids(self, service, wanted):
         entry = self._entry
-        view = entry.members.choose_coordinator(entry.config.config, service)
+        view = self._wait_for_coordinator(service)
         if view is None:
             detail = f"no runner of {service.name} is ready"
             raise RequestError(Reason.NO_HOME, detail, 500)
@@ -397,6 +401,19 @@
         except (HomeGone, TimeoutError) as error:
             raise RequestError(Reason.NO_HOME, f"no identifier: {error}", 200) from None
 
+    def _wait_for_coordinator(self, service):
+        """Returns the view of a coordinator; None after the time for reconnects.
+
+        An entry that was paused, or has just started, has no links for a moment.
+        """
+        entry = self._entry
+        give_up = time.monotonic() + entry.settings.reconnect_grace_s
+        while True:
+            view = entry.members.choose_coordinator(entry.config.config, service)
+            if view is not None or time.monotonic() >= give_up:
+                return view
+            gevent.sleep(_POLL_S)
+
     def _check_capacity(self):
         if self._entry.draining:
             raise RequestError(Reason.DRAINING, "this entry is stopping", 100)
