Measure an executor again when it returns

The coordinator's state showed why: the tasks of the class went from 4.5 s to 0.1 s while the runner was away, the two others were taken for 16 times faster (slowness 0.4 against 6.4), and the slow slot was held back for longer than the 3 s bound.

--- a/papayaward/coordination/speeds.py
+++ b/papayaward/coordination/speeds.py
@@ -174,6 +174,16 @@
             return None
         return usual.straggler_s
 
+    def doubt(self, executor):
+        """Makes the estimate of an executor uncertain, so that it is measured again.
+
+        While it was away, its upstream or the tasks of the classes may have changed;
+        held back for an old estimate, it would not be measured for many seconds.
+        """
+        speed = self._executors.get(executor)
+        if speed is not None:
+            speed.variance = max(speed.variance, _NEW_EXECUTOR_VARIANCE)
+
     def forget(self, executor):
         """Drops what was learned about an executor."""
         self._executors.pop(executor, None)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -145,3 +145,15 @@
         self.assertIn(slow, chosen)
         stale = {"slow": 0.0, "middle": 1.0, "fast": 1.0}
         self.assertIs(slow, BINDING_POLICIES["reports"](self.views, stale))
+
+
+class ReturnedExecutorTest(TestCase):
+    def test_returned_executor_is_measured_again(self):
+        """Guards against holding back a returned executor for an old estimate."""
+        speeds = SpeedEstimates()
+        for number in range(40):
+            speeds.add("r1", "c1", 1.0, float(number))
+            speeds.add("r2", "c1", 0.1, float(number))
+        self.assertFalse(speeds.is_uncertain("r1", 40.0))
+        speeds.doubt("r1")
+        self.assertTrue(speeds.is_uncertain("r1", 40.0))
