--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -75,7 +75,7 @@
         self._bound = 0
         self._reports = {}
         self._reports_until = 0.0
-        self._holds = mechanisms.is_on("hold_slow_slots")
+        self._holds = settings.hold_slow_slots
         self._hold_until = None
         self._asked = 0.0
         self._slots = 0
--- a/papayaward/protocol/mechanisms.py
+++ b/papayaward/protocol/mechanisms.py
@@ -29,7 +29,6 @@
 TUNING = {
     "ejection": "taking executors that fail everything out of use",
     "hedging": "second starts of idempotent requests that take long",
-    "hold_slow_slots": "leaving a slow slot free when a fast one is due",
 }
 
 _disabled = set()
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -191,6 +191,13 @@
         _RUNNER,
         "Placement policy, by name in the registry.",
     ),
+    Setting(
+        "hold_slow_slots",
+        get_bool,
+        False,
+        _RUNNER,
+        "Leaves a slow slot free when a faster one is expected soon.",
+    ),
     Setting(
         "announce_ttl_s",
         partial(get_number, low=0.5, high=600.0),
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -177,7 +177,7 @@
 class SecondStartTest(FleetCase):
     def test_only_idempotent_requests_are_started_again(self):
         """Guards against a second reservation for a request that failed once."""
-        disabled = ["ejection", "hedging", "hold_slow_slots"]
+        disabled = ["ejection", "hedging"]
         settings = {"debug_faults": True, "disabled_mechanisms": disabled}
         fleet = self.start_fleet(settings={"runner": settings})
         # Pays for 24 second starts beyond the reserve of 10.
