--- a/tests/test_executor_views.py
+++ b/tests/test_executor_views.py
@@ -46,6 +46,7 @@
         super().setUp()
         settings = SimpleNamespace(
             placement="fastest_free",
+            hold_slow_slots=False,
             result_ttl_s=300.0,
             max_queued_bytes=1 << 20,
             max_queued_tasks=1000,
