Have the restarted home issue the number that the scenario submits again

Cause: incarnation_check missed its violation when the job's number came from the second entry's block of 256: the new incarnation had not issued it yet and refused it. The scenario now asks for 600 identifiers.

--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -81,7 +81,9 @@
     fleet.kill(home)
     fleet.start_runner(home)
     fleet.wait_ready(2)
-    fleet.new_ids(3)
+    # Both entries hold a block of 256, so the job's number may be in the second
+    # one; the new incarnation must have issued it too.
+    fleet.new_ids(600)
     fleet.submit(echo_tasks(4, 5), job_id=job_id)
     return _double_starts(fleet)
 
