--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -6,12 +6,12 @@
 """
 
 import json
-import time
 from dataclasses import dataclass
 from hashlib import blake2b
 
 import gevent
 
+from . import clock
 from .coordination.home_calls import HomeGone
 from .coordination.idempotency_keys import IdempotencyKeys, KeyLimit
 from .protocol.gen.ttypes import Cancel, Fetch, Refuse, Submit
@@ -215,7 +215,7 @@
         return self._create_mapping(job, key, fingerprint, 0)
 
     def _create_mapping(self, job, key, fingerprint, revision):
-        now = time.monotonic()
+        now = clock.now()
         if not self._key_limit.take(now):
             raise RequestError(Reason.OVERLOADED, "too many new keys", 1000)
         job_id = self._new_ids(self._service(job.service), 1)[0]
@@ -263,7 +263,7 @@
             return self._refusal(RequestError(Reason.IDENTIFIER_UNKNOWN, str(error)))
         except OptionError as error:
             return problem(400, {"detail": str(error), "reason": Reason.BAD_REQUEST})
-        now = time.monotonic()
+        now = clock.now()
         outcome = self._entry.calls.final_answer(
             job_id,
             lambda number: Fetch(number, str(job_id), wait_ms > 0),
@@ -293,7 +293,7 @@
             home = (job_id.member, job_id.incarnation)
             by_home.setdefault(home, []).append(str(job_id))
         cancelled, unreachable = 0, []
-        until = time.monotonic() + 2.0
+        until = clock.now() + 2.0
         for (member, incarnation), texts in by_home.items():
             try:
                 reply = self._entry.calls.ask_once(
@@ -311,12 +311,12 @@
 
     def _submit(self, job_id, job, request, fresh=False):
         no_wait = request.query.get("wait") == "0"
-        now = time.monotonic()
+        now = clock.now()
         due = now + job.deadline_ms / 1000
 
         def build(number):
             # The time already spent counts when the submission is sent again.
-            remaining_ms = max(0, int((due - time.monotonic()) * 1000))
+            remaining_ms = max(0, int((due - clock.now()) * 1000))
             return Submit(
                 number,
                 str(job_id),
@@ -344,7 +344,7 @@
         outcome = self._entry.calls.final_answer(
             job_id,
             lambda number: Refuse(number, str(job_id), reason),
-            time.monotonic() + 1.0,
+            clock.now() + 1.0,
         )
         if outcome is None:
             detail = f"{error}; an earlier submission may have run"
@@ -397,7 +397,7 @@
             detail = f"no runner of {service.name} is ready"
             raise RequestError(Reason.NO_HOME, detail, 500)
         try:
-            return entry.calls.new_ids(view, wanted, time.monotonic())
+            return entry.calls.new_ids(view, wanted, clock.now())
         except (HomeGone, TimeoutError) as error:
             raise RequestError(Reason.NO_HOME, f"no identifier: {error}", 200) from None
 
@@ -407,10 +407,10 @@
         An entry that was paused, or has just started, has no links for a moment.
         """
         entry = self._entry
-        give_up = time.monotonic() + entry.settings.reconnect_grace_s
+        give_up = clock.now() + entry.settings.reconnect_grace_s
         while True:
             view = entry.members.choose_coordinator(entry.config.config, service)
-            if view is not None or time.monotonic() >= give_up:
+            if view is not None or clock.now() >= give_up:
                 return view
             gevent.sleep(_POLL_S)
 
@@ -488,7 +488,7 @@
         view = entry.members.choose_coordinator(entry.config.config, service)
         if view is None:
             return None
-        next_id = entry.calls.id_at_hand(view, time.monotonic())
+        next_id = entry.calls.id_at_hand(view, clock.now())
         return None if next_id is None else str(next_id)
 
 
--- a/papayaward/cli_config.py
+++ b/papayaward/cli_config.py
@@ -9,11 +9,11 @@
 import random
 import secrets
 import sys
-import time
 from dataclasses import asdict
 
 import gevent
 
+from . import clock
 from .cli_commands import CommandError, Exit, print_result, read_file
 from .cli_format import format_changes, format_findings, format_history
 from .protocol.config_diff import diff_texts
@@ -162,7 +162,7 @@
         # Lets another entry recognise the write if this answer is lost.
         "write_id": secrets.token_hex(8),
     }
-    give_up = time.monotonic() + options.timeout
+    give_up = clock.now() + options.timeout
     uncertain = False
     while True:
         try:
@@ -179,7 +179,7 @@
             if not uncertain or reply.status not in (503, 504):
                 _raise_refusal(reply, options, base, uncertain)
             message = reply.json.get("detail", "")
-        if time.monotonic() >= give_up:
+        if clock.now() >= give_up:
             message += f"\nwhether version {base + 1} was written is unknown;"
             message += " look at `config history` before trying again"
             raise CommandError(
@@ -213,7 +213,7 @@
 
 
 def _wait_in_force(client, options, version, verb):
-    give_up = time.monotonic() + options.timeout
+    give_up = clock.now() + options.timeout
     shown = None
     while True:
         state = _spread(client, version)
@@ -229,7 +229,7 @@
             text = f"{verb} version {version}, in force everywhere ({len(confirmed)})"
             print_result(options, state, text)
             return Exit.DONE
-        if time.monotonic() >= give_up:
+        if clock.now() >= give_up:
             break
         gevent.sleep(_POLL_S)
     how = "accepted" if state["accepted"] else "written but not accepted"
--- a/papayaward/config_api.py
+++ b/papayaward/config_api.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from . import clock
 from .coordination.acceptance import judge
 from .coordination.config_writer import Submission
 from .protocol.config_diff import diff_texts
@@ -96,7 +97,7 @@
             return problem(400, {"detail": str(error)})
         if dry_run:
             return self._preview(submission)
-        return self._apply(submission, time.monotonic() + wait_ms / 1000)
+        return self._apply(submission, clock.now() + wait_ms / 1000)
 
     def _preview(self, submission):
         entry = self._entry
@@ -116,10 +117,10 @@
         )
         if result.status != "written":
             return self._not_written(submission, result)
-        entry.config.offer(result.version, submission.text.encode(), time.monotonic())
+        entry.config.offer(result.version, submission.text.encode(), clock.now())
         while True:
             document = self._confirmed(result.version)
-            if document["in_force_everywhere"] or time.monotonic() >= until:
+            if document["in_force_everywhere"] or clock.now() >= until:
                 document["write_id"] = submission.write_id
                 return json_response(200, document)
             gevent.sleep(_POLL_S)
@@ -156,7 +157,7 @@
             name: None if view is None else view.config_version
             for name, view in views.items()
         }
-        found = judge(version, versions, time.monotonic() - self._started)
+        found = judge(version, versions, clock.now() - self._started)
         own = entry.config.version
         return {
             "entry": entry.settings.member,
--- a/papayaward/coordination/config_sync.py
+++ b/papayaward/coordination/config_sync.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from functools import partial
 
 from ..protocol import mechanisms
 from ..protocol.config_text import ConfigError, FleetConfig, parse_config
@@ -18,12 +19,19 @@
 
 
 class ConfigHolder:
-    """Holds the highest version seen; versions only rise."""
+    """Holds the highest version seen; versions only rise.
 
-    def __init__(self):
+    Args:
+        parse: Function that returns the content of a text, bytes, or raises
+            `ConfigError`.
+        initial: Content before the first version.
+    """
+
+    def __init__(self, parse=partial(parse_config, allow_unknown=True), initial=None):
+        self._parse = parse
         self._version = 0
         self._text = b"{}"
-        self._config = FleetConfig()
+        self._config = FleetConfig() if initial is None else initial
         self._listeners = []
 
     @property
@@ -61,7 +69,7 @@
         if version < self._version and mechanisms.is_on("version_order"):
             return False
         try:
-            config = parse_config(text, allow_unknown=True)
+            config = self._parse(text)
         except ConfigError as error:
             # Entries check every text before they write it, so this is a text
             # written by another program; the old version stays in force.
--- a/papayaward/coordination/config_writer.py
+++ b/papayaward/coordination/config_writer.py
@@ -6,11 +6,11 @@
 """
 
 import json
-import time
 from dataclasses import asdict, dataclass
 
 import gevent
 
+from .. import clock
 from ..protocol.config_diff import diff_texts, summarise
 from ..transport.store_client import (
     StoreError,
@@ -223,12 +223,12 @@
         except StoreRefused as error:
             return WriteResult("unavailable", version - 1, detail=str(error))
         except StoreError:
-            give_up = max(give_up, time.monotonic() + _READ_BACK_S)
+            give_up = max(give_up, clock.now() + _READ_BACK_S)
             return self._read_back(submission, in_force, give_up)
 
     def _read_back(self, submission, in_force, give_up):
         version = submission.expected_version + 1
-        while time.monotonic() < give_up:
+        while clock.now() < give_up:
             try:
                 found = self._store.get(CONFIG_KEY)
                 present = None if found is None else _parse(Envelope, found.value)
--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -6,11 +6,11 @@
 """
 
 import json
-import time
 
 import gevent
 from gevent.event import Event
 
+from .. import clock
 from ..protocol.gen.ttypes import Query, QueryReply
 from ..state.job_records import JobRecords
 from .answers import Answers
@@ -80,11 +80,11 @@
 
     def on_config(self):
         """Places tasks anew after a change of the configuration."""
-        self._dispatcher.refresh(time.monotonic())
+        self._dispatcher.refresh(clock.now())
 
     def on_members(self, members):
         """Takes the members of the cell, a list of `Member`."""
-        self._dispatcher.on_members(members, time.monotonic())
+        self._dispatcher.on_members(members, clock.now())
 
     def on_executor_up(self, link, now):
         """Takes a link to an executor and sends it the outstanding grants again."""
@@ -151,7 +151,7 @@
                 self._active.wait(_IDLE_TICK_S)
             else:
                 gevent.sleep(_TICK_S)
-            self._tick(time.monotonic())
+            self._tick(clock.now())
 
     @property
     def _idle(self):
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -6,7 +6,6 @@
 """
 
 import heapq
-import time
 from collections import deque
 from functools import lru_cache
 from operator import attrgetter
@@ -14,6 +13,7 @@
 import gevent
 from gevent.event import Event
 
+from .. import clock
 from ..protocol import mechanisms
 from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
 from ..state import metrics
@@ -380,7 +380,7 @@
         while True:
             self._wakeup.wait()
             self._wakeup.clear()
-            self._dispatch(time.monotonic())
+            self._dispatch(clock.now())
 
     def _dispatch(self, now):
         batches = {}
--- /dev/null
+++ b/papayaward/coordination/domains_sync.py
@@ -0,0 +1,68 @@
+"""
+papayaward.coordination.domains_sync
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The failure domains out of service, and how the newest list of them spreads.
+"""
+
+import logging
+
+from ..protocol.gen.ttypes import DomainsPush
+
+__all__ = ["DomainsHolder"]
+
+log = logging.getLogger(__name__)
+
+
+class DomainsHolder:
+    """Holds the list with the highest revision of the store."""
+
+    def __init__(self):
+        self._revision = 0
+        self._out = frozenset()
+        self._listeners = []
+
+    @property
+    def revision(self):
+        """Revision of the store at which the list was read, 0 before the first."""
+        return self._revision
+
+    @property
+    def out(self):
+        """Names of the failure domains out of service."""
+        return self._out
+
+    def is_out(self, domain):
+        """Returns whether a failure domain is out of service."""
+        return domain in self._out
+
+    def on_change(self, listener):
+        """Calls listener(now) after each change of the list."""
+        self._listeners.append(listener)
+
+    def offer(self, revision, domains, now):
+        """Takes a list if it is newer than the present one."""
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        domains = frozenset(domains)
+        if domains == self._out:
+            return
+        self._out = domains
+        log.info(
+            "domains_changed", extra={"revision": revision, "out": sorted(domains)}
+        )
+        for listener in self._listeners:
+            listener(now)
+
+    def on_message(self, message, now):
+        """Handles a push and returns whether it was one."""
+        if not isinstance(message, DomainsPush):
+            return False
+        self.offer(message.revision, message.domains_out, now)
+        return True
+
+    def on_peer_revision(self, link, revision):
+        """Sends the list to a peer that has an older one."""
+        if (revision or 0) < self._revision:
+            link.try_send(DomainsPush(self._revision, sorted(self._out)))
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -7,11 +7,11 @@
 
 import json
 import logging
-import time
 from dataclasses import dataclass
 
 import gevent
 
+from .. import clock
 from ..protocol import mechanisms
 from ..protocol.gen.ttypes import CancelTasks, ResultBatch, RunBatch, SlotReport
 from ..protocol.gen.ttypes import TaskResult as Result
@@ -114,7 +114,7 @@
     def accepting(self):
         """Whether the gate would let a task start if a slot is free."""
         state = self._gate_state()
-        now = time.monotonic()
+        now = clock.now()
         return check_start(state, state.incarnation, False, False, now + 1, now) in (
             Reason.NONE,
             Reason.NO_SLOT,
@@ -204,9 +204,7 @@
                 and mechanisms.is_on("domain_gate")
             ),
             evidence=(
-                node.evidence.latest
-                if mechanisms.is_on("evidence")
-                else time.monotonic()
+                node.evidence.latest if mechanisms.is_on("evidence") else clock.now()
             ),
             evidence_max_age_s=node.settings.evidence_max_age_s,
             upstream_present=upstream is not None,
@@ -295,7 +293,7 @@
             _HeldBack: The task may not start any more.
         """
         state = self._gate_state()
-        now = time.monotonic()
+        now = clock.now()
         reason = check_start(state, state.incarnation, False, False, deadline, now)
         # The task itself holds the slot.
         if reason not in (Reason.NONE, Reason.NO_SLOT):
@@ -319,12 +317,12 @@
         except NotSent:
             # Not offered again until the next announcement, and then with care.
             self._present = False
-            self._usable.on_unreachable(time.monotonic())
+            self._usable.on_unreachable(clock.now())
             return TaskStatus.REJECTED, b"", Reason.UPSTREAM_GONE
         except UpstreamLost:
             return TaskStatus.LOST, b"", Reason.TASK_LOST
         if status == _HTTP_TOO_MANY_REQUESTS:
-            now = time.monotonic()
+            now = clock.now()
             metrics.REJECTED_GRANTS.labels("upstream_busy").inc()
             running = len(self._running) - 1
             self._usable.on_refused(running, now)
@@ -336,7 +334,7 @@
         return TaskStatus.FAILED, body[:1000], Reason.TASK_FAILED
 
     def _finish(self, home, key, value, started):
-        now = time.monotonic()
+        now = clock.now()
         if isinstance(value, gevent.GreenletExit):
             value = (TaskStatus.CANCELLED, b"", Reason.CANCELLED)
         elif value is None:
--- a/papayaward/coordination/home_calls.py
+++ b/papayaward/coordination/home_calls.py
@@ -5,12 +5,12 @@
 Requests of an entry to the homes of jobs, across lost links.
 """
 
-import time
 from itertools import count
 
 import gevent
 from gevent.queue import Empty, SimpleQueue
 
+from .. import clock
 from ..protocol import mechanisms
 from ..protocol.gen.ttypes import (
     Accepted,
@@ -225,7 +225,7 @@
         return range(block.first, block.first + block.count), now + usable_s
 
     def _wait_for_link(self, home, incarnation):
-        give_up = time.monotonic() + self._node.settings.reconnect_grace_s
+        give_up = clock.now() + self._node.settings.reconnect_grace_s
         while True:
             view = self._node.members.get(home)
             if view is not None:
@@ -235,14 +235,14 @@
                 # A closed link stays in the view until its reader has ended.
                 if not view.link.closed:
                     return view.link
-            if time.monotonic() >= give_up:
+            if clock.now() >= give_up:
                 raise HomeGone(f"{home} cannot be reached")
             gevent.sleep(_POLL_S)
 
     def _next_reply(self, link, replies, until):
         if link.closed:
             return _LINK_DOWN
-        remaining = until - time.monotonic()
+        remaining = until - clock.now()
         if remaining <= 0:
             raise TimeoutError
         try:
--- /dev/null
+++ b/papayaward/coordination/job_home.py
@@ -0,0 +1,382 @@
+"""
+papayaward.coordination.job_home
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+The home of the jobs that callers keep a connection open for.
+
+The entry that holds a caller's connection owns the job: if the entry dies, the
+caller sees it at once and sends the job again, so nothing has to be stored.
+"""
+
+import logging
+
+import gevent
+from gevent.event import Event
+
+from .. import clock
+from ..protocol.gen import ttypes
+from ..protocol.jobs import JobOutcome
+from ..state import metrics
+from .ejection import Ejection
+from .job_placement import Placement
+from .job_state import DONE, LOST, SENT, WAITING, Job
+from .leased_executor import resources_to_wire
+from .leased_views import LeasedView
+from .speeds import SpeedEstimates
+
+__all__ = ["JobHome"]
+
+log = logging.getLogger(__name__)
+
+# Longest time that a run goes on at an executor that this entry lost: its lease and
+# the kill at the end of it.
+_LOST_RUN_S = 1.05
+_TICK_S = 0.02
+# Part of the latency objective after which a job that has not begun is refused, if
+# it cannot be expected to be served.
+_REFUSAL_SHARE = 0.22
+_RETRY_AFTER_S = 1.0
+# Failures of a task on one executor count once: a single bad executor must not use
+# up the attempts of a job.
+_NOT_RUN = "not_run:"
+
+
+class JobHome:
+    """Queues the jobs of one entry and has their tasks run.
+
+    Args:
+        is_domain_out: Function that returns whether a failure domain is out of
+            service.
+    """
+
+    def __init__(self, is_domain_out):
+        self._jobs = {}
+        self._views = {}
+        self._lost = {}
+        self._speeds = SpeedEstimates()
+        self._ejection = Ejection()
+        self._placement = Placement(self._speeds, self._ejection, is_domain_out)
+        self._wakeup = Event()
+        self._closing = False
+        gevent.spawn(self._run)
+        gevent.spawn(self._tick)
+
+    @property
+    def jobs(self):
+        """Number of jobs without an answer."""
+        return len(self._jobs)
+
+    @property
+    def executors(self):
+        """Number of executors that accept tasks."""
+        return sum(view.accepting for view in self._views.values())
+
+    def pending(self, queue_name):
+        """Returns the number of a queue's jobs of which no task has started."""
+        return sum(
+            job.queue.name == queue_name and not job.begun
+            for job in self._jobs.values()
+        )
+
+    def find(self, job_id):
+        """Returns the `Job` with an identifier, or None."""
+        return self._jobs.get(job_id)
+
+    def submit(self, request, queue, now):
+        """Takes a job, or joins the one with the same identifier.
+
+        Args:
+            request: `JobRequest`.
+            queue: `Queue` that it was sent to.
+            now: Time, seconds.
+
+        Returns:
+            Job: Its `finished` event is set when there is an outcome.
+        """
+        job = self._jobs.get(request.job_id)
+        if job is not None:
+            log.info("job_joined", extra=_job_fields(job))
+            return job
+        job = Job(request, queue, now)
+        self._jobs[request.job_id] = job
+        self._wakeup.set()
+        return job
+
+    def end(self, job, kind, reason, now, retry_after_s=0.0):
+        """Gives a job its outcome and stops what still runs for it."""
+        if job.outcome is not None:
+            return
+        job.outcome = JobOutcome(kind, reason, retry_after_s)
+        del self._jobs[job.request.job_id]
+        stops = {}
+        for task in job.tasks:
+            if task.state is SENT:
+                stops.setdefault(task.executor, []).append(task)
+            elif task.state is LOST:
+                self._forget_lost(task)
+        for view, tasks in stops.items():
+            view.link.try_send(ttypes.StopBatch([task.name for task in tasks]))
+        self._report(job, now)
+        job.finished.set()
+
+    def close(self, now):
+        """Ends the jobs that are left when the process has to stop."""
+        for job in list(self._jobs.values()):
+            kind = "unknown" if job.begun else "not_run"
+            self.end(job, kind, "closing", now, _RETRY_AFTER_S)
+
+    # Interface for links.
+
+    def on_link_up(self, link, now):
+        """Takes a link to an executor."""
+        view = LeasedView(link)
+        self._views[view.name] = view
+
+    def on_link_down(self, link, now):
+        """Keeps what runs at an executor apart until it has surely ended."""
+        view = self._views.get(link.peer.member)
+        if view is None or view.link is not link:
+            return
+        del self._views[view.name]
+        tasks = [task for task in view.tasks.values() if task.executor is view]
+        for task in tasks:
+            task.state = LOST
+        if tasks:
+            lost = self._lost.setdefault((view.name, link.peer.incarnation), [])
+            lost.append((now + _LOST_RUN_S, tasks))
+            log.warning(
+                "tasks_out_of_reach", extra={"executor": view.name, "tasks": len(tasks)}
+            )
+
+    def on_message(self, link, message, now):
+        """Handles a message of an executor and returns whether it was one."""
+        view = self._views.get(link.peer.member)
+        if view is None or view.link is not link:
+            return isinstance(message, (ttypes.EndBatch, ttypes.RunningTasks))
+        if isinstance(message, ttypes.EndBatch):
+            if message.room is not None:
+                view.on_room(message.room)
+            for end in message.ends:
+                self._on_end(view, end, now)
+        elif isinstance(message, ttypes.RunningTasks):
+            self._on_running(view, set(message.tasks), now)
+        else:
+            return False
+        self._wakeup.set()
+        return True
+
+    def _on_running(self, view, names, now):
+        """Settles the tasks that were lost with an earlier link to an executor."""
+        key = (view.name, view.link.peer.incarnation)
+        for _, tasks in self._lost.pop(key, ()):
+            for task in tasks:
+                if task.state is not LOST:
+                    continue
+                if task.name in names:
+                    task.state, task.executor = SENT, view
+                    view.tasks[task.name] = task
+                    names.discard(task.name)
+                else:
+                    self._requeue(task, "not running after the link broke", now)
+        if names:
+            # Jobs that ended while the executor was out of reach.
+            view.link.try_send(ttypes.StopBatch(sorted(names)))
+
+    def _on_end(self, view, end, now):
+        task = view.tasks.get(end.task)
+        if task is None or end.run < task.run:
+            return
+        del view.tasks[end.task]
+        task.run = max(task.run, end.run)
+        if end.outcome == "done" and task.job.outcome is None:
+            self._on_done(view, task, end, now)
+        if task.state is not SENT or task.job.outcome is not None:
+            return
+        if end.outcome == "failed":
+            self._on_failed(view, task, now)
+        elif end.outcome.startswith(_NOT_RUN):
+            reason = end.outcome.removeprefix(_NOT_RUN)
+            if reason == "invalid":
+                self.end(task.job, "failed", "rejected by the upstream", now)
+                return
+            if reason != "busy":
+                task.avoid = {view.name}
+            self._requeue(task, reason, now)
+        else:
+            self._requeue(task, end.outcome, now)
+
+    def _on_done(self, view, task, end, now):
+        job = task.job
+        expected_s = task.spec.expected_s
+        if end.service_us and expected_s:
+            self._speeds.add(
+                view.name, job.queue.name, end.service_us / 1e6 / expected_s, now
+            )
+        metrics.SERVICE_SECONDS.labels(job.queue.service, job.queue.name).observe(
+            end.service_us / 1e6
+        )
+        self._count(view, task, True, now)
+        if job.on_task_done(task):
+            self.end(job, "completed", "", now)
+
+    def _on_failed(self, view, task, now):
+        job = task.job
+        self._count(view, task, False, now)
+        task.failures += 1
+        task.avoid.add(view.name)
+        log.info(
+            "run_failed",
+            extra={
+                "request_id": job.request.request_id,
+                "task": task.name,
+                "run": task.run,
+                "executor": view.name,
+                "failures": task.failures,
+                "attempts": job.queue.attempts,
+            },
+        )
+        if task.failures >= job.queue.attempts:
+            self.end(job, "failed", "attempts used up", now)
+        else:
+            self._requeue(task, "failed", now)
+
+    def _count(self, view, task, succeeded, now):
+        slots = max(1, view.capacity.cpu_millis // max(1, task.spec.need.cpu_millis))
+        ejected = self._ejection.add(
+            view.name,
+            task.job.queue.name,
+            succeeded,
+            slots,
+            len(self._views),
+            now,
+        )
+        if ejected:
+            log.warning("executor_ejected", extra={"executor": view.name})
+
+    def _requeue(self, task, reason, now):
+        task.state = WAITING
+        task.executor = None
+        if reason != "busy":
+            log.info(
+                "task_requeued",
+                extra={
+                    "request_id": task.job.request.request_id,
+                    "task": task.name,
+                    "run": task.run,
+                    "reason": reason,
+                },
+            )
+        self._wakeup.set()
+
+    def _forget_lost(self, task):
+        task.state = DONE
+
+    # Scheduling.
+
+    def _run(self):
+        while True:
+            self._wakeup.wait()
+            self._wakeup.clear()
+            try:
+                self._schedule(clock.now())
+            except Exception:
+                log.exception("schedule_failed")
+            # Lets the messages that have arrived be taken first.
+            gevent.sleep(0)
+
+    def _schedule(self, now):
+        batches = {}
+        for job in self._placement.order(self._jobs.values(), now):
+            for number in job.open_phases():
+                for task in job.waiting(number):
+                    view = self._placement.choose(task, self._views.values(), now)
+                    if view is None:
+                        break
+                    self._send_later(batches, view, task, now)
+        for view, starts in batches.items():
+            view.link.try_send(ttypes.StartBatch(view.next_batch(), starts))
+
+    def _send_later(self, batches, view, task, now):
+        job = task.job
+        task.run += 1
+        task.state = SENT
+        task.executor = view
+        task.sent_at = now
+        view.reserve(task)
+        if not job.begun:
+            job.begun = True
+            metrics.QUEUE_SECONDS.labels(job.queue.service, job.queue.name).observe(
+                now - job.arrived_at
+            )
+        job.starts += 1
+        start = ttypes.TaskStart(
+            task.name,
+            task.run,
+            job.request.spec,
+            resources_to_wire(task.spec.need),
+            int((job.give_up_at - now) * 1000),
+            job.request.request_id,
+        )
+        batches.setdefault(view, []).append(start)
+
+    def _tick(self):
+        while True:
+            gevent.sleep(_TICK_S)
+            now = clock.now()
+            self._check_lost(now)
+            for job in list(self._jobs.values()):
+                self._check_job(job, now)
+            if self._jobs:
+                self._wakeup.set()
+
+    def _check_job(self, job, now):
+        if now >= job.give_up_at:
+            kind = "unknown" if job.begun else "not_run"
+            self.end(job, kind, "deadline", now, _RETRY_AFTER_S)
+        elif not job.begun:
+            waited = now - job.arrived_at
+            if waited > _REFUSAL_SHARE * job.objective_s:
+                if not self._placement.can_be_useful(job, self._views.values(), now):
+                    self.end(job, "not_run", "overload", now, _RETRY_AFTER_S)
+
+    def _check_lost(self, now):
+        for key, groups in list(self._lost.items()):
+            left = []
+            for until, tasks in groups:
+                if now < until:
+                    left.append((until, tasks))
+                    continue
+                for task in tasks:
+                    if task.state is LOST:
+                        self._requeue(task, "the lease at the lost executor ended", now)
+            if left:
+                self._lost[key] = left
+            else:
+                del self._lost[key]
+
+    def _report(self, job, now):
+        seconds = now - job.arrived_at
+        labels = (job.queue.service, job.queue.name)
+        metrics.RESPONSE_SECONDS.labels(*labels).observe(seconds)
+        metrics.ANSWERS.labels(
+            job.queue.service, job.outcome.kind, job.outcome.reason
+        ).inc()
+        fields = _job_fields(job)
+        fields.update(
+            outcome=job.outcome.kind,
+            reason=job.outcome.reason,
+            seconds=round(seconds, 4),
+            objective_s=round(job.objective_s, 4),
+            starts=job.starts,
+            tasks=len(job.tasks),
+            done=sum(task.state is DONE for task in job.tasks),
+        )
+        log.info("job_ended", extra=fields)
+
+
+def _job_fields(job):
+    return {
+        "request_id": job.request.request_id,
+        "job": job.request.job_id,
+        "queue": job.queue.name,
+    }
--- /dev/null
+++ b/papayaward/coordination/job_placement.py
@@ -0,0 +1,119 @@
+"""
+papayaward.coordination.job_placement
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Which job comes next, and which executor runs a task.
+"""
+
+import math
+import random
+
+__all__ = ["Placement"]
+
+# Time that a start and the report of an end take beside the work, seconds.
+_OVERHEAD_S = 0.012
+# A job that is done later than this many times its objective is of no use.
+_USEFUL_OBJECTIVES = 3.0
+# Executors whose speeds differ by less than this factor count as equally fast.
+_SPEED_STEP = math.log(1.12)
+
+
+class Placement:
+    """Chooses jobs and executors by the latency objective and learned speeds.
+
+    Args:
+        speeds: `SpeedEstimates` of run time over stated time, by executor and queue.
+        ejection: `Ejection` of executors that fail.
+        is_domain_out: Function that returns whether a failure domain is out of
+            service.
+    """
+
+    def __init__(self, speeds, ejection, is_domain_out):
+        self._speeds = speeds
+        self._ejection = ejection
+        self._is_domain_out = is_domain_out
+
+    def order(self, jobs, now):
+        """Returns the jobs, those first that have to start first.
+
+        Jobs that can no longer meet their objective come after all others.
+        """
+
+        def key(job):
+            latest = job.objective_at - self._least_s(job)
+            return (now > latest, latest)
+
+        return sorted(jobs, key=key)
+
+    def choose(self, task, views, now):
+        """Returns the executor that should start a task now, or None to wait.
+
+        Args:
+            task: `Task` that waits.
+            views: `LeasedView` of each executor in reach.
+            now: Time, seconds.
+        """
+        job = task.job
+        usable = [view for view in views if self._is_usable(view, task, now)]
+        free = [view for view in usable if view.free.covers(task.spec.need)]
+        if not free:
+            return None
+        preferred = [view for view in free if view.name not in task.avoid] or free
+        best = min(preferred, key=lambda view: self._rank(view, task))
+        finish = now + self._run_s(best, task)
+        if finish <= job.objective_at:
+            return best
+        fastest_s = min(self._run_s(view, task) for view in usable)
+        if now + fastest_s < job.objective_at:
+            # A faster executor can still make it if it becomes free in time.
+            return None
+        useful_until = job.arrived_at + _USEFUL_OBJECTIVES * job.objective_s
+        if finish <= min(useful_until, job.give_up_at):
+            return best
+        return None
+
+    def can_be_useful(self, job, views, now):
+        """Returns whether a job that has not begun may still be served in time."""
+        usable = [
+            view
+            for task in (job.phases[0][0],)
+            for view in views
+            if self._is_usable(view, task, now)
+        ]
+        if not usable:
+            return False
+        return now + self._least_s(job) <= job.objective_at
+
+    def _least_s(self, job):
+        """Returns the time that a job needs at least on a usual executor, seconds."""
+        work_s = sum(phase.expected_s for phase in job.request.phases[:1])
+        return work_s + _OVERHEAD_S
+
+    def _is_usable(self, view, task, now):
+        phase = task.spec
+        if not view.accepting or view.service != task.job.queue.service:
+            return False
+        if self._is_domain_out(view.domain):
+            return False
+        if phase.label and phase.label not in view.labels:
+            return False
+        if not view.capacity.covers(phase.need):
+            return False
+        if phase.max_per_upstream:
+            mine = sum(other.executor is view for other in task.job.phases[task.phase])
+            if mine >= phase.max_per_upstream:
+                return False
+        slots = max(1, view.capacity.cpu_millis // max(1, phase.need.cpu_millis))
+        return self._ejection.limit(view.name, slots, now) > len(view.tasks)
+
+    def _run_s(self, view, task):
+        return self._ratio(view, task) * task.spec.expected_s + _OVERHEAD_S
+
+    def _ratio(self, view, task):
+        """Returns an executor's run time over the stated time."""
+        return self._speeds.predicted_s(view.name, task.job.queue.name, 1.0)
+
+    def _rank(self, view, task):
+        far = bool(task.spec.rack) and task.spec.rack not in view.labels
+        step = round(math.log(self._ratio(view, task)) / _SPEED_STEP)
+        return (far, step, -view.free.cpu_millis, random.random())
--- a/papayaward/coordination/speeds.py
+++ b/papayaward/coordination/speeds.py
@@ -136,6 +136,19 @@
         speed = self._executors.get(executor)
         return 1.0 if speed is None else math.exp(speed.log)
 
+    def predicted_s(self, executor, job_class, unknown_s=_UNKNOWN_TASK_S):
+        """Returns the service time of a task of a class on an executor, seconds.
+
+        Args:
+            executor: Name of the executor.
+            job_class: Name of the class.
+            unknown_s: Service time on a usual executor while none has finished.
+        """
+        usual = self._classes.get(job_class)
+        log_s = math.log(unknown_s) if usual is None else usual.log_s
+        speed = self._executors.get(executor)
+        return math.exp(log_s + (0.0 if speed is None else speed.log))
+
     def rank(self, executor, busy, now):
         """Returns the place of an executor in the order of placement, an integer.
 
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -7,10 +7,10 @@
 
 import logging
 import secrets
-import time
 
 import gevent
 
+from . import clock
 from .caller_api import CallerApi
 from .config_api import ConfigApi
 from .coordination.config_sync import ConfigHolder
@@ -78,7 +78,7 @@
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
-        ConfigApi(self, time.monotonic()).add_routes(api)
+        ConfigApi(self, clock.now()).add_routes(api)
         tls = {}
         if settings.tls_certificate:
             tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
@@ -91,7 +91,7 @@
         """Finishes the open requests and stops."""
         self.draining = True
         log.info("drain_started", extra={"open": len(self._http.open_requests)})
-        finished = self._http.drain(time.monotonic() + self.settings.drain_s)
+        finished = self._http.drain(clock.now() + self.settings.drain_s)
         invariants.check(
             "planned_stop_cuts_nothing",
             finished,
@@ -103,7 +103,7 @@
         """Sends the members of its cell to a coordinator that gets work."""
         key = (view.hello.member, view.hello.incarnation)
         if key not in self._coordinators:
-            self._coordinators[key] = time.monotonic()
+            self._coordinators[key] = clock.now()
             self._send_members(view)
 
     # Interface for links.
@@ -222,8 +222,8 @@
                 for cell in range(service.cells):
                     leader = self.members.leader(config, service, cell)
                     if leader is not None:
-                        self._prepare(leader, time.monotonic())
-            self._release_coordinators(time.monotonic())
+                        self._prepare(leader, clock.now())
+            self._release_coordinators(clock.now())
 
     def _release_coordinators(self, now):
         """Lets former coordinators drop the links to their cells.
@@ -251,7 +251,7 @@
     def _store_loop(self):
         reachable = None
         while True:
-            sent_at = time.monotonic()
+            sent_at = clock.now()
             try:
                 envelope = self.config_writer.read_if_changed()
             except StoreError as error:
@@ -259,7 +259,7 @@
                     log.warning("store_unreachable", extra={"error": str(error)})
                 reachable = False
             else:
-                now = time.monotonic()
+                now = clock.now()
                 if envelope is not None:
                     text = envelope.text.encode()
                     self.config.offer(envelope.version, text, now)
--- a/papayaward/operator_api.py
+++ b/papayaward/operator_api.py
@@ -6,10 +6,10 @@
 """
 
 import json
-import time
 
 from gevent.pool import Pool
 
+from . import clock
 from .coordination.evidence import age_ms
 from .coordination.home_calls import HomeGone
 from .protocol.gen.ttypes import Query
@@ -40,7 +40,7 @@
 
     def _status(self, request):
         entry = self._entry
-        now = time.monotonic()
+        now = clock.now()
         views = sorted(entry.members, key=lambda view: view.hello.member)
         coordinators = []
         if request.query.get("detail") == "1":
@@ -69,7 +69,7 @@
                 job_id.member,
                 job_id.incarnation,
                 lambda number: Query(number, "explain", str(job_id)),
-                time.monotonic() + 1.0,
+                clock.now() + 1.0,
             )
         except (HomeGone, TimeoutError) as error:
             return problem(504, {"detail": f"the job's home is gone: {error}"})
@@ -81,7 +81,7 @@
                 hello.member,
                 hello.incarnation,
                 lambda number: Query(number, kind, argument),
-                time.monotonic() + 1.0,
+                clock.now() + 1.0,
             )
         except (HomeGone, TimeoutError):
             return None
--- a/papayaward/protocol/codec.py
+++ b/papayaward/protocol/codec.py
@@ -49,6 +49,11 @@
     "ResultBatch": 18,
     "CancelTasks": 19,
     "SlotReport": 20,
+    "StartBatch": 21,
+    "StopBatch": 22,
+    "EndBatch": 23,
+    "RunningTasks": 24,
+    "DomainsPush": 25,
 }
 _CODE_BY_CLASS = {getattr(ttypes, name): code for name, code in MESSAGE_CODES.items()}
 _CLASS_BY_CODE = {code: cls for cls, code in _CODE_BY_CLASS.items()}
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -70,6 +70,7 @@
      - draining
      - ready
      - queued
+     - domains_revision
 
     """
 
@@ -81,10 +82,11 @@
         'draining',
         'ready',
         'queued',
+        'domains_revision',
     )
 
 
-    def __init__(self, stamp_us=None, echo_us=None, config_version=None, evidence_age_ms=None, draining=None, ready=None, queued=None,):
+    def __init__(self, stamp_us=None, echo_us=None, config_version=None, evidence_age_ms=None, draining=None, ready=None, queued=None, domains_revision=None,):
         self.stamp_us = stamp_us
         self.echo_us = echo_us
         self.config_version = config_version
@@ -92,6 +94,7 @@
         self.draining = draining
         self.ready = ready
         self.queued = queued
+        self.domains_revision = domains_revision
 
 
 class ConfigPull(TBase):
@@ -578,6 +581,204 @@
 
     def __init__(self, job_ids=None,):
         self.job_ids = job_ids
+
+
+class Resources(TBase):
+    """
+    Attributes:
+     - cpu_millis
+     - memory_mb
+     - gpus
+
+    """
+
+    __slots__ = (
+        'cpu_millis',
+        'memory_mb',
+        'gpus',
+    )
+
+
+    def __init__(self, cpu_millis=None, memory_mb=None, gpus=None,):
+        self.cpu_millis = cpu_millis
+        self.memory_mb = memory_mb
+        self.gpus = gpus
+
+
+class TaskStart(TBase):
+    """
+    Attributes:
+     - task
+     - run
+     - spec
+     - need
+     - expires_ms
+     - request_id
+
+    """
+
+    __slots__ = (
+        'task',
+        'run',
+        'spec',
+        'need',
+        'expires_ms',
+        'request_id',
+    )
+
+
+    def __init__(self, task=None, run=None, spec=None, need=None, expires_ms=None, request_id=None,):
+        self.task = task
+        self.run = run
+        self.spec = spec
+        self.need = need
+        self.expires_ms = expires_ms
+        self.request_id = request_id
+
+
+class StartBatch(TBase):
+    """
+    Attributes:
+     - number
+     - starts
+
+    """
+
+    __slots__ = (
+        'number',
+        'starts',
+    )
+
+
+    def __init__(self, number=None, starts=None,):
+        self.number = number
+        self.starts = starts
+
+
+class StopBatch(TBase):
+    """
+    Attributes:
+     - tasks
+
+    """
+
+    __slots__ = (
+        'tasks',
+    )
+
+
+    def __init__(self, tasks=None,):
+        self.tasks = tasks
+
+
+class TaskEnd(TBase):
+    """
+    Attributes:
+     - task
+     - run
+     - outcome
+     - service_us
+
+    """
+
+    __slots__ = (
+        'task',
+        'run',
+        'outcome',
+        'service_us',
+    )
+
+
+    def __init__(self, task=None, run=None, outcome=None, service_us=None,):
+        self.task = task
+        self.run = run
+        self.outcome = outcome
+        self.service_us = service_us
+
+
+class RoomReport(TBase):
+    """
+    Attributes:
+     - last_batch
+     - free
+     - capacity
+     - accepting
+     - labels
+     - upstream
+
+    """
+
+    __slots__ = (
+        'last_batch',
+        'free',
+        'capacity',
+        'accepting',
+        'labels',
+        'upstream',
+    )
+
+
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None,):
+        self.last_batch = last_batch
+        self.free = free
+        self.capacity = capacity
+        self.accepting = accepting
+        self.labels = labels
+        self.upstream = upstream
+
+
+class EndBatch(TBase):
+    """
+    Attributes:
+     - ends
+     - room
+
+    """
+
+    __slots__ = (
+        'ends',
+        'room',
+    )
+
+
+    def __init__(self, ends=None, room=None,):
+        self.ends = ends
+        self.room = room
+
+
+class RunningTasks(TBase):
+    """
+    Attributes:
+     - tasks
+
+    """
+
+    __slots__ = (
+        'tasks',
+    )
+
+
+    def __init__(self, tasks=None,):
+        self.tasks = tasks
+
+
+class DomainsPush(TBase):
+    """
+    Attributes:
+     - revision
+     - domains_out
+
+    """
+
+    __slots__ = (
+        'revision',
+        'domains_out',
+    )
+
+
+    def __init__(self, revision=None, domains_out=None,):
+        self.revision = revision
+        self.domains_out = domains_out
 all_structs.append(Hello)
 Hello.thrift_spec = (
     None,  # 0
@@ -602,6 +803,7 @@
     (5, TType.BOOL, 'draining', None, None, ),  # 5
     (6, TType.BOOL, 'ready', None, None, ),  # 6
     (7, TType.I32, 'queued', None, None, ),  # 7
+    (8, TType.I64, 'domains_revision', None, None, ),  # 8
 )
 all_structs.append(ConfigPull)
 ConfigPull.thrift_spec = (
@@ -758,5 +960,68 @@
     None,  # 0
     (1, TType.LIST, 'job_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(Resources)
+Resources.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'cpu_millis', None, None, ),  # 1
+    (2, TType.I32, 'memory_mb', None, None, ),  # 2
+    (3, TType.I32, 'gpus', None, None, ),  # 3
+)
+all_structs.append(TaskStart)
+TaskStart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.STRING, 'spec', 'UTF8', None, ),  # 3
+    (4, TType.STRUCT, 'need', [Resources, None], None, ),  # 4
+    (5, TType.I32, 'expires_ms', None, None, ),  # 5
+    (6, TType.STRING, 'request_id', 'UTF8', None, ),  # 6
+)
+all_structs.append(StartBatch)
+StartBatch.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'number', None, None, ),  # 1
+    (2, TType.LIST, 'starts', (TType.STRUCT, [TaskStart, None], False), None, ),  # 2
+)
+all_structs.append(StopBatch)
+StopBatch.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(TaskEnd)
+TaskEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.STRING, 'outcome', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'service_us', None, None, ),  # 4
+)
+all_structs.append(RoomReport)
+RoomReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'last_batch', None, None, ),  # 1
+    (2, TType.STRUCT, 'free', [Resources, None], None, ),  # 2
+    (3, TType.STRUCT, 'capacity', [Resources, None], None, ),  # 3
+    (4, TType.BOOL, 'accepting', None, None, ),  # 4
+    (5, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.STRING, 'upstream', 'UTF8', None, ),  # 6
+)
+all_structs.append(EndBatch)
+EndBatch.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'ends', (TType.STRUCT, [TaskEnd, None], False), None, ),  # 1
+    (2, TType.STRUCT, 'room', [RoomReport, None], None, ),  # 2
+)
+all_structs.append(RunningTasks)
+RunningTasks.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 1
+)
+all_structs.append(DomainsPush)
+DomainsPush.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'revision', None, None, ),  # 1
+    (2, TType.LIST, 'domains_out', (TType.STRING, 'UTF8', False), None, ),  # 2
+)
 fix_spec(all_structs)
 del all_structs
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -25,6 +25,7 @@
   5: bool draining
   6: bool ready
   7: i32 queued
+  8: i64 domains_revision
 }
 
 struct ConfigPull {
@@ -163,3 +164,60 @@
 struct CancelTasks {
   1: list<string> job_ids
 }
+
+struct Resources {
+  1: i32 cpu_millis
+  2: i32 memory_mb
+  3: i32 gpus
+}
+
+// One start of a task. expires_ms is the time left until the run is of no use.
+struct TaskStart {
+  1: string task
+  2: i32 run
+  3: string spec
+  4: Resources need
+  5: i32 expires_ms
+  6: string request_id
+}
+
+struct StartBatch {
+  1: i64 number
+  2: list<TaskStart> starts
+}
+
+struct StopBatch {
+  1: list<string> tasks
+}
+
+struct TaskEnd {
+  1: string task
+  2: i32 run
+  3: string outcome
+  4: i64 service_us
+}
+
+// last_batch is the newest StartBatch of the receiver that `free` takes into account.
+struct RoomReport {
+  1: i64 last_batch
+  2: Resources free
+  3: Resources capacity
+  4: bool accepting
+  5: list<string> labels
+  6: string upstream
+}
+
+struct EndBatch {
+  1: list<TaskEnd> ends
+  2: optional RoomReport room
+}
+
+// Sent first on each link: the tasks that the executor still runs for the receiver.
+struct RunningTasks {
+  1: list<string> tasks
+}
+
+struct DomainsPush {
+  1: i64 revision
+  2: list<string> domains_out
+}
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -7,11 +7,11 @@
 
 import logging
 import secrets
-import time
 from functools import partial
 
 import gevent
 
+from . import clock
 from .coordination.config_sync import ConfigHolder
 from .coordination.coordinator import Coordinator
 from .coordination.evidence import RunnerEvidence, age_ms
@@ -76,7 +76,7 @@
         self._server = serve_links(settings.listen, self)
         loopback = LoopbackLink(self)
         self.executor.on_link_up(loopback)
-        self.coordinator.on_executor_up(loopback, time.monotonic())
+        self.coordinator.on_executor_up(loopback, clock.now())
         for index, _ in enumerate(settings.entries):
             address = get_address({"entry": settings.entries[index]}, "entry")
             Dialler(address, self)
@@ -96,8 +96,8 @@
         log.info("drain_started", extra={"running": self.executor.running})
         self.executor.report_to_all()
         self._tell_entries()
-        deadline = time.monotonic() + self.settings.drain_s
-        while time.monotonic() < deadline:
+        deadline = clock.now() + self.settings.drain_s
+        while clock.now() < deadline:
             if not self.executor.running and not self.coordinator.open_jobs:
                 break
             gevent.sleep(_TICK_S)
@@ -240,7 +240,7 @@
         self.coordinator.on_config()
 
     def _tell_entries(self):
-        now = time.monotonic()
+        now = clock.now()
         for link in list(self._links.values()):
             if link.peer.role == "entry":
                 link.try_send(self.heartbeat(link, now))
@@ -248,7 +248,7 @@
     def _tick_loop(self):
         while True:
             gevent.sleep(_TICK_S)
-            now = time.monotonic()
+            now = clock.now()
             self.executor.tick(now)
             self._stop_diallers()
             self._check_accepting()
@@ -281,7 +281,7 @@
             )
         except OptionError as error:
             return json_response(400, {"detail": str(error)})
-        self.executor.announce(upstream, time.monotonic())
+        self.executor.announce(upstream, clock.now())
         self._check_accepting()
         return json_response(200, {"slots": self.executor.slots})
 
--- a/papayaward/transport/http_api.py
+++ b/papayaward/transport/http_api.py
@@ -7,7 +7,6 @@
 
 import json
 import logging
-import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from urllib.parse import parse_qsl
@@ -16,6 +15,8 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from .. import clock
+
 __all__ = [
     "HttpApi",
     "HttpServer",
@@ -24,12 +25,14 @@
     "json_response",
     "problem",
     "serve_http",
+    "watch_disconnect",
 ]
 
 log = logging.getLogger(__name__)
 
 _DRAIN_POLL_S = 0.05
 _LAST_REQUESTS_S = 0.2
+_CONNECTION = "papayaward.connection"
 
 
 @dataclass(frozen=True)
@@ -88,6 +91,11 @@
         finally:
             self.server.open_requests.discard(self)
 
+    def get_environ(self):
+        environ = super().get_environ()
+        environ[_CONNECTION] = self.socket
+        return environ
+
 
 class HttpServer(WSGIServer):
     """WSGI server that can be stopped without cutting a request."""
@@ -120,7 +128,7 @@
         return finished
 
     def _wait_for(self, handlers, until):
-        while handlers & self.open_requests and time.monotonic() < until:
+        while handlers & self.open_requests and clock.now() < until:
             gevent.sleep(_DRAIN_POLL_S)
 
 
@@ -158,6 +166,29 @@
     return server
 
 
+def watch_disconnect(environ, on_disconnect):
+    """Watches the connection of a request while it is worked on.
+
+    Args:
+        environ: WSGI environment of the request.
+        on_disconnect: Function called if the caller closes the connection.
+
+    Returns:
+        gevent.Greenlet: To be killed before the response is returned.
+    """
+    sock = environ[_CONNECTION]
+
+    def watch():
+        try:
+            gone = not sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            gone = True
+        if gone:
+            on_disconnect()
+
+    return gevent.spawn(watch)
+
+
 class HttpApi:
     """WSGI application that calls the handler of a route.
 
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -6,12 +6,12 @@
 """
 
 import logging
-import time
 
 import gevent
 from gevent import socket
 from gevent.event import Event
 
+from .. import clock
 from ..protocol import mechanisms
 from ..protocol.codec import HEADER, MAX_FRAME_BYTES, FrameError, decode, encode
 from ..protocol.gen.ttypes import Heartbeat, Hello
@@ -83,7 +83,7 @@
         self._unsent_bytes = 0
         self._wakeup = Event()
         self._closed = Event()
-        self._last_received = time.monotonic()
+        self._last_received = clock.now()
         self._peer = None
         self.last_stamp_us = 0
         self._echoed_us = int(self._last_received * 1e6)
@@ -131,14 +131,14 @@
         writer = gevent.spawn(self._write)
         watchdog = gevent.spawn(self._watch)
         try:
-            self._node.on_link_up(self, time.monotonic())
+            self._node.on_link_up(self, clock.now())
             self._read()
         except (OSError, FrameError) as error:
             self.close(str(error))
         finally:
             self.close("closed by the peer")
             gevent.killall([writer, watchdog], block=False)
-            self._node.on_link_down(self, time.monotonic())
+            self._node.on_link_down(self, clock.now())
 
     def send(self, message, frame=None):
         """Queues a message.
@@ -198,7 +198,7 @@
         if message.protocol_version != PROTOCOL_VERSION:
             raise FrameError(f"protocol version {message.protocol_version} is unknown")
         self._peer = message
-        self._last_received = time.monotonic()
+        self._last_received = clock.now()
 
     def _next_message(self):
         while True:
@@ -226,7 +226,7 @@
     def _receive(self):
         data = self._sock.recv(_RECEIVE_BYTES)
         if data:
-            self._last_received = time.monotonic()
+            self._last_received = clock.now()
             self._buffer += data
         return bool(data)
 
@@ -234,7 +234,7 @@
         while not self._closed.is_set():
             message = self._take_message()
             while message is not None and not self._closed.is_set():
-                self._dispatch(message, time.monotonic())
+                self._dispatch(message, clock.now())
                 message = self._take_message()
             if not self._receive():
                 return
@@ -279,11 +279,11 @@
         interval = self._node.heartbeat_interval_s
         limit = interval * self._node.heartbeat_misses
         while not self._closed.is_set():
-            now = time.monotonic()
+            now = clock.now()
             if self._dialled:
                 self.try_send(self._node.heartbeat(self, now))
             gevent.sleep(interval)
-            woken = time.monotonic()
+            woken = clock.now()
             overslept = woken - now - interval
             if overslept > interval:
                 # This process was paused or busy: the silence is its own, so
--- a/papayaward/transport/loopback.py
+++ b/papayaward/transport/loopback.py
@@ -5,10 +5,10 @@
 Link of a runner to itself: its coordinator uses its own executor like any other.
 """
 
-import time
-
 import gevent
 
+from .. import clock
+
 __all__ = ["LoopbackLink"]
 
 
@@ -35,4 +35,4 @@
         return True
 
     def _deliver(self, message):
-        self._node.on_message(self, message, time.monotonic())
+        self._node.on_message(self, message, clock.now())
--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -19,6 +19,8 @@
 __all__ = ["NotSent", "UpstreamClient", "UpstreamLost"]
 
 _CONNECT_TIMEOUT_S = 1.0
+_KEEPALIVE_S = 1
+_KEEPALIVE_PROBES = 2
 _HEADER_SAFE = " !#$&'()*+,/:;<=>?@[]^`{|}~"
 
 
@@ -45,10 +47,15 @@
         self._idle = []
 
     def post(self, path, body, headers, check=lambda: None):
-        """Sends one POST request and returns its status and body.
+        """Sends one POST request; see `request`."""
+        return self.request("POST", path, body, headers, check)
+
+    def request(self, method, path, body, headers, check=lambda: None):
+        """Sends one request and returns its status and body.
 
         Args:
-            path: Path of the request.
+            method: Method of the request, but for HEAD.
+            path: Path of the request, with the query.
             body: bytes.
             headers: Header values by name.
             check: Function that is called last before the request is sent; raises
@@ -65,7 +72,7 @@
         keep = False
         try:
             check()
-            sock.sendall(self._request(path, body, headers))
+            sock.sendall(self._request(method, path, body, headers))
             status, content, keep = read_response(sock)
             return status, content
         except NotSent:
@@ -95,6 +102,11 @@
             raise NotSent(str(error)) from error
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Finds a connection that went silent while a request waits for long.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_S)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
         return sock
 
     def _release(self, sock, keep):
@@ -103,9 +115,9 @@
         else:
             sock.close()
 
-    def _request(self, path, body, headers):
+    def _request(self, method, path, body, headers):
         host, port = self._address
-        lines = [f"POST {path} HTTP/1.1", f"Host: {host}:{port}"]
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}:{port}"]
         lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(body)}")
         # Names of tenants and classes come from callers; a line break in one would
