Keep a silent upstream's lease from growing; tests of orders under leases

Cause: each unanswered renewal moved the time after which nothing can run, so a silent upstream was never given up (test_silent_upstream_is_lost_when_the_lease_has_ended failed). Change: renewals of a silent upstream carry no lease.

--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -221,7 +221,10 @@
                 continue
             until = self._lease_until(now)
             if until > now:
-                lease_ms = self._lease.lease_ms(until)
+                # A silent upstream gets no longer lease: what runs there would have
+                # to be waited for, and cannot be known.
+                silent = self._silent_looks >= _SILENT_LOOKS
+                lease_ms = None if silent else self._lease.lease_ms(until)
                 order = LookOrder(self._token, self._ends_seen, lease_ms)
                 reply = self._try_look(order)
                 if reply is not None and reply.outcome == "fenced":
--- /dev/null
+++ b/standins/leased_upstream.py
@@ -0,0 +1,246 @@
+"""
+standins.leased_upstream
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Stand-in of an upstream that runs tasks under a lease and heeds fencing tokens.
+
+It can be used in the process, as the object that `UpstreamSession` sends orders to,
+or over HTTP with `serve`. Work is simulated by time: the text of a job is the run
+time in milliseconds, or `fail:MS` for a run that fails.
+"""
+
+import json
+import time
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from papayaward.coordination.upstream_orders import NoReply, RunEnd, UpstreamReply
+
+__all__ = ["LeasedUpstream", "StartRecord", "serve"]
+
+_KILL_S = 0.01
+_POLL_S = 0.005
+_PREFIX = "/papayaward/"
+
+
+@dataclass
+class StartRecord:
+    """One run that was started, for checks."""
+
+    task: str
+    run: int
+    started_at: float
+    ended_at: float | None = None
+    outcome: str = ""
+
+
+@dataclass
+class _Fault:
+    """An order that is not answered, or is carried out late."""
+
+    name: str
+    late_s: float | None = None
+    times: int = 1
+
+
+@dataclass
+class LeasedUpstream:
+    """One life of an upstream.
+
+    Attributes:
+        instance: Its identifier.
+        max_lease_s: Longest lease.
+        records: `StartRecord` of every run.
+        token: Highest fencing token seen.
+    """
+
+    instance: str = "i-1"
+    max_lease_s: float = 1.0
+    records: list = field(default_factory=list)
+    token: int = 0
+    running: dict = field(default_factory=dict)
+    highest: dict = field(default_factory=dict)
+    ends: list = field(default_factory=list)
+    faults: list = field(default_factory=list)
+    late_answers: list = field(default_factory=list)
+    forgotten: int = 0
+
+    def __post_init__(self):
+        self._started = time.monotonic()
+        self._lease_ms = 0
+        self._ended = 0
+        gevent.spawn(self._watch)
+
+    @property
+    def clock_ms(self):
+        """The steady clock of this life, milliseconds."""
+        return int((time.monotonic() - self._started) * 1000) + 1000
+
+    def fail_order(self, name, late_s=None, times=1):
+        """Leaves the next orders of a name without an answer.
+
+        Args:
+            name: `start`, `stop` or `look`.
+            late_s: Time after which the order is carried out; None for never.
+            times: Number of orders.
+        """
+        self.faults.append(_Fault(name, late_s, times))
+
+    # The orders, as `UpstreamSession` sends them.
+
+    def start(self, instance, order):
+        return self._order("start", lambda: self._start(order))
+
+    def stop(self, instance, task, run, fencing_token):
+        return self._order("stop", lambda: self._stop(task, run, fencing_token))
+
+    def look(self, instance, order):
+        reply = self._order("look", lambda: self._look(order))
+        until = time.monotonic() + order.wait_ms / 1000.0
+        while order.wait_ms and not reply.ends and time.monotonic() < until:
+            gevent.sleep(_POLL_S)
+            reply = self._look(order)
+        return reply
+
+    def _order(self, name, carry_out):
+        for fault in self.faults:
+            if fault.name == name and fault.times:
+                fault.times -= 1
+                if fault.late_s is not None:
+                    gevent.spawn_later(fault.late_s, self._carry_out_late, carry_out)
+                raise NoReply(f"no reply to {name}")
+        return carry_out()
+
+    def _carry_out_late(self, carry_out):
+        self.late_answers.append(carry_out().outcome)
+
+    def _reply(self, outcome, **lists):
+        return UpstreamReply(outcome, self.clock_ms, **lists)
+
+    def _is_fenced(self, token):
+        if token < self.token:
+            return True
+        self.token = token
+        return False
+
+    def _extend(self, lease_ms):
+        longest = self.clock_ms + int(self.max_lease_s * 1000)
+        self._lease_ms = max(self._lease_ms, min(lease_ms, longest))
+
+    def _start(self, order):
+        if order.lease_ms <= self.clock_ms:
+            return self._reply("late")
+        if self._is_fenced(order.fencing_token):
+            return self._reply("fenced")
+        self._extend(order.lease_ms)
+        if (order.task, order.run) in self.running:
+            return self._reply("ok")
+        if order.run <= self.highest.get(order.task, 0):
+            return self._reply("old_run")
+        kind, _, work = order.spec.rpartition(":")
+        record = StartRecord(order.task, order.run, time.monotonic())
+        self.records.append(record)
+        self.running[order.task, order.run] = record
+        outcome = "failed" if kind == "fail" else "done"
+        gevent.spawn_later(int(work) / 1000.0, self._end, record, outcome)
+        return self._reply("ok")
+
+    def _stop(self, task, run, token):
+        if self._is_fenced(token):
+            return self._reply("fenced")
+        self.highest[task] = max(run, self.highest.get(task, 0))
+        record = self.running.get((task, run))
+        if record is not None:
+            gevent.spawn_later(_KILL_S, self._end, record, "stopped")
+        return self._reply("ok")
+
+    def _look(self, order):
+        if self._is_fenced(order.fencing_token):
+            return self._reply("fenced")
+        if order.lease_ms is not None:
+            self._extend(order.lease_ms)
+        self.ends = [end for end in self.ends if end.number > order.ends_seen]
+        running = {key: 0 for key in self.running}
+        return self._reply("ok", running=running, ends=tuple(self.ends))
+
+    def _end(self, record, outcome):
+        if self.running.pop((record.task, record.run), None) is None:
+            return
+        record.ended_at, record.outcome = time.monotonic(), outcome
+        self._ended += 1
+        self.highest[record.task] = max(
+            record.run, self.highest.get(record.task, 0)
+        )
+        self.ends.append(RunEnd(self._ended, record.task, record.run, outcome))
+
+    def _watch(self):
+        while True:
+            gevent.sleep(_POLL_S)
+            if self.running and self.clock_ms > self._lease_ms:
+                for record in list(self.running.values()):
+                    self._end(record, "lapsed")
+
+
+def serve(upstream, address):
+    """Serves an upstream's orders over HTTP in the platform's form.
+
+    Args:
+        upstream: `LeasedUpstream`.
+        address: (host, port).
+
+    Returns:
+        WSGIServer: The running server.
+    """
+    from papayaward.coordination.upstream_orders import LookOrder, StartOrder
+
+    def carry_out(name, body):
+        token = body.get("fencing_token", 0)
+        if name == "run-start":
+            return upstream.start(
+                "",
+                StartOrder(
+                    body["task"], body["run_id"], body["spec"], body["deadline_ms"], token
+                ),
+            )
+        if name == "run-stop":
+            return upstream.stop("", body["task"], body["run_id"], token)
+        return upstream.look(
+            "",
+            LookOrder(
+                token,
+                body.get("last_seen", 0),
+                body.get("deadline_ms"),
+                body.get("wait_ms", 0),
+            ),
+        )
+
+    def application(environ, start_response):
+        body = json.loads(environ["wsgi.input"].read() or b"{}")
+        if environ.get("HTTP_EXPECT_INSTANCE", upstream.instance) != upstream.instance:
+            start_response("421 Misdirected Request", [("Content-Length", "2")])
+            return [b"{}"]
+        try:
+            reply = carry_out(environ["PATH_INFO"].removeprefix(_PREFIX), body)
+        except NoReply:
+            gevent.sleep(3600)
+        document = {"clock_ms": reply.clock_ms}
+        reason = _REASONS.get(reply.outcome)
+        if reason:
+            document["reason"] = reason
+        document["running"] = [[t, r, "", 0, 0] for t, r in reply.running]
+        document["ended"] = [
+            [end.number, end.task, end.run, end.outcome, ""] for end in reply.ends
+        ]
+        content = json.dumps(document).encode()
+        status = "409 Conflict" if reason else "200 OK"
+        start_response(status, [("Content-Length", str(len(content)))])
+        return [content]
+
+    server = WSGIServer(address, application, log=None)
+    server.start()
+    return server
+
+
+_REASONS = {"fenced": "fence", "old_run": "old", "late": "late", "no_room": "room"}
--- /dev/null
+++ b/tests/test_upstream_session.py
@@ -0,0 +1,146 @@
+"""
+tests.test_upstream_session
+~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Orders to an upstream under leases: unanswered orders, fencing, take-over, lapses.
+"""
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.coordination.upstream_orders import StartOrder, UpstreamState
+from papayaward.coordination.upstream_session import UpstreamSession
+from papayaward.protocol.jobs import Resources
+from standins.leased_upstream import LeasedUpstream
+
+
+def upstream_state(instance="i-1", cpu_millis=4000, **changes):
+    """Returns the report of an upstream with room for four tasks of a core."""
+    values = {
+        "instance": instance,
+        "service": "dispatch",
+        "domain": "a",
+        "host": "127.0.0.1",
+        "port": 1,
+        "capacity": Resources(cpu_millis, 4096, 0),
+        "labels": (),
+        "draining": False,
+        "sequence": 1,
+        "born_ms": 1,
+    }
+    return UpstreamState(**{**values, **changes})
+
+
+class SessionTest(TestCase):
+    def open(self, upstream, lease_s=0.95):
+        self.ends = []
+        self.lost = []
+        self.wanted = True
+        self.busy = True
+        session = UpstreamSession(
+            upstream,
+            upstream_state(),
+            lambda now: now + lease_s,
+            lambda: self.busy,
+            lambda ends, now: self.ends.extend(ends),
+            lambda: None,
+            lambda: self.lost.append(clock.now()),
+        )
+        self.addCleanup(session.close)
+        return session
+
+    def open_ready(self, upstream, **options):
+        session = self.open(upstream, **options)
+        for _ in range(200):
+            if session.ready:
+                return session
+            gevent.sleep(0.01)
+        self.fail("the session did not get ready")
+
+    def start(self, session, task="j.0.0.0", work_ms=50):
+        return session.start(task, 1, str(work_ms), lambda: self.wanted)
+
+    def test_run_ends_and_is_noted(self):
+        """Guards against ends that stay listed for good."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        self.assertEqual(("started", 1), self.start(session))
+        gevent.sleep(0.2)
+        self.busy = False
+        gevent.sleep(1.2)
+        self.assertEqual(["done"], [end.outcome for end in self.ends])
+        self.assertEqual([], upstream.ends)
+
+    def test_unanswered_start_that_is_never_carried_out_is_sent_again(self):
+        """Guards against a task that waits for an order that was lost."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        upstream.fail_order("start")
+        self.assertEqual(("started", 1), self.start(session))
+        self.assertEqual(1, len(upstream.records))
+
+    def test_unanswered_start_cannot_run_later(self):
+        """Guards against a second run when a late order is carried out."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        upstream.fail_order("start", late_s=0.3)
+        self.start(session, work_ms=100)
+        gevent.sleep(0.6)
+        self.assertEqual(["fenced"], upstream.late_answers)
+        self.assertEqual(1, len(upstream.records))
+
+    def test_unanswered_start_that_was_carried_out_is_found(self):
+        """Guards against a second run of a task whose start had no answer."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        upstream.fail_order("start", late_s=0.0)
+        looks = upstream.look
+
+        def slow_look(instance, order):
+            gevent.sleep(0.02)
+            return looks(instance, order)
+
+        upstream.look = slow_look
+        self.assertEqual("started", self.start(session, work_ms=500)[0])
+        self.assertEqual(1, len(upstream.records))
+
+    def test_successor_stops_what_runs_and_fences_late_orders(self):
+        """Guards against runs of a predecessor that nobody counts."""
+        upstream = LeasedUpstream()
+        first = self.open_ready(upstream)
+        self.start(first, work_ms=5000)
+        first.close()
+        self.open_ready(upstream)
+        self.assertEqual(["stopped"], [r.outcome for r in upstream.records])
+        late = StartOrder("j.0.0.1", 1, "50", upstream.clock_ms + 500, first._token)
+        self.assertEqual("fenced", upstream.start("i-1", late).outcome)
+
+    def test_run_number_rises_past_an_earlier_run(self):
+        """Guards against a resubmitted job that its upstream rejects as old."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        self.start(session, work_ms=20)
+        gevent.sleep(0.1)
+        self.assertEqual(("started", 2), self.start(session))
+
+    def test_lease_is_renewed_while_looks_are_lost(self):
+        """Guards against runs that lapse because one renewal had no answer."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        self.start(session, work_ms=1500)
+        gevent.sleep(0.4)
+        upstream.fail_order("look", times=1)
+        gevent.sleep(1.4)
+        self.assertEqual(["done"], [r.outcome for r in upstream.records])
+
+    def test_silent_upstream_is_lost_when_the_lease_has_ended(self):
+        """Guards against tasks that start elsewhere while they still run here."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        self.start(session, work_ms=60_000)
+        upstream.fail_order("look", times=1000)
+        gevent.sleep(1.6)
+        self.assertEqual(1, len(self.lost))
+        self.assertEqual("lapsed", upstream.records[0].outcome)
+        self.assertGreaterEqual(self.lost[0], session.lease_ended_at)
