Move runs that stand still, give up hopeless jobs, remember the upstream's report

Runners dialled a returned entry after up to 0.5 s. Change: executors report runs that crawl by their listed progress, homes move them where that gains; a job that cannot end in time is answered at once; the report is kept in the store; dialling waits at most 0.15 s; a closing runner goes on with tasks that do not delay its end.

--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -36,6 +36,14 @@
 # it cannot be expected to be served.
 _REFUSAL_SHARE = 0.22
 _RETRY_AFTER_S = 1.0
+# An executor most of whose runs are slow gets work only if no other can take it.
+_SLOW_EXECUTOR_S = 0.6
+# A slow run moves if it is expected to take less than this part of its remaining
+# time elsewhere.
+_MOVE_GAIN = 0.6
+# A run with more than this many times the expected time left stands still.
+_STANDS_STILL = 10.0
+_MOST_MOVES = 2
 # Failures of a task on one executor count once: a single bad executor must not use
 # up the attempts of a job.
 _NOT_RUN = "not_run:"
@@ -158,6 +166,8 @@
                 view.on_room(message.room)
             for end in message.ends:
                 self._on_end(view, end, now)
+            if message.slow:
+                self._on_slow(view, message.slow, now)
         elif isinstance(message, ttypes.RunningTasks):
             self._on_running(view, set(message.tasks), now)
         else:
@@ -205,6 +215,47 @@
         else:
             self._requeue(task, end.outcome, now)
 
+    def _on_slow(self, view, slow, now):
+        """Moves runs that stand still or crawl to executors that are free."""
+        known = [
+            (view.tasks[row.task], row.remaining_ms / 1000.0, row.elapsed_ms / 1000.0)
+            for row in slow
+            if row.task in view.tasks
+        ]
+        if len(known) > 1 and 2 * len(known) >= len(view.tasks):
+            view.slow_until = now + _SLOW_EXECUTOR_S
+        stops = []
+        for task, remaining_s, elapsed_s in known:
+            job = task.job
+            if job.outcome is not None or task.moves >= _MOST_MOVES:
+                continue
+            if now + remaining_s <= job.objective_at:
+                continue
+            other = self._placement.choose(task, self._views.values(), now)
+            if other is None or other is view:
+                continue
+            other_s = self._placement.run_s(other, task)
+            stands_still = remaining_s > _STANDS_STILL * other_s
+            if now >= view.slow_until and not stands_still:
+                # The task is long rather than the executor slow.
+                here_s = self._placement.run_s(view, task)
+                other_s *= (elapsed_s + remaining_s) / here_s
+            if other_s < _MOVE_GAIN * remaining_s:
+                task.moves += 1
+                task.avoid.add(view.name)
+                stops.append(task.name)
+                log.info(
+                    "task_moved",
+                    extra={
+                        "request_id": job.request.request_id,
+                        "task": task.name,
+                        "executor": view.name,
+                        "remaining_s": round(remaining_s, 3),
+                    },
+                )
+        if stops:
+            view.link.try_send(ttypes.StopBatch(stops))
+
     def _on_done(self, view, task, end, now):
         job = task.job
         expected_s = task.spec.expected_s
@@ -316,6 +367,7 @@
             resources_to_wire(task.spec.need),
             int((job.give_up_at - now) * 1000),
             job.request.request_id,
+            int(self._placement.run_s(view, task) * 1000),
         )
         batches.setdefault(view, []).append(start)
 
@@ -338,6 +390,8 @@
             if waited > _REFUSAL_SHARE * job.objective_s:
                 if not self._placement.can_be_useful(job, self._views.values(), now):
                     self.end(job, "not_run", "overload", now, _RETRY_AFTER_S)
+        elif self._placement.is_hopeless(job, now):
+            self.end(job, "unknown", "cannot end before the deadline", now)
 
     def _check_lost(self, now):
         for key, groups in list(self._lost.items()):
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -41,7 +41,8 @@
 
         def key(job):
             latest = job.objective_at - self._least_s(job)
-            return (now > latest, latest)
+            useful = job.arrived_at + _USEFUL_OBJECTIVES * job.objective_s
+            return ((now > latest) + (now > useful), latest)
 
         return sorted(jobs, key=key)
 
@@ -55,22 +56,31 @@
         """
         job = task.job
         usable = [view for view in views if self._is_usable(view, task, now)]
+        usable = [view for view in usable if now >= view.slow_until] or usable
         free = [view for view in usable if view.free.covers(task.spec.need)]
         if not free:
             return None
         preferred = [view for view in free if view.name not in task.avoid] or free
         best = min(preferred, key=lambda view: self._rank(view, task))
-        finish = now + self._run_s(best, task)
+        finish = now + self.run_s(best, task)
         if finish <= job.objective_at:
             return best
-        fastest_s = min(self._run_s(view, task) for view in usable)
+        fastest_s = min(self.run_s(view, task) for view in usable)
         if now + fastest_s < job.objective_at:
             # A faster executor can still make it if it becomes free in time.
             return None
-        useful_until = job.arrived_at + _USEFUL_OBJECTIVES * job.objective_s
-        if finish <= min(useful_until, job.give_up_at):
-            return best
-        return None
+        return best if finish <= job.give_up_at else None
+
+    def is_hopeless(self, job, now):
+        """Returns whether a job cannot end before its caller leaves.
+
+        Only what waits counts: a run that is on its way may end earlier than expected.
+        """
+        return any(
+            now + task.spec.expected_s * self._least_ratio(job) > job.give_up_at
+            for number in job.open_phases()
+            for task in job.waiting(number)
+        )
 
     def can_be_useful(self, job, views, now):
         """Returns whether a job that has not begun may still be served in time."""
@@ -106,9 +116,14 @@
         slots = max(1, view.capacity.cpu_millis // max(1, phase.need.cpu_millis))
         return self._ejection.limit(view.name, slots, now) > len(view.tasks)
 
-    def _run_s(self, view, task):
+    def run_s(self, view, task):
         return self._ratio(view, task) * task.spec.expected_s + _OVERHEAD_S
 
+    def _least_ratio(self, job):
+        """Returns the run time over the stated time on the fastest executor."""
+        usual = self._speeds.predicted_s("", job.queue.name, 1.0)
+        return usual * self._speeds.least_slowness()
+
     def _ratio(self, view, task):
         """Returns an executor's run time over the stated time."""
         return self._speeds.predicted_s(view.name, task.job.queue.name, 1.0)
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -27,6 +27,7 @@
         "executor",
         "failures",
         "job",
+        "moves",
         "name",
         "phase",
         "run",
@@ -41,6 +42,7 @@
         self.state = WAITING
         self.run = 0
         self.failures = 0
+        self.moves = 0
         self.avoid = set()
         self.executor = None
         self.sent_at = 0.0
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -32,6 +32,14 @@
 _FRESH_S = 0.45
 # Time for an entry to come back after its connection broke.
 _RELINK_S = 0.2
+# A run is reported as slow if what is left of it takes more than this many times
+# its whole expected time, and more than the least time.
+_SLOW_RUN = 1.5
+_SLOW_RUN_LEAST_S = 0.25
+_PROGRESS_AFTER_S = 0.1
+# Part of the expected time of a run that may still be filled with shorter ones while
+# the process waits for its end.
+_CLOSING_RUN = 0.9
 _TICK_S = 0.05
 _ENDS_DELAY_S = 0.002
 _ROOM_DELAY_S = 0.02
@@ -59,10 +67,26 @@
     need: Resources
     owner: object
     request_id: str
+    expected_s: float
     started_at: float
     running: bool = False
     stopping: bool = False
     ended: bool = False
+    percent: int = -1
+    advanced_at: float = 0.0
+
+    def remaining_s(self, percent, now):
+        """Returns how long the run still takes at the pace seen so far, seconds.
+
+        Args:
+            percent: Progress that the upstream lists now.
+            now: Time, seconds.
+        """
+        if percent != self.percent:
+            self.percent, self.advanced_at = percent, now
+        left = 100 - percent
+        pace_s = (now - self.started_at) / max(percent, 1)
+        return left * max(pace_s, now - self.advanced_at)
 
 
 @dataclass
@@ -77,6 +101,7 @@
     last_batch: int = 0
     runs: int = 0
     ends: list = field(default_factory=list)
+    slow: list = field(default_factory=list)
     room_changed: bool = True
 
 
@@ -98,6 +123,7 @@
         self._runs = {}
         self._used = Resources()
         self._closing = False
+        self._close_limit = 0.0
         self._dirty = Event()
         self._ends_waiting = Event()
         self._was_accepting = False
@@ -117,7 +143,7 @@
     @property
     def refusal(self):
         """Why no task may start now, empty if one may."""
-        if self._closing:
+        if self._closing and not self._runs:
             return "closing"
         if self._state is None:
             return "no_upstream"
@@ -129,9 +155,14 @@
             return "domain_out"
         return ""
 
-    def close(self):
-        """Lets no more tasks start."""
+    def close(self, until):
+        """Lets only those tasks start that do not delay the end.
+
+        Args:
+            until: Time at which nothing may run any more, seconds.
+        """
         self._closing = True
+        self._close_limit = until
         self.check_accepting()
 
     # The upstream's reports.
@@ -254,11 +285,20 @@
             return "stale"
         if start.task in self._runs:
             return "duplicate"
+        if self._closing and now + start.expected_ms / 1000.0 > self._close_at(now):
+            return "closing"
         need = resources_from_wire(start.need)
         if not self._free().covers(need):
             return "busy"
         run = _Run(
-            start.task, start.run, start.spec, need, owner, start.request_id, now
+            start.task,
+            start.run,
+            start.spec,
+            need,
+            owner,
+            start.request_id,
+            (start.expected_ms or 0) / 1000.0,
+            now,
         )
         self._runs[start.task] = run
         self._used = self._used + need
@@ -266,6 +306,14 @@
         gevent.spawn(self._start, run, self._session)
         return ""
 
+    def _close_at(self, now):
+        """Returns when the runs that a stop request found are expected to end."""
+        ends = (
+            run.started_at + _CLOSING_RUN * run.expected_s
+            for run in self._runs.values()
+        )
+        return min(max(ends, default=now), self._close_limit)
+
     def _start(self, run, session):
         def wanted():
             return not run.stopping and not run.ended
@@ -295,6 +343,24 @@
             if run is not None and end.run >= run.run:
                 self._finish(run, end.outcome, now)
 
+    def _on_progress(self, running, now):
+        """Tells the homes which runs take far longer than they expect."""
+        for (task, _), percent in running.items():
+            run = self._runs.get(task)
+            if run is None or not run.running or run.stopping or not run.expected_s:
+                continue
+            if now - run.started_at < _PROGRESS_AFTER_S:
+                continue
+            remaining_s = run.remaining_s(percent, now)
+            if remaining_s > max(_SLOW_RUN * run.expected_s, _SLOW_RUN_LEAST_S):
+                elapsed_s = now - run.started_at
+                slow = ttypes.SlowRun(
+                    task, int(remaining_s * 1000), int(elapsed_s * 1000)
+                )
+                run.owner.slow.append(slow)
+                self._ends_waiting.set()
+                self._dirty.set()
+
     def _finish(self, run, outcome, now):
         if run.ended:
             return
@@ -346,6 +412,7 @@
             self._lease_until,
             lambda: bool(self._runs),
             self._on_ends,
+            self._on_progress,
             self.check_accepting,
             self._on_session_lost,
         )
@@ -404,13 +471,16 @@
             self._ends_waiting.clear()
             last_room = clock.now()
             for owner in list(self._owners.values()):
-                if owner.lost_at is None and (owner.ends or owner.room_changed):
+                if owner.lost_at is None and (
+                    owner.ends or owner.slow or owner.room_changed
+                ):
                     self._send(owner)
 
     def _send(self, owner):
         ends, owner.ends = owner.ends, []
+        slow, owner.slow = owner.slow, []
         owner.room_changed = False
-        owner.link.try_send(ttypes.EndBatch(ends, self._room(owner)))
+        owner.link.try_send(ttypes.EndBatch(ends, self._room(owner), slow or None))
 
     def _room(self, owner):
         if self._state is None:
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -30,6 +30,7 @@
         self.labels = ()
         self.upstream = ""
         self.tasks = {}
+        self.slow_until = 0.0
         self._free = Resources()
         self._last_batch = 0
         self._unseen = deque()
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -37,18 +37,29 @@
             lease has to end, seconds.
         has_runs: Function that returns whether anything is started there.
         on_ends: Function that takes a list of `RunEnd` and the present time.
+        on_progress: Function that takes the progress in percent by (task, run) and
+            the present time.
         on_change: Function called when `ready` may have changed.
         on_lost: Function called when nothing can run there any more.
     """
 
     def __init__(
-        self, upstream, state, lease_until, has_runs, on_ends, on_change, on_lost
+        self,
+        upstream,
+        state,
+        lease_until,
+        has_runs,
+        on_ends,
+        on_progress,
+        on_change,
+        on_lost,
     ):
         self.state = state
         self._upstream = upstream
         self._lease_until = lease_until
         self._has_runs = has_runs
         self._on_ends = on_ends
+        self._on_progress = on_progress
         self._on_change = on_change
         self._on_lost = on_lost
         self._lease = LeaseClock()
@@ -60,7 +71,6 @@
         self._closed = False
         self._settling = Semaphore()
         self._work = Event()
-        self._latest_running = {}
         self._tasks = [gevent.spawn(self._open)]
 
     @property
@@ -192,7 +202,7 @@
             self._lose("connection refused")
             return None
         now = clock.now()
-        if reply.outcome == "other_instance":
+        if reply.outcome == "other_instance" or self._is_other_life(reply):
             self._lose("another life of the upstream replied")
             return None
         self._lease.on_reply(reply.clock_ms, now)
@@ -203,9 +213,14 @@
         self._silent_looks = 0
         if reply.outcome == "ok":
             self._take_ends(reply.ends, now)
-            self._latest_running = reply.running
+            if reply.running:
+                self._on_progress(reply.running, now)
         return reply
 
+    def _is_other_life(self, reply):
+        known = self.state.born_ms
+        return known and reply.born_ms and reply.born_ms != known
+
     def _take_ends(self, ends, now):
         fresh = [end for end in ends if end.number > self._ends_seen]
         if fresh:
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -10,6 +10,7 @@
 import gevent
 
 from .coordination.leased_executor import LeasedExecutor
+from .coordination.upstream_memory import UpstreamMemory
 from .leased_entry import ENTRIES_PREFIX, entry_addresses
 from .leased_node import LeasedNode
 from .protocol.gen.ttypes import Members
@@ -42,6 +43,7 @@
         self._diallers = {}
         self._by_entry = {}
         self._looked_up = ()
+        self._memory = UpstreamMemory(store, settings.member)
         self.executor = LeasedExecutor(upstream, self.domains.is_out)
         self.domains.on_change(lambda now: self.executor.check_accepting())
 
@@ -49,6 +51,16 @@
         """Starts to dial the entries."""
         self._update_diallers()
         gevent.spawn(self._look_up)
+        gevent.spawn(self._recall)
+
+    def on_upstream(self, state, now):
+        """Takes a report of the upstream."""
+        self.executor.on_upstream(state, now)
+        self._memory.keep(self.executor.state)
+
+    def on_upstream_gone(self, instance, now):
+        """Takes the upstream's word that it ends."""
+        self.executor.on_upstream_gone(instance, now)
 
     def drain(self, until):
         """Waits until nothing runs any more.
@@ -57,7 +69,7 @@
             until: Time at which the rest is stopped, seconds.
         """
         self.draining = True
-        self.executor.close()
+        self.executor.close(until - _STOP_S)
         while self.executor.running and self.now() < until - _STOP_S:
             gevent.sleep(_DRAIN_POLL_S)
         self.executor.stop_all("the process ends")
@@ -108,6 +120,12 @@
         for address in set(self._diallers) - wanted - linked:
             self._diallers.pop(address).stop()
 
+    def _recall(self):
+        state = self._memory.load()
+        if state is not None and self.executor.state is None:
+            log.info("upstream_recalled", extra={"upstream": state.instance})
+            self.executor.on_upstream(state, self.now())
+
     def _look_up(self):
         """Asks the store for the entries while none is linked."""
         while True:
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -614,6 +614,7 @@
      - need
      - expires_ms
      - request_id
+     - expected_ms
 
     """
 
@@ -624,16 +625,18 @@
         'need',
         'expires_ms',
         'request_id',
+        'expected_ms',
     )
 
 
-    def __init__(self, task=None, run=None, spec=None, need=None, expires_ms=None, request_id=None,):
+    def __init__(self, task=None, run=None, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None,):
         self.task = task
         self.run = run
         self.spec = spec
         self.need = need
         self.expires_ms = expires_ms
         self.request_id = request_id
+        self.expected_ms = expected_ms
 
 
 class StartBatch(TBase):
@@ -727,23 +730,48 @@
         self.upstream = upstream
 
 
+class SlowRun(TBase):
+    """
+    Attributes:
+     - task
+     - remaining_ms
+     - elapsed_ms
+
+    """
+
+    __slots__ = (
+        'task',
+        'remaining_ms',
+        'elapsed_ms',
+    )
+
+
+    def __init__(self, task=None, remaining_ms=None, elapsed_ms=None,):
+        self.task = task
+        self.remaining_ms = remaining_ms
+        self.elapsed_ms = elapsed_ms
+
+
 class EndBatch(TBase):
     """
     Attributes:
      - ends
      - room
+     - slow
 
     """
 
     __slots__ = (
         'ends',
         'room',
+        'slow',
     )
 
 
-    def __init__(self, ends=None, room=None,):
+    def __init__(self, ends=None, room=None, slow=None,):
         self.ends = ends
         self.room = room
+        self.slow = slow
 
 
 class RunningTasks(TBase):
@@ -976,6 +1004,7 @@
     (4, TType.STRUCT, 'need', [Resources, None], None, ),  # 4
     (5, TType.I32, 'expires_ms', None, None, ),  # 5
     (6, TType.STRING, 'request_id', 'UTF8', None, ),  # 6
+    (7, TType.I32, 'expected_ms', None, None, ),  # 7
 )
 all_structs.append(StartBatch)
 StartBatch.thrift_spec = (
@@ -1006,11 +1035,19 @@
     (5, TType.LIST, 'labels', (TType.STRING, 'UTF8', False), None, ),  # 5
     (6, TType.STRING, 'upstream', 'UTF8', None, ),  # 6
 )
+all_structs.append(SlowRun)
+SlowRun.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'remaining_ms', None, None, ),  # 2
+    (3, TType.I32, 'elapsed_ms', None, None, ),  # 3
+)
 all_structs.append(EndBatch)
 EndBatch.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'ends', (TType.STRUCT, [TaskEnd, None], False), None, ),  # 1
     (2, TType.STRUCT, 'room', [RoomReport, None], None, ),  # 2
+    (3, TType.LIST, 'slow', (TType.STRUCT, [SlowRun, None], False), None, ),  # 3
 )
 all_structs.append(RunningTasks)
 RunningTasks.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -171,7 +171,8 @@
   3: i32 gpus
 }
 
-// One start of a task. expires_ms is the time left until the run is of no use.
+// One start of a task. expires_ms is the time left until the run is of no use;
+// expected_ms is the run time that the home expects on this executor.
 struct TaskStart {
   1: string task
   2: i32 run
@@ -179,6 +180,7 @@
   4: Resources need
   5: i32 expires_ms
   6: string request_id
+  7: i32 expected_ms
 }
 
 struct StartBatch {
@@ -207,9 +209,17 @@
   6: string upstream
 }
 
+// A run that takes far longer than its home expected.
+struct SlowRun {
+  1: string task
+  2: i32 remaining_ms
+  3: i32 elapsed_ms
+}
+
 struct EndBatch {
   1: list<TaskEnd> ends
   2: optional RoomReport room
+  3: optional list<SlowRun> slow
 }
 
 // Sent first on each link: the tasks that the executor still runs for the receiver.
--- a/papayaward/transport/peers.py
+++ b/papayaward/transport/peers.py
@@ -18,9 +18,9 @@
 
 log = logging.getLogger(__name__)
 
-_CONNECT_TIMEOUT_S = 0.5
+_CONNECT_TIMEOUT_S = 0.3
 _FIRST_DELAY_S = 0.05
-_LONGEST_DELAY_S = 0.5
+_LONGEST_DELAY_S = 0.15
 
 
 class Dialler:
--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -117,9 +117,13 @@
 
     def _request(self, method, path, body, headers):
         host, port = self._address
-        lines = [f"{method} {path} HTTP/1.1", f"Host: {host}:{port}"]
-        lines.append("Content-Type: application/json")
-        lines.append(f"Content-Length: {len(body)}")
+        headers = {
+            "Host": f"{host}:{port}",
+            "Content-Type": "application/json",
+            "Content-Length": len(body),
+            **headers,
+        }
+        lines = [f"{method} {path} HTTP/1.1"]
         # Names of tenants and classes come from callers; a line break in one would
         # let it write a second request.
         lines += [
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -170,9 +170,7 @@
             return
         record.ended_at, record.outcome = time.monotonic(), outcome
         self._ended += 1
-        self.highest[record.task] = max(
-            record.run, self.highest.get(record.task, 0)
-        )
+        self.highest[record.task] = max(record.run, self.highest.get(record.task, 0))
         self.ends.append(RunEnd(self._ended, record.task, record.run, outcome))
 
     def _watch(self):
@@ -201,7 +199,11 @@
             return upstream.start(
                 "",
                 StartOrder(
-                    body["task"], body["run_id"], body["spec"], body["deadline_ms"], token
+                    body["task"],
+                    body["run_id"],
+                    body["spec"],
+                    body["deadline_ms"],
+                    token,
                 ),
             )
         if name == "run-stop":
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,160 @@
+"""
+standins.platform_store
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Stand-in of the platform's metadata store: keys, leases, watches and their faults.
+"""
+
+import json
+import time
+from base64 import b64encode
+from urllib.parse import parse_qs
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+__all__ = ["PlatformStoreStandIn"]
+
+_POLL_S = 0.01
+_SILENT_S = 3600
+
+
+class PlatformStoreStandIn:
+    """The store and its HTTP interface.
+
+    Args:
+        address: (host, port) to serve.
+
+    Attributes:
+        mode: `ok`, `busy` (503), `silent` (no answer) or `lossy` (writes are carried
+            out and not answered).
+        forget_before: Revision before which the history is gone.
+        calls: Number of calls by path.
+    """
+
+    def __init__(self, address):
+        self.mode = "ok"
+        self.forget_before = 0
+        self.calls = {}
+        self._revision = 1
+        self._items = {}
+        self._changes = []
+        self._leases = {}
+        self._server = WSGIServer(address, self._serve, log=None)
+        self._server.start()
+        gevent.spawn(self._expire)
+
+    def put(self, key, document):
+        """Writes a key as an operator does."""
+        self._write(key, b64encode(json.dumps(document).encode()).decode(), 0)
+
+    def delete(self, key):
+        """Removes a key."""
+        if key in self._items:
+            self._revision += 1
+            del self._items[key]
+            self._changes.append((self._revision, key, None))
+
+    def keys(self, prefix):
+        """Returns the keys under a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def stop(self):
+        """Ends the server."""
+        self._server.stop(timeout=0)
+
+    def _write(self, key, value, lease):
+        self._revision += 1
+        created = self._items.get(key, {}).get("created_rev", self._revision)
+        item = {
+            "key": key,
+            "value": value,
+            "rev": self._revision,
+            "created_rev": created,
+            "lease_id": lease,
+        }
+        self._items[key] = item
+        self._changes.append((self._revision, key, item))
+
+    def _serve(self, environ, start_response):
+        path = environ["PATH_INFO"].removeprefix("/papayaward/")
+        self.calls[path] = self.calls.get(path, 0) + 1
+        body = environ["wsgi.input"].read()
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        if self.mode == "silent":
+            gevent.sleep(_SILENT_S)
+        if self.mode == "busy":
+            return _reply(start_response, "503 Busy", {})
+        status, document = self._call(path, query, json.loads(body or b"{}"))
+        if self.mode == "lossy" and environ["REQUEST_METHOD"] == "POST":
+            gevent.sleep(_SILENT_S)
+        return _reply(start_response, status, document)
+
+    def _call(self, path, query, body):
+        if path == "kv-range":
+            items = [self._items[key] for key in self.keys(query["prefix"])]
+            return "200 OK", {
+                "items": items,
+                "has_more": False,
+                "at_rev": self._revision,
+            }
+        if path == "kv-watch":
+            return self._watch(query)
+        if path == "kv-txn":
+            for write in body["writes"]:
+                if write["lease_id"] and write["lease_id"] not in self._leases:
+                    return "404 Not Found", {}
+                self._write(write["key"], write["value"], write["lease_id"])
+            return "200 OK", {"rev": self._revision}
+        if path == "kv-lease":
+            lease = len(self._leases) + 1
+            self._leases[lease] = [time.monotonic(), body["ttl_ms"]]
+            return "200 OK", {"lease_id": lease, "ttl_ms": body["ttl_ms"]}
+        name, _, lease = path.partition("/")
+        if int(lease or 0) not in self._leases:
+            return "404 Not Found", {}
+        if name == "kv-keep":
+            self._leases[int(lease)][0] = time.monotonic()
+        else:
+            self.end_lease(int(lease))
+        return "200 OK", {}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        if after < self.forget_before:
+            return "410 Gone", {}
+        until = time.monotonic() + int(query["wait_ms"]) / 1000.0
+        while True:
+            events = [
+                item or {"key": key, "rev": revision, "compacted": True}
+                for revision, key, item in self._changes
+                if revision > after and key.startswith(query["prefix"])
+            ]
+            if events or time.monotonic() > until:
+                return "200 OK", {"events": events, "at_rev": self._revision}
+            gevent.sleep(_POLL_S)
+
+    def end_lease(self, lease):
+        """Ends a lease and removes its keys."""
+        self._leases.pop(lease, None)
+        for key, item in list(self._items.items()):
+            if item["lease_id"] == lease:
+                self.delete(key)
+
+    def end_leases(self):
+        """Ends every lease, as when they run out during an outage."""
+        for lease in list(self._leases):
+            self.end_lease(lease)
+
+    def _expire(self):
+        while True:
+            gevent.sleep(_POLL_S)
+            for lease, (renewed, ttl_ms) in list(self._leases.items()):
+                if time.monotonic() > renewed + ttl_ms / 1000.0:
+                    self.end_lease(lease)
+
+
+def _reply(start_response, status, document):
+    content = json.dumps(document).encode()
+    start_response(status, [("Content-Length", str(len(content)))])
+    return [content]
--- /dev/null
+++ b/tests/leased_case.py
@@ -0,0 +1,124 @@
+"""
+tests.leased_case
+~~~~~~~~~~~~~~~~~
+
+Links without sockets, for tests of homes and executors of leased tasks.
+"""
+
+from types import SimpleNamespace
+
+from papayaward import clock
+from papayaward.coordination.upstream_orders import UpstreamState
+from papayaward.protocol.gen import ttypes
+from papayaward.protocol.jobs import JobRequest, Phase, Queue, Resources
+
+__all__ = [
+    "FakeLink",
+    "job_request",
+    "job_queue",
+    "room_report",
+    "task_start",
+    "upstream_state",
+]
+
+CORE = 1000
+
+
+class FakeLink:
+    """Keeps what is sent on it."""
+
+    def __init__(self, member, role="entry", incarnation=1, domain="a"):
+        self.peer = SimpleNamespace(
+            member=member,
+            role=role,
+            incarnation=incarnation,
+            domain=domain,
+            service_name="dispatch",
+        )
+        self.sent = []
+        self.echoed_us = int(clock.now() * 1e6)
+
+    def try_send(self, message):
+        self.sent.append(message)
+        return True
+
+    def hear(self, seconds_ago=0.0):
+        """Notes that the peer was alive."""
+        self.echoed_us = int((clock.now() - seconds_ago) * 1e6)
+
+    def of_type(self, cls):
+        """Returns the messages of a type that were sent."""
+        return [message for message in self.sent if isinstance(message, cls)]
+
+    def ends(self):
+        """Returns (task, outcome) of every end that was sent."""
+        return [
+            (end.task, end.outcome)
+            for batch in self.of_type(ttypes.EndBatch)
+            for end in batch.ends
+        ]
+
+    def starts(self):
+        """Returns every `TaskStart` that was sent."""
+        return [
+            start for batch in self.of_type(ttypes.StartBatch) for start in batch.starts
+        ]
+
+
+def upstream_state(instance="i-1", cores=4, **changes):
+    """Returns the report of an upstream."""
+    values = {
+        "instance": instance,
+        "service": "dispatch",
+        "domain": "a",
+        "host": "127.0.0.1",
+        "port": 1,
+        "capacity": Resources(cores * CORE, 4096, 0),
+        "labels": (),
+        "draining": False,
+        "sequence": 1,
+        "born_ms": 1,
+    }
+    return UpstreamState(**{**values, **changes})
+
+
+def task_start(task="j.0.0.0", run=1, work_ms=50, cores=1, expected_ms=50):
+    """Returns the start of a task of some cores."""
+    need = ttypes.Resources(cores * CORE, 64, 0)
+    return ttypes.TaskStart(task, run, str(work_ms), need, 5000, "r-1", expected_ms)
+
+
+def job_queue(**changes):
+    """Returns a queue with an objective of 1.6 times the work and 60 ms."""
+    values = {
+        "name": "q",
+        "host": "h",
+        "prefix": "/q/",
+        "service": "dispatch",
+        "attempts": 2,
+        "stretch": 1.6,
+        "slack_s": 0.06,
+    }
+    return Queue(**{**values, **changes})
+
+
+def job_request(job_id="0123456789abcdef", tasks=1, timeout_s=3.0, expected_s=0.1):
+    """Returns a job of tasks of one core."""
+    phase = Phase(tasks, Resources(CORE, 64, 0), expected_s)
+    return JobRequest(job_id, "r-" + job_id, "100", (phase,), timeout_s)
+
+
+def room_report(last_batch=0, cores=4, free=None, accepting=True):
+    """Returns an `EndBatch` that only reports room."""
+    free = cores if free is None else free
+    return ttypes.EndBatch(
+        [],
+        ttypes.RoomReport(
+            last_batch,
+            ttypes.Resources(free * CORE, 4096, 0),
+            ttypes.Resources(cores * CORE, 4096, 0),
+            accepting,
+            [],
+            "i-1",
+        ),
+    )
--- /dev/null
+++ b/tests/test_job_home.py
@@ -0,0 +1,182 @@
+"""
+tests.test_job_home
+~~~~~~~~~~~~~~~~~~~
+
+Jobs at the entry that took them: placement, retries, lost executors, outcomes.
+"""
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.coordination.job_home import JobHome
+from papayaward.protocol.gen import ttypes
+from papayaward.protocol.jobs import Phase, Resources
+from tests.leased_case import FakeLink, job_queue, job_request, room_report
+
+
+class JobHomeTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.out = set()
+        self.home = JobHome(self.out.__contains__)
+
+    def executor(self, name="r1", cores=4, incarnation=1, domain="a"):
+        link = FakeLink(name, "runner", incarnation, domain)
+        self.home.on_link_up(link, clock.now())
+        self.home.on_message(link, ttypes.RunningTasks([]), clock.now())
+        self.home.on_message(link, room_report(cores=cores), clock.now())
+        return link
+
+    def submit(self, queue=None, **options):
+        job = self.home.submit(
+            job_request(**options), queue or job_queue(), clock.now()
+        )
+        gevent.sleep(0.01)
+        return job
+
+    def end(self, link, start, outcome, service_us=100_000, slow=None):
+        message = ttypes.EndBatch(
+            [ttypes.TaskEnd(start.task, start.run, outcome, service_us)], None
+        )
+        self.home.on_message(link, message, clock.now())
+        gevent.sleep(0.01)
+
+    def test_job_completes_when_every_task_is_done(self):
+        """Guards against an answer before all tasks have ended."""
+        link = self.executor()
+        job = self.submit(tasks=2)
+        first, second = link.starts()
+        self.end(link, first, "done")
+        self.assertIsNone(job.outcome)
+        self.end(link, second, "done")
+        self.assertEqual("completed", job.outcome.kind)
+
+    def test_later_phase_waits_for_the_earlier(self):
+        """Guards against a start before the phases it depends on are done."""
+        link = self.executor()
+        request = job_request()
+        phases = (request.phases[0], Phase(1, Resources(1000, 64, 0), 0.1, (0,)))
+        request = type(request)(request.job_id, "r", "100", phases, request.timeout_s)
+        self.home.submit(request, job_queue(), clock.now())
+        gevent.sleep(0.01)
+        self.assertEqual(1, len(link.starts()))
+        self.end(link, link.starts()[0], "done")
+        self.assertEqual("0123456789abcdef.0.1.0", link.starts()[1].task)
+
+    def test_no_more_is_sent_than_there_is_room(self):
+        """Guards against starts that the executor has to refuse."""
+        link = self.executor(cores=2)
+        self.submit(tasks=5)
+        self.assertEqual(2, len(link.starts()))
+
+    def test_refused_start_is_sent_again(self):
+        """Guards against a task that is forgotten after a refusal."""
+        link = self.executor()
+        self.submit()
+        self.end(link, link.starts()[0], "not_run:busy")
+        self.assertEqual([1, 2], [start.run for start in link.starts()])
+
+    def test_stale_end_of_an_earlier_run_is_ignored(self):
+        """Guards against a run that counts as ended by its predecessor's end."""
+        link = self.executor()
+        job = self.submit()
+        first = link.starts()[0]
+        self.end(link, first, "not_run:busy")
+        self.end(link, first, "done")
+        self.assertIsNone(job.outcome)
+
+    def test_job_fails_after_its_attempts(self):
+        """Guards against jobs that can never be done and are retried for good."""
+        links = [self.executor(name) for name in ("r1", "r2", "r3")]
+        job = self.submit()
+        for _ in range(2):
+            link = next(link for link in links if link.starts())
+            start = link.starts()[-1]
+            link.sent.clear()
+            self.end(link, start, "failed")
+        self.assertEqual("failed", job.outcome.kind)
+
+    def test_retry_goes_to_another_executor(self):
+        """Guards against a bad executor that uses up a job's attempts."""
+        links = [self.executor(name) for name in ("r1", "r2")]
+        self.submit()
+        first = next(link for link in links if link.starts())
+        self.end(first, first.starts()[0], "failed")
+        other = next(link for link in links if link is not first)
+        self.assertEqual(1, len(other.starts()))
+
+    def test_tasks_of_a_lost_executor_wait_for_the_end_of_its_lease(self):
+        """Guards against a second run while the first may still go on."""
+        link = self.executor()
+        self.submit(timeout_s=5.0, expected_s=1.0)
+        self.home.on_link_down(link, clock.now())
+        other = self.executor("r2")
+        gevent.sleep(0.9)
+        self.assertEqual([], other.starts())
+        gevent.sleep(0.3)
+        self.assertEqual(1, len(other.starts()))
+
+    def test_executor_that_returns_settles_its_tasks(self):
+        """Guards against waiting for a lease when the executor can tell."""
+        link = self.executor()
+        job = self.submit(tasks=2)
+        kept, gone = link.starts()
+        self.home.on_link_down(link, clock.now())
+        again = FakeLink("r1", "runner")
+        self.home.on_link_up(again, clock.now())
+        self.home.on_message(again, ttypes.RunningTasks([kept.task]), clock.now())
+        self.home.on_message(again, room_report(), clock.now())
+        gevent.sleep(0.01)
+        self.assertEqual([gone.task], [start.task for start in again.starts()])
+        self.end(again, kept, "done")
+        self.end(again, again.starts()[0], "done")
+        self.assertEqual("completed", job.outcome.kind)
+
+    def test_job_whose_caller_left_is_stopped(self):
+        """Guards against work for a caller that is gone or has sent it elsewhere."""
+        link = self.executor()
+        job = self.submit()
+        self.home.end(job, "unknown", "the caller left", clock.now())
+        stops = link.of_type(ttypes.StopBatch)
+        self.assertEqual([[link.starts()[0].task]], [stop.tasks for stop in stops])
+
+    def test_domain_out_gets_nothing(self):
+        """Guards against starts in a failure domain that was taken out."""
+        self.out.add("a")
+        link, other = self.executor(), self.executor("r2", domain="b")
+        self.submit(tasks=4)
+        self.assertEqual([], link.starts())
+        self.assertEqual(4, len(other.starts()))
+
+    def test_unstarted_job_without_room_is_refused_as_not_run(self):
+        """Guards against callers that wait for a job that never starts."""
+        job = self.submit(timeout_s=0.3)
+        job.finished.wait(1.0)
+        self.assertEqual("not_run", job.outcome.kind)
+        self.assertGreater(job.outcome.retry_after_s, 0)
+
+    def test_started_job_is_not_said_to_be_unrun(self):
+        """Guards against a refusal that is not true."""
+        self.executor()
+        job = self.submit(timeout_s=0.1)
+        job.finished.wait(1.0)
+        self.assertEqual("unknown", job.outcome.kind)
+
+    def test_same_identifier_joins_the_job(self):
+        """Guards against a second run when a request arrives twice."""
+        link = self.executor()
+        self.assertIs(self.submit(), self.submit())
+        self.assertEqual(1, len(link.starts()))
+
+    def test_run_that_stands_still_moves(self):
+        """Guards against jobs that wait for an executor that makes no progress."""
+        link = self.executor()
+        self.submit()
+        other = self.executor("r2")
+        start = link.starts()[0]
+        slow = ttypes.SlowRun(start.task, 20_000, 200)
+        self.home.on_message(link, ttypes.EndBatch([], None, [slow]), clock.now())
+        self.assertEqual([start.task], link.of_type(ttypes.StopBatch)[0].tasks)
+        self.end(link, start, "stopped")
+        self.assertEqual([start.task], [start.task for start in other.starts()])
--- /dev/null
+++ b/tests/test_leased_executor.py
@@ -0,0 +1,205 @@
+"""
+tests.test_leased_executor
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Room, leases and refusals of the process beside an upstream.
+"""
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.coordination.leased_executor import LeasedExecutor
+from papayaward.protocol.gen.ttypes import RunningTasks, StartBatch, StopBatch
+from standins.leased_upstream import LeasedUpstream
+from tests.leased_case import FakeLink, task_start, upstream_state
+
+
+class LeasedExecutorTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.out = set()
+        self.upstream = LeasedUpstream()
+        self.executor = LeasedExecutor(self.upstream, self.out.__contains__)
+        self.executor.on_upstream(upstream_state(), clock.now())
+        self.wait_for(lambda: not self.executor.refusal)
+        self.batches = 0
+
+    def wait_for(self, condition, seconds=2.0):
+        until = clock.now() + seconds
+        while not condition():
+            self.assertLess(clock.now(), until, "the condition was not met in time")
+            gevent.sleep(0.005)
+
+    def link(self, member="e1", **options):
+        link = FakeLink(member, **options)
+        self.executor.on_link_up(link, clock.now())
+        return link
+
+    def keep_alive(self, link):
+        """Makes an entry be heard until the test ends."""
+
+        def beat():
+            while True:
+                link.hear()
+                self.executor.on_heartbeat(link, clock.now())
+                gevent.sleep(0.05)
+
+        task = gevent.spawn(beat)
+        self.addCleanup(task.kill)
+        return task
+
+    def send(self, link, *starts):
+        self.batches += 1
+        self.executor.on_message(
+            link, StartBatch(self.batches, list(starts)), clock.now()
+        )
+
+    def test_room_is_shared_by_entries_and_never_exceeded(self):
+        """Guards against an overloaded upstream when two entries place at once."""
+        first, second = self.link("e1"), self.link("e2")
+        for link in (first, second):
+            self.keep_alive(link)
+            self.send(
+                link,
+                *(
+                    task_start(f"{link.peer.member}.0.0.{i}", work_ms=300)
+                    for i in range(3)
+                ),
+            )
+        gevent.sleep(0.1)
+        self.assertEqual(4, len(self.upstream.running))
+        refused = [end for end in second.ends() if end[1] == "not_run:busy"]
+        self.assertEqual(2, len(refused))
+        self.assertEqual([], first.ends())
+
+    def test_room_of_a_stopping_run_counts_until_its_end(self):
+        """Guards against a start beside a run that is still being stopped."""
+        link = self.link()
+        self.keep_alive(link)
+        self.send(link, task_start(work_ms=5000, cores=4))
+        gevent.sleep(0.05)
+        self.executor.on_message(link, StopBatch(["j.0.0.0"]), clock.now())
+        self.send(link, task_start("k.0.0.0"))
+        gevent.sleep(0.1)
+        self.assertIn(("k.0.0.0", "not_run:busy"), link.ends())
+        self.assertIn(("j.0.0.0", "stopped"), link.ends())
+
+    def test_start_that_arrived_before_a_pause_is_refused(self):
+        """Guards against a second run of a task that was given up meanwhile."""
+        link = self.link()
+        link.hear(seconds_ago=0.6)
+        self.executor._owners["e1"].heard_at = clock.now() - 0.6
+        self.send(link, task_start())
+        gevent.sleep(0.02)
+        self.assertEqual([("j.0.0.0", "not_run:stale")], link.ends())
+
+    def test_runs_of_a_killed_entry_are_gone_before_its_callers_return(self):
+        """Guards against a second run when a caller submits again after 1.3 s."""
+        link, other = self.link("e1"), self.link("e2")
+        self.keep_alive(other)
+        self.send(link, task_start(work_ms=10_000))
+        self.send(other, task_start("k.0.0.0", work_ms=1500))
+        gevent.sleep(0.1)
+        closed_at = clock.now()
+        self.executor.on_link_down(link, closed_at)
+        self.wait_for(lambda: self.upstream.records[0].outcome)
+        self.assertLess(clock.now() - closed_at, 0.5)
+        self.wait_for(lambda: self.upstream.records[1].outcome)
+        self.assertEqual("done", self.upstream.records[1].outcome)
+
+    def test_runs_of_a_silent_entry_end_and_the_others_go_on(self):
+        """Guards against a lease that a silent entry's peers keep alive."""
+        link, other = self.link("e1"), self.link("e2")
+        self.keep_alive(other)
+        self.send(link, task_start(work_ms=10_000))
+        self.send(other, task_start("k.0.0.0", work_ms=1500))
+        heard_at = clock.now()
+        self.wait_for(
+            lambda: self.upstream.records and self.upstream.records[0].outcome
+        )
+        self.assertLess(clock.now() - heard_at, 1.05)
+        self.wait_for(lambda: self.upstream.records[1].outcome)
+        self.assertEqual("done", self.upstream.records[1].outcome)
+
+    def test_runs_lapse_when_this_process_stops(self):
+        """Guards against runs that outlive both the entry and this process."""
+        link = self.link()
+        self.send(link, task_start(work_ms=10_000))
+        gevent.sleep(0.05)
+        self.executor._session.close()
+        stopped_at = clock.now()
+        self.wait_for(lambda: self.upstream.records[0].outcome)
+        self.assertEqual("lapsed", self.upstream.records[0].outcome)
+        self.assertLess(clock.now() - stopped_at, 1.05)
+
+    def test_entry_that_comes_back_keeps_its_runs(self):
+        """Guards against work that one broken connection throws away."""
+        link = self.link()
+        beat = self.keep_alive(link)
+        self.send(link, task_start(work_ms=600))
+        gevent.sleep(0.05)
+        self.executor.on_link_down(link, clock.now())
+        beat.kill()
+        again = self.link()
+        self.keep_alive(again)
+        self.assertEqual(["j.0.0.0"], again.of_type(RunningTasks)[0].tasks)
+        self.wait_for(lambda: again.ends())
+        self.assertEqual([("j.0.0.0", "done")], again.ends())
+
+    def test_draining_upstream_and_domain_out_refuse(self):
+        """Guards against starts on an upstream that leaves or is out of service."""
+        link = self.link()
+        self.keep_alive(link)
+        self.out.add("a")
+        self.executor.check_accepting()
+        self.send(link, task_start())
+        self.out.clear()
+        self.executor.on_upstream(
+            upstream_state(draining=True, sequence=2), clock.now()
+        )
+        self.send(link, task_start("k.0.0.0"))
+        gevent.sleep(0.05)
+        self.assertEqual(
+            [("j.0.0.0", "not_run:domain_out"), ("k.0.0.0", "not_run:draining")],
+            link.ends(),
+        )
+
+    def test_late_report_of_an_earlier_life_is_ignored(self):
+        """Guards against orders to a life of the upstream that has ended."""
+        self.executor.on_upstream(
+            upstream_state("i-2", born_ms=5, cores=8), clock.now()
+        )
+        self.executor.on_upstream(upstream_state("i-1", sequence=9), clock.now())
+        self.assertEqual("i-2", self.executor.state.instance)
+
+    def test_new_life_loses_the_runs(self):
+        """Guards against jobs that wait for runs that crashed."""
+        link = self.link()
+        self.keep_alive(link)
+        self.send(link, task_start(work_ms=5000))
+        gevent.sleep(0.05)
+        self.executor.on_upstream(upstream_state("i-2", born_ms=5), clock.now())
+        gevent.sleep(0.05)
+        self.assertEqual([("j.0.0.0", "lost")], link.ends())
+
+    def test_closing_process_takes_only_what_does_not_delay_its_end(self):
+        """Guards against an upstream that idles while one long run ends."""
+        link = self.link()
+        self.keep_alive(link)
+        self.send(link, task_start(work_ms=1000, expected_ms=1000))
+        gevent.sleep(0.05)
+        self.executor.close(clock.now() + 5.0)
+        self.send(link, task_start("k.0.0.0", work_ms=100, expected_ms=100))
+        self.send(link, task_start("l.0.0.0", work_ms=2000, expected_ms=2000))
+        gevent.sleep(0.3)
+        self.assertEqual(
+            [("l.0.0.0", "not_run:closing"), ("k.0.0.0", "done")], link.ends()
+        )
+
+    def test_run_that_stands_still_is_reported(self):
+        """Guards against jobs that wait for a run that makes no progress."""
+        link = self.link()
+        self.keep_alive(link)
+        self.send(link, task_start(work_ms=10_000, expected_ms=100))
+        self.wait_for(lambda: any(b.slow for b in link.sent if hasattr(b, "slow")))
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -44,6 +44,7 @@
             lambda now: now + lease_s,
             lambda: self.busy,
             lambda ends, now: self.ends.extend(ends),
+            lambda running, now: None,
             lambda: None,
             lambda: self.lost.append(clock.now()),
         )
