Order by priority among jobs on time; treat returning callers as late; log waits

Cause: after the final fault, callers that had waited before were served ahead of new jobs although their answers were late already.

--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -25,8 +25,8 @@
     read_object,
 )
 from .protocol.outcomes import JobOutcome, Outcome, Reason
+from .protocol.store_errors import StoreError
 from .transport.http_api import Response, json_response, problem
-from .transport.store_client import StoreError
 
 __all__ = ["CallerApi", "JobRequest", "RequestError"]
 
--- a/papayaward/config_api.py
+++ b/papayaward/config_api.py
@@ -18,8 +18,8 @@
 from .protocol.config_diff import diff_texts
 from .protocol.config_text import ConfigError, parse_config
 from .protocol.options import OptionError, get_bool, get_int, get_string, read_object
+from .protocol.store_errors import StoreError
 from .transport.http_api import Response, json_response, problem
-from .transport.store_client import StoreError
 
 __all__ = ["ConfigApi"]
 
--- a/papayaward/coordination/config_writer.py
+++ b/papayaward/coordination/config_writer.py
@@ -12,12 +12,8 @@
 
 from .. import clock
 from ..protocol.config_diff import diff_texts, summarise
-from ..transport.store_client import (
-    StoreError,
-    StoreRefused,
-    delete_operation,
-    put_operation,
-)
+from ..protocol.store_errors import StoreError, StoreRefused
+from ..transport.store_client import delete_operation, put_operation
 
 __all__ = [
     "CONFIG_KEY",
--- a/papayaward/coordination/idempotency_keys.py
+++ b/papayaward/coordination/idempotency_keys.py
@@ -14,7 +14,7 @@
 from hashlib import blake2b
 
 from ..protocol.identifiers import parse_job_id
-from ..transport.store_client import StoreError
+from ..protocol.store_errors import StoreError
 
 __all__ = ["IdempotencyKeys", "KeyLimit", "KeyMapping"]
 
--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -355,10 +355,11 @@
         task.sent_at = now
         view.reserve(task)
         if not job.begun:
-            job.begun = True
+            job.begun_at = now
             metrics.QUEUE_SECONDS.labels(job.queue.service, job.queue.name).observe(
                 now - job.arrived_at
             )
+        job.last_start_at = now
         job.starts += 1
         start = ttypes.TaskStart(
             task.name,
@@ -416,6 +417,11 @@
             job.queue.service, job.outcome.kind, job.outcome.reason
         ).inc()
         fields = _job_fields(job)
+        if job.begun:
+            fields.update(
+                first_start_s=round(job.begun_at - job.arrived_at, 4),
+                last_start_s=round(job.last_start_at - job.arrived_at, 4),
+            )
         fields.update(
             outcome=job.outcome.kind,
             reason=job.outcome.reason,
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -34,18 +34,30 @@
         self._is_domain_out = is_domain_out
 
     def order(self, jobs, now):
-        """Returns the jobs, those first that have to start first.
+        """Returns the jobs in the order in which they get room.
 
-        Jobs that can no longer meet their objective come after all others.
+        Jobs that can no longer meet their objective come after all others; among
+        the rest the queue's priority decides, then the latest time to start.
         """
 
         def key(job):
             latest = job.objective_at - self._least_s(job)
-            useful = job.arrived_at + _USEFUL_OBJECTIVES * job.objective_s
-            return ((now > latest) + (now > useful), latest)
+            return (self._lateness(job, latest, now), job.queue.priority, latest)
 
         return sorted(jobs, key=key)
 
+    def _lateness(self, job, latest, now):
+        """Returns 0 for a job that can be on time, 1 for a late one, 2 for a useless.
+
+        A caller that has less time left than a late answer may take has waited for an
+        answer before: its job is late already.
+        """
+        useful_s = _USEFUL_OBJECTIVES * job.objective_s
+        if now > job.arrived_at + useful_s:
+            return 2
+        waited_before = job.request.timeout_s < useful_s
+        return 1 if now > latest or waited_before else 0
+
     def choose(self, task, views, now):
         """Returns the executor that should start a task now, or None to wait.
 
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -70,7 +70,8 @@
         self.objective_s = queue.stretch * self._chain_s() + queue.slack_s
         self.outcome = None
         self.finished = Event()
-        self.begun = False
+        self.begun_at = None
+        self.last_start_at = None
         self.starts = 0
         self.phases = [
             [
@@ -81,6 +82,11 @@
         ]
         self._left = [phase.count for phase in request.phases]
 
+    @property
+    def begun(self):
+        """Whether a task was sent to an executor."""
+        return self.begun_at is not None
+
     @property
     def objective_at(self):
         """Time by which the job should be done, seconds."""
--- a/papayaward/coordination/store_sync.py
+++ b/papayaward/coordination/store_sync.py
@@ -16,7 +16,7 @@
 import gevent
 
 from .. import clock
-from ..transport.store_client import StoreError
+from ..protocol.store_errors import StoreError
 
 __all__ = ["HistoryLost", "Presence", "Snapshot", "follow_prefix"]
 
--- a/papayaward/coordination/upstream_memory.py
+++ b/papayaward/coordination/upstream_memory.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 
 from ..protocol.jobs import Resources
-from ..transport.store_client import StoreError
+from ..protocol.store_errors import StoreError
 from .upstream_orders import UpstreamState
 
 __all__ = ["UpstreamMemory"]
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -22,11 +22,12 @@
 from .protocol.codec import encode
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
 from .protocol.options import get_address
+from .protocol.store_errors import StoreError
 from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
 from .transport.peers import serve_links
-from .transport.store_client import StoreClient, StoreError
+from .transport.store_client import StoreClient
 
 __all__ = ["Entry"]
 
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -15,8 +15,8 @@
 from .leased_node import LeasedNode
 from .protocol.gen.ttypes import Members
 from .protocol.options import get_address
+from .protocol.store_errors import StoreError
 from .transport.peers import Dialler
-from .transport.store_client import StoreError
 
 __all__ = ["LeasedRunner"]
 
--- /dev/null
+++ b/papayaward/protocol/store_errors.py
@@ -0,0 +1,16 @@
+"""
+papayaward.protocol.store_errors
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Errors of the store's clients.
+"""
+
+__all__ = ["StoreError", "StoreRefused"]
+
+
+class StoreError(Exception):
+    """The store did not answer; a write may or may not have taken effect."""
+
+
+class StoreRefused(StoreError):
+    """The store refused the call, which had no effect."""
--- a/papayaward/transport/store_client.py
+++ b/papayaward/transport/store_client.py
@@ -12,10 +12,10 @@
 import gevent
 from geventhttpclient import HTTPClient
 
+from ..protocol.store_errors import StoreError, StoreRefused
+
 __all__ = [
     "StoreClient",
-    "StoreError",
-    "StoreRefused",
     "StoreValue",
     "delete_operation",
     "put_operation",
@@ -24,14 +24,6 @@
 _TIMEOUT_S = 1.0
 
 
-class StoreError(Exception):
-    """The store did not answer; a write may or may not have taken effect."""
-
-
-class StoreRefused(StoreError):
-    """The store refused the call, which had no effect."""
-
-
 @dataclass(frozen=True)
 class StoreValue:
     """A value of the store.
--- a/tests/test_config_writes.py
+++ b/tests/test_config_writes.py
@@ -20,8 +20,9 @@
 from papayaward.coordination.acceptance import judge
 from papayaward.coordination.config_sync import ConfigHolder
 from papayaward.coordination.config_writer import CONFIG_KEY, ConfigWriter, Submission
+from papayaward.protocol.store_errors import StoreError
 from papayaward.transport import store_client
-from papayaward.transport.store_client import StoreClient, StoreError
+from papayaward.transport.store_client import StoreClient
 from standins.fleet import call
 from standins.store import Store
 
