Wait for the kill at the end of a lease; a greeting is as old as its connection

Reading the same chain showed that a greeting counted as heard when it was read, which a pause can delay. Change: 0.1 s more before a silent upstream is lost; an entry was heard when the connection was made. Adds the soak of the platform's processes (standins/platform_fleet).

--- /dev/null
+++ b/benchmarks/platform_soak.py
@@ -0,0 +1,443 @@
+"""
+benchmarks.platform_soak
+~~~~~~~~~~~~~~~~~~~~~~~~
+
+Randomised run of the platform's processes under faults from outside them.
+
+Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]`. The last
+line is `soak: ok` or `soak: failed`; before it come what was violated, the faults in
+their order and the command that repeats the run. The seed fixes faults and jobs; the
+operating system still decides how the processes interleave.
+"""
+
+import argparse
+import json
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+
+import gevent
+
+from standins.platform_fleet import PlatformFleet
+
+__all__ = ["FAULTS", "main", "run_soak"]
+
+_DOMAINS = ("a", "b", "c")
+_ENTRIES = 2
+_CALLERS = 6
+_CORES = 4
+_RETRY_S = 1.3
+_ATTEMPTS = 3
+_REFUSED_S = 0.5
+_DOMAIN_OUT_S = 5.0
+_ANSWER_SLACK_S = 0.7
+# An entry that a fault disturbed may answer late for this long after it.
+_DISTURBED_S = 4.0
+_RECOVERY_S = 12.0
+_ERRORS = ("request_failed", "schedule_failed", "message_failed", "Traceback")
+
+
+@dataclass
+class _Attempt:
+    """One request of a caller."""
+
+    job_id: str
+    tasks: int
+    entry: str
+    sent_at: float
+    deadline_s: float
+    ended_at: float = 0.0
+    status: int | None = None
+    state: str = ""
+
+
+class _Soak:
+    """State of one run: the fleet, the faults in force and what callers saw."""
+
+    def __init__(self, fleet, seed, runners):
+        self.fleet = fleet
+        self.rng = random.Random(seed)
+        self.entries = [f"e{i}" for i in range(_ENTRIES)]
+        self.runners = [f"r{i}" for i in range(runners)]
+        self.began = time.monotonic()
+        self.events = []
+        self.attempts = []
+        self.disturbed = defaultdict(list)
+        self.out = {}
+        self.domain_spans = []
+        self.version = 1
+        self.stopped = False
+
+    def note(self, text):
+        self.events.append(f"{time.monotonic() - self.began:6.2f} s  {text}")
+
+    def disturb(self, name, seconds):
+        """Notes that a process or the store is disturbed for a while."""
+        now = time.monotonic()
+        self.disturbed[name].append((now, now + seconds))
+
+    def was_disturbed(self, name, start, end):
+        return any(
+            begin < end and start < until + _DISTURBED_S
+            for begin, until in self.disturbed[name]
+        )
+
+    def call(self, number):
+        """Submits jobs one after the other, and again as callers do."""
+        rng = random.Random(self.rng.random())
+        while not self.stopped:
+            job_id = f"{rng.getrandbits(64):016x}"
+            work_ms, tasks = rng.choice((20, 100, 400, 900)), rng.randint(1, 5)
+            deadline_s = rng.uniform(1.5, 4.0)
+            for _ in range(_ATTEMPTS):
+                entry = rng.choice(self.entries)
+                attempt = _Attempt(job_id, tasks, entry, time.monotonic(), deadline_s)
+                self.attempts.append(attempt)
+                self._send(attempt, work_ms)
+                if attempt.status not in (None, 502, 504):
+                    break
+                gevent.sleep(_RETRY_S)
+            refused = attempt.status == 503
+            gevent.sleep(_REFUSED_S if refused else rng.uniform(0.0, 0.2))
+
+    def _send(self, attempt, work_ms):
+        reply = None
+        with gevent.Timeout(attempt.deadline_s + 2 * _ANSWER_SLACK_S, False):
+            reply = self.fleet.submit(
+                attempt.job_id,
+                work_ms,
+                attempt.entry,
+                attempt.tasks,
+                stated_ms=work_ms,
+                deadline_ms=int(attempt.deadline_s * 1000),
+            )
+        attempt.ended_at = time.monotonic()
+        if reply is not None and reply[0] is not None:
+            attempt.status = reply[0]
+            attempt.state = json.loads(reply[1] or b"{}").get("state", "")
+
+
+# Faults: each takes the soak and returns when it is over.
+
+
+def _kill(soak):
+    name = soak.rng.choice(soak.entries + soak.runners)
+    soak.note(f"kill {name}")
+    away_s = soak.rng.uniform(0.1, 2.0)
+    soak.disturb(name, away_s + 1.0)
+    soak.fleet.kill(name)
+    gevent.sleep(away_s)
+    _start(soak, name)
+
+
+def _terminate(soak):
+    name = soak.rng.choice(soak.entries + soak.runners)
+    process = soak.fleet.processes[name]
+    soak.note(f"SIGTERM {name}")
+    soak.disturb(name, 5.0)
+    process.send_signal(signal.SIGTERM)
+    while process.poll() is None:
+        gevent.sleep(0.05)
+    _start(soak, name)
+
+
+def _pause(soak):
+    name = soak.rng.choice(soak.entries + soak.runners)
+    seconds = soak.rng.uniform(0.2, 3.0)
+    soak.note(f"pause {name} for {seconds:.1f} s")
+    soak.disturb(name, seconds)
+    process = soak.fleet.processes[name]
+    process.send_signal(signal.SIGSTOP)
+    gevent.sleep(seconds)
+    process.send_signal(signal.SIGCONT)
+
+
+def _reload(soak):
+    name = soak.rng.choice(soak.entries + soak.runners)
+    soak.note(f"SIGHUP {name}")
+    soak.fleet.processes[name].send_signal(signal.SIGHUP)
+
+
+def _links(soak):
+    name = soak.rng.choice(soak.entries)
+    proxy = soak.fleet.link_proxies[name]
+    how = soak.rng.choice(("cut", "silent", "to_entry", "to_runners", "delay"))
+    seconds = soak.rng.uniform(0.3, 3.0)
+    soak.note(f"links of {name}: {how} for {seconds:.1f} s")
+    soak.disturb(name, seconds)
+    if how == "cut":
+        proxy.cut()
+    elif how == "silent":
+        proxy.silence_open()
+    elif how == "delay":
+        proxy.delay_s = soak.rng.uniform(0.005, 0.2)
+    else:
+        proxy.silent_to_target = how == "to_entry"
+        proxy.silent_to_client = how == "to_runners"
+    gevent.sleep(seconds)
+    proxy.silent_to_target = proxy.silent_to_client = False
+    proxy.delay_s = 0.0
+
+
+def _store(soak):
+    how = soak.rng.choice(("busy", "silent", "lossy", "leases", "history", "cut"))
+    seconds = soak.rng.uniform(0.5, 4.0)
+    soak.note(f"store: {how} for {seconds:.1f} s")
+    soak.disturb("store", seconds)
+    if how == "leases":
+        soak.fleet.store.end_leases()
+    elif how == "history":
+        soak.fleet.store.forget_before = 10**9
+    elif how == "cut":
+        soak.fleet.store_proxy.silence_open()
+    else:
+        soak.fleet.store.mode = how
+    gevent.sleep(seconds)
+    soak.fleet.store.mode = "ok"
+    soak.fleet.store.forget_before = 0
+
+
+def _upstream(soak):
+    name = soak.rng.choice(soak.runners)
+    slot = soak.fleet.upstreams[name]
+    how = soak.rng.choice(("crash", "late", "unanswered", "drain"))
+    soak.note(f"upstream of {name}: {how}")
+    if how == "late":
+        for _ in range(4):
+            slot.life.fail_order("start", late_s=soak.rng.uniform(0.1, 3.0))
+    elif how == "unanswered":
+        slot.life.fail_order("look", times=soak.rng.randint(1, 8))
+        slot.life.fail_order("stop", times=1)
+    else:
+        if how == "drain":
+            slot.draining = True
+            gevent.sleep(2.0)
+        slot.crash()
+        gevent.sleep(soak.rng.uniform(0.1, 1.5))
+        slot.start()
+
+
+def _configure(soak):
+    soak.version += soak.rng.randint(1, 3)
+    soak.note(f"configuration version {soak.version}")
+    soak.fleet.configure(soak.version, timeout_ms=soak.rng.randint(1000, 2000))
+
+
+def _domain(soak):
+    domain = soak.rng.choice(_DOMAINS)
+    if domain in soak.out:
+        return
+    soak.note(f"domain {domain} out")
+    out_at = soak.out[domain] = time.monotonic()
+    soak.fleet.store.put(f"op/evacuate/{domain}", {})
+    gevent.sleep(soak.rng.uniform(1.0, 9.0))
+    soak.fleet.store.delete(f"op/evacuate/{domain}")
+    soak.domain_spans.append((domain, out_at, time.monotonic()))
+    del soak.out[domain]
+
+
+FAULTS = {
+    "kill": _kill,
+    "terminate": _terminate,
+    "pause": _pause,
+    "reload": _reload,
+    "links": _links,
+    "store": _store,
+    "upstream": _upstream,
+    "configure": _configure,
+    "domain": _domain,
+}
+
+
+def _start(soak, name):
+    role = "entry" if name in soak.entries else "runner"
+    soak.fleet.start(name, role, soak.fleet.settings[name]["zone"])
+
+
+def _disturb_all(soak):
+    """Starts faults in series that overlap, until the run stops."""
+    busy = set()
+
+    def run(name):
+        try:
+            FAULTS[name](soak)
+        finally:
+            busy.discard(name)
+
+    while not soak.stopped:
+        name = soak.rng.choice(sorted(FAULTS))
+        if name not in busy:
+            busy.add(name)
+            # Signals to one process come one after the other, so that each fault
+            # meets a process that runs.
+            if name in ("kill", "terminate", "pause"):
+                busy.update(("kill", "terminate", "pause"))
+                run(name)
+                busy.difference_update(("kill", "terminate", "pause"))
+            else:
+                gevent.spawn(run, name)
+        gevent.sleep(soak.rng.expovariate(1.5))
+
+
+# Checks.
+
+
+def _findings(soak):
+    found = []
+    by_task = defaultdict(list)
+    for name, slot in soak.fleet.upstreams.items():
+        for life in slot.lives:
+            found += _over_capacity(name, life)
+            for record in life.records:
+                by_task[record.task].append((record, slot))
+    now = time.monotonic()
+    for task, runs in by_task.items():
+        spans = sorted((r.started_at, r.ended_at or now) for r, _ in runs)
+        for (_, end), (start, _) in zip(spans, spans[1:]):
+            if start < end:
+                at = start - soak.began
+                found.append(
+                    f"task {task} ran twice at once from {at:.2f} s for "
+                    f"{end - start:.3f} s: "
+                    + "; ".join(
+                        f"{slot.name} run {r.run} {r.started_at - soak.began:.2f} to "
+                        f"{(r.ended_at or now) - soak.began:.2f} {r.outcome}"
+                        for r, slot in runs
+                    )
+                )
+    found += _wrong_answers(soak, by_task)
+    found += _starts_in_domains_out(soak, by_task)
+    for name in soak.fleet.processes:
+        log = soak.fleet.log(name)
+        found += [f"{name} logged {error}" for error in _ERRORS if error in log]
+    return found
+
+
+def _over_capacity(name, life):
+    changes = []
+    for record in life.records:
+        changes.append((record.started_at, 1))
+        changes.append((record.ended_at or time.monotonic(), -1))
+    running = 0
+    for _, change in sorted(changes):
+        running += change
+        if running > _CORES:
+            return [f"upstream of {name} ran {running} tasks of {_CORES}"]
+    return []
+
+
+def _wrong_answers(soak, by_task):
+    found = []
+    for attempt in soak.attempts:
+        runs = [
+            by_task.get(f"{attempt.job_id}.0.0.{i}", ()) for i in range(attempt.tasks)
+        ]
+        if attempt.state == "completed":
+            if not all(any(r.outcome == "done" for r, _ in task) for task in runs):
+                found.append(f"job {attempt.job_id} is not complete")
+        if attempt.status == 503 and any(
+            attempt.sent_at <= r.started_at <= attempt.ended_at
+            for task in runs
+            for r, _ in task
+        ):
+            found.append(f"job {attempt.job_id} ran and was refused")
+        late = attempt.ended_at - attempt.sent_at - attempt.deadline_s
+        if late > _ANSWER_SLACK_S and not soak.was_disturbed(
+            attempt.entry, attempt.sent_at, attempt.ended_at
+        ):
+            found.append(f"job {attempt.job_id} had no answer in time")
+    return found
+
+
+def _starts_in_domains_out(soak, by_task):
+    found = []
+    for domain, out_at, in_at in soak.domain_spans:
+        if soak.was_disturbed("store", out_at, out_at + _DOMAIN_OUT_S):
+            continue
+        for task, runs in by_task.items():
+            for record, slot in runs:
+                late = out_at + _DOMAIN_OUT_S < record.started_at < in_at
+                if slot.domain == domain and late:
+                    found.append(f"task {task} started in domain {domain} when out")
+    return found
+
+
+def run_soak(seed, seconds, runners=3, keep=None):
+    """Runs the processes under faults.
+
+    Args:
+        seed: Seed of faults and jobs.
+        seconds: Length of the faults.
+        runners: Number of runners.
+        keep: Folder that keeps settings and logs; None for none.
+
+    Returns:
+        tuple: Findings, events (both lists of str), and a Counter of the answers.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        if keep:
+            Path(keep).mkdir(parents=True, exist_ok=True)
+        fleet = PlatformFleet(keep or folder, proxied=True)
+        soak = _Soak(fleet, seed, runners)
+        try:
+            _start_fleet(soak)
+            callers = [gevent.spawn(soak.call, i) for i in range(_CALLERS)]
+            faults = gevent.spawn(_disturb_all, soak)
+            gevent.sleep(seconds)
+            soak.stopped = True
+            faults.join(20.0)
+            gevent.joinall(callers, timeout=20.0)
+            recovered = [fleet.wait_ready(entry) for entry in soak.entries]
+            findings = _findings(soak)
+            if not all(recovered):
+                findings.append("an entry serves no job after the faults")
+        finally:
+            fleet.stop()
+    answers = Counter(str(attempt.status) for attempt in soak.attempts)
+    return findings, soak.events, answers
+
+
+def _start_fleet(soak):
+    for i, name in enumerate(soak.entries):
+        soak.fleet.start(name, "entry", _DOMAINS[i % len(_DOMAINS)])
+    for i, name in enumerate(soak.runners):
+        soak.fleet.start(name, "runner", _DOMAINS[i % len(_DOMAINS)])
+        soak.fleet.start_upstream(name, _CORES)
+    for entry in soak.entries:
+        soak.fleet.wait_ready(entry)
+
+
+def main(args):
+    """Runs the soak and prints what it found; returns the exit code."""
+    parser = argparse.ArgumentParser(prog="benchmarks.platform_soak")
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--runners", type=int, default=3)
+    parser.add_argument("--keep", help="folder that keeps settings and logs")
+    options = parser.parse_args(args)
+    seed = options.seed
+    if seed is None:
+        seed = random.randrange(10**6)
+    findings, events, answers = run_soak(
+        seed, options.seconds, options.runners, options.keep
+    )
+    if findings:
+        print("\n".join(events))
+    for finding in findings:
+        print(f"finding: {finding}")
+    print(f"answers: {dict(answers)}")
+    print(
+        f"repeat: python -m benchmarks.platform_soak --seed {seed} "
+        f"--seconds {options.seconds:g} --runners {options.runners}"
+    )
+    print("soak: failed" if findings else "soak: ok")
+    return 1 if findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -217,9 +217,10 @@
             self._stop_owner(owner, "the entry restarted")
             owner = None
         if owner is None:
-            owner = _Owner(peer.member, peer.incarnation, link, now)
+            owner = _Owner(peer.member, peer.incarnation, link, 0.0)
             self._owners[peer.member] = owner
-        owner.link, owner.lost_at, owner.heard_at = link, None, now
+        owner.link, owner.lost_at = link, None
+        owner.heard_at = max(owner.heard_at, link.echoed_us / 1e6)
         owner.room_changed = True
         # The ends first: what is not running and has no end was lost.
         self._send(owner)
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -23,6 +23,8 @@
 _END_WAIT_MS = 1000
 _RETRY_S = 0.05
 _START_TRIES = 6
+# Time that an upstream takes to kill its runs at the end of a lease, and a margin.
+_KILL_S = 0.1
 # Looks in a row without a reply after which no more tasks are started.
 _SILENT_LOOKS = 2
 
@@ -79,9 +81,9 @@
         return self._clean and not self._closed and self._silent_looks < _SILENT_LOOKS
 
     @property
-    def lease_ended_at(self):
+    def all_ended_at(self):
         """Own time at which everything that was started has surely ended, seconds."""
-        return self._lease.until
+        return self._lease.until + _KILL_S
 
     def close(self):
         """Sends no more orders."""
@@ -244,7 +246,7 @@
                 reply = self._try_look(order)
                 if reply is not None and reply.outcome == "fenced":
                     self._raise_token()
-            if self._silent_looks and clock.now() > self._lease.until:
+            if self._silent_looks and clock.now() > self.all_ended_at:
                 self._lose("silent until the lease ended")
 
     def _poll(self):
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -65,7 +65,7 @@
     ends: list = field(default_factory=list)
     faults: list = field(default_factory=list)
     late_answers: list = field(default_factory=list)
-    forgotten: int = 0
+    crashed: bool = False
 
     def __post_init__(self):
         self._started = time.monotonic()
@@ -88,6 +88,13 @@
         """
         self.faults.append(_Fault(name, late_s, times))
 
+    def crash(self):
+        """Ends every run at once, without a trace."""
+        for record in self.running.values():
+            record.ended_at, record.outcome = time.monotonic(), "crashed"
+        self.running.clear()
+        self.crashed = True
+
     # The orders, as `UpstreamSession` sends them.
 
     def start(self, instance, order):
@@ -176,6 +183,8 @@
     def _watch(self):
         while True:
             gevent.sleep(_POLL_S)
+            if self.crashed:
+                return
             if self.running and self.clock_ms > self._lease_ms:
                 for record in list(self.running.values()):
                     self._end(record, "lapsed")
--- /dev/null
+++ b/standins/platform_fleet.py
@@ -0,0 +1,254 @@
+"""
+standins.platform_fleet
+~~~~~~~~~~~~~~~~~~~~~~~
+
+The platform's processes of papayaward on one machine, with stand-ins around them.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import gevent
+from gevent import socket
+
+from papayaward.transport.upstream_http import NotSent, UpstreamClient, UpstreamLost
+
+from .leased_upstream import LeasedUpstream, serve
+from .platform_store import PlatformStoreStandIn
+from .proxy import TcpProxy
+
+__all__ = ["HOST", "PlatformFleet", "free_port"]
+
+HOST = "127.0.0.1"
+
+_ROOT = Path(__file__).resolve().parent.parent
+_HEARTBEAT_S = 0.3
+_READY_S = 10.0
+
+
+def free_port():
+    """Returns a port of the loopback address that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+class _UpstreamSlot:
+    """The place of an upstream beside a runner; its lives come and go."""
+
+    def __init__(self, name, settings, domain, cores):
+        self.name = name
+        self.domain = domain
+        self.cores = cores
+        self.lives = []
+        self.draining = False
+        self._settings = settings
+        self._server = None
+        self._beat = None
+
+    @property
+    def life(self):
+        """The present `LeasedUpstream`."""
+        return self.lives[-1]
+
+    @property
+    def records(self):
+        """`StartRecord` of every run of every life."""
+        return [record for life in self.lives for record in life.records]
+
+    def start(self):
+        """Begins a new life."""
+        self.draining = False
+        life = LeasedUpstream(f"i-{self.name}-{len(self.lives)}")
+        self.lives.append(life)
+        host, port = self._settings["app"].split(":")
+        self._server = serve(life, (host, int(port)))
+        self._beat = gevent.spawn(self._report, life)
+
+    def crash(self):
+        """Ends the present life at once."""
+        if self._beat is not None:
+            self._beat.kill()
+            self._server.stop(timeout=0)
+            self.life.crash()
+            self._beat = None
+
+    def _report(self, life):
+        host, port = self._settings["listen_addrs"]["control"].split(":")
+        client = UpstreamClient(host, int(port))
+        sequence = 0
+        while True:
+            sequence += 1
+            document = {
+                "service": "dispatch",
+                "address": self._settings["app"],
+                "zone": self.domain,
+                "state": "draining" if self.draining else "ready",
+                "capacity": {"cpu": 1000 * self.cores, "mem_mb": 4096, "gpus": 0},
+                "labels": ["a", "r1-1"],
+                "seq_no": sequence,
+                "born": 5 + len(self.lives),
+            }
+            path = f"/papayaward/instances/{life.instance}"
+            try:
+                client.request("PUT", path, json.dumps(document).encode(), {})
+            except (NotSent, UpstreamLost):
+                # The runner is away; the next report may find it.
+                pass
+            gevent.sleep(_HEARTBEAT_S)
+
+
+class PlatformFleet:
+    """Entries and runners as processes; store, upstreams and proxies in this one.
+
+    Args:
+        folder: Folder for settings and logs.
+        proxied: Whether runners reach entries, and all of them the store, through
+            proxies that faults can be set on.
+
+    Attributes:
+        store: `PlatformStoreStandIn`.
+        processes: Running process by name.
+        upstreams: Upstream beside each runner by name.
+        link_proxies: `TcpProxy` in front of each entry's links by name.
+        store_proxy: `TcpProxy` in front of the store, or None.
+    """
+
+    def __init__(self, folder, proxied=False):
+        self._folder = Path(folder)
+        self._proxied = proxied
+        self._logs = []
+        self.settings = {}
+        self.processes = {}
+        self.upstreams = {}
+        self.link_proxies = {}
+        address = (HOST, free_port())
+        self.store = PlatformStoreStandIn(address)
+        self.store_proxy = TcpProxy(address) if proxied else None
+        self._store_address = self.store_proxy.address if proxied else address
+        self._route = {
+            "name": "q",
+            "host": "q.example",
+            "prefix": "/q/",
+            "service": "dispatch",
+            "attempts": 2,
+            "stretch": 1.6,
+            "target_duration_ms": 60,
+        }
+        self.configure(1)
+
+    def configure(self, version, **changes):
+        """Writes a version of the configuration with one queue."""
+        document = {"version": version, "routes": [{**self._route, **changes}]}
+        self.store.put("op/config", document)
+
+    def start(self, name, role, domain="a"):
+        """Starts a process; its ports are drawn the first time."""
+        if name not in self.settings:
+            self.settings[name] = self._draw_settings(name, role, domain)
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(self.settings[name]))
+        log = open(self._folder / f"{name}.log", "ab")
+        self._logs.append(log)
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "platform", role],
+            cwd=_ROOT,
+            stdout=log,
+            stderr=log,
+            env={"PAPAYAWARD_SETTINGS": str(path), "PATH": os.environ["PATH"]},
+        )
+
+    def start_upstream(self, name, cores=4):
+        """Starts the upstream beside a runner."""
+        settings = self.settings[name]
+        slot = _UpstreamSlot(name, settings, settings["zone"], cores)
+        self.upstreams[name] = slot
+        slot.start()
+        return slot
+
+    def kill(self, name):
+        """Kills a process and waits for its end."""
+        process = self.processes[name]
+        if process.poll() is None:
+            process.kill()
+        process.wait()
+
+    def stop(self):
+        """Ends everything that this fleet started."""
+        for name in self.processes:
+            self.kill(name)
+        for slot in self.upstreams.values():
+            slot.crash()
+        for proxy in [*self.link_proxies.values(), self.store_proxy]:
+            if proxy is not None:
+                proxy.close()
+        self.store.stop()
+        for log in self._logs:
+            log.close()
+
+    def wait_ready(self, entry):
+        """Waits until an entry serves jobs, and returns whether it does."""
+        until = time.monotonic() + _READY_S
+        while self.submit("00000000000000ff", 1, entry)[0] != 200:
+            if time.monotonic() > until:
+                return False
+            gevent.sleep(0.05)
+        return True
+
+    def log(self, name):
+        """Returns what a process wrote."""
+        return (self._folder / f"{name}.log").read_text()
+
+    def events(self, name, event):
+        """Returns the log lines of a process with an event, as documents."""
+        lines = (json.loads(line) for line in self.log(name).splitlines())
+        return [line for line in lines if line.get("event") == event]
+
+    def call(self, method, path, body=b"", entry="e1", deadline_ms=3000):
+        """Sends a request as a caller; returns status (None if cut) and body."""
+        host, port = self.settings[entry]["listen_addrs"]["front"].split(":")
+        client = UpstreamClient(host, int(port))
+        headers = {"Deadline": deadline_ms, "Request-Id": "r-1", "Host": "q.example"}
+        try:
+            return client.request(method, path, body, headers)
+        except (NotSent, UpstreamLost) as error:
+            return None, str(error)
+        finally:
+            client.close()
+
+    def submit(self, job_id, work_ms, entry="e1", tasks=1, stated_ms=100, **options):
+        """Submits a job of one phase whose tasks take one core each."""
+        body = {
+            "spec": str(work_ms),
+            "best_effort": True,
+            "phases": [{"count": tasks, "cpu": 1000, "est_runtime_ms": stated_ms}],
+        }
+        content = json.dumps(body).encode()
+        return self.call("POST", f"/q/{job_id}", content, entry, **options)
+
+    def _draw_settings(self, name, role, domain):
+        addresses = {"control": f"{HOST}:{free_port()}"}
+        if role == "entry":
+            addresses["front"] = f"{HOST}:{free_port()}"
+            addresses["ready"] = f"{HOST}:{free_port()}"
+        link = free_port()
+        if role == "entry" and self._proxied:
+            proxy = self.link_proxies[name] = TcpProxy((HOST, link))
+            self.store.translate[f"{HOST}:{link}"] = "%s:%d" % proxy.address
+        return {
+            "node_name": name,
+            "ip": HOST,
+            "zone": domain,
+            "region": "r",
+            "port_range": [link, link + 10],
+            "listen_addrs": addresses,
+            "seeds": [],
+            "service": "dispatch" if role == "runner" else None,
+            "app": f"{HOST}:{free_port()}",
+            "bounds": {"grace_s": 3},
+            "platform": {"address": "%s:%d" % self._store_address},
+        }
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -7,7 +7,7 @@
 
 import json
 import time
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from urllib.parse import parse_qs
 
 import gevent
@@ -30,12 +30,15 @@
             out and not answered).
         forget_before: Revision before which the history is gone.
         calls: Number of calls by path.
+        translate: Addresses that readers are given in place of others, so that a proxy
+            can stand in front of a process.
     """
 
     def __init__(self, address):
         self.mode = "ok"
         self.forget_before = 0
         self.calls = {}
+        self.translate = {}
         self._revision = 1
         self._items = {}
         self._changes = []
@@ -92,7 +95,7 @@
 
     def _call(self, path, query, body):
         if path == "kv-range":
-            items = [self._items[key] for key in self.keys(query["prefix"])]
+            items = [self._read(key) for key in self.keys(query["prefix"])]
             return "200 OK", {
                 "items": items,
                 "has_more": False,
@@ -119,6 +122,13 @@
             self.end_lease(int(lease))
         return "200 OK", {}
 
+    def _read(self, key):
+        item = self._items[key]
+        value = b64decode(item["value"]).decode()
+        for address, proxy in self.translate.items():
+            value = value.replace(address, proxy)
+        return {**item, "value": b64encode(value.encode()).decode()}
+
     def _watch(self, query):
         after = int(query["after"])
         if after < self.forget_before:
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -122,6 +122,15 @@
         self.wait_for(lambda: self.upstream.records[1].outcome)
         self.assertEqual("done", self.upstream.records[1].outcome)
 
+    def test_greeting_that_waited_through_a_pause_is_no_sign_of_life(self):
+        """Guards against a lease for an entry that greeted long ago."""
+        link = FakeLink("e1")
+        link.hear(seconds_ago=0.7)
+        self.executor.on_link_up(link, clock.now())
+        self.send(link, task_start())
+        gevent.sleep(0.02)
+        self.assertEqual([("j.0.0.0", "not_run:stale")], link.ends())
+
     def test_runs_lapse_when_this_process_stops(self):
         """Guards against runs that outlive both the entry and this process."""
         link = self.link()
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -9,27 +9,10 @@
 from testtools import TestCase
 
 from papayaward import clock
-from papayaward.coordination.upstream_orders import StartOrder, UpstreamState
+from papayaward.coordination.upstream_orders import StartOrder
 from papayaward.coordination.upstream_session import UpstreamSession
-from papayaward.protocol.jobs import Resources
 from standins.leased_upstream import LeasedUpstream
-
-
-def upstream_state(instance="i-1", cpu_millis=4000, **changes):
-    """Returns the report of an upstream with room for four tasks of a core."""
-    values = {
-        "instance": instance,
-        "service": "dispatch",
-        "domain": "a",
-        "host": "127.0.0.1",
-        "port": 1,
-        "capacity": Resources(cpu_millis, 4096, 0),
-        "labels": (),
-        "draining": False,
-        "sequence": 1,
-        "born_ms": 1,
-    }
-    return UpstreamState(**{**values, **changes})
+from tests.leased_case import upstream_state
 
 
 class SessionTest(TestCase):
@@ -144,4 +127,6 @@
         gevent.sleep(1.6)
         self.assertEqual(1, len(self.lost))
         self.assertEqual("lapsed", upstream.records[0].outcome)
-        self.assertGreaterEqual(self.lost[0], session.lease_ended_at)
+        self.assertGreaterEqual(self.lost[0], session.all_ended_at)
+        # The kill at the end of a lease takes up to 50 ms.
+        self.assertGreaterEqual(session.all_ended_at, session._lease.until + 0.05)
