Refuse connections that a later one of the same peer has overtaken

Change: a greeting numbers its connection; a lower number than the latest of that incarnation is refused. Tests that failed first: test_leased_node.

--- a/papayaward/leased_node.py
+++ b/papayaward/leased_node.py
@@ -66,6 +66,8 @@
         self.domains = DomainsHolder()
         self.links = {}
         self.draining = False
+        # Incarnation and number of the latest link by member.
+        self._latest_links = {}
         metrics.watch_links(self.stats)
 
     def hello(self):
@@ -83,6 +85,7 @@
             f"{host}:{port}",
             self.config.version,
             self.draining,
+            int(clock.now() * 1e6),
         )
 
     def heartbeat(self, link, now):
@@ -104,8 +107,18 @@
         self.domains.on_peer_revision(link, heartbeat.domains_revision)
 
     def on_link_up(self, link, now):
-        """Takes a new link, which replaces an older one to the same peer."""
-        member = link.peer.member
+        """Takes a new link, which replaces an older one to the same peer.
+
+        Connections can overtake each other: one that the peer made before the latest
+        is closed, since what it says of the peer is out of date.
+        """
+        peer = link.peer
+        member = peer.member
+        incarnation, number = self._latest_links.get(member, (None, 0))
+        if peer.incarnation == incarnation and peer.link_number < number:
+            link.close("an earlier connection than the one in use")
+            return
+        self._latest_links[member] = (peer.incarnation, peer.link_number)
         older = self.links.get(member)
         self.links[member] = link
         if older is not None:
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -30,6 +30,7 @@
      - address
      - config_version
      - draining
+     - link_number
 
     """
 
@@ -44,10 +45,11 @@
         'address',
         'config_version',
         'draining',
+        'link_number',
     )
 
 
-    def __init__(self, protocol_version=None, member=None, incarnation=None, role=None, region=None, domain=None, service_name=None, address=None, config_version=None, draining=None,):
+    def __init__(self, protocol_version=None, member=None, incarnation=None, role=None, region=None, domain=None, service_name=None, address=None, config_version=None, draining=None, link_number=None,):
         self.protocol_version = protocol_version
         self.member = member
         self.incarnation = incarnation
@@ -58,6 +60,7 @@
         self.address = address
         self.config_version = config_version
         self.draining = draining
+        self.link_number = link_number
 
 
 class Heartbeat(TBase):
@@ -820,6 +823,7 @@
     (8, TType.STRING, 'address', 'UTF8', None, ),  # 8
     (9, TType.I64, 'config_version', None, None, ),  # 9
     (10, TType.BOOL, 'draining', None, None, ),  # 10
+    (11, TType.I64, 'link_number', None, None, ),  # 11
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -2,6 +2,7 @@
 // never renumbered; Hello.protocol_version names the oldest form understood.
 namespace py gen
 
+// link_number rises with each connection that one incarnation of the sender makes.
 struct Hello {
   1: i32 protocol_version
   2: string member
@@ -13,6 +14,7 @@
   8: string address
   9: i64 config_version
   10: bool draining
+  11: i64 link_number
 }
 
 // stamp_us and echo_us are readings of the sender's and the receiver's own
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 import gevent
+from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
 from papayaward.coordination.upstream_orders import NoReply, RunEnd, UpstreamReply
@@ -22,6 +23,7 @@
 
 _KILL_S = 0.01
 _POLL_S = 0.005
+_MAX_CONNECTIONS = 64
 _PREFIX = "/papayaward/"
 
 
@@ -249,7 +251,8 @@
         start_response(status, [("Content-Length", str(len(content)))])
         return [content]
 
-    server = WSGIServer(address, application, log=None)
+    # Stopping the server ends its connections too, as when the upstream dies.
+    server = WSGIServer(address, application, log=None, spawn=Pool(_MAX_CONNECTIONS))
     server.start()
     return server
 
--- a/tests/leased_case.py
+++ b/tests/leased_case.py
@@ -27,21 +27,27 @@
 class FakeLink:
     """Keeps what is sent on it."""
 
-    def __init__(self, member, role="entry", incarnation=1, domain="a"):
+    def __init__(self, member, role="entry", incarnation=1, domain="a", link_number=1):
         self.peer = SimpleNamespace(
             member=member,
             role=role,
             incarnation=incarnation,
             domain=domain,
             service_name="dispatch",
+            config_version=0,
+            link_number=link_number,
         )
         self.sent = []
+        self.closed = False
         self.echoed_us = int(clock.now() * 1e6)
 
     def try_send(self, message):
         self.sent.append(message)
         return True
 
+    def close(self, reason):
+        self.closed = True
+
     def hear(self, seconds_ago=0.0):
         """Notes that the peer was alive."""
         self.echoed_us = int((clock.now() - seconds_ago) * 1e6)
--- /dev/null
+++ b/tests/test_leased_node.py
@@ -0,0 +1,61 @@
+"""
+tests.test_leased_node
+~~~~~~~~~~~~~~~~~~~~~~
+
+Links between entries and runners whose connections overtake each other.
+"""
+
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.leased_node import LeasedNode, NodeSettings
+from tests.leased_case import FakeLink
+
+
+class _Node(LeasedNode):
+    def __init__(self):
+        settings = NodeSettings("e1", "entry", "r", "a", "", ("h", 1), (), 3.0)
+        super().__init__(settings, bytes)
+        self.ups = []
+        self.downs = []
+
+    def on_peer_up(self, link, now):
+        self.ups.append(link)
+
+    def on_peer_down(self, link, now):
+        self.downs.append(link)
+
+
+class LinkOrderTest(TestCase):
+    def link_up(self, node, number, incarnation=1):
+        link = FakeLink("r1", "runner", incarnation, link_number=number)
+        node.on_link_up(link, clock.now())
+        return link
+
+    def test_delayed_connection_does_not_replace_a_later_one(self):
+        """Guards against a second run after an old list of runs arrives late.
+
+        Soak seeds 15 and 18: connections that a one-way cut had held back were
+        delivered together, and an older one displaced the one in use.
+        """
+        node = _Node()
+        later = self.link_up(node, 2)
+        delayed = self.link_up(node, 1)
+        self.assertTrue(delayed.closed)
+        self.assertEqual([later], node.ups)
+        self.assertIs(later, node.links["r1"])
+
+    def test_delayed_connection_is_refused_when_the_later_one_has_closed(self):
+        """Guards against the same after the later connection was lost."""
+        node = _Node()
+        later = self.link_up(node, 2)
+        node.on_link_down(later, clock.now())
+        self.assertTrue(self.link_up(node, 1).closed)
+        self.assertEqual({}, node.links)
+
+    def test_restarted_peer_is_taken_whatever_its_number(self):
+        """Guards against a peer that a clock step locks out."""
+        node = _Node()
+        self.link_up(node, 2, incarnation=9)
+        again = self.link_up(node, 1, incarnation=4)
+        self.assertIs(again, node.links["r1"])
