Refuse what is not served; take a new store address at SIGHUP

Cause: fields such as gang or repeat_count were ignored, so a job that asks for them would have run wrongly; a reload changed nothing. Change: such jobs get a true 503; a reload moves the store's client (open watches fail over) and adds entries.

--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -62,6 +62,11 @@
         """Takes the upstream's word that it ends."""
         self.executor.on_upstream_gone(instance, now)
 
+    def add_entries(self, addresses):
+        """Dials further entries, (host, port) each."""
+        self._looked_up = tuple({*self._looked_up, *addresses})
+        self._update_diallers()
+
     def drain(self, until):
         """Waits until nothing runs any more.
 
--- a/papayaward/protocol/jobs.py
+++ b/papayaward/protocol/jobs.py
@@ -110,7 +110,9 @@
         attempts: Failed runs of a task after which its job has failed.
         stretch: Latency objective over the work of the longest chain of tasks.
         slack_s: Time that the latency objective allows beside, seconds.
-        timeout_s: Longest time for an answer, seconds; 0 for no limit.
+        timeout_s: Time for an answer where the caller states none, seconds.
+        needs_advice: Whether an upstream may run a phase only if another service says
+            so.
     """
 
     name: str
@@ -122,6 +124,7 @@
     stretch: float = 1.0
     slack_s: float = 0.0
     timeout_s: float = 0.0
+    needs_advice: bool = False
 
 
 @dataclass(frozen=True)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -111,6 +111,7 @@
             proxies that faults can be set on.
 
     Attributes:
+        folder: `Path` of the folder.
         store: `PlatformStoreStandIn`.
         processes: Running process by name.
         upstreams: Upstream beside each runner by name.
@@ -119,7 +120,7 @@
     """
 
     def __init__(self, folder, proxied=False):
-        self._folder = Path(folder)
+        self.folder = Path(folder)
         self._proxied = proxied
         self._logs = []
         self.settings = {}
@@ -150,9 +151,9 @@
         """Starts a process; its ports are drawn the first time."""
         if name not in self.settings:
             self.settings[name] = self._draw_settings(name, role, domain)
-        path = self._folder / f"{name}.json"
+        path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings[name]))
-        log = open(self._folder / f"{name}.log", "ab")
+        log = open(self.folder / f"{name}.log", "ab")
         self._logs.append(log)
         self.processes[name] = subprocess.Popen(
             [sys.executable, "platform", role],
@@ -201,7 +202,7 @@
 
     def log(self, name):
         """Returns what a process wrote."""
-        return (self._folder / f"{name}.log").read_text()
+        return (self.folder / f"{name}.log").read_text()
 
     def events(self, name, event):
         """Returns the log lines of a process with an event, as documents."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -35,6 +35,7 @@
     """
 
     def __init__(self, address):
+        self.address = address
         self.mode = "ok"
         self.forget_before = 0
         self.calls = {}
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,8 @@
 import gevent
 from testtools import TestCase
 
-from standins.platform_fleet import PlatformFleet
+from standins.platform_fleet import HOST, PlatformFleet, free_port
+from standins.platform_store import PlatformStoreStandIn
 
 
 class PlatformTest(TestCase):
@@ -45,11 +46,37 @@
         pending = json.loads(self.fleet.call("GET", "/q/")[1])
         self.assertEqual({"pending_jobs": 0}, pending)
 
-    def test_job_that_must_be_stored_is_refused(self):
+    def test_job_that_is_not_served_is_refused(self):
         """Guards against an acceptance that nothing stands behind."""
         self.start_fleet(runners=1)
-        body = json.dumps({"spec": "1", "phases": [{"count": 1, "cpu": 1}]}).encode()
-        self.assertEqual(503, self.fleet.call("POST", "/q/0123456789abcde0", body)[0])
+        phase = {"count": 1, "cpu": 1}
+        bodies = [
+            {"spec": "1", "phases": [phase]},
+            {"spec": "1", "best_effort": True, "phases": [{**phase, "gang": True}]},
+            {"spec": "1", "best_effort": True, "repeat_count": 2, "phases": [phase]},
+        ]
+        for body in bodies:
+            content = json.dumps(body).encode()
+            reply = self.fleet.call("POST", "/q/0123456789abcde0", content)
+            self.assertEqual(503, reply[0], body)
+
+    def test_reload_takes_the_stores_new_address(self):
+        """Guards against a process that follows a store that has moved away."""
+        self.start_fleet(runners=1)
+        moved = PlatformStoreStandIn((HOST, free_port()))
+        self.addCleanup(moved.stop)
+        route = {"name": "q", "host": "q.example", "prefix": "/new/", "service": "x"}
+        moved.put("op/config", {"version": 9, "routes": [route]})
+        self.fleet.store.stop()
+        path = f"{self.fleet.folder}/e1.json"
+        with open(path) as file:
+            settings = json.load(file)
+        settings["platform"]["address"] = "%s:%d" % moved.address
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        self.fleet.processes["e1"].send_signal(signal.SIGHUP)
+        gevent.sleep(4.0)
+        self.assertEqual(404, self.fleet.submit("0123456789abcdef", 1)[0])
 
     def test_configuration_changes_without_the_store_afterwards(self):
         """Guards against requests that an older configuration would handle."""
