Split the executor's records off; count a phase's tasks that are out of reach

Change: leased_runs, wire forms beside their types, the chain after a phase in placement and order, names; unused fields removed.

--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -15,12 +15,11 @@
 
 from .. import clock
 from ..protocol.gen import ttypes
-from ..protocol.jobs import JobOutcome
+from ..protocol.jobs import JobOutcome, resources_to_wire
 from ..state import metrics
 from .ejection import Ejection
 from .job_placement import Placement
 from .job_state import DONE, LOST, SENT, WAITING, Job
-from .leased_executor import resources_to_wire
 from .leased_views import LeasedView
 from .speeds import SpeedEstimates
 
@@ -44,8 +43,7 @@
 # A run with more than this many times the expected time left stands still.
 _STANDS_STILL = 10.0
 _MOST_MOVES = 2
-# Failures of a task on one executor count once: a single bad executor must not use
-# up the attempts of a job.
+# Begins the outcome of a start that did not lead to a run; the reason follows.
 _NOT_RUN = "not_run:"
 
 
@@ -121,7 +119,7 @@
             if task.state is SENT:
                 stops.setdefault(task.executor, []).append(task)
             elif task.state is LOST:
-                self._forget_lost(task)
+                task.state = DONE
         for view, tasks in stops.items():
             view.link.try_send(ttypes.StopBatch([task.name for task in tasks]))
         self._report(job, now)
@@ -258,7 +256,7 @@
 
     def _on_done(self, view, task, end, now):
         job = task.job
-        expected_s = task.spec.expected_s
+        expected_s = task.phase.expected_s
         if end.service_us and expected_s:
             self._speeds.add(
                 view.name, job.queue.name, end.service_us / 1e6 / expected_s, now
@@ -292,7 +290,7 @@
             self._requeue(task, "failed", now)
 
     def _count(self, view, task, succeeded, now):
-        slots = max(1, view.capacity.cpu_millis // max(1, task.spec.need.cpu_millis))
+        slots = max(1, view.capacity.cpu_millis // max(1, task.phase.need.cpu_millis))
         ejected = self._ejection.add(
             view.name,
             task.job.queue.name,
@@ -319,9 +317,6 @@
             )
         self._wakeup.set()
 
-    def _forget_lost(self, task):
-        task.state = DONE
-
     # Scheduling.
 
     def _run(self):
@@ -365,7 +360,7 @@
             task.name,
             task.run,
             job.request.spec,
-            resources_to_wire(task.spec.need),
+            resources_to_wire(task.phase.need),
             int((job.give_up_at - now) * 1000),
             job.request.request_id,
             int(self._placement.run_s(view, task) * 1000),
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -41,7 +41,7 @@
         """
 
         def key(job):
-            latest = job.objective_at - self._least_s(job)
+            latest = job.objective_at - job.left_s() - _OVERHEAD_S
             return (self._lateness(job, latest, now), job.queue.priority, latest)
 
         return sorted(jobs, key=key)
@@ -69,16 +69,17 @@
         job = task.job
         usable = [view for view in views if self._is_usable(view, task, now)]
         usable = [view for view in usable if now >= view.slow_until] or usable
-        free = [view for view in usable if view.free.covers(task.spec.need)]
+        free = [view for view in usable if view.free.covers(task.phase.need)]
         if not free:
             return None
         preferred = [view for view in free if view.name not in task.avoid] or free
         best = min(preferred, key=lambda view: self._rank(view, task))
-        finish = now + self.run_s(best, task)
+        after_s = job.chain_after_s(task.phase_number)
+        finish = now + self.run_s(best, task) + after_s
         if finish <= job.objective_at:
             return best
         fastest_s = min(self.run_s(view, task) for view in usable)
-        if now + fastest_s < job.objective_at:
+        if now + fastest_s + after_s < job.objective_at:
             # A faster executor can still make it if it becomes free in time.
             return None
         return best if finish <= job.give_up_at else None
@@ -89,30 +90,20 @@
         Only what waits counts: a run that is on its way may end earlier than expected.
         """
         return any(
-            now + task.spec.expected_s * self._least_ratio(job) > job.give_up_at
+            now + task.phase.expected_s * self._least_ratio(job) > job.give_up_at
             for number in job.open_phases()
             for task in job.waiting(number)
         )
 
     def can_be_useful(self, job, views, now):
         """Returns whether a job that has not begun may still be served in time."""
-        usable = [
-            view
-            for task in (job.phases[0][0],)
-            for view in views
-            if self._is_usable(view, task, now)
-        ]
-        if not usable:
+        first = job.phases[0][0]
+        if not any(self._is_usable(view, first, now) for view in views):
             return False
-        return now + self._least_s(job) <= job.objective_at
-
-    def _least_s(self, job):
-        """Returns the time that a job needs at least on a usual executor, seconds."""
-        work_s = sum(phase.expected_s for phase in job.request.phases[:1])
-        return work_s + _OVERHEAD_S
+        return now + job.left_s() + _OVERHEAD_S <= job.objective_at
 
     def _is_usable(self, view, task, now):
-        phase = task.spec
+        phase = task.phase
         if not view.accepting or view.service != task.job.queue.service:
             return False
         if self._is_domain_out(view.domain):
@@ -122,14 +113,16 @@
         if not view.capacity.covers(phase.need):
             return False
         if phase.max_per_upstream:
-            mine = sum(other.executor is view for other in task.job.phases[task.phase])
+            alike = task.job.phases[task.phase_number]
+            mine = sum(other.runs_at(view.name) for other in alike)
             if mine >= phase.max_per_upstream:
                 return False
         slots = max(1, view.capacity.cpu_millis // max(1, phase.need.cpu_millis))
         return self._ejection.limit(view.name, slots, now) > len(view.tasks)
 
     def run_s(self, view, task):
-        return self._ratio(view, task) * task.spec.expected_s + _OVERHEAD_S
+        """Returns the time that a task is expected to take on an executor, seconds."""
+        return self._ratio(view, task) * task.phase.expected_s + _OVERHEAD_S
 
     def _least_ratio(self, job):
         """Returns the run time over the stated time on the fastest executor."""
@@ -141,6 +134,6 @@
         return self._speeds.predicted_s(view.name, task.job.queue.name, 1.0)
 
     def _rank(self, view, task):
-        far = bool(task.spec.rack) and task.spec.rack not in view.labels
+        far = bool(task.phase.rack) and task.phase.rack not in view.labels
         step = round(math.log(self._ratio(view, task)) / _SPEED_STEP)
         return (far, step, -view.free.cpu_millis, random.random())
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -19,7 +19,7 @@
     Args:
         name: Name of the task at the upstream.
         job: Its `Job`.
-        phase: Number of its phase.
+        phase_number: Number of its phase.
     """
 
     __slots__ = (
@@ -29,16 +29,16 @@
         "job",
         "moves",
         "name",
-        "phase",
+        "phase_number",
         "run",
         "sent_at",
         "state",
     )
 
-    def __init__(self, name, job, phase):
+    def __init__(self, name, job, phase_number):
         self.name = name
         self.job = job
-        self.phase = phase
+        self.phase_number = phase_number
         self.state = WAITING
         self.run = 0
         self.failures = 0
@@ -48,9 +48,13 @@
         self.sent_at = 0.0
 
     @property
-    def spec(self):
+    def phase(self):
         """The `Phase` that the task belongs to."""
-        return self.job.request.phases[self.phase]
+        return self.job.request.phases[self.phase_number]
+
+    def runs_at(self, executor_name):
+        """Returns whether the task may be running at an executor."""
+        return self.state in (SENT, LOST) and self.executor.name == executor_name
 
 
 class Job:
@@ -107,10 +111,20 @@
         """Returns the tasks of a phase that wait for an executor."""
         return [task for task in self.phases[number] if task.state is WAITING]
 
+    def left_s(self):
+        """Returns the stated time of the longest chain that is not done, seconds."""
+        return max(
+            (
+                self.request.phases[number].expected_s + self.chain_after_s(number)
+                for number in self.open_phases()
+            ),
+            default=0.0,
+        )
+
     def on_task_done(self, task):
         """Marks a task as done and returns whether the job is complete."""
         task.state = DONE
-        self._left[task.phase] -= 1
+        self._left[task.phase_number] -= 1
         return not any(self._left)
 
     def chain_after_s(self, number):
--- a/papayaward/coordination/lease_clock.py
+++ b/papayaward/coordination/lease_clock.py
@@ -20,11 +20,6 @@
         self._read_at = 0.0
         self._until = 0.0
 
-    @property
-    def is_known(self):
-        """Whether a reply has told the upstream's clock."""
-        return self._clock_ms is not None
-
     @property
     def clock_ms(self):
         """Latest reading of the upstream's clock, milliseconds."""
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -6,18 +6,18 @@
 """
 
 import logging
-from dataclasses import dataclass, field
 
 import gevent
 from gevent.event import Event
 
 from .. import clock
 from ..protocol.gen import ttypes
-from ..protocol.jobs import Resources
+from ..protocol.jobs import Resources, resources_from_wire, resources_to_wire
 from ..state import metrics
+from .leased_runs import Owner, Run
 from .upstream_session import UpstreamSession
 
-__all__ = ["LeasedExecutor", "resources_from_wire", "resources_to_wire"]
+__all__ = ["LeasedExecutor"]
 
 log = logging.getLogger(__name__)
 
@@ -45,66 +45,6 @@
 _ROOM_DELAY_S = 0.02
 
 
-def resources_to_wire(resources):
-    """Returns the wire form of `Resources`."""
-    return ttypes.Resources(resources.cpu_millis, resources.memory_mb, resources.gpus)
-
-
-def resources_from_wire(resources):
-    """Returns the `Resources` of a message."""
-    return Resources(
-        resources.cpu_millis or 0, resources.memory_mb or 0, resources.gpus or 0
-    )
-
-
-@dataclass
-class _Run:
-    """A task that holds room."""
-
-    task: str
-    run: int
-    spec: str
-    need: Resources
-    owner: object
-    request_id: str
-    expected_s: float
-    started_at: float
-    running: bool = False
-    stopping: bool = False
-    ended: bool = False
-    percent: int = -1
-    advanced_at: float = 0.0
-
-    def remaining_s(self, percent, now):
-        """Returns how long the run still takes at the pace seen so far, seconds.
-
-        Args:
-            percent: Progress that the upstream lists now.
-            now: Time, seconds.
-        """
-        if percent != self.percent:
-            self.percent, self.advanced_at = percent, now
-        left = 100 - percent
-        pace_s = (now - self.started_at) / max(percent, 1)
-        return left * max(pace_s, now - self.advanced_at)
-
-
-@dataclass
-class _Owner:
-    """An entry whose tasks run here."""
-
-    member: str
-    incarnation: int
-    link: object
-    heard_at: float
-    lost_at: float | None = None
-    last_batch: int = 0
-    runs: int = 0
-    ends: list = field(default_factory=list)
-    slow: list = field(default_factory=list)
-    room_changed: bool = True
-
-
 class LeasedExecutor:
     """The only place that starts tasks on its upstream.
 
@@ -217,7 +157,7 @@
             self._stop_owner(owner, "the entry restarted")
             owner = None
         if owner is None:
-            owner = _Owner(peer.member, peer.incarnation, link, 0.0)
+            owner = Owner(peer.member, peer.incarnation, link, 0.0)
             self._owners[peer.member] = owner
         owner.link, owner.lost_at = link, None
         owner.heard_at = max(owner.heard_at, link.echoed_us / 1e6)
@@ -291,7 +231,7 @@
         need = resources_from_wire(start.need)
         if not self._free().covers(need):
             return "busy"
-        run = _Run(
+        run = Run(
             start.task,
             start.run,
             start.spec,
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -7,8 +7,7 @@
 
 from collections import deque
 
-from ..protocol.jobs import Resources
-from .leased_executor import resources_from_wire
+from ..protocol.jobs import Resources, resources_from_wire
 
 __all__ = ["LeasedView"]
 
@@ -47,7 +46,7 @@
 
     def reserve(self, task):
         """Takes the room of a task that goes out with the next batch."""
-        need = task.spec.need
+        need = task.phase.need
         self._free = self._free - need
         self._unseen.append((self._last_batch + 1, need))
         self.tasks[task.name] = task
--- a/papayaward/coordination/upstream_orders.py
+++ b/papayaward/coordination/upstream_orders.py
@@ -40,8 +40,6 @@
         instance: Identifier of this life of the upstream.
         service: Service whose tasks it runs.
         domain: Failure domain of its VM.
-        host: IP number.
-        port: Port of its orders.
         capacity: `Resources` of the upstream.
         labels: Its kind and its rack.
         draining: Whether it is about to leave.
@@ -53,8 +51,6 @@
     instance: str
     service: str
     domain: str
-    host: str
-    port: int
     capacity: Resources
     labels: tuple
     draining: bool
--- a/papayaward/protocol/jobs.py
+++ b/papayaward/protocol/jobs.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass
 
+from .gen import ttypes
+
 __all__ = [
     "JobOutcome",
     "JobRequest",
@@ -14,6 +16,8 @@
     "Queue",
     "Resources",
     "Routing",
+    "resources_from_wire",
+    "resources_to_wire",
 ]
 
 
@@ -54,6 +58,18 @@
         )
 
 
+def resources_to_wire(resources):
+    """Returns the wire form of `Resources`."""
+    return ttypes.Resources(resources.cpu_millis, resources.memory_mb, resources.gpus)
+
+
+def resources_from_wire(resources):
+    """Returns the `Resources` of a message."""
+    return Resources(
+        resources.cpu_millis or 0, resources.memory_mb or 0, resources.gpus or 0
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Phase:
     """Tasks of a job that are alike.
--- a/tests/leased_case.py
+++ b/tests/leased_case.py
@@ -77,8 +77,6 @@
         "instance": instance,
         "service": "dispatch",
         "domain": "a",
-        "host": "127.0.0.1",
-        "port": 1,
         "capacity": Resources(cores * CORE, 4096, 0),
         "labels": (),
         "draining": False,
--- a/tests/test_job_home.py
+++ b/tests/test_job_home.py
@@ -5,6 +5,8 @@
 Jobs at the entry that took them: placement, retries, lost executors, outcomes.
 """
 
+from dataclasses import replace
+
 import gevent
 from testtools import TestCase
 
@@ -70,6 +72,22 @@
         self.submit(tasks=5)
         self.assertEqual(2, len(link.starts()))
 
+    def test_limit_for_each_upstream_counts_tasks_out_of_reach(self):
+        """Guards against more tasks of a phase on an upstream than it allows."""
+        link = self.executor()
+        request = job_request()
+        phase = replace(request.phases[0], count=3, max_per_upstream=1)
+        request = replace(request, phases=(phase,))
+        self.home.submit(request, job_queue(), clock.now())
+        gevent.sleep(0.01)
+        self.assertEqual(1, len(link.starts()))
+        self.home.on_link_down(link, clock.now())
+        again = FakeLink("r1", "runner")
+        self.home.on_link_up(again, clock.now())
+        self.home.on_message(again, room_report(), clock.now())
+        gevent.sleep(0.05)
+        self.assertEqual([], again.starts())
+
     def test_refused_start_is_sent_again(self):
         """Guards against a task that is forgotten after a refusal."""
         link = self.executor()
