Look at the executors once a round instead of once a task

Cause: each task looked at every executor, and each waiting job did so again every 20 ms. Change: a round keeps what holds for all tasks, and a phase takes its executors from a heap.

--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -222,6 +222,7 @@
         ]
         if len(known) > 1 and 2 * len(known) >= len(view.tasks):
             view.slow_until = now + _SLOW_EXECUTOR_S
+        turn = self._placement.begin(self._views.values(), now)
         stops = []
         for task, remaining_s, elapsed_s in known:
             job = task.job
@@ -229,7 +230,7 @@
                 continue
             if now + remaining_s <= job.objective_at:
                 continue
-            other = self._placement.choose(task, self._views.values(), now)
+            other = turn.choose(task)
             if other is None or other is view:
                 continue
             other_s = self._placement.run_s(other, task)
@@ -332,12 +333,10 @@
 
     def _schedule(self, now):
         batches = {}
+        turn = self._placement.begin(self._views.values(), now)
         for job in self._placement.order(self._jobs.values(), now):
             for number in job.open_phases():
-                for task in job.waiting(number):
-                    view = self._placement.choose(task, self._views.values(), now)
-                    if view is None:
-                        break
+                for task, view in turn.place(job, number):
                     self._send_later(batches, view, task, now)
         for view, starts in batches.items():
             view.link.try_send(ttypes.StartBatch(view.next_batch(), starts))
@@ -372,19 +371,20 @@
             gevent.sleep(_TICK_S)
             now = clock.now()
             self._check_lost(now)
+            turn = self._placement.begin(self._views.values(), now)
             for job in list(self._jobs.values()):
-                self._check_job(job, now)
+                self._check_job(job, turn, now)
             if self._jobs:
                 self._wakeup.set()
 
-    def _check_job(self, job, now):
+    def _check_job(self, job, turn, now):
         if now >= job.give_up_at:
             kind = "unknown" if job.begun else "not_run"
             self.end(job, kind, "deadline", now, _RETRY_AFTER_S)
         elif not job.begun:
             waited = now - job.arrived_at
             if waited > _REFUSAL_SHARE * job.objective_s:
-                if not self._placement.can_be_useful(job, self._views.values(), now):
+                if not turn.can_be_useful(job):
                     self.end(job, "not_run", "overload", now, _RETRY_AFTER_S)
         elif self._placement.is_hopeless(job, now):
             self.end(job, "unknown", "cannot end before the deadline", now)
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -7,8 +7,9 @@
 
 import math
 import random
+from heapq import heapify, heappop, heappush
 
-__all__ = ["Placement"]
+__all__ = ["Placement", "Round"]
 
 # Time that a start and the report of an end take beside the work, seconds.
 _OVERHEAD_S = 0.012
@@ -33,6 +34,20 @@
         self._ejection = ejection
         self._is_domain_out = is_domain_out
 
+    def begin(self, views, now):
+        """Returns a `Round` over the executors as they are now.
+
+        Args:
+            views: `LeasedView` of each executor in reach.
+            now: Time, seconds.
+        """
+        open_views = [
+            view
+            for view in views
+            if view.accepting and not self._is_domain_out(view.domain)
+        ]
+        return Round(self, open_views, now)
+
     def order(self, jobs, now):
         """Returns the jobs in the order in which they get room.
 
@@ -46,72 +61,32 @@
 
         return sorted(jobs, key=key)
 
-    def _lateness(self, job, latest, now):
-        """Returns 0 for a job that can be on time, 1 for a late one, 2 for a useless.
-
-        A caller that has less time left than a late answer may take has waited for an
-        answer before: its job is late already.
-        """
-        useful_s = _USEFUL_OBJECTIVES * job.objective_s
-        if now > job.arrived_at + useful_s:
-            return 2
-        waited_before = job.request.timeout_s < useful_s
-        return 1 if now > latest or waited_before else 0
-
-    def choose(self, task, views, now):
-        """Returns the executor that should start a task now, or None to wait.
-
-        Args:
-            task: `Task` that waits.
-            views: `LeasedView` of each executor in reach.
-            now: Time, seconds.
-        """
-        job = task.job
-        usable = [view for view in views if self._is_usable(view, task, now)]
-        usable = [view for view in usable if now >= view.slow_until] or usable
-        free = [view for view in usable if view.free.covers(task.phase.need)]
-        if not free:
-            return None
-        preferred = [view for view in free if view.name not in task.avoid] or free
-        best = min(preferred, key=lambda view: self._rank(view, task))
-        after_s = job.chain_after_s(task.phase_number)
-        finish = now + self.run_s(best, task) + after_s
-        if finish <= job.objective_at:
-            return best
-        fastest_s = min(self.run_s(view, task) for view in usable)
-        if now + fastest_s + after_s < job.objective_at:
-            # A faster executor can still make it if it becomes free in time.
-            return None
-        return best if finish <= job.give_up_at else None
-
     def is_hopeless(self, job, now):
         """Returns whether a job cannot end before its caller leaves.
 
         Only what waits counts: a run that is on its way may end earlier than expected.
         """
+        if now + job.left_s() * self._least_ratio(job) <= job.give_up_at:
+            return False
         return any(
             now + task.phase.expected_s * self._least_ratio(job) > job.give_up_at
             for number in job.open_phases()
             for task in job.waiting(number)
         )
 
-    def can_be_useful(self, job, views, now):
-        """Returns whether a job that has not begun may still be served in time."""
-        first = job.phases[0][0]
-        if not any(self._is_usable(view, first, now) for view in views):
-            return False
-        return now + job.left_s() + _OVERHEAD_S <= job.objective_at
+    def run_s(self, view, task):
+        """Returns the time that a task is expected to take on an executor, seconds."""
+        return self.ratio(view, task.job.queue) * task.phase.expected_s + _OVERHEAD_S
+
+    def ratio(self, view, queue):
+        """Returns an executor's run time over the stated time for a queue's tasks."""
+        return self._speeds.predicted_s(view.name, queue.name, 1.0)
 
-    def _is_usable(self, view, task, now):
+    def fits(self, view, task, now):
+        """Returns whether an executor with room may run a task."""
         phase = task.phase
-        if not view.accepting or view.service != task.job.queue.service:
-            return False
-        if self._is_domain_out(view.domain):
-            return False
         if phase.label and phase.label not in view.labels:
             return False
-        if not view.capacity.covers(phase.need):
-            return False
         if phase.max_per_upstream:
             alike = task.job.phases[task.phase_number]
             mine = sum(other.runs_at(view.name) for other in alike)
@@ -120,20 +95,124 @@
         slots = max(1, view.capacity.cpu_millis // max(1, phase.need.cpu_millis))
         return self._ejection.limit(view.name, slots, now) > len(view.tasks)
 
-    def run_s(self, view, task):
-        """Returns the time that a task is expected to take on an executor, seconds."""
-        return self._ratio(view, task) * task.phase.expected_s + _OVERHEAD_S
+    def rank(self, view, task):
+        """Returns the place of an executor in the order of preference, a tuple."""
+        phase = task.phase
+        far = bool(phase.rack) and phase.rack not in view.labels
+        step = round(math.log(self.ratio(view, task.job.queue)) / _SPEED_STEP)
+        return (far, step, -view.free.cpu_millis, random.random())
+
+    def _lateness(self, job, latest, now):
+        """Returns 0 for a job that can be on time, 1 for a late one, 2 for a useless.
+
+        A caller that has less time left than a late answer may take has waited for an
+        answer before: its job is late already.
+        """
+        useful_s = _USEFUL_OBJECTIVES * job.objective_s
+        if now > job.arrived_at + useful_s:
+            return 2
+        waited_before = job.request.timeout_s < useful_s
+        return 1 if now > latest or waited_before else 0
 
     def _least_ratio(self, job):
         """Returns the run time over the stated time on the fastest executor."""
         usual = self._speeds.predicted_s("", job.queue.name, 1.0)
         return usual * self._speeds.least_slowness()
 
-    def _ratio(self, view, task):
-        """Returns an executor's run time over the stated time."""
-        return self._speeds.predicted_s(view.name, task.job.queue.name, 1.0)
 
-    def _rank(self, view, task):
-        far = bool(task.phase.rack) and task.phase.rack not in view.labels
-        step = round(math.log(self._ratio(view, task)) / _SPEED_STEP)
-        return (far, step, -view.free.cpu_millis, random.random())
+class Round:
+    """One look at the executors, for the placement of many tasks.
+
+    What holds for all tasks is worked out once: with many jobs waiting for room, a
+    round must not look at every executor for each of them.
+
+    Args:
+        placement: `Placement`.
+        views: `LeasedView` of each executor that accepts tasks.
+        now: Time, seconds.
+    """
+
+    def __init__(self, placement, views, now):
+        self._placement = placement
+        self._now = now
+        self._usable = {}
+        self._with_room = {}
+        self._least_ratios = {}
+        for view in views:
+            self._usable.setdefault(view.service, []).append(view)
+        for service, usable in self._usable.items():
+            brisk = [view for view in usable if now >= view.slow_until]
+            self._usable[service] = usable = brisk or usable
+            self._with_room[service] = [view for view in usable if view.has_room]
+
+    def serves(self, service):
+        """Returns whether any executor accepts tasks of a service."""
+        return service in self._usable
+
+    def place(self, job, number):
+        """Yields (task, view) for the tasks of a phase that get an executor.
+
+        The caller takes the room of each before it asks for the next.
+        """
+        heap = None
+        for task in job.waiting(number):
+            if task.avoid or task.phase.max_per_upstream:
+                view = self.choose(task)
+            else:
+                if heap is None:
+                    heap = self._heap(task)
+                view = heappop(heap)[1] if heap else None
+            if view is None or not self._is_worth_it(view, task):
+                return
+            yield task, view
+            if heap is not None and self._may_run(view, task):
+                heappush(heap, (self._placement.rank(view, task), view))
+
+    def choose(self, task):
+        """Returns the executor that should start a task now, or None to wait."""
+        free = self._free(task)
+        if not free:
+            return None
+        preferred = [view for view in free if view.name not in task.avoid] or free
+        best = min(preferred, key=lambda view: self._placement.rank(view, task))
+        return best if self._is_worth_it(best, task) else None
+
+    def can_be_useful(self, job):
+        """Returns whether a job that has not begun may still be served in time."""
+        latest = job.objective_at - job.left_s() - _OVERHEAD_S
+        return self._now <= latest and self.serves(job.queue.service)
+
+    def _heap(self, task):
+        heap = [(self._placement.rank(view, task), view) for view in self._free(task)]
+        heapify(heap)
+        return heap
+
+    def _free(self, task):
+        views = self._with_room.get(task.job.queue.service, ())
+        return [view for view in views if self._may_run(view, task)]
+
+    def _may_run(self, view, task):
+        return view.free.covers(task.phase.need) and self._placement.fits(
+            view, task, self._now
+        )
+
+    def _is_worth_it(self, view, task):
+        """Returns whether a start on an executor is better than to wait."""
+        job = task.job
+        after_s = job.chain_after_s(task.phase_number)
+        finish = self._now + self._placement.run_s(view, task) + after_s
+        if finish <= job.objective_at:
+            return True
+        fastest_s = self._least_ratio(job.queue) * task.phase.expected_s + _OVERHEAD_S
+        if self._now + fastest_s + after_s < job.objective_at:
+            # A faster executor can still make it if it becomes free in time.
+            return False
+        return finish <= job.give_up_at
+
+    def _least_ratio(self, queue):
+        ratio = self._least_ratios.get(queue.name)
+        if ratio is None:
+            views = self._usable.get(queue.service, ())
+            ratio = min(self._placement.ratio(view, queue) for view in views)
+            self._least_ratios[queue.name] = ratio
+        return ratio
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -39,6 +39,11 @@
         """Room that is left after every start that was sent."""
         return self._free
 
+    @property
+    def has_room(self):
+        """Whether any processor time is left."""
+        return self._free.cpu_millis > 0
+
     def next_batch(self):
         """Returns the number of the next batch of starts."""
         self._last_batch += 1
