Let a job go on while one of its callers waits

Cause: a request that joins a job of an earlier, broken connection was ended with it when the entry noticed the break (test_job_goes_on_while_one_of_its_callers_waits failed: no leave). Change: callers of a job are counted; the choice to move a run stands in a function of its own; unused parts removed.

--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -63,7 +63,6 @@
         self._ejection = Ejection()
         self._placement = Placement(self._speeds, self._ejection, is_domain_out)
         self._wakeup = Event()
-        self._closing = False
         gevent.spawn(self._run)
         gevent.spawn(self._tick)
 
@@ -72,11 +71,6 @@
         """Number of jobs without an answer."""
         return len(self._jobs)
 
-    @property
-    def executors(self):
-        """Number of executors that accept tasks."""
-        return sum(view.accepting for view in self._views.values())
-
     def pending(self, queue_name):
         """Returns the number of a queue's jobs of which no task has started."""
         return sum(
@@ -100,14 +94,20 @@
             Job: Its `finished` event is set when there is an outcome.
         """
         job = self._jobs.get(request.job_id)
-        if job is not None:
+        if job is None:
+            job = self._jobs[request.job_id] = Job(request, queue, now)
+            self._wakeup.set()
+        else:
             log.info("job_joined", extra=_job_fields(job))
-            return job
-        job = Job(request, queue, now)
-        self._jobs[request.job_id] = job
-        self._wakeup.set()
+        job.callers += 1
         return job
 
+    def leave(self, job, now):
+        """Notes that a caller has left; ends the job if it was the last."""
+        job.callers -= 1
+        if not job.callers:
+            self.end(job, "unknown", "the caller left", now)
+
     def end(self, job, kind, reason, now, retry_after_s=0.0):
         """Gives a job its outcome and stops what still runs for it."""
         if job.outcome is not None:
@@ -208,7 +208,7 @@
                 self.end(task.job, "failed", "rejected by the upstream", now)
                 return
             if reason != "busy":
-                task.avoid = {view.name}
+                task.avoid.add(view.name)
             self._requeue(task, reason, now)
         else:
             self._requeue(task, end.outcome, now)
@@ -230,31 +230,37 @@
                 continue
             if now + remaining_s <= job.objective_at:
                 continue
-            other = turn.choose(task)
-            if other is None or other is view:
+            other_s = self._elsewhere_s(turn, view, task, remaining_s, elapsed_s, now)
+            if other_s is None or other_s >= _MOVE_GAIN * remaining_s:
                 continue
-            other_s = self._placement.run_s(other, task)
-            stands_still = remaining_s > _STANDS_STILL * other_s
-            if now >= view.slow_until and not stands_still:
-                # The task is long rather than the executor slow.
-                here_s = self._placement.run_s(view, task)
-                other_s *= (elapsed_s + remaining_s) / here_s
-            if other_s < _MOVE_GAIN * remaining_s:
-                task.moves += 1
-                task.avoid.add(view.name)
-                stops.append(task.name)
-                log.info(
-                    "task_moved",
-                    extra={
-                        "request_id": job.request.request_id,
-                        "task": task.name,
-                        "executor": view.name,
-                        "remaining_s": round(remaining_s, 3),
-                    },
-                )
+            task.moves += 1
+            task.avoid.add(view.name)
+            stops.append(task.name)
+            log.info(
+                "task_moved",
+                extra={
+                    "request_id": job.request.request_id,
+                    "task": task.name,
+                    "executor": view.name,
+                    "remaining_s": round(remaining_s, 3),
+                    "elsewhere_s": round(other_s, 3),
+                },
+            )
         if stops:
             view.link.try_send(ttypes.StopBatch(stops))
 
+    def _elsewhere_s(self, turn, view, task, remaining_s, elapsed_s, now):
+        """Returns how long a slow run would take anew elsewhere, None if nowhere."""
+        other = turn.choose(task)
+        if other is None or other is view:
+            return None
+        other_s = self._placement.run_s(other, task)
+        stands_still = remaining_s > _STANDS_STILL * other_s
+        if now >= view.slow_until and not stands_still:
+            # The task is long rather than the executor slow.
+            other_s *= (elapsed_s + remaining_s) / self._placement.run_s(view, task)
+        return other_s
+
     def _on_done(self, view, task, end, now):
         job = task.job
         expected_s = task.phase.expected_s
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -73,6 +73,7 @@
         self.give_up_at = now + request.timeout_s
         self.objective_s = queue.stretch * self._chain_s() + queue.slack_s
         self.outcome = None
+        self.callers = 0
         self.finished = Event()
         self.begun_at = None
         self.last_start_at = None
--- a/tests/test_job_home.py
+++ b/tests/test_job_home.py
@@ -187,6 +187,16 @@
         self.assertIs(self.submit(), self.submit())
         self.assertEqual(1, len(link.starts()))
 
+    def test_job_goes_on_while_one_of_its_callers_waits(self):
+        """Guards against a caller whose earlier, broken connection ends its job."""
+        self.executor()
+        job = self.submit()
+        self.submit()
+        self.home.leave(job, clock.now())
+        self.assertIsNone(job.outcome)
+        self.home.leave(job, clock.now())
+        self.assertEqual("unknown", job.outcome.kind)
+
     def test_run_that_stands_still_moves(self):
         """Guards against jobs that wait for an executor that makes no progress."""
         link = self.executor()
