--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,149 @@
+"""
+tests.test_adapter
+~~~~~~~~~~~~~~~~~~
+
+What the adapter decodes, and what it makes of input that it cannot use.
+"""
+
+import json
+import sys
+from pathlib import Path
+
+from testtools import TestCase
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+
+from adapter.callers import NotServed, read_job  # noqa: E402
+from adapter.configuration import parse_routing  # noqa: E402
+from adapter.settings import read_settings  # noqa: E402
+from adapter.upstream import read_state  # noqa: E402
+
+from papayaward.protocol.config_text import ConfigError  # noqa: E402
+from papayaward.protocol.jobs import Resources  # noqa: E402
+from papayaward.protocol.options import OptionError  # noqa: E402
+from tests.leased_case import job_queue  # noqa: E402
+
+_JOB_ID = "0123456789abcdef"
+
+
+def _report(**changes):
+    report = {
+        "service": "dispatch",
+        "address": "10.0.0.9:8080",
+        "zone": "a",
+        "state": "ready",
+        "capacity": {"cpu": 16000, "mem_mb": 32768, "gpus": 0},
+        "labels": ["a", "r1-3"],
+        "seq_no": 4,
+        "born": 1_700_000_000_000,
+    }
+    return {**report, **changes}
+
+
+def _route(**changes):
+    route = {"name": "q", "host": "h", "prefix": "/a/", "service": "dispatch"}
+    return {**route, **changes}
+
+
+class CallersTest(TestCase):
+    def read(self, document, headers=None):
+        body = json.dumps({"best_effort": True, "spec": "x", **document}).encode()
+        return read_job(_JOB_ID, body, headers or {}, job_queue(timeout_s=7.0))
+
+    def test_job_is_decoded(self):
+        """Guards against units or fields that are mixed up."""
+        phases = [
+            {"count": 4, "cpu": 500, "mem_mb": 256, "est_runtime_ms": 900},
+            {
+                "cpu": 2000,
+                "gpus": 1,
+                "after": [0],
+                "affinity": "r1",
+                "constraints": "a",
+            },
+        ]
+        job = self.read({"phases": phases}, {"deadline": "1500", "request-id": "r"})
+        self.assertEqual(1.5, job.timeout_s)
+        first, second = job.phases
+        self.assertEqual((4, 0.9), (first.count, first.expected_s))
+        self.assertEqual(Resources(500, 256, 0), first.need)
+        self.assertEqual(((0,), "r1", "a"), (second.after, second.rack, second.label))
+
+    def test_queue_decides_the_time_where_the_caller_states_none(self):
+        """Guards against a job that is never given up."""
+        job = self.read({"phases": [{"cpu": 1}]}, {"deadline": "soon"})
+        self.assertEqual(7.0, job.timeout_s)
+
+    def test_malformed_jobs_are_rejected(self):
+        """Guards against input that makes the entry fail."""
+        for phases in (None, [], [3], [{"cpu": -1}], [{"after": [0]}], [{"count": 0}]):
+            self.assertRaises(OptionError, self.read, {"phases": phases})
+        self.assertRaises(OptionError, read_job, "short", b"{}", {}, job_queue())
+
+    def test_what_is_not_served_is_said_so(self):
+        """Guards against a job that runs otherwise than it asks for."""
+        phase = {"cpu": 1}
+        for document in (
+            {"phases": [phase], "best_effort": False},
+            {"phases": [{**phase, "long_running": True}]},
+            {"phases": [{**phase, "gang": True}]},
+            {"phases": [phase], "repeat_count": 3},
+        ):
+            self.assertRaises(NotServed, self.read, document)
+
+
+class UpstreamTest(TestCase):
+    def test_report_is_decoded(self):
+        """Guards against a capacity in wrong units."""
+        state = read_state("i-1", _report(state="draining"))
+        self.assertEqual(Resources(16000, 32768, 0), state.capacity)
+        self.assertTrue(state.draining)
+        self.assertEqual(("a", "r1-3"), state.labels)
+
+    def test_report_of_another_writer_is_rejected(self):
+        """Guards against an upstream that no such report names."""
+        for changes in (
+            {"state": "gone"},
+            {"capacity": 5},
+            {"seq_no": "4"},
+            {"labels": None},
+            {"zone": 7},
+        ):
+            self.assertRaises(OptionError, read_state, "i-1", _report(**changes))
+
+
+class ConfigurationTest(TestCase):
+    def test_longest_prefix_of_the_host_decides(self):
+        """Guards against a request that reaches another queue."""
+        routes = [
+            _route(),
+            _route(name="longer", prefix="/a/b/"),
+            _route(name="other", host="i", prefix="/a/b/c/"),
+        ]
+        routing = parse_routing(json.dumps({"version": 3, "routes": routes}))
+        self.assertEqual("longer", routing.find("h", "/a/b/c/d").name)
+        self.assertEqual("q", routing.find("h", "/a/x").name)
+        self.assertIsNone(routing.find("h", "/b"))
+
+    def test_unusable_configuration_is_a_finding(self):
+        """Guards against a process that ends on a bad text."""
+        for text in (b"{", b"[]", b'{"version": 1, "routes": [{"name": 1}]}', b"\xff"):
+            self.assertRaises(ConfigError, parse_routing, text)
+
+
+class SettingsTest(TestCase):
+    def test_seeds_become_link_addresses(self):
+        """Guards against a process that starts alone while the store is down."""
+        document = {
+            "node_name": "n",
+            "ip": "10.0.0.1",
+            "zone": "a",
+            "region": "r",
+            "port_range": [7720, 7735],
+            "seeds": ["10.0.0.2:8166"],
+            "platform": {"address": "10.0.0.3:8169"},
+        }
+        settings = read_settings(json.dumps(document), "runner")
+        self.assertEqual((("10.0.0.2", 7720),), settings.node.entries)
+        self.assertEqual(("10.0.0.3", 8169), settings.store)
+        self.assertIsNone(settings.callers)
