--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import random
 import subprocess
 import sys
 import time
@@ -28,13 +29,23 @@
 _ROOT = Path(__file__).resolve().parent.parent
 _HEARTBEAT_S = 0.3
 _READY_S = 10.0
+_FIRST_PORT, _LAST_PORT = 12_000, 30_000
 
 
 def free_port():
-    """Returns a port of the loopback address that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Returns a port of the loopback address that nobody listens on.
+
+    It lies below those that the system gives to connections, so that it stays free
+    while a process that listens on it is restarted.
+    """
+    while True:
+        port = random.randint(_FIRST_PORT, _LAST_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return port
 
 
 class _UpstreamSlot:
