Test the order in which jobs get room

Cause: nothing failed when priority and lateness were switched off in the order of jobs. Change: two tests; with the order by the latest start alone both fail. The product is unchanged.

--- a/tests/test_job_home.py
+++ b/tests/test_job_home.py
@@ -187,6 +187,25 @@
         self.assertIs(self.submit(), self.submit())
         self.assertEqual(1, len(link.starts()))
 
+    def first_start(self):
+        """Returns the job whose task gets the only core, once there is one."""
+        link = self.executor(cores=1)
+        gevent.sleep(0.01)
+        return link.starts()[0].task.split(".")[0]
+
+    def test_more_urgent_queue_gets_room_first(self):
+        """Guards against an urgent job that waits behind one that is not."""
+        self.submit(job_queue(name="later", priority=2), job_id="a" * 16)
+        self.submit(job_queue(name="first", priority=0), job_id="b" * 16)
+        self.assertEqual("b" * 16, self.first_start())
+
+    def test_caller_that_waited_before_comes_after_those_on_time(self):
+        """Guards against late answers that make others late."""
+        # Less than three times the objective of 0.22 s is left.
+        self.submit(job_id="a" * 16, timeout_s=0.5)
+        self.submit(job_id="b" * 16)
+        self.assertEqual("b" * 16, self.first_start())
+
     def test_job_goes_on_while_one_of_its_callers_waits(self):
         """Guards against a caller whose earlier, broken connection ends its job."""
         self.executor()
