Count only unanswered tasks when an upstream refuses one

Cause: many 429 answers arrive in one turn of the event loop. The executor counted every task that was not finished yet as running, so the refused tasks whose answers were still to be handled stayed in the count, and the last refusal left the limit at up to 13 instead of 2.

Ruled out: the addition on trial (no addition was made in any traced run) and an answer on its way (the refusals were 0.1 ms apart, the tasks take 50 ms).

--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -94,6 +94,7 @@
         self._usable = UsableSlots()
         self._slots = 0
         self._running = {}
+        self._unanswered = 0
         self._started = StartedTasks()
         self._cancelled = {}
         self._links = {}
@@ -308,6 +309,7 @@
             "Papayaward-Tenant": grant.tenant,
             "Papayaward-Class": grant.job_class,
         }
+        self._unanswered += 1
         try:
             status, body = self._client.post(
                 "/run", grant.body, headers, lambda: self._check_again(deadline)
@@ -321,12 +323,15 @@
             return TaskStatus.REJECTED, b"", Reason.UPSTREAM_GONE
         except UpstreamLost:
             return TaskStatus.LOST, b"", Reason.TASK_LOST
+        finally:
+            self._unanswered -= 1
         if status == _HTTP_TOO_MANY_REQUESTS:
             now = clock.now()
             metrics.REJECTED_GRANTS.labels("upstream_busy").inc()
-            running = len(self._running) - 1
-            self._usable.on_refused(running, now)
-            self._slots = self._usable.usable(running, now)
+            # Other refused tasks still count as running: many answers can arrive
+            # before the first of their tasks is finished.
+            self._usable.on_refused(self._unanswered, now)
+            self._slots = self._usable.usable(self._unanswered, now)
             return TaskStatus.REJECTED, b"", Reason.NO_SLOT
         self._usable.on_served()
         if status == _HTTP_OK:
