Make scheduling rounds and reports of room cost what they bring

Cause: an entry made a scheduling round for every message, over all of its jobs, and looked at every executor for each job that waited; an executor told every entry its room 50 times a second while anything ended, although most of these reports change no decision. It did not tell the other entries at all when starts had filled it, so that they found out by refused starts.

Change: an entry keeps the jobs that have a waiting task, makes a round only for these, not more often than every 2 ms, and remembers within a round which need finds no room. An executor reports room at once with ends, within 20 ms when a recent kind of task has room again or has none any more, and otherwise every 100 ms.

Ruled out: decoding (3 us a message).

--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -31,6 +31,8 @@
 # the kill at the end of it.
 _LOST_RUN_S = 1.05
 _TICK_S = 0.02
+# Messages that arrive during the pause are taken into the next round together.
+_ROUND_PAUSE_S = 0.002
 # Part of the latency objective after which a job that has not begun is refused, if
 # it cannot be expected to be served.
 _REFUSAL_SHARE = 0.22
@@ -57,6 +59,8 @@
 
     def __init__(self, is_domain_out):
         self._jobs = {}
+        # The jobs of which a task may wait for an executor.
+        self._waiting = {}
         self._views = {}
         self._lost = {}
         self._speeds = SpeedEstimates()
@@ -96,7 +100,7 @@
         job = self._jobs.get(request.job_id)
         if job is None:
             job = self._jobs[request.job_id] = Job(request, queue, now)
-            self._wakeup.set()
+            self._queue(job)
         else:
             log.info("job_joined", extra=_job_fields(job))
         job.callers += 1
@@ -114,6 +118,7 @@
             return
         job.outcome = JobOutcome(kind, reason, retry_after_s)
         del self._jobs[job.request.job_id]
+        self._waiting.pop(job.request.job_id, None)
         stops = {}
         for task in job.tasks:
             if task.state is SENT:
@@ -170,7 +175,8 @@
             self._on_running(view, set(message.tasks), now)
         else:
             return False
-        self._wakeup.set()
+        if self._waiting:
+            self._wakeup.set()
         return True
 
     def _on_running(self, view, names, now):
@@ -274,6 +280,9 @@
         self._count(view, task, True, now)
         if job.on_task_done(task):
             self.end(job, "completed", "", now)
+        elif job.has_waiting:
+            # The end of a phase opens those that come after it.
+            self._queue(job)
 
     def _on_failed(self, view, task, now):
         job = task.job
@@ -322,10 +331,14 @@
                     "reason": reason,
                 },
             )
-        self._wakeup.set()
+        self._queue(task.job)
 
     # Scheduling.
 
+    def _queue(self, job):
+        self._waiting[job.request.job_id] = job
+        self._wakeup.set()
+
     def _run(self):
         while True:
             self._wakeup.wait()
@@ -334,16 +347,18 @@
                 self._schedule(clock.now())
             except Exception:
                 log.exception("schedule_failed")
-            # Lets the messages that have arrived be taken first.
-            gevent.sleep(0)
+            gevent.sleep(_ROUND_PAUSE_S)
 
     def _schedule(self, now):
         batches = {}
         turn = self._placement.begin(self._views.values(), now)
-        for job in self._placement.order(self._jobs.values(), now):
+        jobs = [job for job in self._waiting.values() if turn.may_place(job)]
+        for job in self._placement.order(jobs, now):
             for number in job.open_phases():
                 for task, view in turn.place(job, number):
                     self._send_later(batches, view, task, now)
+            if not job.has_waiting:
+                del self._waiting[job.request.job_id]
         for view, starts in batches.items():
             view.link.try_send(ttypes.StartBatch(view.next_batch(), starts))
 
@@ -380,7 +395,7 @@
             turn = self._placement.begin(self._views.values(), now)
             for job in list(self._jobs.values()):
                 self._check_job(job, turn, now)
-            if self._jobs:
+            if self._waiting:
                 self._wakeup.set()
 
     def _check_job(self, job, turn, now):
@@ -392,7 +407,9 @@
             if waited > _REFUSAL_SHARE * job.objective_s:
                 if not turn.can_be_useful(job):
                     self.end(job, "not_run", "overload", now, _RETRY_AFTER_S)
-        elif self._placement.is_hopeless(job, now):
+        elif job.request.job_id in self._waiting and self._placement.is_hopeless(
+            job, now
+        ):
             self.end(job, "unknown", "cannot end before the deadline", now)
 
     def _check_lost(self, now):
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -137,18 +137,30 @@
         self._now = now
         self._usable = {}
         self._with_room = {}
+        self._most_cpu = {}
         self._least_ratios = {}
+        # (service, need) for which no executor has room.
+        self._full = set()
         for view in views:
             self._usable.setdefault(view.service, []).append(view)
         for service, usable in self._usable.items():
             brisk = [view for view in usable if now >= view.slow_until]
             self._usable[service] = usable = brisk or usable
             self._with_room[service] = [view for view in usable if view.has_room]
+            self._most_cpu[service] = max(view.free.cpu_millis for view in usable)
 
     def serves(self, service):
         """Returns whether any executor accepts tasks of a service."""
         return service in self._usable
 
+    def may_place(self, job):
+        """Returns whether an executor has the processor time for a task of a job."""
+        most = self._most_cpu.get(job.queue.service, 0)
+        return any(
+            job.request.phases[number].need.cpu_millis <= most
+            for number in job.open_phases()
+        )
+
     def place(self, job, number):
         """Yields (task, view) for the tasks of a phase that get an executor.
 
@@ -183,8 +195,14 @@
         return self._now <= latest and self.serves(job.queue.service)
 
     def _heap(self, task):
+        phase = task.phase
+        kind = (task.job.queue.service, phase.need)
+        if kind in self._full:
+            return []
         heap = [(self._placement.rank(view, task), view) for view in self._free(task)]
         heapify(heap)
+        if not heap and not phase.label:
+            self._full.add(kind)
         return heap
 
     def _free(self, task):
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -86,6 +86,7 @@
             for number, phase in enumerate(request.phases)
         ]
         self._left = [phase.count for phase in request.phases]
+        self._after_s = _chains_after(request.phases)
 
     @property
     def begun(self):
@@ -112,11 +113,20 @@
         """Returns the tasks of a phase that wait for an executor."""
         return [task for task in self.phases[number] if task.state is WAITING]
 
+    @property
+    def has_waiting(self):
+        """Whether a task of an open phase waits for an executor."""
+        return any(
+            task.state is WAITING
+            for number in self.open_phases()
+            for task in self.phases[number]
+        )
+
     def left_s(self):
         """Returns the stated time of the longest chain that is not done, seconds."""
         return max(
             (
-                self.request.phases[number].expected_s + self.chain_after_s(number)
+                self.request.phases[number].expected_s + self._after_s[number]
                 for number in self.open_phases()
             ),
             default=0.0,
@@ -130,15 +140,7 @@
 
     def chain_after_s(self, number):
         """Returns the stated time of the longest chain that follows a phase."""
-        phases = self.request.phases
-        return max(
-            (
-                phases[i].expected_s + self.chain_after_s(i)
-                for i in range(number + 1, len(phases))
-                if number in phases[i].after
-            ),
-            default=0.0,
-        )
+        return self._after_s[number]
 
     def _chain_s(self):
         ends = []
@@ -146,3 +148,13 @@
             before = max((ends[i] for i in phase.after), default=0.0)
             ends.append(before + phase.expected_s)
         return max(ends)
+
+
+def _chains_after(phases):
+    """Returns the stated time of the longest chain after each phase, seconds."""
+    found = [0.0] * len(phases)
+    for number in range(len(phases) - 1, -1, -1):
+        for before in phases[number].after:
+            chain_s = phases[number].expected_s + found[number]
+            found[before] = max(found[before], chain_s)
+    return found
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -42,7 +42,12 @@
 _CLOSING_RUN = 0.9
 _TICK_S = 0.05
 _ENDS_DELAY_S = 0.002
-_ROOM_DELAY_S = 0.02
+# Least time between two reports of room alone: when a kind of task has room again or
+# has none any more, and otherwise.
+_ROOM_TURN_S = 0.02
+_ROOM_NEWS_S = 0.1
+# Kinds of tasks that a change of room is checked for.
+_MOST_NEEDS = 8
 
 
 class LeasedExecutor:
@@ -62,10 +67,11 @@
         self._owners = {}
         self._runs = {}
         self._used = Resources()
+        # What the latest kinds of tasks need, the oldest first.
+        self._needs = {}
         self._closing = False
         self._close_limit = 0.0
         self._dirty = Event()
-        self._ends_waiting = Event()
         self._was_accepting = False
         gevent.spawn(self._flush)
         gevent.spawn(self._tick)
@@ -214,8 +220,7 @@
                     "heard_age_s": round(now - owner.heard_at, 3),
                 },
             )
-        owner.room_changed = True
-        self._dirty.set()
+        self._change_room()
 
     def _admit(self, owner, start, now):
         """Reserves room and begins a start; returns why not, empty if it did."""
@@ -229,6 +234,7 @@
         if self._closing and now + start.expected_ms / 1000.0 > self._close_at(now):
             return "closing"
         need = resources_from_wire(start.need)
+        self._note_need(need)
         if not self._free().covers(need):
             return "busy"
         run = Run(
@@ -247,6 +253,12 @@
         gevent.spawn(self._start, run, self._session)
         return ""
 
+    def _note_need(self, need):
+        self._needs.pop(need, None)
+        self._needs[need] = True
+        if len(self._needs) > _MOST_NEEDS:
+            del self._needs[next(iter(self._needs))]
+
     def _close_at(self, now):
         """Returns when the runs that a stop request found are expected to end."""
         ends = (
@@ -299,7 +311,6 @@
                     task, int(remaining_s * 1000), int(elapsed_s * 1000)
                 )
                 run.owner.slow.append(slow)
-                self._ends_waiting.set()
                 self._dirty.set()
 
     def _finish(self, run, outcome, now):
@@ -389,11 +400,12 @@
     # Reports to the entries.
 
     def _free(self):
+        if self._state is None:
+            return Resources()
         return self._state.capacity - self._used
 
     def _tell_end(self, owner, task, run, outcome, service_us):
         owner.ends.append(ttypes.TaskEnd(task, run, outcome, service_us))
-        self._ends_waiting.set()
         self._dirty.set()
 
     def _change_room(self):
@@ -402,25 +414,42 @@
         self._dirty.set()
 
     def _flush(self):
-        last_room = 0.0
+        wait_s = None
         while True:
-            self._dirty.wait()
-            # Ends are urgent; news of room alone may wait for more of it.
-            self._ends_waiting.wait(max(0.0, last_room + _ROOM_DELAY_S - clock.now()))
-            gevent.sleep(_ENDS_DELAY_S)
-            self._dirty.clear()
-            self._ends_waiting.clear()
-            last_room = clock.now()
+            if self._dirty.wait(wait_s):
+                gevent.sleep(_ENDS_DELAY_S)
+                self._dirty.clear()
+            now = clock.now()
+            later = []
             for owner in list(self._owners.values()):
-                if owner.lost_at is None and (
-                    owner.ends or owner.slow or owner.room_changed
-                ):
+                if owner.lost_at is not None:
+                    continue
+                due = self._due_at(owner)
+                if due is not None and due <= now:
                     self._send(owner)
+                elif due is not None:
+                    later.append(due)
+            wait_s = min(later) - now if later else None
+
+    def _due_at(self, owner):
+        """Returns when an entry gets its next report, None if there is no news."""
+        if owner.ends or owner.slow:
+            return 0.0
+        if not owner.room_changed:
+            return None
+        turned = owner.told_accepting != (not self.refusal) or any(
+            owner.told_free.covers(need) != self._free().covers(need)
+            for need in self._needs
+        )
+        return owner.room_sent_at + (_ROOM_TURN_S if turned else _ROOM_NEWS_S)
 
     def _send(self, owner):
         ends, owner.ends = owner.ends, []
         slow, owner.slow = owner.slow, []
         owner.room_changed = False
+        owner.room_sent_at = clock.now()
+        owner.told_accepting = not self.refusal
+        owner.told_free = self._free()
         owner.link.try_send(ttypes.EndBatch(ends, self._room(owner), slow or None))
 
     def _room(self, owner):
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -58,3 +58,6 @@
     ends: list = field(default_factory=list)
     slow: list = field(default_factory=list)
     room_changed: bool = True
+    room_sent_at: float = 0.0
+    told_accepting: bool = False
+    told_free: Resources = Resources()
--- a/tests/test_job_home.py
+++ b/tests/test_job_home.py
@@ -22,9 +22,11 @@
         super().setUp()
         self.out = set()
         self.home = JobHome(self.out.__contains__)
+        self.links = []
 
     def executor(self, name="r1", cores=4, incarnation=1, domain="a"):
         link = FakeLink(name, "runner", incarnation, domain)
+        self.links.append(link)
         self.home.on_link_up(link, clock.now())
         self.home.on_message(link, ttypes.RunningTasks([]), clock.now())
         self.home.on_message(link, room_report(cores=cores), clock.now())
@@ -227,3 +229,39 @@
         self.assertEqual([start.task], link.of_type(ttypes.StopBatch)[0].tasks)
         self.end(link, start, "stopped")
         self.assertEqual([start.task], [start.task for start in other.starts()])
+
+    def test_messages_cost_no_round_while_no_job_waits(self):
+        """Guards against looking at every executor for each message."""
+        rounds = []
+        begin = self.home._placement.begin
+        link = self.executor(cores=2)
+        self.submit(tasks=2)
+        self.patch(
+            self.home._placement,
+            "begin",
+            lambda *args: rounds.append(args) or begin(*args),
+        )
+        for _ in range(200):
+            self.home.on_message(link, room_report(cores=2, free=0), clock.now())
+            gevent.sleep(0)
+        # Those of the timer only.
+        self.assertLess(len(rounds), 10)
+
+    def test_round_without_room_looks_at_each_executor_once(self):
+        """Guards against rounds that cost waiting jobs times executors."""
+        looks = []
+        covers = Resources.covers
+        for number in range(10):
+            self.executor(f"r{number}", cores=1)
+        self.patch(
+            Resources, "covers", lambda *args: looks.append(args) or covers(*args)
+        )
+        for number in range(50):
+            self.home.submit(
+                job_request(job_id=f"{number:016x}"), job_queue(), clock.now()
+            )
+        gevent.sleep(0.01)
+        started = sum(len(link.starts()) for link in self.links)
+        self.assertEqual(10, started)
+        # Ten jobs look at what is left, one finds it full, the others know.
+        self.assertLessEqual(len(looks), 130)
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -10,7 +10,12 @@
 
 from papayaward import clock
 from papayaward.coordination.leased_executor import LeasedExecutor
-from papayaward.protocol.gen.ttypes import RunningTasks, StartBatch, StopBatch
+from papayaward.protocol.gen.ttypes import (
+    EndBatch,
+    RunningTasks,
+    StartBatch,
+    StopBatch,
+)
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import FakeLink, task_start, upstream_state
 
@@ -212,3 +217,32 @@
         self.keep_alive(link)
         self.send(link, task_start(work_ms=10_000, expected_ms=100))
         self.wait_for(lambda: any(b.slow for b in link.sent if hasattr(b, "slow")))
+
+    def free_cores(self, link):
+        """Returns the free processor time in each report to an entry, in millicores."""
+        return [batch.room.free.cpu_millis for batch in link.of_type(EndBatch)]
+
+    def test_entry_without_tasks_here_hears_little(self):
+        """Guards against messages that grow with entries times tasks."""
+        busy, other = self.link("e1"), self.link("e2")
+        for link in (busy, other):
+            self.keep_alive(link)
+        for number in range(30):
+            self.send(busy, task_start(f"j.0.0.{number}", work_ms=5))
+            gevent.sleep(0.02)
+        self.wait_for(lambda: len(busy.ends()) == 30)
+        # One report in 0.1 s of 0.6 s, the first and one of slack.
+        self.assertLessEqual(len(other.of_type(EndBatch)), 8)
+        self.wait_for(lambda: self.free_cores(other)[-1] == 4000)
+
+    def test_room_after_none_is_reported_soon(self):
+        """Guards against jobs that wait although there is room again."""
+        busy, other = self.link("e1"), self.link("e2")
+        for link in (busy, other):
+            self.keep_alive(link)
+        starts = [task_start(f"j.0.0.{number}", work_ms=150) for number in range(4)]
+        self.send(busy, *starts)
+        self.wait_for(lambda: self.free_cores(other)[-1] == 0)
+        self.wait_for(lambda: busy.ends())
+        # The report of ends that follow each other may wait for 20 ms.
+        self.wait_for(lambda: self.free_cores(other)[-1] > 0, 0.06)
