Send configuration texts only to peers that ask

Cause: each entry pushed a new configuration to every runner. On the grown site that is 60 copies through the 25 Mbit/s link of a small entry at once: heartbeats and starts waited behind them for up to 0.5 s, and runners refused the starts as stale.

Change: ConfigRelay. Entries read the store; a process that learns of a version from a peer waits 0.4 s for the store before it pulls, and a runner fetches for an entry that asks. Runners keep a copy for entries that start while the store is away, and fetch it 2 to 10 s after they hear of it, each at another time.

--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -10,10 +10,11 @@
 
 import gevent
 
+from .coordination.config_relay import user_patience_s
 from .coordination.job_home import JobHome
 from .coordination.store_sync import Presence, follow_prefix
 from .leased_node import LeasedNode
-from .protocol.gen.ttypes import ConfigPush, DomainsPush, Member, Members
+from .protocol.gen.ttypes import DomainsPush, Member, Members
 from .transport.peers import serve_links
 
 __all__ = ["ENTRIES_PREFIX", "LeasedEntry", "entry_addresses"]
@@ -50,13 +51,12 @@
     """
 
     def __init__(self, settings, parse_routing, store, follow_operators):
-        super().__init__(settings, parse_routing)
+        super().__init__(settings, parse_routing, user_patience_s)
         self._store = store
         self._follow_operators = follow_operators
         self._entries = ()
         self._presence = None
         self.home = JobHome(self.domains.is_out)
-        self.config.on_change(self._on_config)
         self.domains.on_change(self._on_domains)
 
     @property
@@ -117,9 +117,6 @@
     def _offer_domains(self, revision, domains, now):
         self.domains.offer(revision, domains, now)
 
-    def _on_config(self, now):
-        self.push_to_all(ConfigPush(self.config.version, self.config.text))
-
     def _on_domains(self, now):
         self.push_to_all(DomainsPush(self.domains.revision, sorted(self.domains.out)))
 
--- a/papayaward/leased_node.py
+++ b/papayaward/leased_node.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from . import clock
+from .coordination.config_relay import ConfigRelay
 from .coordination.config_sync import ConfigHolder
 from .coordination.domains_sync import DomainsHolder
 from .protocol.gen.ttypes import Heartbeat, Hello
@@ -53,16 +54,18 @@
     Args:
         settings: `NodeSettings`.
         parse_routing: Function that returns the `Routing` of a configuration text.
+        patience_s: As for `ConfigRelay`.
     """
 
     heartbeat_interval_s = 0.15
     heartbeat_misses = 3
 
-    def __init__(self, settings, parse_routing):
+    def __init__(self, settings, parse_routing, patience_s):
         self.settings = settings
         self.incarnation = int(time.time() * 1e6)
         self.stats = LinkStats()
         self.config = ConfigHolder(parse_routing, Routing())
+        self._relay = ConfigRelay(self.config, patience_s)
         self.domains = DomainsHolder()
         self.links = {}
         self.draining = False
@@ -83,7 +86,7 @@
             settings.domain,
             settings.service,
             f"{host}:{port}",
-            self.config.version,
+            self._relay.version,
             self.draining,
             int(clock.now() * 1e6),
         )
@@ -93,7 +96,7 @@
         return Heartbeat(
             int(now * 1e6),
             link.last_stamp_us,
-            self.config.version,
+            self._relay.version,
             -1,
             self.draining,
             not self.draining,
@@ -103,7 +106,7 @@
 
     def on_heartbeat(self, link, heartbeat, now):
         """Takes a peer's heartbeat."""
-        self.config.on_peer_version(link, heartbeat.config_version)
+        self._relay.on_peer_version(link, heartbeat.config_version, now)
         self.domains.on_peer_revision(link, heartbeat.domains_revision)
 
     def on_link_up(self, link, now):
@@ -128,11 +131,12 @@
             "link_up",
             extra={"peer": member, "incarnation": link.peer.incarnation},
         )
-        self.config.on_peer_version(link, link.peer.config_version)
+        self._relay.on_peer_version(link, link.peer.config_version, now)
         self.on_peer_up(link, now)
 
     def on_link_down(self, link, now):
         """Forgets a closed link."""
+        self._relay.on_link_down(link)
         if self.links.get(link.peer.member) is link:
             del self.links[link.peer.member]
             self.on_peer_down(link, now)
@@ -143,7 +147,7 @@
             return
         if not (
             self.on_peer_message(link, message, now)
-            or self.config.on_message(link, message, now)
+            or self._relay.on_message(link, message, now)
             or self.domains.on_message(message, now)
         ):
             log.warning("message_ignored", extra={"type": type(message).__name__})
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -9,6 +9,7 @@
 
 import gevent
 
+from .coordination.config_relay import keeper_patience_s
 from .coordination.leased_executor import LeasedExecutor
 from .coordination.upstream_memory import UpstreamMemory
 from .leased_entry import ENTRIES_PREFIX, entry_addresses
@@ -38,7 +39,7 @@
     """
 
     def __init__(self, settings, store, upstream):
-        super().__init__(settings, bytes)
+        super().__init__(settings, bytes, keeper_patience_s)
         self._store = store
         self._diallers = {}
         self._by_entry = {}
