Give up jobs that outlast a closing entry, wait for the first configuration

Change: when an entry closes, a job is answered at once if 0.7 of the time that it is expected to take still ends after the entry: as not run if it has not begun, so that its caller may come back, otherwise as unknown. The last jobs have until 0.2 s before the end instead of 0.8 s.

--- a/papayaward/coordination/job_home.py
+++ b/papayaward/coordination/job_home.py
@@ -45,6 +45,9 @@
 # A run with more than this many times the expected time left stands still.
 _STANDS_STILL = 10.0
 _MOST_MOVES = 2
+# A running job is given up for the end of this process if this part of the time that
+# it is expected to take still is more than what is left.
+_CLOSING_SHARE = 0.7
 # Begins the outcome of a start that did not lead to a run; the reason follows.
 _NOT_RUN = "not_run:"
 
@@ -63,6 +66,7 @@
         self._waiting = {}
         self._views = {}
         self._lost = {}
+        self._closes_at = None
         self._speeds = SpeedEstimates()
         self._ejection = Ejection()
         self._placement = Placement(self._speeds, self._ejection, is_domain_out)
@@ -104,6 +108,8 @@
         else:
             log.info("job_joined", extra=_job_fields(job))
         job.callers += 1
+        if self._closes_at is not None and self._outlasts_close(job, now):
+            self._give_up(job, "closing", now)
         return job
 
     def leave(self, job, now):
@@ -130,11 +136,20 @@
         self._report(job, now)
         job.finished.set()
 
+    def close_at(self, until):
+        """Has the jobs given up that cannot end before the process does.
+
+        Their callers send them again, to other entries, and the sooner the better.
+
+        Args:
+            until: Time at which `close` will be called, seconds.
+        """
+        self._closes_at = until
+
     def close(self, now):
         """Ends the jobs that are left when the process has to stop."""
         for job in list(self._jobs.values()):
-            kind = "unknown" if job.begun else "not_run"
-            self.end(job, kind, "closing", now, _RETRY_AFTER_S)
+            self._give_up(job, "closing", now)
 
     # Interface for links.
 
@@ -400,8 +415,9 @@
 
     def _check_job(self, job, turn, now):
         if now >= job.give_up_at:
-            kind = "unknown" if job.begun else "not_run"
-            self.end(job, kind, "deadline", now, _RETRY_AFTER_S)
+            self._give_up(job, "deadline", now)
+        elif self._closes_at is not None and self._outlasts_close(job, now):
+            self._give_up(job, "closing", now)
         elif not job.begun:
             waited = now - job.arrived_at
             if waited > _REFUSAL_SHARE * job.objective_s:
@@ -412,6 +428,14 @@
         ):
             self.end(job, "unknown", "cannot end before the deadline", now)
 
+    def _give_up(self, job, reason, now):
+        kind = "unknown" if job.begun else "not_run"
+        self.end(job, kind, reason, now, _RETRY_AFTER_S)
+
+    def _outlasts_close(self, job, now):
+        left_s = self._placement.remaining_s(job, now)
+        return now + _CLOSING_SHARE * left_s > self._closes_at
+
     def _check_lost(self, now):
         for key, groups in list(self._lost.items()):
             left = []
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -9,6 +9,8 @@
 import random
 from heapq import heapify, heappop, heappush
 
+from .job_state import DONE, SENT
+
 __all__ = ["Placement", "Round"]
 
 # Time that a start and the report of an end take beside the work, seconds.
@@ -74,6 +76,26 @@
             for task in job.waiting(number)
         )
 
+    def remaining_s(self, job, now):
+        """Returns how long a job still takes as far as its runs tell, seconds."""
+        least = self._least_ratio(job)
+        left_s = 0.0
+        for number in job.open_phases():
+            expected_s = job.request.phases[number].expected_s
+            own_s = max(
+                self._task_s(task, expected_s, least, now)
+                for task in job.phases[number]
+                if task.state is not DONE
+            )
+            left_s = max(left_s, own_s + least * job.chain_after_s(number))
+        return left_s
+
+    def _task_s(self, task, expected_s, least, now):
+        if task.state is not SENT:
+            return least * expected_s
+        ends_at = task.sent_at + self.run_s(task.executor, task)
+        return max(0.0, ends_at - now)
+
     def run_s(self, view, task):
         """Returns the time that a task is expected to take on an executor, seconds."""
         return self.ratio(view, task.job.queue) * task.phase.expected_s + _OVERHEAD_S
--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -9,6 +9,7 @@
 import logging
 
 import gevent
+from gevent.event import Event
 
 from .coordination.config_relay import user_patience_s
 from .coordination.job_home import JobHome
@@ -24,7 +25,7 @@
 ENTRIES_PREFIX = "papayaward/entries/"
 
 # Jobs of callers that are still connected have this long before the process ends.
-_LAST_JOBS_S = 0.8
+_LAST_JOBS_S = 0.2
 _DRAIN_POLL_S = 0.05
 
 
@@ -57,6 +58,8 @@
         self._entries = ()
         self._presence = None
         self.home = JobHome(self.domains.is_out)
+        self._configured = Event()
+        self.config.on_change(lambda now: self._configured.set())
         self.domains.on_change(self._on_domains)
 
     @property
@@ -64,6 +67,10 @@
         """Whether new connections of callers are welcome."""
         return not self.draining and self.config.version > 0 and bool(self.links)
 
+    def wait_configured(self, timeout_s):
+        """Waits for the first configuration and returns whether it is there."""
+        return self._configured.wait(timeout_s)
+
     def start(self):
         """Starts to serve links and to follow the store."""
         host, port = self.settings.link_address
@@ -84,6 +91,7 @@
         """
         self.draining = True
         self._presence.end()
+        self.home.close_at(until - _LAST_JOBS_S)
         while self.home.jobs and self.now() < until - _LAST_JOBS_S:
             gevent.sleep(_DRAIN_POLL_S)
         self.home.close(self.now())
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -5,19 +5,24 @@
 What the adapter decodes, and what it makes of input that it cannot use.
 """
 
+import io
 import json
 import sys
 from pathlib import Path
 
+import gevent
 from testtools import TestCase
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
-from adapter.callers import NotServed, read_job  # noqa: E402
+from adapter.callers import CallerApi, NotServed, read_job  # noqa: E402
 from adapter.configuration import parse_routing  # noqa: E402
 from adapter.settings import read_settings  # noqa: E402
 from adapter.upstream import read_state  # noqa: E402
 
+from papayaward import clock  # noqa: E402
+from papayaward.leased_entry import LeasedEntry  # noqa: E402
+from papayaward.leased_node import NodeSettings  # noqa: E402
 from papayaward.protocol.config_text import ConfigError  # noqa: E402
 from papayaward.protocol.jobs import Resources  # noqa: E402
 from papayaward.protocol.options import OptionError  # noqa: E402
@@ -147,3 +152,37 @@
         self.assertEqual((("10.0.0.2", 7720),), settings.node.entries)
         self.assertEqual(("10.0.0.3", 8169), settings.store)
         self.assertIsNone(settings.callers)
+
+
+class StartTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        settings = NodeSettings("e1", "entry", "r", "a", "", ("h", 1), (), 3.0)
+        self.entry = LeasedEntry(settings, parse_routing, None, None)
+        self.api = CallerApi(self.entry)
+
+    def status(self):
+        """Returns the status of a request for the number of waiting jobs."""
+        environ = {
+            "wsgi.input": io.BytesIO(),
+            "HTTP_HOST": "h:1",
+            "PATH_INFO": "/q/",
+            "REQUEST_METHOD": "GET",
+        }
+        found = []
+        self.api(environ, lambda status, headers: found.append(status[:3]))
+        return found[0]
+
+    def test_request_waits_for_the_first_configuration(self):
+        """Guards against refusals by an entry that has just started."""
+        request = gevent.spawn(self.status)
+        gevent.sleep(0.05)
+        route = {"name": "q", "host": "h", "prefix": "/q/", "service": "s"}
+        text = json.dumps({"version": 1, "routes": [route]}).encode()
+        self.entry.config.offer(1, text, clock.now())
+        self.assertEqual("200", request.get(timeout=1.0))
+
+    def test_request_does_not_wait_for_ever(self):
+        """Guards against callers that are held while the store is away."""
+        request = gevent.spawn(self.status)
+        self.assertEqual("503", request.get(timeout=1.0))
--- a/tests/test_job_home.py
+++ b/tests/test_job_home.py
@@ -265,3 +265,28 @@
         self.assertEqual(10, started)
         # Ten jobs look at what is left, one finds it full, the others know.
         self.assertLessEqual(len(looks), 130)
+
+    def test_job_that_outlasts_the_process_is_given_up_at_once(self):
+        """Guards against callers that wait for the end of an entry in vain."""
+        link = self.executor()
+        short = self.submit(job_id="a" * 16, expected_s=0.2)
+        long = self.submit(job_id="b" * 16, expected_s=5.0, timeout_s=20.0)
+        self.home.close_at(clock.now() + 2.0)
+        late = self.submit(job_id="c" * 16, expected_s=4.0, timeout_s=20.0)
+        self.assertEqual(
+            ("not_run", "closing"), (late.outcome.kind, late.outcome.reason)
+        )
+        gevent.sleep(0.05)
+        self.assertEqual("closing", long.outcome.reason)
+        self.assertEqual(["b" * 16 + ".0.0.0"], link.of_type(ttypes.StopBatch)[0].tasks)
+        self.assertIsNone(short.outcome)
+
+    def test_job_that_has_nearly_ended_is_not_given_up(self):
+        """Guards against work that is thrown away just before its end."""
+        self.executor()
+        job = self.submit(expected_s=1.0, timeout_s=20.0)
+        gevent.sleep(0.3)
+        # About 0.7 s are left of a time that is itself an estimate.
+        self.home.close_at(clock.now() + 0.6)
+        gevent.sleep(0.05)
+        self.assertIsNone(job.outcome)
