--- a/tests/test_job_home.py
+++ b/tests/test_job_home.py
@@ -290,3 +290,42 @@
         self.home.close_at(clock.now() + 0.6)
         gevent.sleep(0.05)
         self.assertIsNone(job.outcome)
+
+    def test_task_runs_only_at_its_service_and_label(self):
+        """Guards against a start on an upstream that the queue does not lead to."""
+        other = FakeLink("r1", "runner")
+        other.peer.service_name = "another"
+        self.home.on_link_up(other, clock.now())
+        self.home.on_message(other, room_report(), clock.now())
+        unlabelled = self.executor("r2")
+        labelled = self.executor("r3")
+        report = room_report(cores=1)
+        report.room.labels = ["b"]
+        self.home.on_message(labelled, report, clock.now())
+        request = job_request()
+        phase = replace(request.phases[0], count=3, label="b")
+        request = replace(request, phases=(phase,))
+        self.home.submit(request, job_queue(), clock.now())
+        gevent.sleep(0.05)
+        # The other two tasks wait, although there is room elsewhere.
+        self.assertEqual([], other.starts() + unlabelled.starts())
+        self.assertEqual(1, len(labelled.starts()))
+
+    def test_executor_whose_runs_fail_gets_few(self):
+        """Guards against an upstream that fails at once and so takes most tasks.
+
+        Its health answers may say that it is well.
+        """
+        links = [self.executor(name, cores=8) for name in ("r1", "r2", "r3")]
+        for number in range(60):
+            job = self.submit(job_queue(attempts=4), job_id=f"{number:016x}")
+            while job.outcome is None:
+                start, link = max(
+                    ((start, link) for link in links for start in link.starts()),
+                    key=lambda pair: (pair[0].task, pair[0].run),
+                )
+                self.end(link, start, "failed" if link is links[0] else "done")
+                self.home.on_message(link, room_report(999, cores=8), clock.now())
+            self.assertEqual("completed", job.outcome.kind)
+        # Five failures show the fault; each probe may fail one more.
+        self.assertLessEqual(len(links[0].starts()), 10)
