--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -152,6 +152,21 @@
         self.assertEqual(200, waiting.value[0])
         self.assertEqual(0, self.fleet.processes["e1"].wait(timeout=3.0))
 
+    def test_stop_request_answers_at_once_what_outlasts_the_entry(self):
+        """Guards against callers that a closing entry holds in vain."""
+        self.start_fleet(runners=1)
+        waiting = gevent.spawn(
+            self.fleet.submit, "0123456789abcdef", 20_000, stated_ms=20_000
+        )
+        gevent.sleep(0.2)
+        self.fleet.processes["e1"].send_signal(signal.SIGTERM)
+        # Otherwise the answer would come at the end of the grace time.
+        waiting.join(1.5)
+        self.assertEqual(504, waiting.value[0])
+        self.assertEqual(0, self.fleet.processes["e1"].wait(timeout=3.0))
+        ended = self.fleet.events("e1", "job_ended")[-1]
+        self.assertEqual(("unknown", "closing"), (ended["outcome"], ended["reason"]))
+
     def test_log_leads_from_a_request_to_its_outcome(self):
         """Guards against failures that on-call engineers cannot explain."""
         self.start_fleet(runners=1)
