Correct two tests that presume where links and tasks are

It presumed that each of two jobs of 12 tasks of 5 s has a task at the executor that is killed after 0.4 s. A job that is complete cannot have had one there. The test now takes from the upstream's record which jobs were hit: these must end as unknown or failed in time, the other must be complete, and some job must be hit. As strict as before; a second start is still looked for at the end.

Conclusion: tests only.

--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -32,10 +32,17 @@
         gevent.sleep(0.4)
         killed = time.monotonic()
         fleet.kill(victim)
-        for job in jobs:
-            outcome = job.get(timeout=10).json["outcome"]
-            self.assertIn(outcome, ("unknown", "failed"))
-        self.assertLess(time.monotonic() - killed, _ANSWERED_WITHIN_S)
+        # The 24 tasks fill all slots, but a job may have none at the victim.
+        hit = {record["job"] for record in fleet.records(victim)}
+        self.assertNotEqual(set(), hit)
+        for job in gevent.iwait(jobs, timeout=10):
+            reply = job.get(block=False).json
+            if reply["job_id"] in hit:
+                self.assertIn(reply["outcome"], ("unknown", "failed"))
+                self.assertLess(time.monotonic() - killed, _ANSWERED_WITHIN_S)
+            else:
+                self.assertEqual("complete", reply["outcome"])
+        self.assertTrue(all(job.ready() for job in jobs))
         tasks = echo_tasks(12, 20, "after")
         self.assert_complete(fleet.submit(tasks), tasks)
         self.assert_no_second_start(fleet)
--- a/tests/test_silent_links.py
+++ b/tests/test_silent_links.py
@@ -64,13 +64,14 @@
     def test_executor_unreachable(self):
         """Guards against jobs that wait for an executor that cannot be reached."""
         fleet = self.start_fleet(proxied=True)
-        home = fleet.leader()
         self.assertEqual(200, fleet.submit(echo_tasks(24, 10)).status)
         job = self.submit_later(fleet, echo_tasks(24, 8000, "job"))
         single = {"work_ms": 1500, "echo": "single"}
         gevent.sleep(0.2)
         began = time.monotonic()
-        for runner in {"r1", "r2", "r3"} - {home}:
+        # Of two links that cross, the one dialled by the lower name stays, so the
+        # home's links may lead through its own proxy as well.
+        for runner in ("r1", "r2", "r3"):
             fleet.proxies[f">{runner}"].refuse = True
             fleet.proxies[f">{runner}"].silence_open()
         reply = job.get(timeout=10)
