Name the runs that an upstream lost in a crash, and where a requeued task ran

Cause: from the logs nobody could tell a task that crashes upstreams from one that ran beside it: neither the upstream nor its runs were named. The stand-in of the upstream runs tasks that crash it.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -339,6 +339,7 @@
             log.warning("executor_ejected", extra={"executor": view.name})
 
     def _requeue(self, task, reason, now):
+        executor = task.executor
         task.state = WAITING
         task.executor = None
         if reason != "busy":
@@ -349,6 +350,9 @@
                     "task": task.name,
                     "run": task.run,
                     "reason": reason,
+                    "executor": executor.name,
+                    "upstream": executor.upstream,
+                    "sent_s": round(now - task.sent_at, 3),
                 },
             )
         self._enqueue(task.job)
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -15,6 +15,7 @@
 from ..state import metrics
 from .capacity_reports import Capacity, CapacityReports
 from .leased_runs import Owner, Run
+from .upstream_crashes import log_crash
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -123,7 +124,7 @@
         elif last is not None and state.born_ms < last.born_ms:
             return
         else:
-            self._drop_session("the upstream restarted")
+            self._drop_session("the upstream restarted", unplanned=True)
             self._state = state
             self._open_session(state)
         self.check_accepting()
@@ -404,16 +405,25 @@
             self._on_session_lost,
         )
 
-    def _drop_session(self, reason):
+    def _drop_session(self, reason, unplanned=False):
+        """Closes the session; all runs on the upstream are lost.
+
+        Args:
+            reason: Reason for the log.
+            unplanned: Whether the upstream ended without notice.
+        """
+        now = clock.now()
         if self._session is not None:
             self._session.close()
             self._session = None
+        if unplanned and self._runs:
+            log_crash(self._state.instance, reason, self._runs.values(), now)
         for run in list(self._runs.values()):
-            self._finish(run, "lost", clock.now())
+            self._finish(run, "lost", now)
         log.info("session_closed", extra={"reason": reason})
 
-    def _on_session_lost(self):
-        self._drop_session("all runs on the upstream have ended")
+    def _on_session_lost(self, reason):
+        self._drop_session(reason, unplanned=not self._state.draining)
         # The upstream's next report opens a new session.
         self.check_accepting()
 
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -43,7 +43,8 @@
         on_progress: Function that takes the progress in percent by (task, run) and
             the current time.
         on_change: Function called when `ready` may have changed.
-        on_lost: Function called when no run can be active on the instance any more.
+        on_lost: Function that takes a reason, called when no run can be active on the
+            instance any more.
     """
 
     def __init__(
@@ -421,4 +422,4 @@
                 extra={"upstream": self.state.instance, "reason": reason},
             )
             self.close()
-            self._on_lost()
+            self._on_lost(reason)
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -21,6 +21,7 @@
     "RESPONSE_SECONDS",
     "SERVICE_SECONDS",
     "SLOTS_IN_USE",
+    "UPSTREAM_CRASHES",
     "export",
     "export_link_stats",
 ]
@@ -77,6 +78,10 @@
     "papayaward_queued_tasks", "Tasks that wait for a slot at this coordinator."
 )
 SLOTS_IN_USE = Gauge("papayaward_slots_in_use", "Slots of this executor in use.")
+UPSTREAM_CRASHES = Counter(
+    "papayaward_upstream_crashes_total",
+    "Unplanned ends of the local upstream while tasks ran on it.",
+)
 CONFIG_VERSION = Gauge("papayaward_config_version", "Version in force here.")
 EVIDENCE_AGE = Gauge(
     "papayaward_evidence_age_seconds", "Age of the configuration evidence here."
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -5,8 +5,9 @@
 Stand-in of an upstream that runs tasks under a lease and checks fencing tokens.
 
 It is used in-process, as the client object of `UpstreamSession`, or over HTTP with
-`serve`. Runs only wait: the spec of a job is the run time in milliseconds,
-or `fail:MS` for a run that fails after that time.
+`serve`. Runs only wait: the spec of a job is the run time in milliseconds, or
+`fail:MS` for a run that fails after that time. With `deadly:MS:INDEX,...` the tasks
+with these indexes crash the upstream after that time; the others end then.
 """
 
 import json
@@ -17,7 +18,12 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
-from papayaward.coordination.upstream_requests import NoReply, RunEnd, UpstreamReply
+from papayaward.coordination.upstream_requests import (
+    NoReply,
+    RunEnd,
+    Unreachable,
+    UpstreamReply,
+)
 
 __all__ = ["LeasedUpstream", "StartRecord", "serve"]
 
@@ -57,6 +63,7 @@
         records: `StartRecord` of every run.
         token: Highest fencing token seen.
         silent: Whether requests, also those that wait for an end, get no reply.
+        on_crash: Function called when a run has crashed the instance.
         loss: Function that returns after how many seconds the next request is executed
             without a reply; it returns None for a request that is handled as usual.
     """
@@ -73,6 +80,7 @@
     crashed: bool = False
     silent: bool = False
     loss: object = lambda: None
+    on_crash: object = lambda: None
 
     def __post_init__(self):
         self._started = time.monotonic()
@@ -96,7 +104,7 @@
         self.faults.append(_Fault(name, delay_s, times))
 
     def crash(self):
-        """Ends every run at once, without reporting the ends."""
+        """Ends every run at once, without reporting the ends, and refuses requests."""
         for record in self.running.values():
             record.ended_at, record.outcome = time.monotonic(), "crashed"
         self.running.clear()
@@ -118,6 +126,8 @@
         until = time.monotonic() + request.wait_ms / 1000.0
         while request.wait_ms and not reply.ends and time.monotonic() < until:
             gevent.sleep(_POLL_S)
+            if self.crashed:
+                raise NoReply("connection closed")
             if self.silent:
                 gevent.sleep(max(0.0, times_out_at - time.monotonic()))
                 raise NoReply("no reply to poll")
@@ -125,6 +135,8 @@
         return reply
 
     def _handle_request(self, name, handle, timeout_s):
+        if self.crashed:
+            raise Unreachable("connection refused")
         delay_s = self.loss()
         if delay_s is not None:
             gevent.spawn_later(delay_s, self._handle_delayed, handle)
@@ -165,12 +177,11 @@
             return self._reply("ok")
         if request.run <= self.last_runs.get(request.task, 0):
             return self._reply("old_run")
-        kind, _, work = request.spec.rpartition(":")
         record = StartRecord(request.task, request.run, time.monotonic())
         self.records.append(record)
         self.running[request.task, request.run] = record
-        outcome = "failed" if kind == "fail" else "done"
-        gevent.spawn_later(int(work) / 1000.0, self._end, record, outcome)
+        work_s, outcome = _read_spec(request.spec, request.task)
+        gevent.spawn_later(work_s, self._end, record, outcome)
         return self._reply("ok")
 
     def _stop(self, task, run, token):
@@ -192,8 +203,13 @@
         return self._reply("ok", running=running, ends=tuple(self.ends))
 
     def _end(self, record, outcome):
-        if self.running.pop((record.task, record.run), None) is None:
+        if (record.task, record.run) not in self.running:
+            return
+        if outcome == "crashed":
+            self.crash()
+            self.on_crash()
             return
+        del self.running[record.task, record.run]
         record.ended_at, record.outcome = time.monotonic(), outcome
         self._end_count += 1
         self.last_runs[record.task] = max(
@@ -211,6 +227,18 @@
                     self._end(record, "lapsed")
 
 
+def _read_spec(spec, task):
+    """Returns the run time of a task, seconds, and its outcome."""
+    kind, _, work = spec.partition(":")
+    if not work:
+        return int(kind) / 1000.0, "done"
+    work, _, indexes = work.partition(":")
+    outcome = "failed" if kind == "fail" else "done"
+    if kind == "deadly" and task.rpartition(".")[2] in indexes.split(","):
+        outcome = "crashed"
+    return int(work) / 1000.0, outcome
+
+
 def serve(upstream, address):
     """Serves an upstream over HTTP with the platform's protocol.
 
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -29,7 +29,7 @@
             lambda ends, now: self.ends.extend(ends),
             lambda running, now: None,
             lambda: None,
-            lambda: self.lost.append(clock.now()),
+            lambda reason: self.lost.append(clock.now()),
         )
         self.addCleanup(session.close)
         return session
