--- /dev/null
+++ b/tests/leased_fleet.py
@@ -0,0 +1,159 @@
+"""
+tests.leased_fleet
+~~~~~~~~~~~~~~~~~~
+
+Schedulers and executors in one process, with links that deliver messages at once.
+"""
+
+from types import SimpleNamespace
+
+import gevent
+
+from papayaward import clock
+from papayaward.coordination.job_scheduler import JobScheduler
+from papayaward.coordination.leased_executor import LeasedExecutor
+from papayaward.protocol.jobs import JobRequest as Request
+from papayaward.protocol.jobs import Phase, Resources
+from standins.leased_upstream import LeasedUpstream
+from tests.leased_case import CORE, upstream_state
+
+__all__ = ["LeasedFleet", "LocalUpstream", "job"]
+
+_HEARTBEAT_S = 0.05
+
+
+def job(job_id, spec="50", tasks=1, expected_s=0.05, timeout_s=3.0):
+    """Returns a job with one phase of tasks that need one core each."""
+    phase = Phase(tasks, Resources(CORE, 64, 0), expected_s)
+    return Request(job_id, "r-" + job_id, spec, (phase,), timeout_s)
+
+
+class _Link:
+    """One direction of a link: what is sent is handled by the other side."""
+
+    def __init__(self, peer, deliver):
+        self.peer = peer
+        self.relaxed = False
+        self.closed = False
+        self._deliver = deliver
+
+    @property
+    def echoed_us(self):
+        return int(clock.now() * 1e6)
+
+    def try_send(self, message):
+        if self.closed:
+            return False
+        gevent.spawn(self._deliver, message)
+        return True
+
+
+class LocalUpstream:
+    """An executor with an upstream that restarts some time after a crash.
+
+    Args:
+        name: Name of the executor.
+        cores: Capacity of the upstream.
+        restart_s: Time from a crash to the report of the next instance, seconds.
+    """
+
+    def __init__(self, name, cores=8, restart_s=0.5):
+        self.name = name
+        self.crashes = 0
+        self.records = []
+        self._cores = cores
+        self._restart_s = restart_s
+        self._number = 0
+        self._upstream = None
+        self.executor = LeasedExecutor(self, lambda domain: False)
+        self._begin()
+
+    def __getattr__(self, name):
+        # The client of the executor: requests go to the present instance.
+        return getattr(self._upstream, name)
+
+    def _begin(self):
+        self._number += 1
+        instance = f"{self.name}-{self._number}"
+        self._upstream = LeasedUpstream(
+            instance, records=self.records, on_crash=self._on_crash
+        )
+        state = upstream_state(instance, self._cores, born_ms=self._number)
+        self.executor.on_upstream_report(state, clock.now())
+
+    def _on_crash(self):
+        self.crashes += 1
+        gevent.spawn_later(self._restart_s, self._begin)
+
+
+class LeasedFleet:
+    """Entries linked with executors.
+
+    Args:
+        entries: Number of entries.
+        executors: Number of executors.
+        options: Further arguments of each `LocalUpstream`.
+    """
+
+    def __init__(self, entries=1, executors=6, **options):
+        self.upstreams = [LocalUpstream(f"r{i}", **options) for i in range(executors)]
+        self.entries = []
+        self._links = []
+        self._greenlet = gevent.spawn(self._send_heartbeats)
+        for _ in range(entries):
+            self.add_entry()
+
+    @property
+    def crashes(self):
+        """Number of crashes of all upstreams."""
+        return sum(upstream.crashes for upstream in self.upstreams)
+
+    def starts(self, task):
+        """Returns the number of runs of a task."""
+        records = [r for upstream in self.upstreams for r in upstream.records]
+        return sum(record.task == task for record in records)
+
+    def add_entry(self):
+        """Adds an entry and returns its scheduler."""
+        entry = JobScheduler(lambda domain: False)
+        name = f"e{len(self.entries)}"
+        self.entries.append(entry)
+        for upstream in self.upstreams:
+            self._connect(name, entry, upstream)
+        return entry
+
+    def close(self):
+        """Ends the heartbeats."""
+        self._greenlet.kill()
+
+    def _connect(self, name, entry, upstream):
+        executor = upstream.executor
+        to_entry = _Link(
+            _peer(name, "entry"),
+            lambda message: entry.on_message(to_executor, message, clock.now()),
+        )
+        to_executor = _Link(
+            _peer(upstream.name, "runner"),
+            lambda message: executor.on_message(to_entry, message, clock.now()),
+        )
+        self._links.append((executor, to_entry))
+        entry.on_link_up(to_executor, clock.now())
+        executor.on_link_up(to_entry, clock.now())
+
+    def _send_heartbeats(self):
+        while True:
+            for executor, link in self._links:
+                executor.on_heartbeat(link, 0, clock.now())
+            gevent.sleep(_HEARTBEAT_S)
+
+
+def _peer(member, role):
+    return SimpleNamespace(
+        member=member,
+        role=role,
+        incarnation=1,
+        domain="a",
+        service_name="dispatch",
+        config_version=0,
+        link_number=1,
+    )
