Start a task again only isolated after a crash, and not after a second one

Cause: a run lost in a crash was requeued at once, without a limit, to the fastest upstream; a task that crashes each upstream took one after the other until its job's deadline. Nobody remembered the crashes, so that a resubmission at another entry began anew. Change: an executor tells all entries which tasks ran on a crashed upstream; each process records and forwards a notice once. A job with such a task is isolated: executors run one isolated job at a time, so that a second crash has one cause. Then the job fails and is not started again anywhere. Links have protocol version 3.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -42,7 +42,7 @@
         total: `Resources` of the upstream.
         accepting: Whether tasks may start now.
         labels: Labels of the upstream.
-        upstream: Identifier of the upstream instance; empty if there is none.
+        upstream: Key of the upstream instance; empty if there is none.
     """
 
     free: Resources
@@ -52,13 +52,14 @@
     upstream: str
 
 
-def report_due_at(owner, capacity, needs, now):
+def report_due_at(owner, capacity, needs, isolated, now):
     """Returns when the next report to an entry is due, None if nothing changed.
 
     Args:
         owner: `Owner`.
         capacity: Current `Capacity`.
         needs: `Resources` of the recent kinds of tasks.
+        isolated: Number of isolated jobs of other entries.
         now: Time, seconds.
     """
     if owner.ends or owner.slow:
@@ -73,7 +74,7 @@
         capacity.free.covers(need) and not owner.reported_free.covers(need)
         for need in needs
     )
-    if has_become_sufficient:
+    if has_become_sufficient or isolated < owner.reported_isolated:
         return owner.capacity_sent_at + _URGENT_REPORT_INTERVAL_S
     return owner.capacity_sent_at + _REPORT_INTERVAL_S
 
@@ -84,11 +85,14 @@
     Args:
         owners: `Owner` of each entry by name; the executor changes this dict.
         capacity: Function that returns the current `Capacity`.
+        isolated_peer_jobs: Function that takes an `Owner` and returns the number of
+            isolated jobs of other entries.
     """
 
-    def __init__(self, owners, capacity):
+    def __init__(self, owners, capacity, isolated_peer_jobs):
         self._owners = owners
         self._capacity = capacity
+        self._isolated_peer_jobs = isolated_peer_jobs
         # Resources needed by the most recent kinds of tasks, the oldest first.
         self._needs = {}
         self._pending = Event()
@@ -120,6 +124,7 @@
         owner.capacity_sent_at = now
         owner.reported_accepting = _accepts_from(owner, capacity)
         owner.reported_free = capacity.free
+        owner.reported_isolated = self._isolated_peer_jobs(owner)
         report = _room_report(owner, capacity)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
@@ -140,7 +145,8 @@
         for owner in list(self._owners.values()):
             if owner.disconnected_at is not None:
                 continue
-            due_at = report_due_at(owner, capacity, self._needs, now)
+            isolated = self._isolated_peer_jobs(owner)
+            due_at = report_due_at(owner, capacity, self._needs, isolated, now)
             if due_at is not None and due_at <= now:
                 self.send(owner, now)
             elif due_at is not None:
@@ -163,4 +169,5 @@
         capacity.upstream,
         peer_runs,
         peer_ratio,
+        owner.reported_isolated,
     )
--- /dev/null
+++ b/papayaward/coordination/crash_relay.py
@@ -0,0 +1,108 @@
+"""
+papayaward.coordination.crash_relay
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Spreads the knowledge of crashed upstreams over the links between the processes.
+
+The entry that sent a task may fail, and its caller submits the job to another entry,
+which must not begin to count the crashes anew. Each process forwards a notice once.
+"""
+
+import logging
+
+from ..protocol.gen import ttypes
+from ..state.crash_records import Crash, CrashedJob, CrashRecords
+
+__all__ = ["CrashRelay"]
+
+log = logging.getLogger(__name__)
+
+# Number of notices in one message to a peer that has just connected.
+_MAX_NOTICES = 200
+
+
+class CrashRelay:
+    """Receives, records and forwards notices of crashes.
+
+    Attributes:
+        records: `CrashRecords` of this process.
+    """
+
+    def __init__(self):
+        self.records = CrashRecords()
+        self._links = []
+        self._listeners = []
+
+    def on_crash(self, listener):
+        """Registers a function that takes each new `Crash` and the current time."""
+        self._listeners.append(listener)
+
+    def on_link_up(self, link, now):
+        """Sends the recent crashes to a new peer."""
+        self._links.append(link)
+        self.records.expire(now)
+        recent = self.records.all()[-_MAX_NOTICES:]
+        if recent:
+            link.try_send(_to_message(recent, now))
+
+    def on_link_down(self, link):
+        """Removes a closed link."""
+        if link in self._links:
+            self._links.remove(link)
+
+    def on_message(self, link, message, now):
+        """Handles notices from a peer; returns whether the message holds any."""
+        if not isinstance(message, ttypes.CrashNotices):
+            return False
+        self._add([_from_notice(notice, now) for notice in message.notices], now, link)
+        return True
+
+    def publish(self, crash, now):
+        """Records a crash that this process has noticed and sends it to all peers."""
+        self._add([crash], now, None)
+
+    def _add(self, crashes, now, source):
+        new = [crash for crash in crashes if self.records.add(crash, now)]
+        if not new:
+            return
+        message = _to_message(new, now)
+        for link in self._links:
+            if link is not source:
+                link.try_send(message)
+        for crash in new:
+            log.info(
+                "crash_recorded",
+                extra={
+                    "upstream": crash.upstream,
+                    "age_s": round(now - crash.at, 3),
+                    "jobs": [job.job_id for job in crash.jobs],
+                    "isolated": [job.job_id for job in crash.jobs if job.isolated],
+                },
+            )
+            for listener in self._listeners:
+                listener(crash, now)
+
+
+def _to_message(crashes, now):
+    return ttypes.CrashNotices(
+        [
+            ttypes.CrashNotice(
+                crash.upstream,
+                int((now - crash.at) * 1000),
+                [
+                    ttypes.CrashedJob(job.queue, list(job.tasks), job.isolated)
+                    for job in crash.jobs
+                ],
+            )
+            for crash in crashes
+        ]
+    )
+
+
+def _from_notice(notice, now):
+    jobs = tuple(
+        CrashedJob(job.queue, tuple(job.tasks), bool(job.isolated))
+        for job in notice.jobs
+        if job.tasks
+    )
+    return Crash(notice.upstream, now - notice.age_ms / 1000.0, jobs)
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -248,30 +248,30 @@
         for task in job.waiting_tasks(number):
             if task.avoided_executors or task.phase.max_per_upstream:
                 view = self.choose(task)
-            elif together < _MAX_TOGETHER and latest and self._may_run(latest, task):
+            elif together < _MAX_TOGETHER and latest and self.may_run(latest, task):
                 view = latest
             else:
                 if heap is None:
                     heap = self._heap(task)
-                elif latest and self._may_run(latest, task):
+                elif latest and self.may_run(latest, task):
                     heappush(heap, (self._placement.rank(latest, task), latest))
                 view = heappop(heap)[1] if heap else None
                 latest, together = view, 0
-            if view is None or not self._should_start(view, task):
+            if view is None or not self.should_start(view, task):
                 return
             together += 1
             yield task, view
 
     def choose(self, task):
         """Returns the best executor for a task, or None if the task should wait."""
-        candidates = self._free_views(task)
+        candidates = self.free_views(task)
         if not candidates:
             return None
         preferred = [
             view for view in candidates if view.name not in task.avoided_executors
         ] or candidates
         best = min(preferred, key=lambda view: self._placement.rank(view, task))
-        return best if self._should_start(best, task) else None
+        return best if self.should_start(best, task) else None
 
     def can_meet_objective(self, job):
         """Returns whether a job without a start can still meet its objective."""
@@ -284,23 +284,29 @@
         if demand in self._exhausted:
             return []
         heap = [
-            (self._placement.rank(view, task), view) for view in self._free_views(task)
+            (self._placement.rank(view, task), view) for view in self.free_views(task)
         ]
         heapify(heap)
         if not heap and not phase.label:
             self._exhausted.add(demand)
         return heap
 
-    def _free_views(self, task):
+    def rank(self, view, task):
+        """Returns the sort key of an executor for a task; the lowest is preferred."""
+        return self._placement.rank(view, task)
+
+    def free_views(self, task):
+        """Returns the executors that can start a task now."""
         views = self._with_free_capacity.get(task.job.queue.service, ())
-        return [view for view in views if self._may_run(view, task)]
+        return [view for view in views if self.may_run(view, task)]
 
-    def _may_run(self, view, task):
+    def may_run(self, view, task):
+        """Returns whether an executor can start a task now."""
         return view.free.covers(task.phase.need) and self._placement.fits(
             view, task, self._now
         )
 
-    def _should_start(self, view, task):
+    def should_start(self, view, task):
         """Returns whether to start a task on an executor now rather than wait."""
         job = task.job
         after_s = job.critical_path_after_s(task.phase_number)
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,7 +17,9 @@
 from ..protocol.gen import ttypes
 from ..protocol.jobs import JobOutcome, resources_to_wire
 from ..state import metrics
+from .crash_relay import CrashRelay
 from .ejection import Ejection
+from .isolation import Isolation, Verdict
 from .job_placement import Placement
 from .job_state import DONE, LOST, SENT, WAITING, Job
 from .leased_views import LeasedView
@@ -48,6 +50,8 @@
 _ALL_QUEUES = ""
 # Prefix of the outcome of a start that did not lead to a run; the reason follows.
 _NOT_RUN_PREFIX = "not_run:"
+# Reasons for which an executor refuses a start that it may accept a moment later.
+_NO_ROOM_REASONS = ("busy", "not_isolated")
 
 
 class JobScheduler:
@@ -56,9 +60,11 @@
     Args:
         is_domain_out: Function that returns whether a failure domain is out of
             service.
+        crashes: `CrashRelay` of this process; a new one if not given.
     """
 
-    def __init__(self, is_domain_out):
+    def __init__(self, is_domain_out, crashes=None):
+        self._crashes = crashes or CrashRelay()
         self._jobs = {}
         # Jobs that may have tasks without an executor, by identifier.
         self._waiting = {}
@@ -68,6 +74,7 @@
         self._speeds = SpeedEstimates()
         self._ejection = Ejection()
         self._placement = Placement(self._speeds, self._ejection, is_domain_out)
+        self._isolation = Isolation(self._crashes.records, self._placement)
         self._wakeup = Event()
         gevent.spawn(self._run)
         gevent.spawn(self._tick)
@@ -113,6 +120,8 @@
         job.callers += 1
         if self._closing_at is not None and self._ends_after_close(job, now):
             self._end_early(job, "closing", now)
+        elif self._isolation.verdict(job, now) is Verdict.CONDEMNED:
+            self.end(job, "failed", Verdict.CONDEMNED.value, now)
         elif not job.started:
             reason = self._placement.unservable_reason(job, self._views.values(), now)
             if reason:
@@ -245,9 +254,11 @@
             if reason == "invalid":
                 self.end(task.job, "failed", "rejected by the upstream", now)
                 return
-            if reason != "busy":
+            if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
             self._requeue(task, reason, now)
+        elif self._isolation.verdict(task.job, now) is Verdict.CONDEMNED:
+            self.end(task.job, "failed", Verdict.CONDEMNED.value, now)
         else:
             self._requeue(task, end.outcome, now)
 
@@ -342,7 +353,7 @@
         executor = task.executor
         task.state = WAITING
         task.executor = None
-        if reason != "busy":
+        if reason not in _NO_ROOM_REASONS:
             log.info(
                 "task_requeued",
                 extra={
@@ -376,7 +387,7 @@
     def _schedule(self, now):
         # Starts by view, then by the phase of a job.
         batches = {}
-        placement_round = self._placement.begin_round(self._views.values(), now)
+        placement_round = self._isolation.begin_round(self._views.values(), now)
         jobs = [job for job in self._waiting.values() if placement_round.may_place(job)]
         for job in self._placement.order(jobs, now):
             for number in job.ready_phases():
@@ -413,6 +424,8 @@
                 int(self._placement.run_s(view, task) * 1000),
                 [],
                 int(task.phase.expected_s * 1000),
+                job.queue.name,
+                task.isolation_limit,
             )
         groups[key].starts.append(ttypes.TaskStart(task.name, task.run))
 
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -26,6 +26,7 @@
         "avoided_executors",
         "executor",
         "failures",
+        "isolation_limit",
         "job",
         "moves",
         "name",
@@ -43,6 +44,7 @@
         self.run = 0
         self.failures = 0
         self.moves = 0
+        self.isolation_limit = 0
         self.avoided_executors = set()
         self.executor = None
         self.sent_at = 0.0
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -13,9 +13,11 @@
 from ..protocol.gen import ttypes
 from ..protocol.jobs import Resources, resources_from_wire
 from ..state import metrics
+from ..state.crash_records import job_id_of
 from .capacity_reports import Capacity, CapacityReports
-from .leased_runs import Owner, Run
-from .upstream_crashes import log_crash
+from .crash_relay import CrashRelay
+from .leased_runs import Owner, Run, isolated_jobs
+from .upstream_crashes import crash_of, log_crash
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -54,9 +56,11 @@
         upstream: Client of the upstream (see `upstream_requests`).
         is_domain_out: Function that returns whether a failure domain is out of
             service.
+        crashes: `CrashRelay` of this process; a new one if not given.
     """
 
-    def __init__(self, upstream, is_domain_out):
+    def __init__(self, upstream, is_domain_out, crashes=None):
+        self._crashes = crashes or CrashRelay()
         self._upstream = upstream
         self._is_domain_out = is_domain_out
         self._session = None
@@ -64,10 +68,13 @@
         self._owners = {}
         self._runs = {}
         self._used = Resources()
+        self._isolated_runs = 0
         self._closing = False
         self._close_limit = 0.0
         self._was_accepting = False
-        self._reports = CapacityReports(self._owners, self._capacity)
+        self._reports = CapacityReports(
+            self._owners, self._capacity, self._isolated_peer_jobs
+        )
         gevent.spawn(self._tick)
 
     @property
@@ -265,6 +272,13 @@
             return "closing"
         if not self._free().covers(need):
             return "busy"
+        job_id = job_id_of(start.task)
+        if self._crashes.records.is_condemned(job_id):
+            return "crashing"
+        if group.isolation_limit:
+            others = isolated_jobs(self._runs.values()) - {job_id}
+            if len(others) >= group.isolation_limit:
+                return "not_isolated"
         run = Run(
             start.task,
             start.run,
@@ -272,12 +286,15 @@
             need,
             owner,
             group.request_id,
+            group.queue or "",
+            group.isolation_limit or 0,
             (group.expected_ms or 0) / 1000.0,
             (group.declared_ms or 0) / 1000.0,
             now,
         )
         self._runs[start.task] = run
         self._used = self._used + need
+        self._isolated_runs += run.isolated
         owner.runs += 1
         gevent.spawn(self._start, run, self._session)
         return ""
@@ -342,6 +359,7 @@
         run.ended = True
         del self._runs[run.task]
         self._used = self._used - run.need
+        self._isolated_runs -= run.isolated
         run.owner.runs -= 1
         service_us = int((now - run.started_at) * 1e6) if run.running else 0
         if outcome == "done" and service_us > 0 and run.declared_s:
@@ -417,7 +435,10 @@
             self._session.close()
             self._session = None
         if unplanned and self._runs:
-            log_crash(self._state.instance, reason, self._runs.values(), now)
+            runs = self._runs.values()
+            log_crash(self._state.key, reason, runs, now)
+            # The notice precedes the ends, so that an entry knows why they were lost.
+            self._crashes.publish(crash_of(self._state.key, runs, now), now)
         for run in list(self._runs.values()):
             self._finish(run, "lost", now)
         log.info("session_closed", extra={"reason": reason})
@@ -458,6 +479,12 @@
     def _on_capacity_changed(self):
         self._reports.on_capacity_changed(self._owners.values())
 
+    def _isolated_peer_jobs(self, owner):
+        """Returns the number of isolated jobs of other entries that run here."""
+        if not self._isolated_runs:
+            return 0
+        return len(isolated_jobs(self._runs.values(), owner))
+
     def _capacity(self):
         """Returns the `Capacity` that the entries are told."""
         if self._state is None:
@@ -467,7 +494,7 @@
             self._state.capacity,
             not self.refusal_reason,
             self._state.labels,
-            self._state.instance,
+            self._state.key,
         )
 
 
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -9,8 +9,9 @@
 from dataclasses import dataclass, field
 
 from ..protocol.jobs import Resources
+from ..state.crash_records import job_id_of
 
-__all__ = ["Owner", "Run"]
+__all__ = ["Owner", "Run", "isolated_jobs"]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -26,6 +27,8 @@
     need: Resources
     owner: object
     request_id: str
+    queue: str
+    isolation_limit: int
     expected_s: float
     declared_s: float
     started_at: float
@@ -35,6 +38,11 @@
     percent: int = -1
     progress_at: float = 0.0
 
+    @property
+    def isolated(self):
+        """Whether the job is isolated here (see `isolation_limit` of `StartGroup`)."""
+        return self.isolation_limit > 0
+
     def remaining_s(self, percent, now):
         """Estimates the remaining time of the run from its progress so far, seconds.
 
@@ -73,6 +81,7 @@
     peer_runs: int = 0
     peer_log_ratios: float = 0.0
     reported_free: Resources = Resources()
+    reported_isolated: int = 0
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
@@ -99,3 +108,17 @@
     def is_active(self, now):
         """Returns whether the entry has tasks here or sent some recently."""
         return self.runs > 0 or now - self.last_start_at < _ACTIVE_S
+
+
+def isolated_jobs(runs, excluded_owner=None):
+    """Returns the identifiers of the isolated jobs among some runs.
+
+    Args:
+        runs: `Run` of each run.
+        excluded_owner: `Owner` whose runs are not counted.
+    """
+    return {
+        job_id_of(run.task)
+        for run in runs
+        if run.isolated and run.owner is not excluded_owner
+    }
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -30,6 +30,8 @@
         self.capacity = Resources()
         self.labels = ()
         self.upstream = ""
+        # Number of isolated jobs of other entries.
+        self.isolated_peer_jobs = 0
         self.tasks = {}
         self.slow_until = 0.0
         self._free = Resources()
@@ -56,6 +58,19 @@
         has_label = not phase.label or phase.label in self.labels
         return has_label and self.capacity.covers(phase.need)
 
+    @property
+    def isolated_jobs(self):
+        """Number of isolated jobs that run there."""
+        return len(self._own_isolated_jobs()) + self.isolated_peer_jobs
+
+    def may_isolate(self, job, limit):
+        """Returns whether a job may run there with at most `limit` isolated jobs."""
+        others = self._own_isolated_jobs() - {job}
+        return len(others) + self.isolated_peer_jobs < limit
+
+    def _own_isolated_jobs(self):
+        return {task.job for task in self.tasks.values() if task.isolation_limit}
+
     def next_batch(self):
         """Returns the number of the next batch of starts."""
         self._last_batch += 1
@@ -88,3 +103,4 @@
         self.accepting = bool(report.accepting)
         self.labels = tuple(report.labels or ())
         self.upstream = report.upstream
+        self.isolated_peer_jobs = report.isolated_peer_jobs or 0
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -8,8 +8,9 @@
 import logging
 
 from ..state import metrics
+from ..state.crash_records import Crash, CrashedJob, job_id_of
 
-__all__ = ["log_crash"]
+__all__ = ["crash_of", "log_crash"]
 
 log = logging.getLogger(__name__)
 
@@ -45,3 +46,25 @@
             ],
         },
     )
+
+
+def crash_of(upstream, runs, now):
+    """Returns the `Crash` of an upstream.
+
+    Args:
+        upstream: Key of the upstream instance.
+        runs: `Run` of each run that was lost.
+        now: Time, seconds.
+    """
+    by_job = {}
+    for run in runs:
+        by_job.setdefault(job_id_of(run.task), []).append(run)
+    jobs = tuple(
+        CrashedJob(
+            runs[0].queue,
+            tuple(run.task for run in runs),
+            any(run.isolated for run in runs),
+        )
+        for runs in by_job.values()
+    )
+    return Crash(upstream, now, jobs)
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -58,6 +58,11 @@
     sequence: int
     born_ms: int
 
+    @property
+    def key(self):
+        """Text that differs between any two instances."""
+        return f"{self.instance}@{self.born_ms}"
+
 
 @dataclass(frozen=True)
 class StartRequest:
--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -70,7 +70,7 @@
         self._watch_operator_keys = watch_operator_keys
         self._entries = ()
         self._presence = None
-        self.scheduler = JobScheduler(self.domains.is_out)
+        self.scheduler = JobScheduler(self.domains.is_out, self.crashes)
         self._configured = Event()
         self.config.on_change(lambda now: self._configured.set())
         self.domains.on_change(self._on_domains_change)
--- a/papayaward/leased_node.py
+++ b/papayaward/leased_node.py
@@ -12,6 +12,7 @@
 from . import clock
 from .coordination.config_relay import ConfigRelay
 from .coordination.config_sync import ConfigHolder
+from .coordination.crash_relay import CrashRelay
 from .coordination.domains_sync import DomainsHolder
 from .protocol.gen.ttypes import Heartbeat, Hello
 from .protocol.jobs import Routing
@@ -67,6 +68,7 @@
         self.config = ConfigHolder(parse_routing, Routing())
         self._relay = ConfigRelay(self.config, fetch_delay_s)
         self.domains = DomainsHolder()
+        self.crashes = CrashRelay()
         self.links = {}
         self.draining = False
         # (incarnation, link number) of the latest link to each member.
@@ -137,10 +139,12 @@
             extra={"peer": member, "incarnation": link.peer.incarnation},
         )
         self._relay.on_peer_version(link, link.peer.config_version, now)
+        self.crashes.on_link_up(link, now)
         self.on_peer_up(link, now)
 
     def on_link_down(self, link, now):
         """Removes a closed link."""
+        self.crashes.on_link_down(link)
         self._relay.on_link_down(link)
         if self.links.get(link.peer.member) is link:
             del self.links[link.peer.member]
@@ -152,6 +156,7 @@
             return
         if not (
             self.on_peer_message(link, message, now)
+            or self.crashes.on_message(link, message, now)
             or self._relay.on_message(link, message, now)
             or self.domains.on_message(message, now)
         ):
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -46,7 +46,7 @@
         super().__init__(settings, bytes, runner_fetch_delay_s)
         self._store = store
         self._state_store = UpstreamStateStore(store, settings.member)
-        self.executor = LeasedExecutor(upstream, self.domains.is_out)
+        self.executor = LeasedExecutor(upstream, self.domains.is_out, self.crashes)
         self.domains.on_change(lambda now: self.executor.check_accepting())
         self._entry_links = EntryLinks(
             settings.member,
--- a/papayaward/protocol/codec.py
+++ b/papayaward/protocol/codec.py
@@ -54,6 +54,7 @@
     "EndBatch": 23,
     "RunningTasks": 24,
     "DomainsPush": 25,
+    "CrashNotices": 26,
 }
 _CODE_BY_CLASS = {getattr(ttypes, name): code for name, code in MESSAGE_CODES.items()}
 _CLASS_BY_CODE = {code: cls for cls, code in _CODE_BY_CLASS.items()}
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -637,6 +637,8 @@
      - expected_ms
      - starts
      - declared_ms
+     - queue
+     - isolation_limit
 
     """
 
@@ -648,10 +650,12 @@
         'expected_ms',
         'starts',
         'declared_ms',
+        'queue',
+        'isolation_limit',
     )
 
 
-    def __init__(self, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None, starts=None, declared_ms=None,):
+    def __init__(self, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None, starts=None, declared_ms=None, queue=None, isolation_limit=None,):
         self.spec = spec
         self.need = need
         self.expires_ms = expires_ms
@@ -659,6 +663,8 @@
         self.expected_ms = expected_ms
         self.starts = starts
         self.declared_ms = declared_ms
+        self.queue = queue
+        self.isolation_limit = isolation_limit
 
 
 class StartBatch(TBase):
@@ -732,6 +738,7 @@
      - upstream
      - peer_runs
      - peer_ratio
+     - isolated_peer_jobs
 
     """
 
@@ -744,10 +751,11 @@
         'upstream',
         'peer_runs',
         'peer_ratio',
+        'isolated_peer_jobs',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -756,6 +764,7 @@
         self.upstream = upstream
         self.peer_runs = peer_runs
         self.peer_ratio = peer_ratio
+        self.isolated_peer_jobs = isolated_peer_jobs
 
 
 class SlowRun(TBase):
@@ -818,6 +827,66 @@
         self.tasks = tasks
 
 
+class CrashedJob(TBase):
+    """
+    Attributes:
+     - queue
+     - tasks
+     - isolated
+
+    """
+
+    __slots__ = (
+        'queue',
+        'tasks',
+        'isolated',
+    )
+
+
+    def __init__(self, queue=None, tasks=None, isolated=None,):
+        self.queue = queue
+        self.tasks = tasks
+        self.isolated = isolated
+
+
+class CrashNotice(TBase):
+    """
+    Attributes:
+     - upstream
+     - age_ms
+     - jobs
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'age_ms',
+        'jobs',
+    )
+
+
+    def __init__(self, upstream=None, age_ms=None, jobs=None,):
+        self.upstream = upstream
+        self.age_ms = age_ms
+        self.jobs = jobs
+
+
+class CrashNotices(TBase):
+    """
+    Attributes:
+     - notices
+
+    """
+
+    __slots__ = (
+        'notices',
+    )
+
+
+    def __init__(self, notices=None,):
+        self.notices = notices
+
+
 class DomainsPush(TBase):
     """
     Attributes:
@@ -1040,6 +1109,8 @@
     (5, TType.I32, 'expected_ms', None, None, ),  # 5
     (6, TType.LIST, 'starts', (TType.STRUCT, [TaskStart, None], False), None, ),  # 6
     (7, TType.I32, 'declared_ms', None, None, ),  # 7
+    (8, TType.STRING, 'queue', 'UTF8', None, ),  # 8
+    (9, TType.I32, 'isolation_limit', None, None, ),  # 9
 )
 all_structs.append(StartBatch)
 StartBatch.thrift_spec = (
@@ -1071,6 +1142,7 @@
     (6, TType.STRING, 'upstream', 'UTF8', None, ),  # 6
     (7, TType.I32, 'peer_runs', None, None, ),  # 7
     (8, TType.DOUBLE, 'peer_ratio', None, None, ),  # 8
+    (9, TType.I32, 'isolated_peer_jobs', None, None, ),  # 9
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
@@ -1091,6 +1163,25 @@
     None,  # 0
     (1, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(CrashedJob)
+CrashedJob.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'queue', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 2
+    (3, TType.BOOL, 'isolated', None, None, ),  # 3
+)
+all_structs.append(CrashNotice)
+CrashNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'jobs', (TType.STRUCT, [CrashedJob, None], False), None, ),  # 3
+)
+all_structs.append(CrashNotices)
+CrashNotices.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'notices', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 1
+)
 all_structs.append(DomainsPush)
 DomainsPush.thrift_spec = (
     None,  # 0
--- a/papayaward/protocol/jobs.py
+++ b/papayaward/protocol/jobs.py
@@ -49,6 +49,15 @@
             self.gpus - other.gpus,
         )
 
+    def fitting(self, need):
+        """Returns how many tasks that each need the given amounts fit in."""
+        amounts = (
+            (self.cpu_millis, need.cpu_millis),
+            (self.memory_mb, need.memory_mb),
+            (self.gpus, need.gpus),
+        )
+        return min((have // one for have, one in amounts if one > 0), default=0)
+
     def covers(self, need):
         """Returns whether each amount is at least the amount needed."""
         return (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -183,7 +183,8 @@
 // of a few kilobytes for each task would fill the network interface of a small VM.
 // expires_ms is the remaining time after which the results are no longer needed;
 // expected_ms is the run time that the sender expects on this executor, declared_ms the
-// one that the caller states.
+// one that the caller states. If isolation_limit is positive, the job is isolated: at
+// most that many isolated jobs, this one included, may run on the executor at once.
 struct StartGroup {
   1: string spec
   2: Resources need
@@ -192,6 +193,8 @@
   5: i32 expected_ms
   6: list<TaskStart> starts
   7: i32 declared_ms
+  8: string queue
+  9: i32 isolation_limit
 }
 
 struct StartBatch {
@@ -213,7 +216,7 @@
 // last_batch is the number of the receiver's latest StartBatch that `free` takes into
 // account. peer_runs is the number of runs for other entries that were done since the
 // last report; peer_ratio is the geometric mean of their actual over their declared run
-// time.
+// time. isolated_peer_jobs is the number of isolated jobs of other entries that run there.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -223,6 +226,7 @@
   6: string upstream
   7: i32 peer_runs
   8: double peer_ratio
+  9: i32 isolated_peer_jobs
 }
 
 // A run that takes far longer than expected.
@@ -243,6 +247,25 @@
   1: list<string> tasks
 }
 
+// The tasks of one job that ran on an upstream when it crashed.
+struct CrashedJob {
+  1: string queue
+  2: list<string> tasks
+  3: bool isolated
+}
+
+// An upstream that ended without notice. `upstream` names the instance, so that each
+// process handles and forwards the notice once.
+struct CrashNotice {
+  1: string upstream
+  2: i32 age_ms
+  3: list<CrashedJob> jobs
+}
+
+struct CrashNotices {
+  1: list<CrashNotice> notices
+}
+
 struct DomainsPush {
   1: i64 revision
   2: list<string> domains_out
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -20,7 +20,7 @@
 
 log = logging.getLogger(__name__)
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 _RECEIVE_BYTES = 65536
 # Multiple of the heartbeat interval on a link without work. Heartbeats stay frequent
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -10,6 +10,7 @@
 import gevent
 
 from papayaward import clock
+from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_executor import LeasedExecutor
 from papayaward.protocol.jobs import JobRequest as Request
@@ -65,7 +66,8 @@
         self._restart_s = restart_s
         self._number = 0
         self._upstream = None
-        self.executor = LeasedExecutor(self, lambda domain: False)
+        self.crash_relay = CrashRelay()
+        self.executor = LeasedExecutor(self, lambda domain: False, self.crash_relay)
         self._begin()
 
     def __getattr__(self, name):
@@ -115,30 +117,36 @@
 
     def add_entry(self):
         """Adds an entry and returns its scheduler."""
-        entry = JobScheduler(lambda domain: False)
+        relay = CrashRelay()
+        entry = JobScheduler(lambda domain: False, relay)
         name = f"e{len(self.entries)}"
         self.entries.append(entry)
         for upstream in self.upstreams:
-            self._connect(name, entry, upstream)
+            self._connect(name, entry, relay, upstream)
         return entry
 
     def close(self):
         """Ends the heartbeats."""
         self._greenlet.kill()
 
-    def _connect(self, name, entry, upstream):
-        executor = upstream.executor
-        to_entry = _Link(
-            _peer(name, "entry"),
-            lambda message: entry.on_message(to_executor, message, clock.now()),
-        )
-        to_executor = _Link(
-            _peer(upstream.name, "runner"),
-            lambda message: executor.on_message(to_entry, message, clock.now()),
-        )
-        self._links.append((executor, to_entry))
-        entry.on_link_up(to_executor, clock.now())
-        executor.on_link_up(to_entry, clock.now())
+    def _connect(self, name, entry, relay, upstream):
+        executor, executor_relay = upstream.executor, upstream.crash_relay
+
+        def to_entry(message):
+            if not relay.on_message(executor_link, message, clock.now()):
+                entry.on_message(executor_link, message, clock.now())
+
+        def to_executor(message):
+            if not executor_relay.on_message(entry_link, message, clock.now()):
+                executor.on_message(entry_link, message, clock.now())
+
+        entry_link = _Link(_peer(name, "entry"), to_entry)
+        executor_link = _Link(_peer(upstream.name, "runner"), to_executor)
+        self._links.append((executor, entry_link))
+        relay.on_link_up(executor_link, clock.now())
+        executor_relay.on_link_up(entry_link, clock.now())
+        entry.on_link_up(executor_link, clock.now())
+        executor.on_link_up(entry_link, clock.now())
 
     def _send_heartbeats(self):
         while True:
