Guard a queue whose tasks crash upstreams

Change: once a job has been found to crash upstreams, its queue is guarded for ten seconds: its jobs are isolated from one another, on at most half of the executors, which the other queues use last. A job that has probably crashed one is started again only while half of these are up, otherwise answered as unknown; a job is refused at once while all are down, with a Retry-After that spreads the return. Only the last three jobs to start on a crashed upstream are suspects, and the first retry after a lost reply is not delayed, so that fewer innocent starts follow a crash.

--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -11,7 +11,7 @@
 import logging
 
 from ..protocol.gen import ttypes
-from ..state.crash_records import Crash, CrashedJob, CrashRecords
+from ..state.crash_records import Crash, CrashedJob, CrashRecords, Evidence
 
 __all__ = ["CrashRelay"]
 
@@ -75,8 +75,7 @@
                 extra={
                     "upstream": crash.upstream,
                     "age_s": round(now - crash.at, 3),
-                    "jobs": [job.job_id for job in crash.jobs],
-                    "isolated": [job.job_id for job in crash.jobs if job.isolated],
+                    "evidence": {job.job_id: job.evidence.name for job in crash.jobs},
                 },
             )
             for listener in self._listeners:
@@ -90,9 +89,10 @@
                 crash.upstream,
                 int((now - crash.at) * 1000),
                 [
-                    ttypes.CrashedJob(job.queue, list(job.tasks), job.isolated)
+                    ttypes.CrashedJob(job.queue, list(job.tasks), job.evidence)
                     for job in crash.jobs
                 ],
+                crash.service,
             )
             for crash in crashes
         ]
@@ -101,8 +101,9 @@
 
 def _from_notice(notice, now):
     jobs = tuple(
-        CrashedJob(job.queue, tuple(job.tasks), bool(job.isolated))
+        CrashedJob(job.queue, tuple(job.tasks), Evidence(job.evidence))
         for job in notice.jobs
         if job.tasks
     )
-    return Crash(notice.upstream, now - notice.age_ms / 1000.0, jobs)
+    crashed_at = now - notice.age_ms / 1000.0
+    return Crash(notice.upstream, notice.service_name, crashed_at, jobs)
--- a/papayaward/coordination/isolated_placement.py
+++ b/papayaward/coordination/isolated_placement.py
@@ -37,12 +37,15 @@
     candidates = [
         view
         for view in placement_round.free_views(task)
-        if view.may_isolate(task.job, limit)
+        if view.isolated_jobs_beside(task.job) < limit
     ]
 
     def key(view):
         avoided = view.name in task.avoided_executors
+        neighbours = view.isolated_jobs_beside(task.job)
+        # The evidence against a job is strongest where no other job runs.
+        used = view.capacity.cpu_millis - view.free.cpu_millis if limit == 1 else 0
         together = min(tasks, view.free.fitting(task.phase.need))
-        return (avoided, -together, placement_round.rank(view, task))
+        return (avoided, neighbours, used, -together, placement_round.rank(view, task))
 
     return min(candidates, key=key, default=None)
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -7,55 +7,93 @@
 A crash takes everything on the upstream with it, so that one crash does not tell its
 cause from a bystander. A suspect is therefore started again only where no other suspect
 runs. If that upstream crashes too, the cause is known and the job is not started again.
+The jobs of a queue with such tasks are isolated from the start (see `queue_guard`).
 """
 
 from enum import Enum
 
 from ..state.crash_records import Evidence
 from .isolated_placement import place_isolated
+from .queue_guard import QueueGuards, shard
 
-__all__ = ["Isolation", "Verdict"]
+__all__ = ["Isolation", "IsolationRound", "Verdict"]
+
+# Part of the executors for guarded queues that must accept work before a job that has
+# probably crashed one of them is started a second time.
+_RETRY_SHARE = 0.5
 
 
 class Verdict(Enum):
-    """What becomes of a job whose task was lost in a crash, or that is submitted."""
+    """What becomes of a job that is submitted or has lost a task in a crash.
+
+    The value is the reason for the job's outcome.
+    """
 
     START = ""
     # A task crashed several upstreams.
     CONDEMNED = "crashes upstreams"
+    # A task has probably crashed an upstream, and too few are left for another start.
+    GIVEN_UP = "upstream crashed"
 
 
 class Isolation:
     """Isolation of the jobs of one entry.
 
     Args:
-        records: `CrashRecords` of the process.
+        relay: `CrashRelay` of the process.
         placement: `Placement`.
+        jobs: `Job` by identifier; the scheduler changes this dict.
     """
 
-    def __init__(self, records, placement):
-        self._records = records
+    def __init__(self, relay, placement, jobs):
+        self._records = relay.records
         self._placement = placement
+        self._jobs = jobs
+        self._guards = QueueGuards()
+        relay.on_crash(self._on_crash)
 
-    def verdict(self, job, now):
+    def verdict(self, job, views, now):
         """Returns the `Verdict` on a job.
 
         Args:
             job: `Job`.
+            views: `LeasedView` of each connected executor.
             now: Time, seconds.
         """
-        if self._records.is_condemned(job.request.job_id):
+        job_id = job.request.job_id
+        if self._records.is_condemned(job_id):
             return Verdict.CONDEMNED
+        if self._records.suspicion(job_id) < Evidence.LIKELY:
+            return Verdict.START
+        if not self._guards.is_guarded(job.queue.name, now):
+            return Verdict.START
+        accepting = [view.accepting for view in _shard_views(job.queue.service, views)]
+        if sum(accepting) < _RETRY_SHARE * len(accepting):
+            return Verdict.GIVEN_UP
         return Verdict.START
 
+    def is_without_executors(self, job, views, now):
+        """Returns whether all executors for the job's guarded queue are down."""
+        if not self._guards.is_guarded(job.queue.name, now):
+            return False
+        return not any(
+            view.accepting for view in _shard_views(job.queue.service, views)
+        )
+
     def limit(self, job, now):
         """Returns how many isolated jobs may run beside a job, itself included.
 
         Returns:
             int: 0 if the job need not be isolated.
         """
-        suspicion = self._records.suspicion(job.request.job_id)
-        return 1 if suspicion > Evidence.BYSTANDER else 0
+        if self._records.suspicion(job.request.job_id) > Evidence.BYSTANDER:
+            return 1
+        return self._guards.limit(job.queue.name, now)
+
+    def on_done(self, job, now):
+        """Records that a job has been completed."""
+        if any(task.isolation_limit for task in job.tasks):
+            self._guards.add_outcome(job.queue.name, 0.0, now)
 
     def begin_round(self, views, now):
         """Returns an `IsolationRound` for the current state of the executors.
@@ -64,27 +102,65 @@
             views: `LeasedView` of each connected executor.
             now: Time, seconds.
         """
-        return IsolationRound(self, self._placement.begin_round(views, now), now)
+        views = list(views)
+        is_active = self._records.has_recent(now) or self._guards.services(now)
+        return IsolationRound(self, self._placement, views, bool(is_active), now)
+
+    def is_guarded(self, job, now):
+        """Returns whether a job's queue is guarded."""
+        return self._guards.is_guarded(job.queue.name, now)
+
+    def guarded_services(self, now):
+        """Returns the services with a guarded queue."""
+        return self._guards.services(now)
+
+    def _on_crash(self, crash, now):
+        self._guards.on_crash(crash, self._records.is_condemned, now)
+        suspects = [job for job in crash.jobs if job.evidence > Evidence.BYSTANDER]
+        for job in suspects:
+            if job.job_id in self._jobs:
+                self._guards.add_outcome(job.queue, 1.0 / len(suspects), now)
 
 
 class IsolationRound:
-    """Places tasks by the isolation of their jobs.
+    """Snapshot of the executors that keeps isolated jobs and the others apart.
 
     Args:
         isolation: `Isolation`.
-        everywhere: `PlacementRound` of all executors.
+        placement: `Placement`.
+        views: `LeasedView` of each connected executor.
+        is_active: Whether any job may have to be isolated.
         now: Time, seconds.
     """
 
-    def __init__(self, isolation, everywhere, now):
+    def __init__(self, isolation, placement, views, is_active, now):
         self._isolation = isolation
-        self._everywhere = everywhere
         self._now = now
+        self._everywhere = placement.begin_round(views, now)
+        # Rounds of the executors for guarded queues and of those without isolated jobs.
+        self._guarded = self._safe = None
+        if is_active:
+            reserved = {
+                view
+                for service in isolation.guarded_services(now)
+                for view in _shard_views(service, views)
+            }
+            safe = [
+                view
+                for view in views
+                if view not in reserved and not view.isolated_jobs_beside(None)
+            ]
+            self._guarded = placement.begin_round(reserved, now)
+            self._safe = placement.begin_round(safe, now)
 
     def may_place(self, job):
         """Returns whether an executor has enough free CPU for a task of a job."""
         return self._everywhere.may_place(job)
 
+    def can_meet_objective(self, job):
+        """Returns whether a job without a start can still meet its objective."""
+        return self._round_of(job).can_meet_objective(job)
+
     def place(self, job, number):
         """Yields (task, view) for the tasks of a phase that an executor can start.
 
@@ -92,6 +168,19 @@
         """
         limit = self._isolation.limit(job, self._now)
         if limit:
-            yield from place_isolated(job, number, limit, self._everywhere)
-        else:
-            yield from self._everywhere.place(job, number)
+            yield from place_isolated(job, number, limit, self._round_of(job))
+            return
+        if self._safe is not None and self._safe.can_be_on_time(job, number):
+            yield from self._safe.place(job, number)
+        yield from self._everywhere.place(job, number)
+
+    def _round_of(self, job):
+        if self._guarded is None or not self._isolation.is_guarded(job, self._now):
+            return self._everywhere
+        return self._guarded
+
+
+def _shard_views(service, views):
+    of_service = [v for v in views if v.service == service and v.capacity_known]
+    names = shard([view.name for view in of_service])
+    return [view for view in of_service if view.name in names]
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -278,6 +278,15 @@
         latest_start = job.objective_at - job.critical_path_s() - _OVERHEAD_S
         return self._now <= latest_start and self.serves(job.queue.service)
 
+    def can_be_on_time(self, job, number):
+        """Returns whether a task of a phase that starts now can meet the objective."""
+        if not self.serves(job.queue.service):
+            return False
+        expected_s = job.request.phases[number].expected_s
+        fastest_s = self._min_ratio(job.queue) * expected_s + _OVERHEAD_S
+        after_s = job.critical_path_after_s(number)
+        return self._now + fastest_s + after_s <= job.objective_at
+
     def _heap(self, task):
         phase = task.phase
         demand = (task.job.queue.service, phase.need)
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -9,6 +9,7 @@
 """
 
 import logging
+import random
 
 import gevent
 from gevent.event import Event
@@ -40,6 +41,9 @@
 # if it can no longer meet the objective.
 _REFUSAL_SHARE = 0.22
 _RETRY_AFTER_S = 1.0
+# Range of the delay if upstreams have to restart first; it spreads the return of the
+# callers.
+_RESTART_RETRY_AFTER_S = (1.0, 4.0)
 # Time for which an executor gets work only if no other can take it, after at least
 # half of its runs were reported as slow.
 _SLOW_EXECUTOR_PENALTY_S = 0.6
@@ -74,7 +78,7 @@
         self._speeds = SpeedEstimates()
         self._ejection = Ejection()
         self._placement = Placement(self._speeds, self._ejection, is_domain_out)
-        self._isolation = Isolation(self._crashes.records, self._placement)
+        self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._wakeup = Event()
         gevent.spawn(self._run)
         gevent.spawn(self._tick)
@@ -120,12 +124,13 @@
         job.callers += 1
         if self._closing_at is not None and self._ends_after_close(job, now):
             self._end_early(job, "closing", now)
-        elif self._isolation.verdict(job, now) is Verdict.CONDEMNED:
-            self.end(job, "failed", Verdict.CONDEMNED.value, now)
-        elif not job.started:
+        elif not self._end_if_crashing(job, now) and not job.started:
             reason = self._placement.unservable_reason(job, self._views.values(), now)
             if reason:
                 self.end(job, "not_run", reason, now, _RETRY_AFTER_S)
+            elif self._isolation.is_without_executors(job, self._views.values(), now):
+                retry_after_s = random.uniform(*_RESTART_RETRY_AFTER_S)
+                self.end(job, "not_run", "upstreams crashed", now, retry_after_s)
         return job
 
     def remove_caller(self, job, now):
@@ -257,11 +262,18 @@
             if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
             self._requeue(task, reason, now)
-        elif self._isolation.verdict(task.job, now) is Verdict.CONDEMNED:
-            self.end(task.job, "failed", Verdict.CONDEMNED.value, now)
-        else:
+        elif not self._end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
+    def _end_if_crashing(self, job, now):
+        """Ends a job that must not be started again; returns whether it was ended."""
+        verdict = self._isolation.verdict(job, self._views.values(), now)
+        if verdict is Verdict.START:
+            return False
+        kind = "failed" if verdict is Verdict.CONDEMNED else "unknown"
+        self.end(job, kind, verdict.value, now)
+        return True
+
     def _on_slow_runs(self, view, slow_runs, now):
         """Moves stalled and slow runs to other executors with free capacity."""
         slow = [
@@ -310,6 +322,7 @@
         )
         self._record_outcome(view, task, True, now)
         if job.on_task_done(task):
+            self._isolation.on_done(job, now)
             self.end(job, "completed", "", now)
         elif job.has_waiting_tasks:
             # The phases that depend on the finished phase are now ready.
@@ -426,6 +439,7 @@
                 int(task.phase.expected_s * 1000),
                 job.queue.name,
                 task.isolation_limit,
+                self._isolation.is_guarded(job, now),
             )
         groups[key].starts.append(ttypes.TaskStart(task.name, task.run))
 
@@ -434,7 +448,7 @@
             gevent.sleep(_TICK_S)
             now = clock.now()
             self._check_lost(now)
-            placement_round = self._placement.begin_round(self._views.values(), now)
+            placement_round = self._isolation.begin_round(self._views.values(), now)
             for view in self._views.values():
                 view.link.relaxed = not view.tasks
             for job in list(self._jobs.values()):
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -288,6 +288,7 @@
             group.request_id,
             group.queue or "",
             group.isolation_limit or 0,
+            bool(group.guarded),
             (group.expected_ms or 0) / 1000.0,
             (group.declared_ms or 0) / 1000.0,
             now,
@@ -438,7 +439,7 @@
             runs = self._runs.values()
             log_crash(self._state.key, reason, runs, now)
             # The notice precedes the ends, so that an entry knows why they were lost.
-            self._crashes.publish(crash_of(self._state.key, runs, now), now)
+            self._crashes.publish(crash_of(self._state, runs, now), now)
         for run in list(self._runs.values()):
             self._finish(run, "lost", now)
         log.info("session_closed", extra={"reason": reason})
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -58,18 +58,14 @@
         has_label = not phase.label or phase.label in self.labels
         return has_label and self.capacity.covers(phase.need)
 
-    @property
-    def isolated_jobs(self):
-        """Number of isolated jobs that run there."""
-        return len(self._own_isolated_jobs()) + self.isolated_peer_jobs
-
-    def may_isolate(self, job, limit):
-        """Returns whether a job may run there with at most `limit` isolated jobs."""
-        others = self._own_isolated_jobs() - {job}
-        return len(others) + self.isolated_peer_jobs < limit
+    def isolated_jobs_beside(self, job):
+        """Returns the number of isolated jobs that run there, without one of them.
 
-    def _own_isolated_jobs(self):
-        return {task.job for task in self.tasks.values() if task.isolation_limit}
+        Args:
+            job: `Job` that is not counted; None to count all.
+        """
+        own = {task.job for task in self.tasks.values() if task.isolation_limit}
+        return len(own - {job}) + self.isolated_peer_jobs
 
     def next_batch(self):
         """Returns the number of the next batch of starts."""
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -223,8 +223,10 @@
             now = clock.now()
             self._replies.on_no_reply(now)
             self._set_silent(self._replies.is_silent(now))
-            # A connection that fails at once would else be retried in a tight loop.
-            gevent.sleep(max(0.0, sent_at + timeout_s - now))
+            # A connection that fails at once would else be retried in a tight loop. The
+            # first retry is not delayed: it shows whether the upstream has crashed.
+            if attempt:
+                gevent.sleep(max(0.0, sent_at + timeout_s - now))
             raise
         now = clock.now()
         if not wait_s:
@@ -365,7 +367,7 @@
             reply = self._try_poll(request, attempt)
             attempt = attempt + 1 if reply is None else 0
             if reply is None:
-                gevent.sleep(_RETRY_S)
+                gevent.sleep(_RETRY_S if attempt > 1 else 0.0)
             elif reply.outcome == "ok":
                 self._acked_end = acked
             elif reply.outcome == "fenced":
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -639,6 +639,7 @@
      - declared_ms
      - queue
      - isolation_limit
+     - guarded
 
     """
 
@@ -652,10 +653,11 @@
         'declared_ms',
         'queue',
         'isolation_limit',
+        'guarded',
     )
 
 
-    def __init__(self, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None, starts=None, declared_ms=None, queue=None, isolation_limit=None,):
+    def __init__(self, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None, starts=None, declared_ms=None, queue=None, isolation_limit=None, guarded=None,):
         self.spec = spec
         self.need = need
         self.expires_ms = expires_ms
@@ -665,6 +667,7 @@
         self.declared_ms = declared_ms
         self.queue = queue
         self.isolation_limit = isolation_limit
+        self.guarded = guarded
 
 
 class StartBatch(TBase):
@@ -832,21 +835,21 @@
     Attributes:
      - queue
      - tasks
-     - isolated
+     - evidence
 
     """
 
     __slots__ = (
         'queue',
         'tasks',
-        'isolated',
+        'evidence',
     )
 
 
-    def __init__(self, queue=None, tasks=None, isolated=None,):
+    def __init__(self, queue=None, tasks=None, evidence=None,):
         self.queue = queue
         self.tasks = tasks
-        self.isolated = isolated
+        self.evidence = evidence
 
 
 class CrashNotice(TBase):
@@ -855,6 +858,7 @@
      - upstream
      - age_ms
      - jobs
+     - service_name
 
     """
 
@@ -862,13 +866,15 @@
         'upstream',
         'age_ms',
         'jobs',
+        'service_name',
     )
 
 
-    def __init__(self, upstream=None, age_ms=None, jobs=None,):
+    def __init__(self, upstream=None, age_ms=None, jobs=None, service_name=None,):
         self.upstream = upstream
         self.age_ms = age_ms
         self.jobs = jobs
+        self.service_name = service_name
 
 
 class CrashNotices(TBase):
@@ -1111,6 +1117,7 @@
     (7, TType.I32, 'declared_ms', None, None, ),  # 7
     (8, TType.STRING, 'queue', 'UTF8', None, ),  # 8
     (9, TType.I32, 'isolation_limit', None, None, ),  # 9
+    (10, TType.BOOL, 'guarded', None, None, ),  # 10
 )
 all_structs.append(StartBatch)
 StartBatch.thrift_spec = (
@@ -1168,7 +1175,7 @@
     None,  # 0
     (1, TType.STRING, 'queue', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 2
-    (3, TType.BOOL, 'isolated', None, None, ),  # 3
+    (3, TType.I32, 'evidence', None, None, ),  # 3
 )
 all_structs.append(CrashNotice)
 CrashNotice.thrift_spec = (
@@ -1176,6 +1183,7 @@
     (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.LIST, 'jobs', (TType.STRUCT, [CrashedJob, None], False), None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
 )
 all_structs.append(CrashNotices)
 CrashNotices.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -195,6 +195,7 @@
   7: i32 declared_ms
   8: string queue
   9: i32 isolation_limit
+  10: bool guarded
 }
 
 struct StartBatch {
@@ -247,11 +248,12 @@
   1: list<string> tasks
 }
 
-// The tasks of one job that ran on an upstream when it crashed.
+// The tasks of one job that ran on an upstream when it crashed. `evidence` is a value of
+// `Evidence` (see crash_records.py).
 struct CrashedJob {
   1: string queue
   2: list<string> tasks
-  3: bool isolated
+  3: i32 evidence
 }
 
 // An upstream that ended without notice. `upstream` names the instance, so that each
@@ -260,6 +262,7 @@
   1: string upstream
   2: i32 age_ms
   3: list<CrashedJob> jobs
+  4: string service_name
 }
 
 struct CrashNotices {
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -15,19 +15,27 @@
 # within seconds.
 _RECORD_TTL_S = 60.0
 _MAX_CRASHES = 500
-# Number of crashes under a task after which the task is not started again, if at
-# least one of them is strong evidence.
-_CONDEMNING_CRASHES = 2
+# Time in which the jobs that ran on a crashed upstream are expected to end.
+_RECENT_S = 5.0
+# Crashes under a task after which it is not started again if the evidence of one is
+# strong. Without strong evidence it takes one more, and as many that are likely.
+_MIN_CRASHES = 2
 
 
 class Evidence(IntEnum):
-    """How strongly one crash points to a task that ran on the upstream."""
+    """How strongly one crash points to a job that ran on the upstream.
 
-    # An isolated job ran beside the task and is the more likely cause.
+    The values are part of the protocol between the processes.
+    """
+
+    # Other jobs there are more likely causes.
     BYSTANDER = 0
+    # One of the last to start if none was isolated there, or one of several isolated.
     SUSPECT = 1
-    # The task's job was the only isolated one on the upstream.
-    STRONG = 2
+    # The only isolated job there.
+    LIKELY = 2
+    # In addition, no other job ran there, or the queue's jobs have crashed upstreams.
+    STRONG = 3
 
 
 @dataclass(frozen=True)
@@ -37,12 +45,12 @@
     Attributes:
         queue: Name of the job's queue.
         tasks: Names of the tasks.
-        isolated: Whether the job was isolated there.
+        evidence: `Evidence` against the job.
     """
 
     queue: str
     tasks: tuple
-    isolated: bool = False
+    evidence: Evidence
 
     @property
     def job_id(self):
@@ -56,23 +64,16 @@
 
     Attributes:
         upstream: Key of the instance.
+        service: Service of the upstream.
         at: Time of the crash, seconds.
         jobs: `CrashedJob` of each job that ran there.
     """
 
     upstream: str
+    service: str
     at: float
     jobs: tuple
 
-    def evidence(self, job):
-        """Returns the `Evidence` against one of the jobs."""
-        isolated = sum(other.isolated for other in self.jobs)
-        if not isolated:
-            return Evidence.SUSPECT
-        if not job.isolated:
-            return Evidence.BYSTANDER
-        return Evidence.STRONG if isolated == 1 else Evidence.SUSPECT
-
 
 def job_id_of(task):
     """Returns the identifier of the job that a task belongs to."""
@@ -101,7 +102,7 @@
         for job in crash.jobs:
             tasks = self._jobs.setdefault(job.job_id, {})
             for task in job.tasks:
-                tasks.setdefault(task, {})[crash.upstream] = crash.evidence(job)
+                tasks.setdefault(task, {})[crash.upstream] = job.evidence
         if len(self._crashes) > _MAX_CRASHES:
             self._remove_oldest()
         return True
@@ -114,14 +115,19 @@
             self._remove_oldest()
 
     def all(self):
-        """Returns each `Crash` that is remembered."""
+        """Returns each `Crash` that is remembered, in the order of their arrival."""
         return tuple(self._crashes.values())
 
+    def has_recent(self, now):
+        """Returns whether an upstream crashed in the last seconds."""
+        if not self._crashes:
+            return False
+        return now - next(reversed(self._crashes.values())).at < _RECENT_S
+
     def is_condemned(self, job_id):
         """Returns whether a job has a task that is not to be started again."""
         return any(
-            len(evidence) >= _CONDEMNING_CRASHES
-            and max(evidence.values()) is Evidence.STRONG
+            _is_condemning(tuple(evidence.values()))
             for evidence in self._jobs.get(job_id, {}).values()
         )
 
@@ -132,7 +138,7 @@
         """
         strongest = Evidence.BYSTANDER
         for evidence in self._jobs.get(job_id, {}).values():
-            if len(evidence) >= _CONDEMNING_CRASHES:
+            if len(evidence) > 1:
                 strongest = max(strongest, Evidence.SUSPECT)
             strongest = max(strongest, *evidence.values())
         return strongest
@@ -148,3 +154,12 @@
                     tasks.pop(task, None)
             if not tasks:
                 self._jobs.pop(job.job_id, None)
+
+
+def _is_condemning(evidence):
+    if len(evidence) < _MIN_CRASHES:
+        return False
+    if Evidence.STRONG in evidence:
+        return True
+    likely = sum(one >= Evidence.LIKELY for one in evidence)
+    return likely >= _MIN_CRASHES and len(evidence) > _MIN_CRASHES
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -16,12 +16,20 @@
 
 
 class CrashingTaskTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ended_at = {}
+
     def fleet(self, **options):
         fleet = LeasedFleet(**options)
         self.addCleanup(fleet.close)
         gevent.sleep(0.1)
         return fleet
 
+    def record_end(self, job):
+        job.finished.wait()
+        self.ended_at[job] = clock.now()
+
     def submit(self, entry, request, queue=None):
         return entry.submit(request, queue or job_queue(), clock.now())
 
@@ -34,3 +42,50 @@
         self.assertEqual("failed", outcome.outcome.kind)
         self.assertEqual(2, fleet.crashes)
         self.assertEqual(2, fleet.starts(DEADLY + ".0.0.0"))
+
+    def test_queue_whose_tasks_crash_upstreams_leaves_executors_to_the_others(self):
+        """Guards against one queue's tasks that keep all upstreams down."""
+        fleet = self.fleet(entries=2, executors=8, restart_s=3.0)
+        deadly_queue, other_queue = job_queue(name="deadly"), job_queue(name="other")
+        others, deadly = [], []
+        for number in range(60):
+            entry = fleet.entries[number % 2]
+            other = job(f"{number:016x}", "40", tasks=2, expected_s=0.04)
+            others.append(self.submit(entry, other, other_queue))
+            gevent.spawn(self.record_end, others[-1])
+            if number % 3 == 0:
+                task = job(f"dead{number:012x}", "deadly:20:0", tasks=3)
+                deadly.append(self.submit(entry, task, deadly_queue))
+            gevent.sleep(0.05)
+        gevent.sleep(1.0)
+        in_time = [
+            one
+            for one in others
+            if _kind(one) == "completed" and self.ended_at[one] - one.arrived_at < 0.5
+        ]
+        # All but the bystanders of the crashes before the queue is guarded.
+        self.assertGreaterEqual(len(in_time), 57)
+        starts = [fleet.starts(one.request.job_id + ".0.0.0") for one in deadly]
+        self.assertLessEqual(max(starts), 3)
+        self.assertNotIn("completed", [_kind(one) for one in deadly])
+
+    def test_resubmitted_job_that_crashed_upstreams_fails_at_another_entry(self):
+        """Guards against a count of crashes that begins anew at each entry."""
+        fleet = self.fleet(entries=2, executors=8)
+        request = job(DEADLY, "deadly:30:0")
+        self.submit(fleet.entries[0], request).finished.wait(2.0)
+        crashes = fleet.crashes
+        late_entry = fleet.add_entry()
+        gevent.sleep(0.05)
+        for entry in (fleet.entries[1], late_entry):
+            again = self.submit(entry, request)
+            self.assertEqual(("failed", "crashes upstreams"), _outcome(again))
+        self.assertEqual(crashes, fleet.crashes)
+
+
+def _kind(job):
+    return None if job.outcome is None else job.outcome.kind
+
+
+def _outcome(job):
+    return _kind(job), job.outcome.reason
