Isolate the jobs of a guarded queue more strictly

Change: more than one isolated job on an executor only if at most a tenth of the jobs would be lost as bystanders; a second start only while four fifths of the executors are up.

--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -20,7 +20,7 @@
 
 # Part of the executors for guarded queues that must accept work before a job that has
 # probably crashed one of them is started a second time.
-_RETRY_SHARE = 0.5
+_RETRY_SHARE = 0.8
 
 
 class Verdict(Enum):
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -26,7 +26,7 @@
 # Part of a service's executors that the guarded queues share.
 _SHARD_SHARE = 0.5
 # Largest part of a queue's jobs that may be lost as bystanders of its crashes.
-_BYSTANDER_SHARE = 0.3
+_BYSTANDER_SHARE = 0.1
 # Crashes and jobs that are assumed when a guard begins.
 _PRIOR_CRASHES = 1.0
 _PRIOR_JOBS = 10.0
