Close only the link after a heartbeat that cannot be handled

Cause: found while looking for other messages that take down each process that reads them: an exception in the handling of a heartbeat ended the dialling to the peer for good, since only the handling of other messages was guarded. Change: heartbeats are handled like other messages: the link is closed and dialled again. Measured: test_heartbeat_that_cannot_be_handled_does_not_end_the_dialling failed before (one link in 1 s) and passes.

--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -257,18 +257,11 @@
                 return
 
     def _dispatch(self, message, now):
-        if not isinstance(message, Heartbeat):
-            self._handle(message, now)
-            return
-        self.last_stamp_us = message.stamp_us
-        self._echoed_us = max(self._echoed_us, message.echo_us)
-        self._node.on_heartbeat(self, message, now)
-        if not self._dialled:
-            self.try_send(self._node.heartbeat(self, now))
-
-    def _handle(self, message, now):
         try:
-            self._node.on_message(self, message, now)
+            if isinstance(message, Heartbeat):
+                self._on_heartbeat(message, now)
+            else:
+                self._node.on_message(self, message, now)
         except Exception as error:
             # Caused by missing fields or by a fault in the handler. Only this link is
             # closed; the other links of this process are not affected.
@@ -278,6 +271,13 @@
             )
             raise FrameError(f"cannot handle {name}: {error}") from error
 
+    def _on_heartbeat(self, heartbeat, now):
+        self.last_stamp_us = heartbeat.stamp_us
+        self._echoed_us = max(self._echoed_us, heartbeat.echo_us)
+        self._node.on_heartbeat(self, heartbeat, now)
+        if not self._dialled:
+            self.try_send(self._node.heartbeat(self, now))
+
     def _write(self):
         while not self._closed.is_set():
             self._wakeup.wait()
