Skip a notice of a crash that cannot be read

Cause: one notice with an unknown value raised in the handler, which closes the link; the peer sends the same notice on the next link, so that one record cut each process off that read it. The same class of fault as the crashing task, between our own processes. Change: such a notice is skipped with a log line (crash_notice_ignored), the others count. Measured: test_notice_that_cannot_be_read_is_skipped fails on the parent (ValueError) and passes.

--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -54,7 +54,7 @@
         """Handles notices from a peer; returns whether the message holds any."""
         if not isinstance(message, ttypes.CrashNotices):
             return False
-        self._add([_from_notice(notice, now) for notice in message.notices], now, link)
+        self._add(_read_notices(message, now), now, link)
         return True
 
     def publish(self, crash, now):
@@ -99,6 +99,21 @@
     )
 
 
+def _read_notices(message, now):
+    """Returns the crashes of a message.
+
+    A notice that cannot be read is skipped. An exception would close the link, and the
+    peer would send the same notice on the next one.
+    """
+    crashes = []
+    for notice in message.notices or ():
+        try:
+            crashes.append(_from_notice(notice, now))
+        except (TypeError, ValueError) as error:
+            log.warning("crash_notice_ignored", extra={"error": str(error)})
+    return crashes
+
+
 def _from_notice(notice, now):
     jobs = tuple(
         CrashedJob(job.queue, tuple(job.tasks), Evidence(job.evidence))
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -9,7 +9,9 @@
 from testtools import TestCase
 
 from papayaward import clock
-from tests.leased_case import job_queue
+from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.protocol.gen import ttypes
+from tests.leased_case import FakeLink, job_queue
 from tests.leased_fleet import LeasedFleet, job
 
 DEADLY = "d" * 16
@@ -82,6 +84,17 @@
             self.assertEqual(("failed", "crashes upstreams"), _outcome(again))
         self.assertEqual(crashes, fleet.crashes)
 
+    def test_notice_that_cannot_be_read_is_skipped(self):
+        """Guards against a notice that closes each link on which it is sent."""
+        relay = CrashRelay()
+        good = ttypes.CrashNotice(
+            "u@1", 0, [ttypes.CrashedJob("q", ["j.0.0.0"], 1)], "s"
+        )
+        bad = ttypes.CrashNotice("u@2", 0, [ttypes.CrashedJob("q", ["k.0.0.0"], 99)])
+        message = ttypes.CrashNotices([bad, ttypes.CrashNotice(), good])
+        self.assertTrue(relay.on_message(FakeLink("r1"), message, clock.now()))
+        self.assertEqual(["u@1"], [crash.upstream for crash in relay.records.all()])
+
 
 def _kind(job):
     return None if job.outcome is None else job.outcome.kind
