Count a crash that takes the executor along with its upstream

Cause: only the executor told which tasks ran on a crashed upstream. If the task takes the VM down, nobody is left to tell, the task is requeued when its lease ends, and no crash is counted. Change: an entry that loses a link remembers its tasks there; if the executor is back with another upstream instance, the entry publishes the crash. Several entries may report the same crash, each with its own jobs: the records of one upstream are merged. Measured: test_crash_reported_by_several_entries_counts_the_jobs_of_each fails on the parent and passes. test_crash_of_upstream_and_executor_together_is_counted fails on the parent (no outcome after three crashes) and still fails here: the crashes are recorded now, but the job waits for an end that never comes.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -24,6 +24,7 @@
 from .job_placement import Placement
 from .job_state import DONE, LOST, SENT, WAITING, Job
 from .leased_views import LeasedView
+from .lost_upstreams import LostUpstreams
 from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
 from .speeds import SpeedEstimates
 
@@ -74,6 +75,7 @@
         self._waiting = {}
         self._views = {}
         self._lost = {}
+        self._lost_upstreams = LostUpstreams()
         self._closing_at = None
         self._speeds = SpeedEstimates()
         self._ejection = Ejection()
@@ -189,6 +191,7 @@
         for task in tasks:
             task.state = LOST
         if tasks:
+            self._lost_upstreams.remember(view, tasks, now)
             lost = self._lost.setdefault((view.name, link.peer.incarnation), [])
             lost.append((now + _LOST_RUN_S, tasks))
             log.warning(
@@ -204,6 +207,9 @@
             if message.room is not None:
                 view.on_capacity_report(message.room)
                 self._learn_from_peers(view, message.room, now)
+                crash = self._lost_upstreams.crash_of_previous(view, now)
+                if crash is not None:
+                    self._crashes.publish(crash, now)
             for end in message.ends:
                 self._on_end(view, end, now)
             if message.slow:
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -439,7 +439,8 @@
             runs = self._runs.values()
             log_crash(self._state.key, reason, runs, now)
             # The notice precedes the ends, so that an entry knows why they were lost.
-            self._crashes.publish(crash_of(self._state, runs, now), now)
+            crash = crash_of(self._state.key, self._state.service, runs, now)
+            self._crashes.publish(crash, now)
         for run in list(self._runs.values()):
             self._finish(run, "lost", now)
         log.info("session_closed", extra={"reason": reason})
--- /dev/null
+++ b/papayaward/coordination/lost_upstreams.py
@@ -0,0 +1,76 @@
+"""
+papayaward.coordination.lost_upstreams
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Notices that an upstream has crashed together with the executor's process.
+
+Nobody is left then to tell what ran there. An entry that lost the link remembers its
+own tasks, and finds another upstream instance when the executor is back.
+"""
+
+from dataclasses import dataclass
+
+from .upstream_crashes import LostRun, crash_of
+
+__all__ = ["LostUpstreams"]
+
+# Time in which a VM is expected to return.
+_RETURN_S = 20.0
+_MAX_UPSTREAMS = 500
+
+
+@dataclass(frozen=True)
+class _Lost:
+    upstream: str
+    service: str
+    runs: tuple
+    lost_at: float
+
+
+class LostUpstreams:
+    """Upstreams of executors whose link was lost while they ran tasks of this entry."""
+
+    def __init__(self):
+        self._lost = {}
+
+    def remember(self, view, tasks, now):
+        """Remembers what ran on an upstream.
+
+        Args:
+            view: `LeasedView` of the executor.
+            tasks: `Task` of each task that was sent there and has not ended.
+            now: Time, seconds.
+        """
+        self._lost = {
+            name: lost
+            for name, lost in self._lost.items()
+            if now - lost.lost_at < _RETURN_S
+        }
+        if view.upstream and len(self._lost) < _MAX_UPSTREAMS:
+            runs = tuple(_to_run(task) for task in tasks)
+            self._lost[view.name] = _Lost(view.upstream, view.service, runs, now)
+
+    def crash_of_previous(self, view, now):
+        """Returns the `Crash` of the upstream before the present one, if it crashed.
+
+        Args:
+            view: `LeasedView` of an executor that has reported its upstream.
+            now: Time, seconds.
+        """
+        if not view.upstream or view.name not in self._lost:
+            return None
+        lost = self._lost.pop(view.name)
+        if lost.upstream == view.upstream or now - lost.lost_at >= _RETURN_S:
+            return None
+        return crash_of(lost.upstream, lost.service, lost.runs, lost.lost_at)
+
+
+def _to_run(task):
+    return LostRun(
+        task.name,
+        task.job.queue.name,
+        isolated=task.isolation_limit > 0,
+        guarded=False,
+        running=True,
+        started_at=task.sent_at,
+    )
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -6,11 +6,12 @@
 """
 
 import logging
+from dataclasses import dataclass
 
 from ..state import metrics
 from ..state.crash_records import Crash, CrashedJob, Evidence, job_id_of
 
-__all__ = ["crash_of", "log_crash"]
+__all__ = ["LostRun", "crash_of", "log_crash"]
 
 log = logging.getLogger(__name__)
 
@@ -50,13 +51,35 @@
     )
 
 
-def crash_of(state, runs, now):
+@dataclass(frozen=True)
+class LostRun:
+    """A run on a crashed upstream, as far as it tells who caused the crash.
+
+    Attributes:
+        task: Name of the task.
+        queue: Name of its job's queue.
+        isolated: Whether the job was isolated there.
+        guarded: Whether the queue is guarded.
+        running: Whether the upstream has accepted the start.
+        started_at: Time of the start, seconds.
+    """
+
+    task: str
+    queue: str
+    isolated: bool
+    guarded: bool
+    running: bool
+    started_at: float
+
+
+def crash_of(upstream, service, runs, at):
     """Returns the `Crash` of an upstream.
 
     Args:
-        state: Its `UpstreamState`.
-        runs: `Run` of each run that was lost.
-        now: Time, seconds.
+        upstream: Key of the upstream instance.
+        service: Its service.
+        runs: `LostRun` or `Run` of each run that was lost.
+        at: Time of the crash, seconds.
     """
     by_job = {}
     for run in sorted(runs, key=_suspicion, reverse=True):
@@ -70,7 +93,7 @@
         )
         for rank, (job_id, job_runs) in enumerate(by_job.items())
     )
-    return Crash(state.key, state.service, now, jobs)
+    return Crash(upstream, service, at, jobs)
 
 
 def _suspicion(run):
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import IntEnum
 
 __all__ = ["Crash", "CrashRecords", "CrashedJob", "Evidence", "job_id_of"]
@@ -89,24 +89,39 @@
         self._jobs = {}
 
     def add(self, crash, now):
-        """Adds a crash and returns whether it was not known yet.
+        """Adds a crash and returns whether it holds anything new.
+
+        If the executor ended with its upstream, several entries report the same crash,
+        each with its own jobs.
 
         Args:
             crash: `Crash`.
             now: Time, seconds.
         """
         self.expire(now)
-        if crash.upstream in self._crashes or now - crash.at > _RECORD_TTL_S:
+        if now - crash.at > _RECORD_TTL_S:
+            return False
+        known = self._crashes.get(crash.upstream)
+        if known is None:
+            self._crashes[crash.upstream] = crash
+        elif not self._merge(known, crash):
             return False
-        self._crashes[crash.upstream] = crash
         for job in crash.jobs:
             tasks = self._jobs.setdefault(job.job_id, {})
             for task in job.tasks:
-                tasks.setdefault(task, {})[crash.upstream] = job.evidence
+                evidence = tasks.setdefault(task, {})
+                evidence.setdefault(crash.upstream, job.evidence)
         if len(self._crashes) > _MAX_CRASHES:
             self._remove_oldest()
         return True
 
+    def _merge(self, known, crash):
+        """Adds the jobs of a crash that is known; returns whether any is new."""
+        job_ids = {job.job_id for job in known.jobs}
+        new = tuple(job for job in crash.jobs if job.job_id not in job_ids)
+        self._crashes[crash.upstream] = replace(known, jobs=known.jobs + new)
+        return bool(new)
+
     def expire(self, now):
         """Forgets old crashes."""
         while self._crashes:
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -56,15 +56,17 @@
         name: Name of the executor.
         cores: Capacity of the upstream.
         restart_s: Time from a crash to the report of the next instance, seconds.
+        number: Number of earlier instances.
     """
 
-    def __init__(self, name, cores=8, restart_s=0.5):
+    def __init__(self, name, cores=8, restart_s=0.5, number=0):
         self.name = name
+        self.number = number
+        self.entry_links = []
         self.crashes = 0
         self.records = []
         self._cores = cores
         self._restart_s = restart_s
-        self._number = 0
         self._upstream = None
         self.crash_relay = CrashRelay()
         self.executor = LeasedExecutor(self, lambda domain: False, self.crash_relay)
@@ -74,13 +76,17 @@
         # The client of the executor: requests go to the present instance.
         return getattr(self._upstream, name)
 
+    def runs(self, task):
+        """Returns whether a task runs on the present instance."""
+        return any(name == task for name, _ in self._upstream.running)
+
     def _begin(self):
-        self._number += 1
-        instance = f"{self.name}-{self._number}"
+        self.number += 1
+        instance = f"{self.name}-{self.number}"
         self._upstream = LeasedUpstream(
             instance, records=self.records, on_crash=self._on_crash
         )
-        state = upstream_state(instance, self._cores, born_ms=self._number)
+        state = upstream_state(instance, self._cores, born_ms=self.number)
         self.executor.on_upstream_report(state, clock.now())
 
     def _on_crash(self):
@@ -100,6 +106,7 @@
     def __init__(self, entries=1, executors=6, **options):
         self.upstreams = [LocalUpstream(f"r{i}", **options) for i in range(executors)]
         self.entries = []
+        self._relays = []
         self._links = []
         self._greenlet = gevent.spawn(self._send_heartbeats)
         for _ in range(entries):
@@ -121,10 +128,26 @@
         entry = JobScheduler(lambda domain: False, relay)
         name = f"e{len(self.entries)}"
         self.entries.append(entry)
+        self._relays.append(relay)
         for upstream in self.upstreams:
             self._connect(name, entry, relay, upstream)
         return entry
 
+    def running(self, task):
+        """Returns each upstream on which a task runs."""
+        return [upstream for upstream in self.upstreams if upstream.runs(task)]
+
+    def replace(self, upstream):
+        """Replaces an upstream and the process beside it by new ones."""
+        for entry, executor_link, entry_link in upstream.entry_links:
+            entry_link.closed = True
+            entry.on_link_down(executor_link, clock.now())
+        upstream.crash()
+        new = LocalUpstream(upstream.name, number=upstream.number)
+        self.upstreams[self.upstreams.index(upstream)] = new
+        for number, entry in enumerate(self.entries):
+            self._connect(f"e{number}", entry, self._relays[number], new)
+
     def close(self):
         """Ends the heartbeats."""
         self._greenlet.kill()
@@ -143,6 +166,7 @@
         entry_link = _Link(_peer(name, "entry"), to_entry)
         executor_link = _Link(_peer(upstream.name, "runner"), to_executor)
         self._links.append((executor, entry_link))
+        upstream.entry_links.append((entry, executor_link, entry_link))
         relay.on_link_up(executor_link, clock.now())
         executor_relay.on_link_up(entry_link, clock.now())
         entry.on_link_up(executor_link, clock.now())
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -11,6 +11,7 @@
 from papayaward import clock
 from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.protocol.gen import ttypes
+from papayaward.state.crash_records import Crash, CrashedJob, Evidence
 from tests.leased_case import FakeLink, job_queue
 from tests.leased_fleet import LeasedFleet, job
 
@@ -84,6 +85,38 @@
             self.assertEqual(("failed", "crashes upstreams"), _outcome(again))
         self.assertEqual(crashes, fleet.crashes)
 
+    def test_crash_of_upstream_and_executor_together_is_counted(self):
+        """Guards against a task that takes the process beside the upstream along."""
+        fleet = self.fleet(executors=4)
+        outcome = self.submit(
+            fleet.entries[0], job(DEADLY, "9000", expected_s=9.0, timeout_s=20.0)
+        )
+        starts = []
+        for _ in range(3):
+            self.wait_for(lambda: fleet.running(DEADLY + ".0.0.0"))
+            upstream = fleet.running(DEADLY + ".0.0.0")[0]
+            starts.append(upstream.name)
+            fleet.replace(upstream)
+            gevent.sleep(1.2)
+            if outcome.outcome is not None:
+                break
+        self.assertEqual(("failed", "crashes upstreams"), _outcome(outcome))
+        self.assertLessEqual(len(starts), 3)
+
+    def test_crash_reported_by_several_entries_counts_the_jobs_of_each(self):
+        """Guards against an entry whose jobs go uncounted because another was first."""
+        relay = CrashRelay()
+        for job_id in ("a", "b", "a"):
+            relay.publish(crash("u@1", f"{job_id}.0.0.0"), clock.now())
+        for job_id in ("a", "b"):
+            self.assertEqual(Evidence.STRONG, relay.records.suspicion(job_id))
+
+    def wait_for(self, condition):
+        until = clock.now() + 2.0
+        while not condition():
+            self.assertLess(clock.now(), until, "condition not met in time")
+            gevent.sleep(0.005)
+
     def test_notice_that_cannot_be_read_is_skipped(self):
         """Guards against a notice that closes each link on which it is sent."""
         relay = CrashRelay()
@@ -96,6 +129,11 @@
         self.assertEqual(["u@1"], [crash.upstream for crash in relay.records.all()])
 
 
+def crash(upstream, *tasks, evidence=Evidence.STRONG):
+    jobs = tuple(CrashedJob("q", (task,), evidence) for task in tasks)
+    return Crash(upstream, "dispatch", clock.now(), jobs)
+
+
 def _kind(job):
     return None if job.outcome is None else job.outcome.kind
 
