End a job as soon as one of its tasks must not be started again

Cause: an entry looked at the evidence only when it got the end of its own run. Change: a refusal as crashing is final; each new notice of a crash ends the jobs it condemns.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -55,6 +55,11 @@
 _ALL_QUEUES = ""
 # Prefix of the outcome of a start that did not lead to a run; the reason follows.
 _NOT_RUN_PREFIX = "not_run:"
+# Reasons for which no executor will ever run a task, with the reason of the outcome.
+_FINAL_REASONS = {
+    "invalid": "rejected by the upstream",
+    "crashing": Verdict.CONDEMNED.value,
+}
 # Reasons for which an executor refuses a start that it may accept a moment later.
 _NO_ROOM_REASONS = ("busy", "not_isolated")
 
@@ -81,6 +86,7 @@
         self._ejection = Ejection()
         self._placement = Placement(self._speeds, self._ejection, is_domain_out)
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
+        self._crashes.on_crash(self._on_crash)
         self._wakeup = Event()
         gevent.spawn(self._run)
         gevent.spawn(self._tick)
@@ -262,8 +268,8 @@
             self._on_failed(view, task, now)
         elif end.outcome.startswith(_NOT_RUN_PREFIX):
             reason = end.outcome.removeprefix(_NOT_RUN_PREFIX)
-            if reason == "invalid":
-                self.end(task.job, "failed", "rejected by the upstream", now)
+            if reason in _FINAL_REASONS:
+                self.end(task.job, "failed", _FINAL_REASONS[reason], now)
                 return
             if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
@@ -271,6 +277,12 @@
         elif not self._end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
+    def _on_crash(self, crash, now):
+        for crashed_job in crash.jobs:
+            job = self._jobs.get(crashed_job.job_id)
+            if job is not None:
+                self._end_if_crashing(job, now)
+
     def _end_if_crashing(self, job, now):
         """Ends a job that must not be started again; returns whether it was ended."""
         verdict = self._isolation.verdict(job, self._views.values(), now)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -11,9 +11,11 @@
 from testtools import TestCase
 
 from papayaward import clock
+from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import Phase, Resources
+from papayaward.state.crash_records import Crash, CrashedJob, Evidence
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 
 
@@ -21,7 +23,8 @@
     def setUp(self):
         super().setUp()
         self.domains_out = set()
-        self.scheduler = JobScheduler(self.domains_out.__contains__)
+        self.crashes = CrashRelay()
+        self.scheduler = JobScheduler(self.domains_out.__contains__, self.crashes)
         self.links = []
 
     def executor(self, name="r1", cores=4, incarnation=1, domain="a", linked_s=0.0):
@@ -166,6 +169,27 @@
         self.end(link, link.starts()[0], "not_run:busy")
         self.assertEqual([1, 2], [start.run for start in link.starts()])
 
+    def test_start_that_no_executor_accepts_fails_the_job(self):
+        """Guards against a task that is sent and refused until its deadline."""
+        link = self.executor()
+        job = self.submit()
+        self.end(link, link.starts()[0], "not_run:crashing")
+        self.assertEqual("failed", job.outcome.kind)
+        self.assertEqual(1, len(link.starts()))
+
+    def test_running_job_ends_when_another_process_reports_its_last_crash(self):
+        """Guards against a task that runs on although it will crash its upstream."""
+        link = self.executor()
+        job = self.submit(tasks=2)
+        task = link.starts()[0].task
+        for number in range(2):
+            crashed = CrashedJob("q", (task,), Evidence.STRONG)
+            crash = Crash(f"u{number}", "dispatch", clock.now(), (crashed,))
+            self.crashes.publish(crash, clock.now())
+        self.assertEqual("failed", job.outcome.kind)
+        stopped = [name for b in link.of_type(ttypes.StopBatch) for name in b.tasks]
+        self.assertEqual({start.task for start in link.starts()}, set(stopped))
+
     def test_stale_end_of_an_earlier_run_is_ignored(self):
         """Guards against ending a run because of a late report on an earlier run."""
         link = self.executor()
