Keep a job that is isolated alone from being joined by others

Cause: only the limit of the job that starts was looked at. A suspect that has to run alone could be joined by a job of the guarded queue that may have two neighbours; a crash then had two suspects, and both were started again. Change: the limits of the isolated jobs that already run there apply as well, at the executor and in the entry's choice. Measured: test_job_isolated_alone_is_not_joined_by_one_that_may_have_neighbours fails on the parent (the second start is accepted) and passes.

--- a/papayaward/coordination/isolated_placement.py
+++ b/papayaward/coordination/isolated_placement.py
@@ -37,7 +37,7 @@
     candidates = [
         view
         for view in placement_round.free_views(task)
-        if view.isolated_jobs_beside(task.job) < limit
+        if view.may_isolate(task.job, limit)
     ]
 
     def key(view):
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -16,7 +16,7 @@
 from ..state.crash_records import job_id_of
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
-from .leased_runs import Owner, Run, isolated_jobs
+from .leased_runs import Owner, Run, isolated_jobs, may_isolate
 from .upstream_crashes import crash_of, log_crash
 from .upstream_session import UpstreamSession
 
@@ -275,10 +275,9 @@
         job_id = job_id_of(start.task)
         if self._crashes.records.is_condemned(job_id):
             return "crashing"
-        if group.isolation_limit:
-            others = isolated_jobs(self._runs.values()) - {job_id}
-            if len(others) >= group.isolation_limit:
-                return "not_isolated"
+        limit = group.isolation_limit
+        if limit and not may_isolate(self._runs.values(), job_id, limit):
+            return "not_isolated"
         run = Run(
             start.task,
             start.run,
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -11,7 +11,7 @@
 from ..protocol.jobs import Resources
 from ..state.crash_records import job_id_of
 
-__all__ = ["Owner", "Run", "isolated_jobs"]
+__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate"]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -123,3 +123,18 @@
         for run in runs
         if run.isolated and run.owner is not excluded_owner
     }
+
+
+def may_isolate(runs, job_id, limit):
+    """Returns whether an isolated job may start beside some runs.
+
+    The limits of the isolated jobs that run there apply as well.
+
+    Args:
+        runs: `Run` of each run.
+        job_id: Identifier of the job.
+        limit: Number of isolated jobs that may run there, the job included.
+    """
+    others = [run for run in runs if run.isolated and job_id_of(run.task) != job_id]
+    limit = min([limit, *(run.isolation_limit for run in others)])
+    return len(isolated_jobs(others)) < limit
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -67,6 +67,20 @@
         own = {task.job for task in self.tasks.values() if task.isolation_limit}
         return len(own - {job}) + self.isolated_peer_jobs
 
+    def may_isolate(self, job, limit):
+        """Returns whether an isolated job may start there.
+
+        Args:
+            job: `Job`.
+            limit: Number of isolated jobs that may run there, the job included.
+        """
+        limits = [
+            task.isolation_limit
+            for task in self.tasks.values()
+            if task.isolation_limit and task.job is not job
+        ]
+        return self.isolated_jobs_beside(job) < min([limit, *limits])
+
     def next_batch(self):
         """Returns the number of the next batch of starts."""
         self._last_batch += 1
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -12,8 +12,8 @@
 from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.protocol.gen import ttypes
 from papayaward.state.crash_records import Crash, CrashedJob, Evidence
-from tests.leased_case import FakeLink, job_queue
-from tests.leased_fleet import LeasedFleet, job
+from tests.leased_case import FakeLink, job_queue, start_group
+from tests.leased_fleet import LeasedFleet, LocalUpstream, job
 
 DEADLY = "d" * 16
 
@@ -103,6 +103,22 @@
         self.assertEqual(("failed", "crashes upstreams"), _outcome(outcome))
         self.assertLessEqual(len(starts), 3)
 
+    def test_job_isolated_alone_is_not_joined_by_one_that_may_have_neighbours(self):
+        """Guards against crashes with two suspects, after which both start again."""
+        upstream = LocalUpstream("r1")
+        link = FakeLink("e1")
+        upstream.executor.on_link_up(link, clock.now())
+        gevent.sleep(0.05)
+        link.mark_alive()
+        upstream.executor.on_heartbeat(link, 0, clock.now())
+        for number, (task, limit) in enumerate((("a.0.0.0", 1), ("b.0.0.0", 3))):
+            group = start_group(task, work_ms=500)
+            group.isolation_limit = limit
+            batch = ttypes.StartBatch(number + 1, [group])
+            upstream.executor.on_message(link, batch, clock.now())
+        gevent.sleep(0.05)
+        self.assertEqual([("b.0.0.0", "not_run:not_isolated")], link.ends())
+
     def test_crash_reported_by_several_entries_counts_the_jobs_of_each(self):
         """Guards against an entry whose jobs go uncounted because another was first."""
         relay = CrashRelay()
