Do not start a task again after three crashes, whatever the evidence

Cause: a task that was never the only suspect (a bystander in the first crash, one of several suspects later) could collect crashes without an end. Change: three crashes under a task are enough by themselves; it ran isolated for the third. Measured: test_task_lost_in_three_crashes_is_not_started_again fails on the parent and passes.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -18,8 +18,10 @@
 # Time in which the jobs that ran on a crashed upstream are expected to end.
 _RECENT_S = 5.0
 # Crashes under a task after which it is not started again if the evidence of one is
-# strong. Without strong evidence it takes one more, and as many that are likely.
-_MIN_CRASHES = 2
+# strong, and regardless of the evidence: a task runs isolated after two crashes, so
+# that a third is hardly a coincidence.
+_CRASHES_IF_STRONG = 2
+_MAX_TASK_CRASHES = 3
 
 
 class Evidence(IntEnum):
@@ -172,9 +174,6 @@
 
 
 def _is_condemning(evidence):
-    if len(evidence) < _MIN_CRASHES:
-        return False
-    if Evidence.STRONG in evidence:
+    if len(evidence) >= _MAX_TASK_CRASHES:
         return True
-    likely = sum(one >= Evidence.LIKELY for one in evidence)
-    return likely >= _MIN_CRASHES and len(evidence) > _MIN_CRASHES
+    return len(evidence) >= _CRASHES_IF_STRONG and Evidence.STRONG in evidence
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -119,6 +119,15 @@
         gevent.sleep(0.05)
         self.assertEqual([("b.0.0.0", "not_run:not_isolated")], link.ends())
 
+    def test_task_lost_in_three_crashes_is_not_started_again(self):
+        """Guards against a task that is never the only suspect and starts for ever."""
+        relay = CrashRelay()
+        for number, evidence in enumerate((0, 1, 1)):
+            self.assertFalse(relay.records.is_condemned("a"))
+            new = crash(f"u@{number}", "a.0.0.0", evidence=Evidence(evidence))
+            relay.publish(new, clock.now())
+        self.assertTrue(relay.records.is_condemned("a"))
+
     def test_crash_reported_by_several_entries_counts_the_jobs_of_each(self):
         """Guards against an entry whose jobs go uncounted because another was first."""
         relay = CrashRelay()
