Start a suspect on one executor at a time

Cause: the second start of a job that had crashed upstreams spread over all executors with room, each of which crashed (the model's first deadly job took five upstreams). Change: a job that may have crashed an upstream uses one executor at a time; its other tasks wait.

--- a/papayaward/coordination/isolated_placement.py
+++ b/papayaward/coordination/isolated_placement.py
@@ -7,10 +7,12 @@
 All tasks go to as few executors as possible: each of them may be lost with the job.
 """
 
+from .job_state import SENT
+
 __all__ = ["place_isolated"]
 
 
-def place_isolated(job, number, limit, placement_round):
+def place_isolated(job, number, limit, placement_round, one_executor):
     """Yields (task, view) for the tasks of a phase that an executor can start.
 
     The caller must reserve the capacity for each pair before it requests the next.
@@ -20,13 +22,18 @@
         number: Index of the phase.
         limit: Number of isolated jobs that may run on an executor, this one included.
         placement_round: `PlacementRound` of the executors to choose from.
+        one_executor: Whether the job may use only one executor at a time.
     """
     tasks = job.waiting_tasks(number)
     view = None
+    used = {task.executor for task in job.tasks if task.state is SENT}
     for position, task in enumerate(tasks):
         task.isolation_limit = limit
         if view is None or not placement_round.may_run(view, task):
             view = _choose(task, len(tasks) - position, limit, placement_round)
+            if one_executor and used and view not in used:
+                return
+            used.add(view)
         if view is None or not placement_round.should_start(view, task):
             return
         yield task, view
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -178,7 +178,13 @@
         """
         limit = self._isolation.limit(job, self._now)
         if limit:
-            yield from place_isolated(job, number, limit, self._round_of(job))
+            yield from place_isolated(
+                job,
+                number,
+                limit,
+                self._round_of(job),
+                one_executor=self._isolation.is_suspect(job),
+            )
             return
         if self._safe is not None and self._safe.can_be_on_time(job, number):
             yield from self._safe.place(job, number)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -190,6 +190,15 @@
         stopped = [name for b in link.of_type(ttypes.StopBatch) for name in b.tasks]
         self.assertEqual({start.task for start in link.starts()}, set(stopped))
 
+    def test_suspect_uses_one_executor_at_a_time(self):
+        """Guards against a second start of a job that crashes several upstreams."""
+        links = [self.executor(f"r{i}") for i in range(4)]
+        crashed = CrashedJob("q", ("0123456789abcdef.0.0.0",), 1.0)
+        crash = Crash("u", "dispatch", clock.now(), (crashed,))
+        self.crashes.publish(crash, clock.now())
+        self.submit(tasks=8, expected_s=1.0)
+        self.assertEqual([0, 0, 0, 4], sorted(len(link.starts()) for link in links))
+
     def test_stale_end_of_an_earlier_run_is_ignored(self):
         """Guards against ending a run because of a late report on an earlier run."""
         link = self.executor()
