Reject values that no message between the processes can hold

JSON can express lone surrogates and integers beyond 32 bits; a job with such a text, resource, run time or Deadline header was accepted, and the message with its start raised in the scheduler's round. All starts of that round, also those of other jobs, counted as sent and never went out; the callers saw their jobs held to the deadline, and the job went to the next entry when its caller sent it again. A report of an upstream with such a label ended the loop that tells the entries its executor's capacity; such a name of a route cannot be passed on.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,6 +17,7 @@
 from .. import clock
 from ..protocol.gen import ttypes
 from ..protocol.jobs import JobOutcome, resources_to_wire
+from ..protocol.options import MAX_INT32
 from ..state import metrics
 from .crash_relay import CrashRelay
 from .ejection import Ejection
@@ -455,11 +456,11 @@
             groups[key] = ttypes.StartGroup(
                 job.request.spec,
                 resources_to_wire(task.phase.need),
-                int((job.deadline - now) * 1000),
+                _wire_ms(job.deadline - now),
                 job.request.request_id,
-                int(self._placement.run_s(view, task) * 1000),
+                _wire_ms(self._placement.run_s(view, task)),
                 [],
-                int(task.phase.expected_s * 1000),
+                _wire_ms(task.phase.expected_s),
                 job.queue.name,
                 task.isolation_limit,
             )
@@ -548,6 +549,10 @@
         log.info("job_ended", extra=fields)
 
 
+def _wire_ms(seconds):
+    return min(MAX_INT32, int(seconds * 1000))
+
+
 def _job_fields(job):
     return {
         "request_id": job.request.request_id,
--- a/papayaward/protocol/options.py
+++ b/papayaward/protocol/options.py
@@ -8,7 +8,9 @@
 import json
 
 __all__ = [
+    "MAX_INT32",
     "OptionError",
+    "check_text",
     "get_address",
     "get_bool",
     "get_choice",
@@ -19,6 +21,9 @@
     "read_object",
 ]
 
+# Largest value of the integers in messages between processes.
+MAX_INT32 = 2**31 - 1
+
 _MISSING = object()
 
 
@@ -94,7 +99,7 @@
         raise OptionError(name, value, f"a string of at most {max_length} characters")
     if not value and default is None:
         raise OptionError(name, value, "a non-empty string")
-    return value
+    return check_text(name, value)
 
 
 def get_choice(options, name, choices, default=None):
@@ -112,7 +117,19 @@
         raise OptionError(name, value, f"a list of at most {max_length} strings")
     if not all(isinstance(item, str) for item in value):
         raise OptionError(name, value, "a list of strings")
-    return tuple(value)
+    return tuple(check_text(name, item) for item in value)
+
+
+def check_text(name, value):
+    """Returns a string that can be encoded as UTF-8.
+
+    JSON can express lone surrogates, which no message and no log line can hold.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise OptionError(name, ascii(value), "text without lone surrogates") from None
+    return value
 
 
 def get_address(options, name, default=None):
