Send the starts of other jobs if one of a round cannot be sent

Cause: the starts of one round go to an executor in one message. If one job made it impossible to encode, the tasks of all jobs in it counted as sent and never started; their callers waited for the deadline. Change: if a message cannot be sent, the starts of each job are sent alone; the job that fails alone ends as failed at once, with a log line (start_not_sent). Measured: test_job_that_cannot_be_sent_does_not_hold_up_the_others fails on the parent (no start at all) and passes.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -433,8 +433,27 @@
             if not job.has_waiting_tasks:
                 del self._waiting[job.request.job_id]
         for view, groups in batches.items():
-            batch = ttypes.StartBatch(view.next_batch(), list(groups.values()))
-            view.link.try_send(batch)
+            self._send_starts(view, list(groups.values()), now)
+
+    def _send_starts(self, view, groups, now):
+        """Sends the starts of a round to one executor.
+
+        If they cannot be sent together, each group is sent alone, so that a job with a
+        value that no message can hold does not hold up the others.
+        """
+        try:
+            view.link.try_send(ttypes.StartBatch(view.next_batch(), groups))
+        except Exception as error:
+            if len(groups) > 1:
+                for group in groups:
+                    self._send_starts(view, [group], now)
+                return
+            tasks = [view.tasks.pop(start.task) for start in groups[0].starts]
+            for task in tasks:
+                task.state, task.executor = WAITING, None
+            job = tasks[0].job
+            log.exception("start_not_sent", extra=_job_fields(job))
+            self.end(job, "failed", f"cannot be sent: {error}", now)
 
     def _add_start(self, batches, view, task, now):
         job = task.job
--- a/tests/test_poisonous_input.py
+++ b/tests/test_poisonous_input.py
@@ -27,6 +27,7 @@
     FakeLink,
     capacity_report,
     job_queue,
+    job_request,
 )
 
 NO_TEXT = "\ud800"
@@ -100,3 +101,20 @@
         route = {"name": NO_TEXT, "host": "h", "prefix": "/a/", "service": "s"}
         text = json.dumps({"version": 1, "routes": [route]}).encode()
         self.assertRaises(ConfigError, parse_routing, text)
+
+
+class SchedulerTest(TestCase):
+    def test_job_that_cannot_be_sent_does_not_hold_up_the_others(self):
+        """Guards against tasks of other jobs that count as sent and never start."""
+        scheduler = JobScheduler(lambda domain: False)
+        link = EncodingLink("r1", "runner")
+        scheduler.on_link_up(link, clock.now())
+        scheduler.on_message(link, capacity_report(), clock.now())
+        jobs = [
+            scheduler.submit(job_request(job_id), job_queue(), clock.now())
+            for job_id in ("a" * 16, NO_TEXT * 16, "b" * 16)
+        ]
+        gevent.sleep(0.05)
+        started = {start.task.partition(".")[0] for start in link.starts()}
+        self.assertEqual({"a" * 16, "b" * 16}, started)
+        self.assertEqual("failed", jobs[1].outcome.kind)
