Keep the loops of a process running after input that one step cannot handle

An exception ended for good: the checks of deadlines and lost tasks, the reports of free capacity to all entries, the dialling of a peer, the watch of the operators' keys, and the dispatch and tick loops of the own interface (coordinator, runner, entry).

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -9,6 +9,7 @@
 likely to send tasks soon.
 """
 
+import logging
 from dataclasses import dataclass
 
 import gevent
@@ -20,6 +21,8 @@
 
 __all__ = ["Capacity", "CapacityReports", "report_due_at"]
 
+log = logging.getLogger(__name__)
+
 _REPORT_BATCH_DELAY_S = 0.002
 # Minimum interval between two reports that contain only free capacity. The urgent one
 # applies if the executor has started or stopped accepting tasks, or if the capacity
@@ -148,11 +151,18 @@
             isolated = self._isolated_peer_jobs(owner)
             due_at = report_due_at(owner, capacity, self._needs, isolated, now)
             if due_at is not None and due_at <= now:
-                self.send(owner, now)
+                self._try_send(owner, now)
             elif due_at is not None:
                 due_times.append(due_at)
         return min(due_times, default=None)
 
+    def _try_send(self, owner, now):
+        """Sends a report; a fault with one entry must not keep it from the others."""
+        try:
+            self.send(owner, now)
+        except Exception:
+            log.exception("report_not_sent", extra={"entry": owner.member})
+
 
 def _accepts_from(owner, capacity):
     return capacity.accepting and not owner.released
--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -11,6 +11,7 @@
 from gevent.event import Event
 
 from .. import clock
+from ..loops import repeat
 from ..protocol.gen.ttypes import Query, QueryReply
 from ..state.job_records import JobRecords
 from .answers import Answers
@@ -56,7 +57,7 @@
             **self._results.handlers,
         }
         self._active = Event()
-        gevent.spawn(self._tick_loop)
+        gevent.spawn(repeat, self._wait_and_tick)
 
     @property
     def queued(self):
@@ -148,14 +149,13 @@
             "ejected": self._dispatcher.ejection.ejected(now),
         }
 
-    def _tick_loop(self):
-        while True:
-            if self._idle:
-                self._active.clear()
-                self._active.wait(_IDLE_TICK_S)
-            else:
-                gevent.sleep(_TICK_S)
-            self._tick(clock.now())
+    def _wait_and_tick(self):
+        if self._idle:
+            self._active.clear()
+            self._active.wait(_IDLE_TICK_S)
+        else:
+            gevent.sleep(_TICK_S)
+        self._tick(clock.now())
 
     @property
     def _idle(self):
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -14,6 +14,7 @@
 from gevent.event import Event
 
 from .. import clock
+from ..loops import repeat
 from ..protocol import mechanisms
 from ..protocol.gen.ttypes import CancelTasks, Grant, RunBatch
 from ..state import metrics
@@ -92,7 +93,7 @@
         # Called with the record of a job and the time, when the job can no longer
         # meet its deadline and none of its tasks was granted.
         self.on_deadline_infeasible = None
-        gevent.spawn(self._dispatch_loop)
+        gevent.spawn(repeat, self._dispatch_when_woken)
 
     @property
     def queued(self):
@@ -413,11 +414,10 @@
 
     # Placement.
 
-    def _dispatch_loop(self):
-        while True:
-            self._wakeup.wait()
-            self._wakeup.clear()
-            self._dispatch(clock.now())
+    def _dispatch_when_woken(self):
+        self._wakeup.wait()
+        self._wakeup.clear()
+        self._dispatch(clock.now())
 
     def _dispatch(self, now):
         batches = {}
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -15,6 +15,7 @@
 from gevent.event import Event
 
 from .. import clock
+from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import JobOutcome, resources_to_wire
 from ..protocol.options import MAX_INT32
@@ -89,8 +90,8 @@
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._crashes.on_crash(self._on_crash)
         self._wakeup = Event()
-        gevent.spawn(self._run)
-        gevent.spawn(self._tick)
+        gevent.spawn(repeat, self._run)
+        gevent.spawn(repeat, self._tick)
 
     @property
     def jobs(self):
@@ -407,14 +408,10 @@
         self._wakeup.set()
 
     def _run(self):
-        while True:
-            self._wakeup.wait()
-            self._wakeup.clear()
-            try:
-                self.schedule(clock.now())
-            except Exception:
-                log.exception("schedule_failed")
-            gevent.sleep(_ROUND_PAUSE_S)
+        self._wakeup.wait()
+        self._wakeup.clear()
+        self.schedule(clock.now())
+        gevent.sleep(_ROUND_PAUSE_S)
 
     def schedule(self, now):
         """Sends starts for the waiting tasks that an executor can run.
@@ -486,9 +483,8 @@
         groups[key].starts.append(ttypes.TaskStart(task.name, task.run))
 
     def _tick(self):
-        while True:
-            gevent.sleep(_TICK_S)
-            self.check(clock.now())
+        gevent.sleep(_TICK_S)
+        self.check(clock.now())
 
     def check(self, now):
         """Requeues lost tasks, and ends jobs that can no longer be served in time.
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -10,6 +10,7 @@
 import gevent
 
 from .. import clock
+from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import Resources, resources_from_wire
 from ..state import metrics
@@ -75,7 +76,7 @@
         self._reports = CapacityReports(
             self._owners, self._capacity, self._isolated_peer_jobs
         )
-        gevent.spawn(self._tick)
+        gevent.spawn(repeat, self._tick)
 
     @property
     def running(self):
@@ -449,12 +450,11 @@
         self.check_accepting()
 
     def _tick(self):
-        while True:
-            gevent.sleep(_TICK_S)
-            now = clock.now()
-            for owner in list(self._owners.values()):
-                self._check_owner(owner, now)
-                owner.link.relaxed = not owner.is_active(now)
+        gevent.sleep(_TICK_S)
+        now = clock.now()
+        for owner in list(self._owners.values()):
+            self._check_owner(owner, now)
+            owner.link.relaxed = not owner.is_active(now)
 
     def _check_owner(self, owner, now):
         disconnected = (
--- a/papayaward/coordination/store_sync.py
+++ b/papayaward/coordination/store_sync.py
@@ -87,7 +87,7 @@
         try:
             snapshot = store.read(prefix)
             outages.on_success()
-            on_snapshot(snapshot, clock.now())
+            _handle(on_snapshot, snapshot)
             revision, changed = snapshot.revision, False
             while not changed:
                 revision, changed = store.wait(prefix, revision, _WATCH_TIMEOUT_S)
@@ -100,6 +100,14 @@
             outages.on_error(error)
 
 
+def _handle(on_snapshot, snapshot):
+    """Handles a snapshot; an exception must not end the watch for later changes."""
+    try:
+        on_snapshot(snapshot, clock.now())
+    except Exception:
+        log.exception("snapshot_failed", extra={"revision": snapshot.revision})
+
+
 class Presence:
     """Keeps a key of this process in the store, under a lease, while it runs.
 
--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -18,6 +18,7 @@
 from .coordination.coordinator_client import CoordinatorClient, CoordinatorUnavailable
 from .coordination.evidence import EntryEvidence, age_ms
 from .coordination.membership import Membership, cell_of
+from .loops import repeat
 from .operator_api import OperatorApi
 from .protocol.codec import encode
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
@@ -68,6 +69,8 @@
         self._callers = CallerApi(self)
         self._server = None
         self._http = None
+        # None before the first attempt to read.
+        self._store_reachable = None
 
     def start(self):
         """Starts accepting links, polling the store and serving HTTP."""
@@ -85,8 +88,8 @@
         if settings.tls_certificate:
             tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
         self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS, **tls)
-        gevent.spawn(self._store_loop)
-        gevent.spawn(self._prepare_loop)
+        gevent.spawn(repeat, self._read_store)
+        gevent.spawn(repeat, self._prepare_leaders)
         log.info("entry_started", extra={"member": settings.member})
 
     def drain(self):
@@ -217,17 +220,16 @@
             if view.config_version < push.version:
                 view.link.try_send(push, frame)
 
-    def _prepare_loop(self):
+    def _prepare_leaders(self):
         """Keeps the leader of each cell prepared for new jobs."""
-        while True:
-            gevent.sleep(_PREPARE_INTERVAL_S)
-            config = self.config.config
-            for service in config.services.values():
-                for cell in range(service.cells):
-                    leader = self.members.leader(config, service, cell)
-                    if leader is not None:
-                        self._prepare(leader, clock.now())
-            self._release_coordinators(clock.now())
+        gevent.sleep(_PREPARE_INTERVAL_S)
+        config = self.config.config
+        for service in config.services.values():
+            for cell in range(service.cells):
+                leader = self.members.leader(config, service, cell)
+                if leader is not None:
+                    self._prepare(leader, clock.now())
+        self._release_coordinators(clock.now())
 
     def _release_coordinators(self, now):
         """Lets former coordinators close the links to their cells.
@@ -252,30 +254,28 @@
 
     # Store.
 
-    def _store_loop(self):
-        reachable = None
-        while True:
-            sent_at = clock.now()
-            try:
-                envelope = self.config_writer.read_if_changed()
-            except StoreError as error:
-                if reachable is not False:
-                    log.warning("store_unreachable", extra={"error": str(error)})
-                reachable = False
-            else:
-                now = clock.now()
-                if envelope is not None:
-                    text = envelope.text.encode()
-                    self.config.offer(envelope.version, text, now)
-                # The read is evidence only if the store's latest version is in force
-                # here. It is not if, for example, another program wrote a text that
-                # fails validation.
-                if self.config.version >= self.config_writer.head_version:
-                    self.evidence.on_store_read(sent_at, now)
-                if not reachable:
-                    log.info("store_reachable")
-                reachable = True
-            gevent.sleep(self.settings.store_poll_s)
+    def _read_store(self):
+        sent_at = clock.now()
+        try:
+            envelope = self.config_writer.read_if_changed()
+        except StoreError as error:
+            if self._store_reachable is not False:
+                log.warning("store_unreachable", extra={"error": str(error)})
+            self._store_reachable = False
+        else:
+            now = clock.now()
+            if envelope is not None:
+                text = envelope.text.encode()
+                self.config.offer(envelope.version, text, now)
+            # The read is evidence only if the store's latest version is in force here.
+            # It is not if, for example, another program wrote a text that fails
+            # validation.
+            if self.config.version >= self.config_writer.head_version:
+                self.evidence.on_store_read(sent_at, now)
+            if not self._store_reachable:
+                log.info("store_reachable")
+            self._store_reachable = True
+        gevent.sleep(self.settings.store_poll_s)
 
     def _ready(self, request):
         ready = not self.draining and self.config.version > 0
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -16,6 +16,7 @@
 from .coordination.upstream_state_store import UpstreamStateStore
 from .leased_entry import ENTRIES_PREFIX, entry_addresses
 from .leased_node import LeasedNode
+from .loops import repeat
 from .protocol.gen.ttypes import Members
 from .protocol.options import get_address
 from .protocol.store_errors import StoreError
@@ -59,8 +60,8 @@
 
     def start(self):
         """Starts dialling the entries."""
-        gevent.spawn(self._update_links)
-        gevent.spawn(self._discover_entries)
+        gevent.spawn(repeat, self._update_links)
+        gevent.spawn(repeat, self._discover_entries)
         gevent.spawn(self._restore_upstream)
 
     def on_upstream_report(self, state, now):
@@ -125,9 +126,8 @@
         return self.executor.on_message(link, message, now)
 
     def _update_links(self):
-        while True:
-            self._entry_links.update(self.now())
-            gevent.sleep(_LINKS_INTERVAL_S)
+        self._entry_links.update(self.now())
+        gevent.sleep(_LINKS_INTERVAL_S)
 
     def _restore_upstream(self):
         state = self._state_store.load()
@@ -137,12 +137,11 @@
 
     def _discover_entries(self):
         """Reads the entries' addresses from the store while no entry is linked."""
-        while True:
-            if not self.links:
-                try:
-                    found = entry_addresses(self._store.read(ENTRIES_PREFIX))
-                    self._entry_links.set_list(STORE, found)
-                    self._entry_links.update(self.now())
-                except StoreError as error:
-                    log.info("entries_not_found", extra={"error": str(error)})
-            gevent.sleep(_DISCOVERY_INTERVAL_S)
+        if not self.links:
+            try:
+                found = entry_addresses(self._store.read(ENTRIES_PREFIX))
+                self._entry_links.set_list(STORE, found)
+                self._entry_links.update(self.now())
+            except StoreError as error:
+                log.info("entries_not_found", extra={"error": str(error)})
+        gevent.sleep(_DISCOVERY_INTERVAL_S)
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -16,6 +16,7 @@
 from .coordination.coordinator import Coordinator
 from .coordination.evidence import RunnerEvidence, age_ms
 from .coordination.executor import Executor, Upstream
+from .loops import repeat
 from .protocol.gen.ttypes import Heartbeat, Hello, Members
 from .protocol.options import (
     OptionError,
@@ -88,7 +89,7 @@
         api.add("GET", "/readyz", self._ready)
         api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._http = serve_http(settings.http, api)
-        gevent.spawn(self._tick_loop)
+        gevent.spawn(repeat, self._tick)
         log.info("runner_started", extra={"member": settings.member})
 
     def drain(self):
@@ -248,15 +249,14 @@
             if link.peer.role == "entry":
                 link.try_send(self.heartbeat(link, now))
 
-    def _tick_loop(self):
-        while True:
-            gevent.sleep(_TICK_S)
-            now = clock.now()
-            self.executor.tick(now)
-            self._stop_diallers()
-            self._check_accepting()
-            if self.evidence.latest is not None:
-                metrics.EVIDENCE_AGE.set(now - self.evidence.latest)
+    def _tick(self):
+        gevent.sleep(_TICK_S)
+        now = clock.now()
+        self.executor.tick(now)
+        self._stop_diallers()
+        self._check_accepting()
+        if self.evidence.latest is not None:
+            metrics.EVIDENCE_AGE.set(now - self.evidence.latest)
 
     def _check_accepting(self):
         accepting = self.executor.accepting
--- a/papayaward/transport/peers.py
+++ b/papayaward/transport/peers.py
@@ -80,13 +80,21 @@
                 self._failing_since = None
             except (OSError, LinkClosed) as error:
                 log.debug("dial_failed", extra={"error": str(error)})
-                if self._failing_since is None:
-                    self._failing_since = clock.now()
-                delay = min(_MAX_DELAY_S, delay * 2)
+                delay = self._after_failure(delay)
+            except Exception:
+                # A fault in the handling of the new link; the next one may work.
+                log.exception("link_failed", extra={"address": "%s:%d" % self._address})
+                delay = self._after_failure(delay)
             # Jitter, so that the members do not all reconnect to a restarted entry at
             # the same time.
             gevent.sleep(delay * random.uniform(0.5, 1.0))
 
+    def _after_failure(self, delay):
+        """Records a failed attempt and returns the delay before the next one."""
+        if self._failing_since is None:
+            self._failing_since = clock.now()
+        return min(_MAX_DELAY_S, delay * 2)
+
 
 def serve_links(address, node):
     """Starts to accept links and returns the server.
