--- a/tests/test_poisonous_input.py
+++ b/tests/test_poisonous_input.py
@@ -7,19 +7,26 @@
 
 import json
 import sys
+from functools import partial
 from pathlib import Path
 
 import gevent
+from gevent.pywsgi import WSGIServer
 from testtools import TestCase
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from adapter.callers import read_job  # noqa: E402
 from adapter.configuration import parse_routing  # noqa: E402
-from adapter.upstream import read_state  # noqa: E402
+from adapter.upstream import PlatformUpstream, read_state  # noqa: E402
 
 from papayaward import clock  # noqa: E402
 from papayaward.coordination.job_scheduler import JobScheduler  # noqa: E402
+from papayaward.coordination.upstream_requests import (  # noqa: E402
+    NoReply,
+    PollRequest,
+    RunEnd,
+)
 from papayaward.protocol.codec import encode  # noqa: E402
 from papayaward.protocol.config_text import ConfigError  # noqa: E402
 from papayaward.protocol.options import OptionError  # noqa: E402
@@ -95,6 +102,35 @@
         self.assertRaises(OptionError, read_state, NO_TEXT, report)
 
 
+class RepliesTest(TestCase):
+    def test_malformed_reply_of_the_upstream_counts_as_none(self):
+        """Guards against a poll loop that ends with the upstream's first such reply."""
+        replies = []
+
+        def application(environ, start_response):
+            content = json.dumps(replies[-1]).encode()
+            start_response("200 OK", [("Content-Length", str(len(content)))])
+            return [content]
+
+        server = WSGIServer(("127.0.0.1", 0), application, log=None)
+        server.start()
+        self.addCleanup(server.stop)
+        upstream = PlatformUpstream(("127.0.0.1", server.server_port))
+        for reply in (
+            {"clock_ms": "soon"},
+            {"clock_ms": 5, "ended": [["first", "a.0.0.0", 1, "done"]]},
+            {"clock_ms": 5, "ended": [[1, "a.0.0.0", None, "done"]]},
+            {"clock_ms": 5, "running": [["a.0.0.0", [], "", 0]]},
+            {"clock_ms": 5, "running": [[["a"], 1, "", "half"]]},
+        ):
+            replies.append(reply)
+            poll = partial(upstream.poll, "i-1", PollRequest(1, 0), 1.0)
+            self.assertRaises(NoReply, poll)
+        replies.append({"clock_ms": 5, "ended": [[1, "a.0.0.0", 1, "done", ""]]})
+        reply = upstream.poll("i-1", PollRequest(1, 0), 1.0)
+        self.assertEqual((RunEnd(1, "a.0.0.0", 1, "done"),), reply.ends)
+
+
 class ConfigurationTest(TestCase):
     def test_configuration_with_unencodable_text_is_rejected(self):
         """Guards against a version that no process can pass on."""
