Crash upstreams by tasks and move their capacity in the soak

Change: a second source of faults, with random numbers of its own so that earlier seeds keep their faults: phases in which a part of the jobs crashes each upstream, and capacities that shrink and grow. Checked: a task is started fewer than three times after three upstreams have crashed under it; a start never exceeds the largest capacity of the last 3.3 s (a shrunk one counts after 3 s and a report).

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -26,7 +26,7 @@
 
 from standins.platform_fleet import PlatformFleet
 
-__all__ = ["FAULTS", "main", "run_soak"]
+__all__ = ["FAULTS", "LOAD_FAULTS", "main", "run_soak"]
 
 _DOMAINS = ("a", "b", "c")
 _ENTRIES = 2
@@ -40,7 +40,14 @@
 # An entry may answer late for this long after the end of a fault.
 _FAULT_EFFECT_S = 4.0
 _RECOVERY_S = 12.0
-_ERROR_MARKERS = ("request_failed", "schedule_failed", "message_failed", "Traceback")
+_ERROR_MARKERS = ("request_failed", "step_failed", "message_failed", "Traceback")
+# A smaller capacity counts after this time.
+_SHRINK_BOUND_S = 3.3
+# Upstreams that may crash under a task, and starts of it after that.
+_MAX_CRASHES = 3
+_MAX_LATE_STARTS = 2
+_DEADLY_SHARE = 0.15
+_DEADLY_PREFIX = "dead"
 
 
 @dataclass
@@ -63,6 +70,8 @@
     def __init__(self, fleet, seed, runners):
         self.fleet = fleet
         self.rng = random.Random(seed)
+        # Apart, so that the faults and jobs of earlier seeds stay the same.
+        self.load_rng = random.Random(-seed - 1)
         self.entries = [f"e{i}" for i in range(_ENTRIES)]
         self.runners = [f"r{i}" for i in range(runners)]
         self.started_at = time.monotonic()
@@ -72,6 +81,7 @@
         self.domains_out = {}
         self.domain_spans = []
         self.version = 1
+        self.deadly_share = 0.0
         self.stopped = False
 
     def note(self, text):
@@ -94,24 +104,28 @@
         while not self.stopped:
             job_id = f"{rng.getrandbits(64):016x}"
             work_ms, tasks = rng.choice((20, 100, 400, 900)), rng.randint(1, 5)
+            spec = str(work_ms)
+            if self.load_rng.random() < self.deadly_share:
+                job_id = _DEADLY_PREFIX + job_id[len(_DEADLY_PREFIX) :]
+                spec = f"deadly:{work_ms}:0"
             deadline_s = rng.uniform(1.5, 4.0)
             for _ in range(_ATTEMPTS):
                 entry = rng.choice(self.entries)
                 attempt = _Attempt(job_id, tasks, entry, time.monotonic(), deadline_s)
                 self.attempts.append(attempt)
-                self._send(attempt, work_ms)
+                self._send(attempt, spec, work_ms)
                 if attempt.status not in (None, 502, 504):
                     break
                 gevent.sleep(_RETRY_DELAY_S)
             refused = attempt.status == 503
             gevent.sleep(_REFUSED_PAUSE_S if refused else rng.uniform(0.0, 0.2))
 
-    def _send(self, attempt, work_ms):
+    def _send(self, attempt, spec, work_ms):
         reply = None
         with gevent.Timeout(attempt.deadline_s + 2 * _ANSWER_SLACK_S, False):
             reply = self.fleet.submit(
                 attempt.job_id,
-                work_ms,
+                spec,
                 attempt.entry,
                 attempt.tasks,
                 estimate_ms=work_ms,
@@ -223,6 +237,23 @@
         upstream.start()
 
 
+def _resize_upstream(soak):
+    name = soak.load_rng.choice(soak.runners)
+    cores = soak.load_rng.randint(1, 2 * _CORES)
+    soak.note(f"upstream of {name} has {cores} cores")
+    soak.fleet.upstreams[name].resize(cores)
+    gevent.sleep(soak.load_rng.uniform(0.5, 8.0))
+    soak.fleet.upstreams[name].resize(_CORES)
+
+
+def _crash_with_tasks(soak):
+    seconds = soak.load_rng.uniform(0.5, 3.0)
+    soak.note(f"tasks crash upstreams for {seconds:.1f} s")
+    soak.deadly_share = _DEADLY_SHARE
+    gevent.sleep(seconds)
+    soak.deadly_share = 0.0
+
+
 def _change_config(soak):
     soak.version += soak.rng.randint(1, 3)
     soak.note(f"configuration version {soak.version}")
@@ -254,6 +285,9 @@
     "domain": _cycle_domain,
 }
 
+# Changes of what the upstreams can and have to run.
+LOAD_FAULTS = {"deadly": _crash_with_tasks, "resize": _resize_upstream}
+
 
 def _start_process(soak, name):
     role = "entry" if name in soak.entries else "runner"
@@ -284,15 +318,22 @@
         gevent.sleep(soak.rng.expovariate(1.5))
 
 
+def _inject_load_faults(soak):
+    """Starts random changes of the load, one after the other, until the run stops."""
+    while not soak.stopped:
+        gevent.sleep(soak.load_rng.expovariate(0.5))
+        LOAD_FAULTS[soak.load_rng.choice(sorted(LOAD_FAULTS))](soak)
+
+
 # Checks.
 
 
 def _check_run(soak):
     found = []
     by_task = defaultdict(list)
-    for name, upstream in soak.fleet.upstreams.items():
+    for upstream in soak.fleet.upstreams.values():
         for instance in upstream.instances:
-            found += _check_capacity(name, instance)
+            found += _check_capacity(soak, upstream, instance)
             for record in instance.records:
                 by_task[record.task].append((record, upstream))
     now = time.monotonic()
@@ -311,6 +352,11 @@
                         for r, upstream in runs
                     )
                 )
+    found += [
+        f"task {task} was started {_late_starts(runs)} times after its third crash"
+        for task, runs in by_task.items()
+        if _late_starts(runs) > _MAX_LATE_STARTS
+    ]
     found += _check_answers(soak, by_task)
     found += _check_domains_out(soak, by_task)
     for name in soak.fleet.processes:
@@ -319,19 +365,45 @@
     return found
 
 
-def _check_capacity(name, instance):
+def _late_starts(runs):
+    """Returns how often a task was started after too many upstreams crashed under it.
+
+    Args:
+        runs: (`StartRecord`, upstream) of each run of the task.
+    """
+    crashes = sorted(r.ended_at for r, _ in runs if r.outcome == "crashed")
+    if len(crashes) < _MAX_CRASHES:
+        return 0
+    return sum(r.started_at > crashes[_MAX_CRASHES - 1] for r, _ in runs)
+
+
+def _check_capacity(soak, upstream, instance):
     changes = []
     for record in instance.records:
         changes.append((record.started_at, 1))
         changes.append((record.ended_at or time.monotonic(), -1))
     running = 0
-    for _, change in sorted(changes):
+    for at, change in sorted(changes):
         running += change
-        if running > _CORES:
-            return [f"upstream of {name} ran {running} tasks of {_CORES}"]
+        capacity = _capacity_at(upstream, at)
+        if change > 0 and running > capacity:
+            return [
+                f"upstream of {upstream.name} ran {running} tasks of {capacity} at "
+                f"{at - soak.started_at:.2f} s"
+            ]
     return []
 
 
+def _capacity_at(upstream, at):
+    """Returns the number of cores that the runs on an upstream may use at a time."""
+    times = [changed_at for changed_at, _ in upstream.capacities[1:]]
+    return max(
+        cores
+        for (_, cores), until in zip(upstream.capacities, [*times, at + 1.0])
+        if until > at - _SHRINK_BOUND_S
+    )
+
+
 def _check_answers(soak, by_task):
     found = []
     for attempt in soak.attempts:
@@ -390,9 +462,10 @@
             _start_fleet(soak)
             callers = [gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)]
             faults = gevent.spawn(_inject_faults, soak)
+            load_faults = gevent.spawn(_inject_load_faults, soak)
             gevent.sleep(seconds)
             soak.stopped = True
-            faults.join(20.0)
+            gevent.joinall([faults, load_faults], timeout=20.0)
             gevent.joinall(callers, timeout=20.0)
             recovered = [fleet.wait_ready(entry) for entry in soak.entries]
             findings = _check_run(soak)
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -32,6 +32,8 @@
 
 _ROOT = Path(__file__).resolve().parent.parent
 _REPORT_INTERVAL_S = 0.3
+# Time from a crash by a task to the next start of the upstream.
+_RESTART_S = 1.0
 _READY_TIMEOUT_S = 10.0
 _FIRST_PORT, _LAST_PORT = 12_000, 30_000
 
@@ -56,7 +58,7 @@
     """The upstream of a runner; each start creates a new instance.
 
     Attributes:
-        cores: Capacity that the upstream reports.
+        capacities: Time and number of cores of each change of its capacity.
         draining: Whether it reports that it is draining.
         reporting: Whether it sends reports.
     """
@@ -64,7 +66,7 @@
     def __init__(self, name, settings, domain, cores):
         self.name = name
         self.domain = domain
-        self.cores = cores
+        self.capacities = [(time.monotonic(), cores)]
         self.instances = []
         self.draining = False
         self.reporting = True
@@ -72,6 +74,11 @@
         self._server = None
         self._reporter = None
 
+    @property
+    def cores(self):
+        """Capacity that the upstream reports."""
+        return self.capacities[-1][1]
+
     @property
     def current(self):
         """The newest `LeasedUpstream` instance."""
@@ -82,15 +89,27 @@
         """`StartRecord` of every run of every instance."""
         return [record for instance in self.instances for record in instance.records]
 
+    def resize(self, cores):
+        """Changes the capacity while the upstream runs."""
+        self.capacities.append((time.monotonic(), cores))
+
     def start(self):
-        """Starts a new instance."""
+        """Starts a new instance, unless one is running."""
+        if self._reporter is not None:
+            return
         self.draining = False
-        upstream = LeasedUpstream(f"i-{self.name}-{len(self.instances)}")
+        upstream = LeasedUpstream(
+            f"i-{self.name}-{len(self.instances)}", on_crash=self._on_task_crash
+        )
         self.instances.append(upstream)
         host, port = self._settings["app"].split(":")
         self._server = serve(upstream, (host, int(port)))
         self._reporter = gevent.spawn(self._report, upstream)
 
+    def _on_task_crash(self):
+        self.crash()
+        gevent.spawn_later(_RESTART_S, self.start)
+
     def crash(self):
         """Crashes the current instance."""
         if self._reporter is not None:
@@ -251,10 +270,19 @@
         finally:
             client.close()
 
-    def submit(self, job_id, work_ms, entry="e1", tasks=1, estimate_ms=100, **options):
-        """Submits a job of one phase whose tasks take one core each."""
+    def submit(self, job_id, spec, entry="e1", tasks=1, estimate_ms=100, **options):
+        """Submits a job of one phase whose tasks take one core each.
+
+        Args:
+            job_id: Identifier of the job.
+            spec: Specification of the job, as `LeasedUpstream` takes it.
+            entry: Name of the entry.
+            tasks: Number of tasks.
+            estimate_ms: Declared run time, milliseconds.
+            options: Further arguments of `call`.
+        """
         body = {
-            "spec": str(work_ms),
+            "spec": str(spec),
             "best_effort": True,
             "phases": [{"count": tasks, "cpu": 1000, "est_runtime_ms": estimate_ms}],
         }
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -20,6 +20,10 @@
         """Guards against violated guarantees under combined faults."""
         self._run(1)
 
+    def test_seed_3(self):
+        """Guards against a task that crashes one upstream after the other."""
+        self._run(3)
+
     def test_seed_7(self):
         """Guards against overlapping runs of a task.
 
