Do not retry a request of the own interface after two lost runs

Change: runs that were lost with their executor or upstream are counted apart; after two the caller gets `unknown`. Requests that fail keep their three retries.

--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -16,7 +16,7 @@
 from ..protocol.gen.ttypes import ResultBatch, SlotReport
 from ..protocol.outcomes import JobOutcome, Outcome, Reason, TaskStatus
 from ..state import invariants, metrics
-from .retries import MAX_RETRIES, RetryBudget, backoff_s
+from .retries import MAX_LOST_RUNS, MAX_RETRIES, RetryBudget, backoff_s
 
 __all__ = ["Results"]
 
@@ -202,10 +202,12 @@
         record, index = grant.record, grant.index
         record.running.pop((index, grant.attempt), None)
         record.maybe_started = True
+        record.lost_runs += 1
         if record.done or _other_copy_runs(record, index):
             return
         detail = f"task {index} may have run on {member}, its result is lost"
-        if self._retry(record, index, detail, now):
+        may_retry = record.lost_runs < MAX_LOST_RUNS
+        if may_retry and self._retry(record, index, detail, now):
             return
         outcome = JobOutcome(
             Outcome.UNKNOWN, Reason.TASK_LOST, detail, started=record.started
--- a/papayaward/coordination/retries.py
+++ b/papayaward/coordination/retries.py
@@ -7,9 +7,12 @@
 
 import random
 
-__all__ = ["MAX_RETRIES", "RetryBudget", "backoff_s"]
+__all__ = ["MAX_LOST_RUNS", "MAX_RETRIES", "RetryBudget", "backoff_s"]
 
 MAX_RETRIES = 3
+# Runs of a request that may be lost with their executor or upstream. The request may be
+# the cause, and would crash another upstream with each retry.
+MAX_LOST_RUNS = 2
 
 _FIRST_BACKOFF_S = 0.02
 _MAX_BACKOFF_S = 1.0
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -52,9 +52,10 @@
 
     `started` counts tasks known to have started; `maybe_started` is set when it is
     not known whether a granted task started. `running` maps (index, attempt) to the
-    executor. `tasks` is the number of tasks, which a finished job keeps without
-    the tasks themselves. `tried_executors` names the executors that an idempotent
-    request was granted to.
+    executor. `lost_runs` counts runs that were lost with their executor or upstream.
+    `tasks` is the number of tasks, which a finished job keeps without the tasks
+    themselves. `tried_executors` names the executors that an idempotent request was
+    granted to.
 
     Args:
         spec: `JobSpec` of the submission.
@@ -72,6 +73,7 @@
         "missing_results",
         "attempts",
         "extra_attempts",
+        "lost_runs",
         "tried_executors",
         "started",
         "maybe_started",
@@ -96,6 +98,7 @@
         self.missing_results = tasks
         self.attempts = {}
         self.extra_attempts = 0
+        self.lost_runs = 0
         self.tried_executors = ()
         self.started = 0
         self.maybe_started = False
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -6,12 +6,14 @@
 
 A task is a JSON object; `work_ms` is its service time on an upstream of speed 1
 and `echo` is returned in the result. Tests check the start records
-(`GET /records`). Faults are set with `POST /control`: `mode` is `ok`, `fail`
-(500 at once), `hang`, `busy` (429) or `slow` (service times multiplied by `factor`).
+(`GET /records`). A task with `crash` ends the process after its service time. Faults
+are set with `POST /control`: `mode` is `ok`, `fail` (500 at once), `hang`, `busy` (429)
+or `slow` (service times multiplied by `factor`).
 """
 
 import argparse
 import json
+import os
 import sys
 import time
 
@@ -115,6 +117,8 @@
         if not _sleep_while_connected(environ, seconds):
             record["aborted"] = time.time()
             return 500, {"error": "the client went away"}
+        if task.get("crash"):
+            os._exit(1)
         record["end"] = time.time()
         return 200, {"echo": task.get("echo"), "upstream": self._options.name}
 
--- a/tests/test_kills.py
+++ b/tests/test_kills.py
@@ -67,6 +67,21 @@
         echoes = [r.json["result"]["echo"] for r in replies if r.status == 200]
         self.assertEqual(list(range(24)), echoes)
 
+    def test_idempotent_request_that_crashes_upstreams_is_given_up(self):
+        """Guards against one request that is retried until no upstream is left."""
+        fleet = self.start_fleet(runners=[{"domain": domain} for domain in "abcabc"])
+        document = {
+            **{"service": "dispatch", "tenant": "t1", "class": "c1"},
+            "idempotent": True,
+            "deadline_ms": 8_000,
+            "body": {"work_ms": 20, "crash": True},
+        }
+        reply = call(fleet.entry(), "POST", "/v1/requests", document)
+        self.assertEqual("unknown", reply.json["outcome"], reply.body)
+        upstreams = [p for name, p in fleet.processes.items() if name[:2] == "u-"]
+        crashed = sum(process.poll() is not None for process in upstreams)
+        self.assertLessEqual(crashed, 2)
+
     def test_coordinator_killed(self):
         """Guards against waiting for a killed coordinator, and second starts."""
         fleet = self.start_fleet()
