Log changes of an upstream's capacity and test starts beside them

Change: log event upstream_capacity_changed with both capacities and what is in use. Tests at the executor (free capacity below zero, an outdated report, runs that are being stopped) and at the entry. Measured: the two tests pass, and passed without a change of logic: no fault shown here; the soak moves capacities as well.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from dataclasses import asdict
 
 import gevent
 
@@ -126,6 +127,8 @@
         if last is not None and _instance_key(last) == _instance_key(state):
             if state.sequence < last.sequence:
                 return
+            if state.capacity != last.capacity:
+                self._log_capacity_change(last, state)
             self._state = state
             if self._session is None:
                 self._open_session(state)
@@ -137,6 +140,18 @@
             self._open_session(state)
         self.check_accepting()
 
+    def _log_capacity_change(self, last, state):
+        log.info(
+            "upstream_capacity_changed",
+            extra={
+                "upstream": state.instance,
+                "before": asdict(last.capacity),
+                "capacity": asdict(state.capacity),
+                "used": asdict(self._used),
+                "runs": len(self._runs),
+            },
+        )
+
     def on_upstream_deregistered(self, instance, now):
         """Handles the deregistration of an upstream instance."""
         if self._state is not None and self._state.instance == instance:
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -49,6 +49,17 @@
         self.scheduler.on_message(link, message, clock.now())
         gevent.sleep(0.01)
 
+    def test_shrunk_executor_gets_tasks_again_only_when_it_has_room(self):
+        """Guards against starts while the free capacity of an executor is negative."""
+        link = self.executor(cores=4)
+        self.scheduler.on_message(link, capacity_report(cores=2, free=-2), clock.now())
+        job = self.submit(queue=job_queue(slack_s=5.0), timeout_s=9.0)
+        self.assertEqual([], link.starts())
+        self.assertIsNone(job.outcome)
+        self.scheduler.on_message(link, capacity_report(cores=4, free=1), clock.now())
+        gevent.sleep(0.01)
+        self.assertEqual(1, len(link.starts()))
+
     def test_job_completes_when_every_task_is_done(self):
         """Guards against completion of a job before all its tasks are done."""
         link = self.executor()
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -92,6 +92,37 @@
         self.assertIn(("k.0.0.0", "not_run:busy"), link.ends())
         self.assertIn(("j.0.0.0", "stopped"), link.ends())
 
+    def resize(self, cores, sequence):
+        state = upstream_state(cores=cores, sequence=sequence)
+        self.executor.on_upstream_report(state, clock.now())
+
+    def test_shrunk_capacity_counts_all_runs_until_their_end(self):
+        """Guards against a start beside more runs than a shrunk upstream can hold."""
+        link = self.link()
+        self.send_heartbeats(link)
+        self.send(link, *[start_group(f"j.0.0.{i}", work_ms=9000) for i in range(4)])
+        self.wait_for(lambda: len(self.upstream.running) == 4)
+        self.resize(2, sequence=3)
+        self.resize(4, sequence=2)
+        refused = []
+        for ended in range(3):
+            self.send(link, start_group(f"k.0.0.{ended}"))
+            refused.append((f"k.0.0.{ended}", "not_run:busy"))
+            self.wait_for(lambda: refused[-1] in link.ends())
+            self.executor.on_message(link, StopBatch([f"j.0.0.{ended}"]), clock.now())
+            # The run counts while it is being stopped.
+            self.send(link, start_group(f"l.0.0.{ended}"))
+            refused.append((f"l.0.0.{ended}", "not_run:busy"))
+            self.wait_for(lambda: refused[-1] in link.ends())
+            self.wait_for(lambda n=ended: len(self.upstream.running) == 3 - n)
+        self.wait_for(lambda: (f"j.0.0.{ended}", "stopped") in link.ends())
+        self.send(link, start_group("m.0.0.0", work_ms=9000))
+        self.wait_for(lambda: ("m.0.0.0", 1) in self.upstream.running)
+        self.resize(4, sequence=4)
+        self.send(link, *[start_group(f"n.0.0.{i}", work_ms=9000) for i in range(3)])
+        self.wait_for(lambda: len(self.upstream.running) == 4)
+        self.wait_for(lambda: ("n.0.0.2", "not_run:busy") in link.ends())
+
     def test_start_that_arrived_before_a_pause_is_refused(self):
         """Guards against a second run of a task after a pause of the runner.
 
