Refuse a job at once whose starts executors have all refused

Cause: a job counted as started from its first start on, also if the executor refused it (busy, not isolated). It was then no longer refused when it could not meet its objective, but held to its deadline and answered 504 although it had never run; a caller of a request that is not idempotent may not repeat that. Change: a start that was refused does not count if no task of the job ran or may have run (an end that is no refusal, a lost link); the job is refused like one that never started, as not run, with Retry-After.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -198,6 +198,7 @@
         tasks = [task for task in view.tasks.values() if task.executor is view]
         for task in tasks:
             task.state = LOST
+            task.job.may_have_run = True
         if tasks:
             self._lost_upstreams.remember(view, tasks, now)
             lost = self._lost.setdefault((view.name, link.peer.incarnation), [])
@@ -262,13 +263,15 @@
             return
         del view.tasks[end.task]
         task.run = max(task.run, end.run)
+        is_refusal = end.outcome.startswith(_NOT_RUN_PREFIX)
+        task.job.may_have_run = task.job.may_have_run or not is_refusal
         if end.outcome == "done" and task.job.outcome is None:
             self._on_done(view, task, end, now)
         if task.state is not SENT or task.job.outcome is not None:
             return
         if end.outcome == "failed":
             self._on_failed(view, task, now)
-        elif end.outcome.startswith(_NOT_RUN_PREFIX):
+        elif is_refusal:
             reason = end.outcome.removeprefix(_NOT_RUN_PREFIX)
             if reason in _FINAL_REASONS:
                 self.end(task.job, "failed", _FINAL_REASONS[reason], now)
@@ -276,6 +279,7 @@
             if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
             self._requeue(task, reason, now)
+            task.job.on_start_refused()
         elif not self._end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -80,6 +80,8 @@
         self.first_start_at = None
         self.last_start_at = None
         self.starts = 0
+        # Whether a start led to a run, or may have.
+        self.may_have_run = False
         self.phases = [
             [
                 Task(f"{request.job_id}.0.{number}.{i}", self, number)
@@ -92,7 +94,7 @@
 
     @property
     def started(self):
-        """Whether any task has been sent to an executor."""
+        """Whether a task was sent to an executor that has not refused it."""
         return self.first_start_at is not None
 
     @property
@@ -136,6 +138,12 @@
             default=0.0,
         )
 
+    def on_start_refused(self):
+        """Counts the job as not started if executors have refused all of its starts."""
+        is_waiting = all(task.state is WAITING for task in self.tasks)
+        if is_waiting and not self.may_have_run:
+            self.first_start_at = None
+
     def on_task_done(self, task):
         """Marks a task as done and returns whether the job is complete."""
         task.state = DONE
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -49,6 +49,32 @@
         self.scheduler.on_message(link, message, clock.now())
         gevent.sleep(0.01)
 
+    def test_job_whose_starts_were_all_refused_has_not_run(self):
+        """Guards against a job without a run that is held to its deadline."""
+        link = self.executor()
+        job = self.submit(tasks=2)
+        self.scheduler.on_message(link, capacity_report(free=0), clock.now())
+        for start in link.starts():
+            self.end(link, start, "not_run:busy")
+        self.assertEqual(1, self.scheduler.pending("q"))
+        self.assertTrue(job.finished.wait(1.0))
+        self.assertEqual(
+            ("not_run", "overload"), (job.outcome.kind, job.outcome.reason)
+        )
+
+    def test_job_may_have_run_if_one_start_was_not_refused(self):
+        """Guards against a refusal of a job although a task of it has run."""
+        for outcome in ("failed", "lost", "stopped"):
+            link = self.executor(f"r-{outcome}")
+            job = self.submit(job_id=f"{outcome:>16}", tasks=2, timeout_s=0.4)
+            first, second = link.starts()
+            report = capacity_report(free=0, accepting=False)
+            self.scheduler.on_message(link, report, clock.now())
+            self.end(link, first, outcome)
+            self.end(link, second, "not_run:busy")
+            self.assertTrue(job.finished.wait(2.0))
+            self.assertEqual("unknown", job.outcome.kind)
+
     def test_shrunk_executor_gets_tasks_again_only_when_it_has_room(self):
         """Guards against starts while the free capacity of an executor is negative."""
         link = self.executor(cores=4)
