Refuse a job of a guarded queue at once if too many wait before it

Change: the guard knows how many isolated jobs have ended each second at this entry; a job that would have to wait for longer than its objective leaves is refused on arrival, with a Retry-After that spreads the return.

--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -83,6 +83,23 @@
             view.accepting for view in _shard_views(job.queue.service, views)
         )
 
+    def is_overloaded(self, job, waiting, now):
+        """Returns whether a new job of a guarded queue would have to wait for too long.
+
+        Args:
+            job: `Job`.
+            waiting: `Job` of each job that waits for an executor.
+            now: Time, seconds.
+        """
+        name = job.queue.name
+        ahead = sum(
+            other.queue.name == name and not other.started
+            for other in waiting
+            if other is not job
+        )
+        starts_at = now + self._guards.expected_wait_s(name, ahead, now)
+        return starts_at > job.objective_at - job.critical_path_s()
+
     def limit(self, job, now):
         """Returns how many isolated jobs may run beside a job, itself included.
 
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -135,14 +135,23 @@
         if self._closing_at is not None and self._ends_after_close(job, now):
             self._end_early(job, "closing", now)
         elif not self._end_if_crashing(job, now) and not job.started:
-            reason = self._placement.unservable_reason(job, self._views.values(), now)
-            if reason:
-                self.end(job, "not_run", reason, now, _RETRY_AFTER_S)
-            elif self._isolation.is_without_executors(job, self._views.values(), now):
-                retry_after_s = random.uniform(*_RESTART_RETRY_AFTER_S)
-                self.end(job, "not_run", "upstreams crashed", now, retry_after_s)
+            self._refuse_if_unservable(job, now)
         return job
 
+    def _refuse_if_unservable(self, job, now):
+        """Refuses a job at once that cannot be served."""
+        views = self._views.values()
+        reason = self._placement.unservable_reason(job, views, now)
+        retry_after_s = _RETRY_AFTER_S
+        if not reason and self._isolation.is_guarded(job, now):
+            retry_after_s = random.uniform(*_RESTART_RETRY_AFTER_S)
+            if self._isolation.is_without_executors(job, views, now):
+                reason = "upstreams crashed"
+            elif self._isolation.is_overloaded(job, self._waiting.values(), now):
+                reason = "overload"
+        if reason:
+            self.end(job, "not_run", reason, now, retry_after_s)
+
     def remove_caller(self, job, now):
         """Removes a disconnected caller; ends the job if it was the last one."""
         job.callers -= 1
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -28,6 +28,9 @@
 # Crashes and jobs that are assumed when a guard begins.
 _PRIOR_CRASHES = 1.0
 _PRIOR_JOBS = 10.0
+# Time after which the rate of a guarded queue's jobs is known.
+_MIN_RATE_TIME_S = 1.0
+_MIN_RATE = 0.01
 # Time in which the weight of a crash and of a job halves.
 _HALF_LIFE_S = 5.0
 
@@ -53,24 +56,38 @@
     """Guard of one queue, and the outcomes of its isolated jobs at this entry."""
 
     service: str
+    since: float
     until: float
     updated_at: float
+    ended: float = 0.0
     crashes: float = _PRIOR_CRASHES
     jobs: float = _PRIOR_JOBS
 
     def add(self, crashes, now):
         """Adds an isolated job and the number of crashes that it caused."""
-        weight = 0.5 ** ((now - self.updated_at) / _HALF_LIFE_S)
+        weight = _weight_after(now - self.updated_at)
         self.updated_at = now
+        self.ended = self.ended * weight + 1
         self.crashes = max(_PRIOR_CRASHES, self.crashes * weight) + crashes
         self.jobs = max(_PRIOR_JOBS, self.jobs * weight) + 1
 
+    def jobs_per_s(self, now):
+        """Returns how many isolated jobs have ended each second, weighted by age."""
+        ended = self.ended * _weight_after(now - self.updated_at)
+        # The weight of the same time with one job each second.
+        at_one_per_s = 1.0 - _weight_after(now - self.since)
+        return ended / (at_one_per_s * _HALF_LIFE_S / math.log(2.0))
+
     @property
     def limit(self):
         """Number of jobs that may run beside each other on an executor."""
         return max(1, int(_BYSTANDER_SHARE * self.jobs / self.crashes))
 
 
+def _weight_after(seconds):
+    return 0.5 ** (seconds / _HALF_LIFE_S)
+
+
 class QueueGuards:
     """Guards of the queues of one entry."""
 
@@ -90,6 +107,24 @@
         """
         return self._guards[queue].limit if self.is_guarded(queue, now) else 0
 
+    def expected_wait_s(self, queue, waiting, now):
+        """Returns how long a new job of a queue is expected to wait, seconds.
+
+        Args:
+            queue: Name of its queue.
+            waiting: Number of jobs of the queue that wait at this entry.
+            now: Time, seconds.
+
+        Returns:
+            float: 0 if the queue is not guarded or its rate is not known yet.
+        """
+        if not self.is_guarded(queue, now):
+            return 0.0
+        guard = self._guards[queue]
+        if now - guard.since < _MIN_RATE_TIME_S:
+            return 0.0
+        return waiting / max(_MIN_RATE, guard.jobs_per_s(now))
+
     def services(self, now):
         """Returns the services with a guarded queue."""
         return {guard.service for guard in self._guards.values() if now < guard.until}
@@ -126,5 +161,5 @@
         self._guards = {
             name: guard for name, guard in self._guards.items() if now < guard.until
         }
-        self._guards[queue] = _Guard(service, now + _GUARD_S, now)
+        self._guards[queue] = _Guard(service, now, now + _GUARD_S, now)
         log.warning("queue_guarded", extra={"queue": queue, "seconds": _GUARD_S})
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -49,6 +49,24 @@
         self.scheduler.on_message(link, message, clock.now())
         gevent.sleep(0.01)
 
+    def test_job_behind_others_of_a_guarded_queue_is_refused_at_once(self):
+        """Guards against a job that waits until it is too late and is refused then."""
+        self.executor()
+        for number in range(2):
+            jobs = (CrashedJob("q", ("c.0.0.0",), 1.0),)
+            crash = Crash(f"u{number}", "dispatch", clock.now(), jobs)
+            self.crashes.publish(crash, clock.now())
+        gevent.sleep(1.1)
+        jobs = [
+            self.submit(job_id=name * 16, expected_s=1.0, timeout_s=9.0)
+            for name in "abc"
+        ]
+        self.assertEqual([True, False, False], [job.started for job in jobs])
+        self.assertIsNone(jobs[1].outcome)
+        outcome = jobs[2].outcome
+        self.assertEqual(("not_run", "overload"), (outcome.kind, outcome.reason))
+        self.assertGreaterEqual(outcome.retry_after_s, 1.0)
+
     def test_job_whose_starts_were_all_refused_has_not_run(self):
         """Guards against a job without a run that is held to its deadline."""
         link = self.executor()
--- /dev/null
+++ b/tests/test_queue_guard.py
@@ -0,0 +1,51 @@
+"""
+tests.test_queue_guard
+~~~~~~~~~~~~~~~~~~~~~~
+
+Limits on the jobs of a queue whose tasks crash upstreams, with time as an argument.
+"""
+
+from testtools import TestCase
+
+from papayaward.coordination.queue_guard import QueueGuards
+from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
+
+
+class QueueGuardTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.guards = QueueGuards()
+        self.records = CrashRecords()
+
+    def crash_twice(self, now):
+        for number in range(2):
+            jobs = (CrashedJob("q", ("a.0.0.0",), 1.0),)
+            crash = Crash(f"u{number}", "dispatch", now, jobs)
+            self.records.add(crash, now)
+            self.guards.on_crash(crash, self.records, now)
+
+    def test_wait_follows_from_the_rate_of_the_jobs_and_those_ahead(self):
+        """Guards against a job that waits in vain behind others of its queue."""
+        self.crash_twice(now=100.0)
+        for number in range(20):
+            self.guards.add_outcome("q", 0.0, 100.0 + number / 5)
+        wait_s = self.guards.expected_wait_s("q", 3, 104.0)
+        self.assertTrue(0.5 < wait_s < 0.75, wait_s)
+        self.assertEqual(0.0, self.guards.expected_wait_s("q", 0, 104.0))
+
+    def test_queue_without_a_guard_or_a_known_rate_does_not_wait(self):
+        """Guards against refusals of a queue about which nothing is known."""
+        self.assertEqual(0.0, self.guards.expected_wait_s("q", 9, 100.0))
+        self.crash_twice(now=100.0)
+        self.assertEqual(0.0, self.guards.expected_wait_s("q", 9, 100.5))
+        self.assertEqual(0.0, self.guards.expected_wait_s("other", 9, 105.0))
+        self.assertEqual(0.0, self.guards.expected_wait_s("q", 9, 111.0))
+
+    def test_jobs_without_a_bystander_may_run_beside_each_other(self):
+        """Guards against a queue that is served one job at a time for rare crashes."""
+        self.crash_twice(now=100.0)
+        limit = self.guards.limit("q", 100.0)
+        for number in range(100):
+            self.guards.add_outcome("q", 0.0, 100.0 + number / 20)
+        self.assertEqual(1, limit)
+        self.assertGreater(self.guards.limit("q", 105.0), 3)
