Start a process again in the soak that a signal ended while it was starting

The platform starts such a process again; the soak did not. Change: the fault waits half a second and starts a process again that SIGHUP has ended, with a note. The check is as it was.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -39,7 +39,7 @@
 _ANSWER_SLACK_S = 0.7
 # An entry may answer late for this long after the end of a fault.
 _FAULT_EFFECT_S = 4.0
-_RECOVERY_S = 12.0
+_STARTUP_S = 0.5
 _ERROR_MARKERS = ("request_failed", "step_failed", "message_failed", "Traceback")
 # A smaller capacity counts after this time.
 _SHRINK_BOUND_S = 3.3
@@ -175,7 +175,14 @@
 def _reload_process(soak):
     name = soak.rng.choice(soak.entries + soak.runners)
     soak.note(f"SIGHUP {name}")
-    soak.fleet.processes[name].send_signal(signal.SIGHUP)
+    process = soak.fleet.processes[name]
+    process.send_signal(signal.SIGHUP)
+    gevent.sleep(_STARTUP_S)
+    # Before a process has set its handlers, the signal ends it; the platform would
+    # start it again.
+    if process.poll() == -signal.SIGHUP and soak.fleet.processes[name] is process:
+        soak.note(f"{name} was still starting and is started again")
+        _start_process(soak, name)
 
 
 def _link_fault(soak):
