Remove what nothing uses, and correct two comments

Change: Link.wait_closed, EntryEvidence.silent_s and _most_used_coordinator are gone; Dispatcher.on_members updates a kept view once instead of twice; the comments on the connection timeout (0.3 s) and on protocol versions say what the code does.

--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -153,12 +153,6 @@
     return run
 
 
-def _most_used_coordinator(results):
-    """Returns the coordinator named in most job identifiers."""
-    coordinators = [result["job"].split("-")[1] for result in results if result["job"]]
-    return statistics.mode(coordinators)
-
-
 def _find_coordinator(fleet):
     return fleet.new_ids(1)[0].split("-")[1]
 
--- a/papayaward/coordination/acceptance.py
+++ b/papayaward/coordination/acceptance.py
@@ -9,9 +9,8 @@
 
 __all__ = ["Acceptance", "check_acceptance"]
 
-# A new entry does not know the members yet. Runners reconnect within 0.5 s and a
-# connection attempt times out after 0.5 s, so runners that are missing after this
-# time are unreachable.
+# A new entry does not know the members yet. Runners reconnect within 0.5 s (an attempt
+# times out after 0.3 s), so runners that are missing after this time are unreachable.
 _DISCOVERY_S = 1.5
 
 
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -245,7 +245,6 @@
         names = {member.member for member in members}
         for view in list(self.executors.values()):
             view.listed = view.member in names
-            self.update_executor(view, now)
             known = (view.member, view.incarnation) in present
             if not known and not view.outstanding and view.link is None:
                 self._unbind(view)
--- a/papayaward/coordination/evidence.py
+++ b/papayaward/coordination/evidence.py
@@ -91,10 +91,6 @@
         self._last_seen[member] = now
         self._echoed_at.setdefault(member, now if is_current else 0.0)
 
-    def silent_s(self, member, now):
-        """Returns the time since the last message of a member, in seconds."""
-        return now - self._last_seen[member]
-
     def on_echo(self, member, echo_us, now):
         """Records the echo of an own timestamp by a member with no higher version."""
         self._last_seen[member] = now
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -1,5 +1,5 @@
-// Messages between papayaward processes. Fields are only added, never renumbered;
-// Hello.protocol_version is the oldest protocol version that the sender understands.
+// Messages between papayaward processes. Fields are only added, never renumbered.
+// Processes link only if their Hello.protocol_version is the same.
 namespace py gen
 
 // link_number increases with each connection made by one incarnation of the sender.
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -187,10 +187,6 @@
             return False
         return True
 
-    def wait_closed(self, timeout=None):
-        """Waits until the link is closed and returns whether it is."""
-        return self._closed.wait(timeout)
-
     def close(self, reason):
         """Closes the link; later calls have no effect."""
         if self._closed.is_set():
