Name the leased job's request and outcome apart from the other interface's

Change: LeasedJobRequest and LeasedJobOutcome in protocol/jobs; no change of behaviour. Measured: test_adapter, test_job_scheduler, test_poisonous_input and test_queue_guard pass.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -26,7 +26,7 @@
 from papayaward.coordination.upstream_crashes import crash_of
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import (
-    JobRequest,
+    LeasedJobRequest,
     Phase,
     Queue,
     Resources,
@@ -330,7 +330,7 @@
         need = Resources(kind.cores * _CORE, 64, 0)
         phase = Phase(kind.tasks, need, kind.run_s * random.uniform(0.7, 1.4))
         timeout_s = _TIMEOUT_S + kind.run_s
-        request = JobRequest(job_id, job_id, "", (phase,), timeout_s)
+        request = LeasedJobRequest(job_id, job_id, "", (phase,), timeout_s)
         is_deadly = (
             kind.name == "deadly"
             and _DEADLY_FROM_S < elapsed_s < _DEADLY_UNTIL_S
@@ -376,7 +376,7 @@
         job.response_s = self.now - first_at
         remaining_s = job.deadline - self.now - _RESUBMIT_S
         if job.outcome.kind == "unknown" and remaining_s > 0:
-            request = JobRequest(
+            request = LeasedJobRequest(
                 job.request.job_id,
                 job.request.request_id,
                 "",
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,7 +17,7 @@
 from .. import clock
 from ..loops import repeat
 from ..protocol.gen import ttypes
-from ..protocol.jobs import JobOutcome, resources_to_wire
+from ..protocol.jobs import LeasedJobOutcome, resources_to_wire
 from ..protocol.options import MAX_INT32
 from ..state import metrics
 from .crash_relay import CrashRelay
@@ -118,7 +118,7 @@
         """Accepts a job, or adds a caller to the job with the same identifier.
 
         Args:
-            request: `JobRequest`.
+            request: `LeasedJobRequest`.
             queue: `Queue` that it was submitted to.
             now: Time, seconds.
 
@@ -162,7 +162,7 @@
         """Sets a job's outcome and stops its runs."""
         if job.outcome is not None:
             return
-        job.outcome = JobOutcome(kind, reason, retry_after_s)
+        job.outcome = LeasedJobOutcome(kind, reason, retry_after_s)
         del self._jobs[job.request.job_id]
         self._waiting.pop(job.request.job_id, None)
         stops = {}
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -63,7 +63,7 @@
     """A job that an entry has accepted.
 
     Args:
-        request: `JobRequest`.
+        request: `LeasedJobRequest`.
         queue: `Queue` that the job was sent to.
         now: Time of its arrival, seconds.
     """
--- a/papayaward/protocol/jobs.py
+++ b/papayaward/protocol/jobs.py
@@ -10,8 +10,8 @@
 from .gen import ttypes
 
 __all__ = [
-    "JobOutcome",
-    "JobRequest",
+    "LeasedJobOutcome",
+    "LeasedJobRequest",
     "Phase",
     "Queue",
     "Resources",
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JobRequest:
+class LeasedJobRequest:
     """A job as a caller submits it.
 
     Attributes:
@@ -176,7 +176,7 @@
 
 
 @dataclass(frozen=True)
-class JobOutcome:
+class LeasedJobOutcome:
     """Outcome of a job, as reported to its caller.
 
     Attributes:
--- a/tests/leased_case.py
+++ b/tests/leased_case.py
@@ -10,7 +10,7 @@
 from papayaward import clock
 from papayaward.coordination.upstream_requests import UpstreamState
 from papayaward.protocol.gen import ttypes
-from papayaward.protocol.jobs import JobRequest, Phase, Queue, Resources
+from papayaward.protocol.jobs import LeasedJobRequest, Phase, Queue, Resources
 
 __all__ = [
     "FakeLink",
@@ -116,7 +116,7 @@
 def job_request(job_id="0123456789abcdef", tasks=1, timeout_s=3.0, expected_s=0.1):
     """Returns a job with one phase of tasks that need one core each."""
     phase = Phase(tasks, Resources(CORE, 64, 0), expected_s)
-    return JobRequest(job_id, "r-" + job_id, "100", (phase,), timeout_s)
+    return LeasedJobRequest(job_id, "r-" + job_id, "100", (phase,), timeout_s)
 
 
 def capacity_report(
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -13,7 +13,7 @@
 from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_executor import LeasedExecutor
-from papayaward.protocol.jobs import JobRequest as Request
+from papayaward.protocol.jobs import LeasedJobRequest as Request
 from papayaward.protocol.jobs import Phase, Resources
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import CORE, upstream_state
