Split the starts of a round and the report of a job off the job scheduler

Measured: test_job_scheduler, test_crashing_tasks, test_poisonous_input, test_loops and test_crash_model pass (60 tests).

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,18 +17,19 @@
 from .. import clock
 from ..loops import repeat
 from ..protocol.gen import ttypes
-from ..protocol.jobs import LeasedJobOutcome, resources_to_wire
-from ..protocol.options import MAX_INT32
+from ..protocol.jobs import LeasedJobOutcome
 from ..state import metrics
 from .crash_relay import CrashRelay
 from .ejection import Ejection
 from .isolation import Isolation, Verdict
 from .job_placement import Placement
+from .job_report import job_fields, report_end
 from .job_state import DONE, LOST, SENT, WAITING, Job
 from .leased_views import LeasedView
 from .lost_upstreams import LostUpstreams
 from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
 from .speeds import SpeedEstimates
+from .start_batches import StartBatches
 
 __all__ = ["JobScheduler"]
 
@@ -130,7 +131,7 @@
             job = self._jobs[request.job_id] = Job(request, queue, now)
             self._enqueue(job)
         else:
-            log.info("job_joined", extra=_job_fields(job))
+            log.info("job_joined", extra=job_fields(job))
         job.callers += 1
         if self._closing_at is not None and self._ends_after_close(job, now):
             self._end_early(job, "closing", now)
@@ -173,7 +174,7 @@
                 task.state = DONE
         for view, tasks in stops.items():
             view.link.try_send(ttypes.StopBatch([task.name for task in tasks]))
-        self._report(job, now)
+        report_end(job, now)
         job.finished.set()
 
     def close_at(self, until):
@@ -432,69 +433,18 @@
         Args:
             now: Time, seconds.
         """
-        # Starts by view, then by the phase of a job.
-        batches = {}
+        batches = StartBatches(self._placement.run_s)
         placement_round = self._isolation.begin_round(self._views.values(), now)
         jobs = [job for job in self._waiting.values() if placement_round.may_place(job)]
         for job in self._placement.order(jobs, now):
             for number in job.ready_phases():
                 for task, view in placement_round.place(job, number):
-                    self._add_start(batches, view, task, now)
+                    batches.add(view, task, now)
             if not job.has_waiting_tasks:
                 del self._waiting[job.request.job_id]
-        for view, groups in batches.items():
-            self._send_starts(view, list(groups.values()), now)
-
-    def _send_starts(self, view, groups, now):
-        """Sends the starts of a round to one executor.
-
-        If they cannot be sent together, each group is sent alone, so that a job with a
-        value that no message can hold does not hold up the others.
-        """
-        try:
-            view.link.try_send(ttypes.StartBatch(view.next_batch(), groups))
-        except Exception as error:
-            if len(groups) > 1:
-                for group in groups:
-                    self._send_starts(view, [group], now)
-                return
-            tasks = [view.tasks.pop(start.task) for start in groups[0].starts]
-            for task in tasks:
-                task.state, task.executor = WAITING, None
-            job = tasks[0].job
-            log.exception("start_not_sent", extra=_job_fields(job))
+        for job, error in batches.send():
             self.end(job, "failed", f"cannot be sent: {error}", now)
 
-    def _add_start(self, batches, view, task, now):
-        job = task.job
-        task.run += 1
-        task.state = SENT
-        task.executor = view
-        task.sent_at = now
-        view.reserve(task)
-        if not job.started:
-            job.first_start_at = now
-            metrics.QUEUE_SECONDS.labels(job.queue.service, job.queue.name).observe(
-                now - job.arrived_at
-            )
-        job.last_start_at = now
-        job.starts += 1
-        groups = batches.setdefault(view, {})
-        key = (job.request.job_id, task.phase_number)
-        if key not in groups:
-            groups[key] = ttypes.StartGroup(
-                job.request.spec,
-                resources_to_wire(task.phase.need),
-                _wire_ms(job.deadline - now),
-                job.request.request_id,
-                _wire_ms(self._placement.run_s(view, task)),
-                [],
-                _wire_ms(task.phase.expected_s),
-                job.queue.name,
-                task.isolation_limit,
-            )
-        groups[key].starts.append(ttypes.TaskStart(task.name, task.run))
-
     def _tick(self):
         gevent.sleep(_TICK_S)
         self.check(clock.now())
@@ -551,39 +501,3 @@
                 self._lost[key] = remaining
             else:
                 del self._lost[key]
-
-    def _report(self, job, now):
-        seconds = now - job.arrived_at
-        labels = (job.queue.service, job.queue.name)
-        metrics.RESPONSE_SECONDS.labels(*labels).observe(seconds)
-        metrics.ANSWERS.labels(
-            job.queue.service, job.outcome.kind, job.outcome.reason
-        ).inc()
-        fields = _job_fields(job)
-        if job.started:
-            fields.update(
-                first_start_s=round(job.first_start_at - job.arrived_at, 4),
-                last_start_s=round(job.last_start_at - job.arrived_at, 4),
-            )
-        fields.update(
-            outcome=job.outcome.kind,
-            reason=job.outcome.reason,
-            seconds=round(seconds, 4),
-            objective_s=round(job.objective_s, 4),
-            starts=job.starts,
-            tasks=len(job.tasks),
-            done=sum(task.state is DONE for task in job.tasks),
-        )
-        log.info("job_ended", extra=fields)
-
-
-def _wire_ms(seconds):
-    return min(MAX_INT32, int(seconds * 1000))
-
-
-def _job_fields(job):
-    return {
-        "request_id": job.request.request_id,
-        "job": job.request.job_id,
-        "queue": job.queue.name,
-    }
--- /dev/null
+++ b/papayaward/coordination/start_batches.py
@@ -0,0 +1,113 @@
+"""
+papayaward.coordination.start_batches
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Starts of one scheduling round, sent to each executor in one message.
+"""
+
+import logging
+
+from ..protocol.gen import ttypes
+from ..protocol.jobs import resources_to_wire
+from ..protocol.options import MAX_INT32
+from ..state import metrics
+from .job_report import job_fields
+from .job_state import SENT, WAITING
+
+__all__ = ["StartBatches"]
+
+log = logging.getLogger(__name__)
+
+
+class StartBatches:
+    """Collects the starts of a round.
+
+    Args:
+        run_s: Function that takes a `LeasedView` and a `Task` and returns the expected
+            run time, seconds.
+    """
+
+    def __init__(self, run_s):
+        self._run_s = run_s
+        # `StartGroup` by view, then by the phase of a job.
+        self._groups = {}
+
+    def add(self, view, task, now):
+        """Adds the start of a task and reserves its capacity.
+
+        Args:
+            view: `LeasedView` of the executor.
+            task: `Task`.
+            now: Time, seconds.
+        """
+        job = task.job
+        task.run += 1
+        task.state = SENT
+        task.executor = view
+        task.sent_at = now
+        view.reserve(task)
+        if not job.started:
+            job.first_start_at = now
+            metrics.QUEUE_SECONDS.labels(job.queue.service, job.queue.name).observe(
+                now - job.arrived_at
+            )
+        job.last_start_at = now
+        job.starts += 1
+        groups = self._groups.setdefault(view, {})
+        key = (job.request.job_id, task.phase_number)
+        if key not in groups:
+            groups[key] = self._group(view, task, now)
+        groups[key].starts.append(ttypes.TaskStart(task.name, task.run))
+
+    def send(self):
+        """Sends the starts.
+
+        Yields:
+            tuple: `Job` with a start that cannot be sent, and the exception.
+        """
+        for view, groups in self._groups.items():
+            yield from _send(view, list(groups.values()))
+
+    def _group(self, view, task, now):
+        job = task.job
+        return ttypes.StartGroup(
+            job.request.spec,
+            resources_to_wire(task.phase.need),
+            _wire_ms(job.deadline - now),
+            job.request.request_id,
+            _wire_ms(self._run_s(view, task)),
+            [],
+            _wire_ms(task.phase.expected_s),
+            job.queue.name,
+            task.isolation_limit,
+        )
+
+
+def _send(view, groups):
+    """Sends groups to one executor; yields as `StartBatches.send`.
+
+    If they cannot be sent together, each group is sent alone, so that a job with a
+    value that no message can hold does not hold up the others.
+    """
+    try:
+        view.link.try_send(ttypes.StartBatch(view.next_batch(), groups))
+    except Exception as error:
+        if len(groups) > 1:
+            for group in groups:
+                yield from _send(view, [group])
+        else:
+            yield _withdraw(view, groups[0]), error
+
+
+def _withdraw(view, group):
+    """Takes back the starts of a group that was not sent and returns its `Job`."""
+    tasks = [view.tasks.pop(start.task) for start in group.starts]
+    for task in tasks:
+        task.state, task.executor = WAITING, None
+    job = tasks[0].job
+    log.exception("start_not_sent", extra=job_fields(job))
+    return job
+
+
+def _wire_ms(seconds):
+    return min(MAX_INT32, int(seconds * 1000))
