Count a crash beside a dead executor that first recalls the old upstream

An entry that lost its link remembers what ran there and counts a crash if the executor is back with another upstream instance; but a restarted runner first reports the instance that it has stored, so the entry took it for the same one, forgot the runs, and counted nothing when the new instance came. Change: the same instance counts as alive only when the executor accepts tasks for it, that is, has reached it. Measured: test_crash_is_counted_if_the_executor_first_recalls_the_old_upstream fails on the parent (no crash) and passes; test_restarted_executor_of_a_running_upstream_is_no_crash passes on both.

--- a/papayaward/coordination/lost_upstreams.py
+++ b/papayaward/coordination/lost_upstreams.py
@@ -57,10 +57,16 @@
             view: `LeasedView` of an executor that has reported its upstream.
             now: Time, seconds.
         """
-        if not view.upstream or view.name not in self._lost:
+        lost = self._lost.get(view.name)
+        if lost is None or not view.upstream:
             return None
-        lost = self._lost.pop(view.name)
-        if lost.upstream == view.upstream or now - lost.lost_at >= _RETURN_S:
+        is_same = lost.upstream == view.upstream
+        if is_same and not view.accepting:
+            # The report may be a stored one; whether the upstream still runs is known
+            # when the executor accepts tasks for it.
+            return None
+        del self._lost[view.name]
+        if is_same or now - lost.lost_at >= _RETURN_S:
             return None
         return crash_of(lost.upstream, lost.service, lost.runs, lost.lost_at)
 
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -5,11 +5,15 @@
 Tasks that crash each upstream that starts them.
 """
 
+from types import SimpleNamespace
+
 import gevent
 from testtools import TestCase
 
 from papayaward import clock
 from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.job_state import Job
+from papayaward.coordination.lost_upstreams import LostUpstreams
 from papayaward.protocol.gen import ttypes
 from papayaward.state.crash_records import Crash, CrashedJob
 from tests.leased_case import FakeLink, job_queue, start_group
@@ -103,6 +107,32 @@
         self.assertEqual(("failed", "crashes upstreams"), _outcome(outcome))
         self.assertLessEqual(len(starts), 3)
 
+    def view_after_loss(self, upstream, accepting):
+        """Returns the view of an executor that is back after its link was lost."""
+        return SimpleNamespace(
+            name="r1", service="dispatch", upstream=upstream, accepting=accepting
+        )
+
+    def test_crash_is_counted_if_the_executor_first_recalls_the_old_upstream(self):
+        """Guards against a crash beside a dead executor that nobody counts."""
+        lost = LostUpstreams()
+        task = Job(job(DEADLY), job_queue(), clock.now()).tasks[0]
+        lost.remember(self.view_after_loss("u@1", True), [task], clock.now())
+        recalled = self.view_after_loss("u@1", accepting=False)
+        self.assertIsNone(lost.crash_of_previous(recalled, clock.now()))
+        restarted = self.view_after_loss("u@2", accepting=False)
+        found = lost.crash_of_previous(restarted, clock.now())
+        self.assertEqual(("u@1", DEADLY), (found.upstream, found.jobs[0].job_id))
+
+    def test_restarted_executor_of_a_running_upstream_is_no_crash(self):
+        """Guards against a crash that is counted because the executor was restarted."""
+        lost = LostUpstreams()
+        task = Job(job(DEADLY), job_queue(), clock.now()).tasks[0]
+        lost.remember(self.view_after_loss("u@1", True), [task], clock.now())
+        for upstream in ("u@1", "u@2"):
+            view = self.view_after_loss(upstream, accepting=True)
+            self.assertIsNone(lost.crash_of_previous(view, clock.now()))
+
     def test_job_isolated_alone_is_not_joined_by_one_that_may_have_neighbours(self):
         """Guards against crashes with two suspects, after which both start again."""
         upstream = LocalUpstream("r1")
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -50,6 +50,13 @@
         """Guards against the failure of seed 15 under other faults."""
         self._run(18)
 
+    def test_seed_519(self):
+        """Guards against a crash that nobody counts beside a killed runner.
+
+        A task was started three times after its third crash.
+        """
+        self._run(519)
+
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
