Move the judgement of slow runs and the creation of a run to the run itself

Change: Run.of_start and Run.is_slow in leased_runs; no change of behaviour. Measured: test_leased_executor, test_crashing_tasks (29 tests) and test_crash_model pass.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -184,20 +184,8 @@
             self._simulation.after(_ROUND_S, lambda: self.report(entry, end))
             return
         now = self._simulation.now
-        run = Run(
-            start.task,
-            start.run,
-            group.spec,
-            need,
-            entry,
-            group.request_id,
-            group.queue,
-            group.isolation_limit,
-            group.expected_ms / 1000.0,
-            group.declared_ms / 1000.0,
-            now,
-            running=True,
-        )
+        run = Run.of_start(group, start, need, entry, now)
+        run.running = True
         self._runs[run.task] = run
         self._free = self._free - need
         run_s = run.declared_s * random.uniform(*_RUN_SHARES)
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -38,11 +38,6 @@
 _MAX_START_STALENESS_S = 0.45
 # Time for an entry to reconnect after its connection broke.
 _RECONNECT_GRACE_S = 0.2
-# A run is reported as slow if its remaining time exceeds both this multiple of its
-# expected total time and the minimum below.
-_SLOW_RUN_RATIO = 1.5
-_SLOW_RUN_MIN_S = 0.25
-_PROGRESS_AFTER_S = 0.1
 # While the closing process waits for a run, other tasks may still start if they are
 # expected to end within this fraction of the run's expected time.
 _CLOSING_RUN_SHARE = 0.9
@@ -294,19 +289,7 @@
         limit = group.isolation_limit
         if limit and not may_isolate(self._runs.values(), job_id, limit):
             return "not_isolated"
-        run = Run(
-            start.task,
-            start.run,
-            group.spec,
-            need,
-            owner,
-            group.request_id,
-            group.queue or "",
-            group.isolation_limit or 0,
-            (group.expected_ms or 0) / 1000.0,
-            (group.declared_ms or 0) / 1000.0,
-            now,
-        )
+        run = Run.of_start(group, start, need, owner, now)
         self._runs[start.task] = run
         self._used = self._used + need
         self._isolated_runs += run.isolated
@@ -355,18 +338,12 @@
         """Reports runs that take far longer than expected to their entries."""
         for (task, _), percent in running.items():
             run = self._runs.get(task)
-            if run is None or not run.running or run.stopping or not run.expected_s:
-                continue
-            if now - run.started_at < _PROGRESS_AFTER_S:
+            if run is None or not run.is_slow(percent, now):
                 continue
-            remaining_s = run.remaining_s(percent, now)
-            if remaining_s > max(_SLOW_RUN_RATIO * run.expected_s, _SLOW_RUN_MIN_S):
-                elapsed_s = now - run.started_at
-                slow = ttypes.SlowRun(
-                    task, int(remaining_s * 1000), int(elapsed_s * 1000)
-                )
-                run.owner.slow.append(slow)
-                self._reports.wake()
+            remaining_ms = int(run.remaining_s(percent, now) * 1000)
+            elapsed_ms = int((now - run.started_at) * 1000)
+            run.owner.slow.append(ttypes.SlowRun(task, remaining_ms, elapsed_ms))
+            self._reports.wake()
 
     def _finish(self, run, outcome, now):
         if run.ended:
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -15,6 +15,12 @@
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
+# A run is slow if its remaining time exceeds both this multiple of its expected total
+# time and the minimum below.
+_SLOW_RUN_RATIO = 1.5
+_SLOW_RUN_MIN_S = 0.25
+# Time after the start from which the progress tells how long a run takes.
+_PROGRESS_AFTER_S = 0.1
 
 
 @dataclass
@@ -38,11 +44,50 @@
     percent: int = -1
     progress_at: float = 0.0
 
+    @classmethod
+    def of_start(cls, group, start, need, owner, now):
+        """Returns the run that an accepted start begins.
+
+        Args:
+            group: `StartGroup`.
+            start: Its `TaskStart`.
+            need: `Resources` of the task.
+            owner: `Owner` that sent it.
+            now: Time, seconds.
+        """
+        return cls(
+            start.task,
+            start.run,
+            group.spec,
+            need,
+            owner,
+            group.request_id,
+            group.queue or "",
+            group.isolation_limit or 0,
+            (group.expected_ms or 0) / 1000.0,
+            (group.declared_ms or 0) / 1000.0,
+            now,
+        )
+
     @property
     def isolated(self):
         """Whether the job is isolated here (see `isolation_limit` of `StartGroup`)."""
         return self.isolation_limit > 0
 
+    def is_slow(self, percent, now):
+        """Returns whether the run takes far longer than expected.
+
+        Args:
+            percent: Progress that the upstream reports now.
+            now: Time, seconds.
+        """
+        if not self.running or self.stopping or not self.expected_s:
+            return False
+        if now - self.started_at < _PROGRESS_AFTER_S:
+            return False
+        limit_s = max(_SLOW_RUN_RATIO * self.expected_s, _SLOW_RUN_MIN_S)
+        return self.remaining_s(percent, now) > limit_s
+
     def remaining_s(self, percent, now):
         """Estimates the remaining time of the run from its progress so far, seconds.
 
