Give a job up as crashing only after two crashes under one of its tasks

Cause: the crashes under all tasks of a job were added up. A job whose tasks were spread over upstreams that an outage took at the same moment had several crashes at once and was shown as failed, although each task had run once and the job could be done: its caller got a lie. Change: two crashes under one task. A job that has probably crashed several upstreams by different tasks is answered `unknown` while its queue is guarded; it still starts the guard of its queue. Measured: test_job_whose_tasks_were_in_one_crash_each_is_not_condemned fails on the parent (condemned after three upstreams, one task each) and passes.

--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -35,7 +35,7 @@
     START = ""
     # A task crashed several upstreams.
     CONDEMNED = "crashes upstreams"
-    # A task has probably crashed an upstream, and too few are left for another start.
+    # The job has probably crashed an upstream, and another start could cost one more.
     GIVEN_UP = "upstream crashed"
 
 
@@ -70,6 +70,8 @@
             return Verdict.START
         if not self._guards.is_guarded(job.queue.name, now):
             return Verdict.START
+        if self._records.is_repeatedly_likely(job_id):
+            return Verdict.GIVEN_UP
         accepting = [view.accepting for view in _shard_views(job.queue.service, views)]
         if sum(accepting) < _RETRY_SHARE * len(accepting):
             return Verdict.GIVEN_UP
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -138,9 +138,10 @@
             now: Time, seconds.
         """
         for job in crash.jobs:
-            if not records.is_likely(job.job_id):
-                continue
-            if records.is_condemned(job.job_id) or self.is_guarded(job.queue, now):
+            is_guarded = self.is_guarded(job.queue, now)
+            if records.is_repeatedly_likely(job.job_id) or (
+                is_guarded and records.is_likely(job.job_id)
+            ):
                 self._guard(job.queue, crash.service, now)
 
     def add_outcome(self, queue, crashes, now):
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -20,9 +20,9 @@
 _MAX_CRASHES = 500
 # Time in which the jobs that ran on a crashed upstream are expected to end.
 _RECENT_S = 5.0
-# Crashes under a job after which it is not started again if it is the likely cause, and
-# crashes under one of its tasks after which it is not started again in any case.
-_MIN_JOB_CRASHES = 2
+# Crashes under one task after which its job is not started again if it is the likely
+# cause, and after which it is not started again in any case.
+_MIN_CRASHES = 2
 _MAX_TASK_CRASHES = 3
 # Probability from which a job is the likely cause of a crash.
 _LIKELY = 0.9
@@ -177,12 +177,16 @@
             return False
         if record.task_crashes >= _MAX_TASK_CRASHES:
             return True
-        return self.is_likely(job_id) and record.crashes >= _MIN_JOB_CRASHES
+        return record.task_crashes >= _MIN_CRASHES and self.is_likely(job_id)
 
     def is_likely(self, job_id):
         """Returns whether a job has probably crashed an upstream."""
         return self.probability(job_id) >= _LIKELY
 
+    def is_repeatedly_likely(self, job_id):
+        """Returns whether a job has probably crashed several upstreams."""
+        return self.is_likely(job_id) and self.crashes_under(job_id) >= _MIN_CRASHES
+
     def probability(self, job_id):
         """Returns the probability that a job crashes upstreams."""
         record = self._jobs.get(job_id)
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -169,6 +169,14 @@
         self.assertFalse(relay.records.is_condemned("innocent"))
         self.assertFalse(relay.records.is_condemned("o00"))
 
+    def test_job_whose_tasks_were_in_one_crash_each_is_not_condemned(self):
+        """Guards against a job shown as failed after an outage of several upstreams."""
+        relay = CrashRelay()
+        for number in range(3):
+            tasks = [(f"j.0.0.{number}", 8.0)]
+            relay.publish(crash(f"u@{number}", *tasks), clock.now())
+        self.assertFalse(relay.records.is_condemned("j"))
+
     def test_crash_reported_by_several_entries_counts_the_jobs_of_each(self):
         """Guards against an entry whose jobs go uncounted because another was first."""
         relay = CrashRelay()
