--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -178,7 +178,7 @@
         self.assertFalse(relay.records.is_condemned("j"))
 
     def test_job_alone_on_an_upstream_is_not_blamed_for_an_outage(self):
-        """Guards against a lone job that is held back after several upstreams failed."""
+        """Guards against a lone job that is held back after an outage."""
         relay = CrashRelay()
         for number in range(3):
             tasks = [(f"j{number}.0.0.0", 8.0)]
