Judge the wait in a guarded queue by the time in which jobs waited

Cause: the rate of a guarded queue's jobs was counted over all of the time, also while none waited. Change: the rate is that of the times with waiting jobs; until half a second of those is known, what the accepting executors can run. A queue without executors counts as an endless wait.

--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -24,6 +24,7 @@
 # runs isolated.
 _SUSPECT = 0.1
 _MAX_BYSTANDER_CRASHES = 2
+_MIN_RUN_S = 0.001
 
 
 class Verdict(Enum):
@@ -85,22 +86,31 @@
             view.accepting for view in _shard_views(job.queue.service, views)
         )
 
-    def is_overloaded(self, job, waiting, now):
+    def is_overloaded(self, job, views, now):
         """Returns whether a new job of a guarded queue would have to wait for too long.
 
         Args:
             job: `Job`.
-            waiting: `Job` of each job that waits for an executor.
+            views: `LeasedView` of each connected executor.
             now: Time, seconds.
         """
-        name = job.queue.name
-        ahead = sum(
-            other.queue.name == name and not other.started
-            for other in waiting
-            if other is not job
+        name, run_s = job.queue.name, job.critical_path_s()
+        accepting = sum(
+            view.accepting for view in _shard_views(job.queue.service, views)
+        )
+        capacity_per_s = (
+            accepting * self._guards.limit(name, now) / max(run_s, _MIN_RUN_S)
+        )
+        ahead = self._waiting(name, besides=job)
+        wait_s = self._guards.expected_wait_s(name, ahead, capacity_per_s, now)
+        return now + wait_s > job.objective_at - run_s
+
+    def _waiting(self, queue, besides=None):
+        """Returns the number of a queue's jobs without a started task."""
+        return sum(
+            job.queue.name == queue and not job.started and job is not besides
+            for job in self._jobs.values()
         )
-        starts_at = now + self._guards.expected_wait_s(name, ahead, now)
-        return starts_at > job.objective_at - job.critical_path_s()
 
     def limit(self, job, now):
         """Returns how many isolated jobs may run beside a job, itself included.
@@ -115,7 +125,11 @@
     def on_done(self, job, now):
         """Records that a job has been completed."""
         if any(task.isolation_limit for task in job.tasks):
-            self._guards.add_outcome(job.queue.name, 0.0, now)
+            self._add_outcome(job.queue.name, 0.0, now)
+
+    def _add_outcome(self, queue, crashes, now):
+        if self._guards.is_guarded(queue, now):
+            self._guards.add_outcome(queue, crashes, self._waiting(queue), now)
 
     def begin_round(self, views, now):
         """Returns an `IsolationRound` for the current state of the executors.
@@ -141,7 +155,7 @@
         for job in crash.jobs:
             if job.job_id in self._jobs:
                 probability = self._records.probability(job.job_id)
-                self._guards.add_outcome(job.queue, probability, now)
+                self._add_outcome(job.queue, probability, now)
 
     def is_suspect(self, job):
         """Returns whether a job may have crashed an upstream."""
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -148,7 +148,7 @@
             retry_after_s = random.uniform(*_RESTART_RETRY_AFTER_S)
             if self._isolation.is_without_executors(job, views, now):
                 reason = "upstreams crashed"
-            elif self._isolation.is_overloaded(job, self._waiting.values(), now):
+            elif self._isolation.is_overloaded(job, views, now):
                 reason = "overload"
         if reason:
             self.end(job, "not_run", reason, now, retry_after_s)
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -28,9 +28,8 @@
 # Crashes and jobs that are assumed when a guard begins.
 _PRIOR_CRASHES = 1.0
 _PRIOR_JOBS = 10.0
-# Time after which the rate of a guarded queue's jobs is known.
-_MIN_RATE_TIME_S = 1.0
-_MIN_RATE = 0.01
+# Time with waiting jobs after which the rate of a guarded queue's jobs is known.
+_MIN_BACKLOG_S = 0.5
 # Time in which the weight of a crash and of a job halves.
 _HALF_LIFE_S = 5.0
 
@@ -56,27 +55,44 @@
     """Guard of one queue, and the outcomes of its isolated jobs at this entry."""
 
     service: str
-    since: float
     until: float
     updated_at: float
-    ended: float = 0.0
+    # Jobs that ended while others waited, and the time that this took.
+    backlog_jobs: float = 0.0
+    backlog_s: float = 0.0
+    had_backlog: bool = False
     crashes: float = _PRIOR_CRASHES
     jobs: float = _PRIOR_JOBS
 
-    def add(self, crashes, now):
-        """Adds an isolated job and the number of crashes that it caused."""
-        weight = _weight_after(now - self.updated_at)
+    def add(self, crashes, waiting, now):
+        """Adds an isolated job.
+
+        Args:
+            crashes: Crashes that it caused; a fraction if others may have caused it.
+            waiting: Number of jobs of the queue that wait at this entry.
+            now: Time, seconds.
+        """
+        elapsed_s = now - self.updated_at
+        weight = 0.5 ** (elapsed_s / _HALF_LIFE_S)
         self.updated_at = now
-        self.ended = self.ended * weight + 1
+        self.backlog_jobs = self.backlog_jobs * weight + self.had_backlog
+        self.backlog_s = self.backlog_s * weight + self.had_backlog * elapsed_s
+        self.had_backlog = waiting > 0
         self.crashes = max(_PRIOR_CRASHES, self.crashes * weight) + crashes
         self.jobs = max(_PRIOR_JOBS, self.jobs * weight) + 1
 
-    def jobs_per_s(self, now):
-        """Returns how many isolated jobs have ended each second, weighted by age."""
-        ended = self.ended * _weight_after(now - self.updated_at)
-        # The weight of the same time with one job each second.
-        at_one_per_s = 1.0 - _weight_after(now - self.since)
-        return ended / (at_one_per_s * _HALF_LIFE_S / math.log(2.0))
+    def jobs_per_s(self, capacity_per_s):
+        """Returns how many waiting jobs start each second.
+
+        The time without waiting jobs shows only how many arrived.
+
+        Args:
+            capacity_per_s: Jobs that the executors can run each second, the answer as
+                long as few jobs have waited.
+        """
+        if self.backlog_s < _MIN_BACKLOG_S:
+            return capacity_per_s
+        return self.backlog_jobs / self.backlog_s
 
     @property
     def limit(self):
@@ -84,10 +100,6 @@
         return max(1, int(_BYSTANDER_SHARE * self.jobs / self.crashes))
 
 
-def _weight_after(seconds):
-    return 0.5 ** (seconds / _HALF_LIFE_S)
-
-
 class QueueGuards:
     """Guards of the queues of one entry."""
 
@@ -107,23 +119,22 @@
         """
         return self._guards[queue].limit if self.is_guarded(queue, now) else 0
 
-    def expected_wait_s(self, queue, waiting, now):
+    def expected_wait_s(self, queue, waiting, capacity_per_s, now):
         """Returns how long a new job of a queue is expected to wait, seconds.
 
         Args:
             queue: Name of its queue.
             waiting: Number of jobs of the queue that wait at this entry.
+            capacity_per_s: Jobs of the queue that its executors can run each second.
             now: Time, seconds.
 
         Returns:
-            float: 0 if the queue is not guarded or its rate is not known yet.
+            float: 0 if the queue is not guarded.
         """
-        if not self.is_guarded(queue, now):
-            return 0.0
-        guard = self._guards[queue]
-        if now - guard.since < _MIN_RATE_TIME_S:
+        if not waiting or not self.is_guarded(queue, now):
             return 0.0
-        return waiting / max(_MIN_RATE, guard.jobs_per_s(now))
+        jobs_per_s = self._guards[queue].jobs_per_s(capacity_per_s)
+        return waiting / jobs_per_s if jobs_per_s else math.inf
 
     def services(self, now):
         """Returns the services with a guarded queue."""
@@ -144,16 +155,17 @@
             ):
                 self._guard(job.queue, crash.service, now)
 
-    def add_outcome(self, queue, crashes, now):
+    def add_outcome(self, queue, crashes, waiting, now):
         """Records the outcome of an isolated job of this entry.
 
         Args:
             queue: Name of its queue.
             crashes: Crashes that it caused; a fraction if others may have caused it.
+            waiting: Number of jobs of the queue that wait at this entry.
             now: Time, seconds.
         """
         if self.is_guarded(queue, now):
-            self._guards[queue].add(crashes, now)
+            self._guards[queue].add(crashes, waiting, now)
 
     def _guard(self, queue, service, now):
         if self.is_guarded(queue, now):
@@ -162,5 +174,5 @@
         self._guards = {
             name: guard for name, guard in self._guards.items() if now < guard.until
         }
-        self._guards[queue] = _Guard(service, now, now + _GUARD_S, now)
+        self._guards[queue] = _Guard(service, now + _GUARD_S, now)
         log.warning("queue_guarded", extra={"queue": queue, "seconds": _GUARD_S})
