Store an upstream's report again after a write without a reply

The capacity grew from 4 to 6 cores and shrank back while the store lost replies. The write of 6 had taken effect, but as it had no reply, the last one known to be stored was still 4; so the report of 4 was taken to be stored already. Eight seconds later the runner was restarted, recalled 6 cores and started five tasks of one core before the next report came. Change: after a write without a reply it is unknown what is stored, so the latest report is written.

--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -80,6 +80,8 @@
                 self._store.put(self._key, value, 0)
                 self._saved = content
             except StoreError as error:
+                # The write may have taken effect.
+                self._saved = None
                 log.info("upstream_state_not_saved", extra={"error": str(error)})
                 gevent.sleep(_RETRY_S)
                 self._changed.set()
