Write an upstream's report only over the one that is known to be stored

A write without a reply may take effect up to six seconds later, after a newer one, and replace it: a runner that is restarted then recalls an outdated capacity (LIMIT). Change: the report is written on condition of the key's revision; a conflict tells the current one. Open: a capacity that shrinks while the store is away, if the runner is restarted before a write succeeds; the outdated report counts until the next one, at most one report interval.

--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -16,7 +16,7 @@
 from gevent.event import Event
 
 from ..protocol.jobs import Resources
-from ..protocol.store_errors import StoreError
+from ..protocol.store_errors import StoreConflict, StoreError
 from .upstream_requests import UpstreamState
 
 __all__ = ["UpstreamStateStore"]
@@ -41,6 +41,8 @@
         self._state = None
         self._changed = Event()
         self._saved = None
+        # Revision of the stored report, as far as it is known.
+        self._revision = 0
         gevent.spawn(self._run)
 
     def load(self):
@@ -77,7 +79,7 @@
                 continue
             value = json.dumps(asdict(self._state)).encode()
             try:
-                self._store.put(self._key, value, 0)
+                self._write(value)
                 self._saved = content
             except StoreError as error:
                 # The write may have taken effect.
@@ -86,6 +88,17 @@
                 gevent.sleep(_RETRY_S)
                 self._changed.set()
 
+    def _write(self, value):
+        """Writes a report unless another write takes effect at the same time.
+
+        A write without a reply may take effect seconds later. The condition keeps it
+        from replacing a newer report.
+        """
+        try:
+            self._revision = self._store.put(self._key, value, 0, self._revision)
+        except StoreConflict as conflict:
+            self._revision = self._store.put(self._key, value, 0, conflict.revision)
+
 
 def _without_sequence(state):
     """Returns a report without its sequence number, which changes every time."""
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -105,6 +105,12 @@
         if path == "kv-watch":
             return self._watch(query)
         if path == "kv-txn":
+            expected = body["expect"]
+            if any(self._revision_of(row["key"]) != row["rev"] for row in expected):
+                keys = [row["key"] for row in expected if row["key"] in self._items]
+                return "412 Precondition Failed", {
+                    "items": [self._read_item(key) for key in keys]
+                }
             for write in body["writes"]:
                 if write["lease_id"] and write["lease_id"] not in self._leases:
                     return "404 Not Found", {}
@@ -123,6 +129,9 @@
             self.revoke_lease(int(lease))
         return "200 OK", {}
 
+    def _revision_of(self, key):
+        return self._items[key]["rev"] if key in self._items else 0
+
     def _read_item(self, key):
         item = self._items[key]
         value = b64decode(item["value"]).decode()
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -61,6 +61,10 @@
         """Guards against tasks in a domain that is out, after a watch went silent."""
         self._run(629)
 
+    def test_seed_720(self):
+        """Guards against starts beyond a capacity that an outdated report promises."""
+        self._run(720)
+
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
--- a/tests/test_upstream_state_store.py
+++ b/tests/test_upstream_state_store.py
@@ -11,23 +11,38 @@
 from testtools import TestCase
 
 from papayaward.coordination.upstream_state_store import UpstreamStateStore
-from papayaward.protocol.store_errors import StoreError
+from papayaward.protocol.store_errors import StoreConflict, StoreError
 from tests.leased_case import upstream_state
 
 SETTLE_S = 0.02
 
 
 class LossyStore:
-    """A store whose writes take effect, with or without a reply."""
+    """A store of one key whose replies can be lost, and whose writes can come late."""
 
     def __init__(self):
         self.value = None
+        self.revision = 0
         self.replies = True
+        self.delay_s = 0.0
 
-    def put(self, key, value, lease):
+    def put(self, key, value, lease, revision=None):
+        if self.replies:
+            return self._write(value, revision)
+        gevent.spawn_later(self.delay_s, self._write_late, value, revision)
+        gevent.sleep(SETTLE_S / 4)
+        raise StoreError("no reply")
+
+    def _write(self, value, revision):
+        if revision not in (None, self.revision):
+            raise StoreConflict(self.revision)
         self.value = value
-        if not self.replies:
-            raise StoreError("no reply")
+        self.revision += 1
+        return self.revision
+
+    def _write_late(self, value, revision):
+        if revision in (None, self.revision):
+            self._write(value, revision)
 
 
 class UpstreamStateStoreTest(TestCase):
@@ -52,3 +67,20 @@
         self.save(cores=4)
         gevent.sleep(1.1)
         self.assertEqual(4000, self.stored_cpu())
+
+    def test_late_write_does_not_replace_a_newer_report(self):
+        """Guards against an outdated capacity that is stored seconds after its time."""
+        self.save(cores=4)
+        self.store.replies, self.store.delay_s = False, 1.5
+        self.save(cores=6)
+        self.store.replies = True
+        self.save(cores=4)
+        gevent.sleep(2.0)
+        self.assertEqual(4000, self.stored_cpu())
+
+    def test_report_of_a_restarted_runner_replaces_the_stored_one(self):
+        """Guards against a report that is never stored since the key exists."""
+        self.save(cores=4)
+        self.states = UpstreamStateStore(self.store, "r1")
+        self.save(cores=2)
+        self.assertEqual(2000, self.stored_cpu())
