Assign each port of a stand-in's fleet only once

The port was free at each of the two draws, since none of the two listened yet; the entry could never start. A fault of the stand-in, not of the product. Change: the fleet takes its ports from the function of the other stand-ins, which holds a lock for each port until the process ends; the second copy of it is gone. Measured: test_ports_are_assigned_once fails on the parent (20001 twice) and passes; test_platform passes.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -7,14 +7,12 @@
 
 import json
 import os
-import random
 import subprocess
 import sys
 import time
 from pathlib import Path
 
 import gevent
-from gevent import socket
 
 from papayaward.transport.upstream_http import (
     NotSent,
@@ -22,11 +20,12 @@
     UpstreamConnectionLost,
 )
 
+from .fleet import free_port
 from .leased_upstream import LeasedUpstream, serve
 from .platform_store import PlatformStoreStandIn
 from .proxy import TcpProxy
 
-__all__ = ["HOST", "PlatformFleet", "free_port"]
+__all__ = ["HOST", "PlatformFleet"]
 
 HOST = "127.0.0.1"
 
@@ -35,23 +34,6 @@
 # Time from a crash by a task to the next start of the upstream.
 _RESTART_S = 1.0
 _READY_TIMEOUT_S = 10.0
-_FIRST_PORT, _LAST_PORT = 12_000, 30_000
-
-
-def free_port():
-    """Returns a free TCP port of the loopback address.
-
-    It lies below the kernel's ephemeral port range, so that it stays free while a
-    process that listens on it is restarted.
-    """
-    while True:
-        port = random.randint(_FIRST_PORT, _LAST_PORT)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        return port
 
 
 class _RestartableUpstream:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,8 @@
 import gevent
 from testtools import TestCase
 
-from standins.platform_fleet import HOST, PlatformFleet, free_port
+from standins.fleet import free_port
+from standins.platform_fleet import HOST, PlatformFleet
 from standins.platform_store import PlatformStoreStandIn
 
 
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -5,9 +5,12 @@
 Short platform runs with faults from fixed seeds; longer ones are run by hand.
 """
 
+from unittest.mock import patch
+
 from testtools import TestCase
 
 from benchmarks.platform_soak import run_soak
+from standins import platform_fleet
 
 __all__ = []
 
@@ -65,6 +68,13 @@
         """Guards against starts beyond a capacity that an outdated report promises."""
         self._run(720)
 
+    def test_ports_are_assigned_once(self):
+        """Guards against an entry that cannot start beside an upstream (seed 733)."""
+        with patch("random.choice", side_effect=[20_001, 20_001, 20_002]):
+            with patch("random.randint", side_effect=[20_001, 20_001, 20_002]):
+                ports = [platform_fleet.free_port() for _ in range(2)]
+        self.assertEqual([20_001, 20_002], ports)
+
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
