--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -427,7 +427,11 @@
         (0.05, 0.9),
     ):
         results = [
-            play(Load(share, all_deadly, crash_at, options.executors, seed=seed))
+            play(
+                Load(
+                    share, all_deadly, crash_at, executors=options.executors, seed=seed
+                )
+            )
             for seed in range(options.seeds)
         ]
         deadly = "all" if all_deadly else "one"
