Bound the work of relating crashes of one moment to one another

Cause: found on reading. Each crash was related to all others of the same moment, and each of those anew; the work grew with the cube of their number: 160 upstreams with ten jobs each that lost power at the same moment took 8.3 s of processor time at each entry and runner, 400 took 132 s. Change: at most eight others are looked at; more make an outage no more likely. Measured: 0.16 s for 160, 0.39 s for 400. test_loss_of_all_upstreams_at_once_is_recorded_in_time fails on the parent (55 s for 300 instead of at most 2 s) and passes.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -10,6 +10,7 @@
 The odds are those after earlier crashes, or those of a new job of its queue.
 """
 
+import itertools
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 
@@ -31,6 +32,8 @@
 _OUTSIDE_RATE = 0.02
 _OUTAGE_FACTOR = 5.0
 _OUTAGE_S = 0.15
+# Number of these that are looked at; more make an outage no more likely.
+_MAX_OTHERS = 8
 # Probability from which a job is the likely cause of a crash.
 _LIKELY = 0.9
 # Probability that a job crashes upstreams, if nothing is known about its queue.
@@ -208,12 +211,13 @@
         return 0 if record is None else len(record.shares)
 
     def _others_at(self, crash):
-        """Returns the crashes of other upstreams at the same time as a `Crash`."""
-        return [
+        """Returns crashes of other upstreams at the same time as a `Crash`."""
+        others = (
             other
-            for other in self._crashes.values()
+            for other in reversed(self._crashes.values())
             if abs(other.at - crash.at) < _OUTAGE_S and other.upstream != crash.upstream
-        ]
+        )
+        return list(itertools.islice(others, _MAX_OTHERS))
 
     def _relate_jobs(self, crash, now):
         """Relates the jobs of a crash to one another and to causes from outside.
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -5,6 +5,8 @@
 Tasks that crash each upstream that starts them.
 """
 
+import time
+from dataclasses import replace
 from types import SimpleNamespace
 
 import gevent
@@ -186,6 +188,15 @@
         likely = [relay.records.is_likely(f"j{number}") for number in range(3)]
         self.assertEqual([False] * 3, likely)
 
+    def test_loss_of_all_upstreams_at_once_is_recorded_in_time(self):
+        """Guards against entries that stand still after all upstreams lost power."""
+        relay, now = CrashRelay(), clock.now()
+        began = time.process_time()
+        for number in range(300):
+            tasks = [(f"j{number}-{i}.0.0.0", 5.0) for i in range(10)]
+            relay.publish(replace(crash(f"u@{number}", *tasks), at=now), now)
+        self.assertLess(time.process_time() - began, 2.0)
+
     def test_crash_reported_by_several_entries_counts_the_jobs_of_each(self):
         """Guards against an entry whose jobs go uncounted because another was first."""
         relay = CrashRelay()
