Count a job once that a notice of a crash names twice

A notice that names a job twice was recorded; when its time was over, its removal raised KeyError, and from then on each further notice raised as well, in every process that had received it. No process of ours sends such a notice. Change: the jobs of a notice are taken by identifier.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -151,7 +151,8 @@
         if now - crash.at > _RECORD_TTL_S:
             return False
         known = self._base.setdefault(crash.upstream, {})
-        new = tuple(job for job in crash.jobs if job.job_id not in known)
+        by_id = {job.job_id: job for job in crash.jobs if job.job_id not in known}
+        new = tuple(by_id.values())
         if not new and crash.upstream in self._crashes:
             return False
         for job in new:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -17,7 +17,7 @@
 from papayaward.coordination.job_state import Job
 from papayaward.coordination.lost_upstreams import LostUpstreams
 from papayaward.protocol.gen import ttypes
-from papayaward.state.crash_records import Crash, CrashedJob
+from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
 from tests.leased_case import FakeLink, job_queue, start_group
 from tests.leased_fleet import LeasedFleet, LocalUpstream, job
 
@@ -197,6 +197,15 @@
             relay.publish(replace(crash(f"u@{number}", *tasks), at=now), now)
         self.assertLess(time.process_time() - began, 2.0)
 
+    def test_notice_that_names_a_job_twice_counts_it_once(self):
+        """Guards against a record that cannot be removed any more."""
+        records, now = CrashRecords(), clock.now()
+        twice = (CrashedJob("q", ("j.0.0.0",), 1.0), CrashedJob("q", ("j.0.0.0",), 1.0))
+        records.add(Crash("u1", "dispatch", now, twice), now)
+        records.add(Crash("u2", "dispatch", now + 9.0, twice[:1]), now + 9.0)
+        records.expire(now + 65.0)
+        self.assertEqual(1, records.crashes_under("j"))
+
     def test_crash_reported_by_several_entries_counts_the_jobs_of_each(self):
         """Guards against an entry whose jobs go uncounted because another was first."""
         relay = CrashRelay()
