--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -133,7 +133,7 @@
         self._crashes = OrderedDict()
         # Probability that each job crashes upstreams as a new job of its queue, by
         # upstream.
-        self._base = {}
+        self._base_probabilities = {}
         self._jobs = {}
         self._queues = {}
 
@@ -150,7 +150,7 @@
         self.expire(now)
         if now - crash.at > _RECORD_TTL_S:
             return False
-        known = self._base.setdefault(crash.upstream, {})
+        known = self._base_probabilities.setdefault(crash.upstream, {})
         by_id = {job.job_id: job for job in crash.jobs if job.job_id not in known}
         new = tuple(by_id.values())
         if not new and crash.upstream in self._crashes:
@@ -231,7 +231,8 @@
         total = sum(odds.values())
         for job in crash.jobs:
             unexplained = sum(
-                job.job_id not in self._base[other.upstream] for other in others_at
+                job.job_id not in self._base_probabilities[other.upstream]
+                for other in others_at
             )
             outside_rate = _OUTSIDE_RATE * (1.0 + _OUTAGE_FACTOR * unexplained)
             share = odds[job.job_id] / (total + outside_rate)
@@ -239,11 +240,11 @@
 
     def _odds_of(self, job, upstream):
         """Returns the odds of a `CrashedJob` as the cause of a crash."""
-        probability = self._base[upstream][job.job_id]
+        probability = self._base_probabilities[upstream][job.job_id]
         for key, share in self._jobs[job.job_id].shares.items():
             if key == upstream:
                 break
-            probability = max(self._base[upstream][job.job_id], share)
+            probability = max(self._base_probabilities[upstream][job.job_id], share)
         return probability / (1.0 - probability) * job.weight
 
     def _queue_probability(self, queue, now):
@@ -268,7 +269,7 @@
 
     def _remove_oldest(self):
         upstream, crash = self._crashes.popitem(last=False)
-        del self._base[upstream]
+        del self._base_probabilities[upstream]
         for job in crash.jobs:
             record = self._jobs.get(job.job_id)
             if record is not None:
