Keep storing an upstream's reports after a reply of the store that cannot be read

Measured: test_report_after_a_malformed_reply_is_stored fails on the parent (no report is stored) and passes; test_write_over_another_revision_is_refused checks the condition against the stand-in; test_platform passes.

--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -15,6 +15,7 @@
 import gevent
 from gevent.event import Event
 
+from ..loops import repeat
 from ..protocol.jobs import Resources
 from ..protocol.store_errors import StoreConflict, StoreError
 from .upstream_requests import UpstreamState
@@ -43,7 +44,7 @@
         self._saved = None
         # Revision of the stored report, as far as it is known.
         self._revision = 0
-        gevent.spawn(self._run)
+        gevent.spawn(repeat, self._run)
 
     def load(self):
         """Returns the stored `UpstreamState`, or None."""
@@ -71,22 +72,21 @@
         self._changed.set()
 
     def _run(self):
-        while True:
-            self._changed.wait()
-            self._changed.clear()
-            content = None if self._state is None else _without_sequence(self._state)
-            if content == self._saved or self._state is None:
-                continue
-            value = json.dumps(asdict(self._state)).encode()
-            try:
-                self._write(value)
-                self._saved = content
-            except StoreError as error:
-                # The write may have taken effect.
-                self._saved = None
-                log.info("upstream_state_not_saved", extra={"error": str(error)})
-                gevent.sleep(_RETRY_S)
-                self._changed.set()
+        self._changed.wait()
+        self._changed.clear()
+        content = None if self._state is None else _without_sequence(self._state)
+        if content == self._saved or self._state is None:
+            return
+        value = json.dumps(asdict(self._state)).encode()
+        # Without a reply, the write may have taken effect.
+        self._saved = None
+        try:
+            self._write(value)
+            self._saved = content
+        except StoreError as error:
+            log.info("upstream_state_not_saved", extra={"error": str(error)})
+            gevent.sleep(_RETRY_S)
+            self._changed.set()
 
     def _write(self, value):
         """Writes a report unless another write takes effect at the same time.
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -18,6 +18,7 @@
 from adapter.callers import CallerApi, UnsupportedJob, read_job  # noqa: E402
 from adapter.configuration import parse_routing  # noqa: E402
 from adapter.settings import read_settings  # noqa: E402
+from adapter.store import PlatformStore  # noqa: E402
 from adapter.upstream import read_state  # noqa: E402
 
 from papayaward import clock  # noqa: E402
@@ -26,6 +27,10 @@
 from papayaward.protocol.config_text import ConfigError  # noqa: E402
 from papayaward.protocol.jobs import Resources  # noqa: E402
 from papayaward.protocol.options import OptionError  # noqa: E402
+from papayaward.protocol.store_errors import StoreConflict  # noqa: E402
+from standins.fleet import free_port  # noqa: E402
+from standins.platform_fleet import HOST  # noqa: E402
+from standins.platform_store import PlatformStoreStandIn  # noqa: E402
 from tests.leased_case import job_queue  # noqa: E402
 
 _JOB_ID = "0123456789abcdef"
@@ -154,6 +159,20 @@
         self.assertIsNone(settings.callers)
 
 
+class ConditionalWriteTest(TestCase):
+    def test_write_over_another_revision_is_refused(self):
+        """Guards against a condition that the store does not check."""
+        address = (HOST, free_port())
+        stand_in = PlatformStoreStandIn(address)
+        self.addCleanup(stand_in.stop)
+        store = PlatformStore(address)
+        first = store.put("k", b"1", 0, revision=0)
+        conflict = self.assertRaises(StoreConflict, store.put, "k", b"2", 0, 0)
+        self.assertEqual(first, conflict.revision)
+        self.assertGreater(store.put("k", b"3", 0, conflict.revision), first)
+        self.assertEqual({"k": b"3"}, store.read("k").values)
+
+
 class StartTest(TestCase):
     def setUp(self):
         super().setUp()
--- a/tests/test_upstream_state_store.py
+++ b/tests/test_upstream_state_store.py
@@ -25,8 +25,11 @@
         self.revision = 0
         self.replies = True
         self.delay_s = 0.0
+        self.is_malformed = False
 
     def put(self, key, value, lease, revision=None):
+        if self.is_malformed:
+            raise KeyError("rev")
         if self.replies:
             return self._write(value, revision)
         gevent.spawn_later(self.delay_s, self._write_late, value, revision)
@@ -84,3 +87,12 @@
         self.states = UpstreamStateStore(self.store, "r1")
         self.save(cores=2)
         self.assertEqual(2000, self.stored_cpu())
+
+    def test_report_after_a_malformed_reply_is_stored(self):
+        """Guards against a runner that stores no report any more."""
+        self.store.is_malformed = True
+        self.save(cores=4)
+        self.store.is_malformed = False
+        gevent.sleep(0.1)
+        self.save(cores=2)
+        self.assertEqual(2000, self.stored_cpu())
