--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 # Time for which a queue stays guarded after one of its jobs has crashed an upstream.
-_GUARD_S = 10.0
+_GUARD_S = 5.0
 # Part of a service's executors that the guarded queues share.
 _SHARD_SHARE = 0.5
 # Largest part of a queue's jobs that may be lost as bystanders of its crashes.
--- a/tests/test_queue_guard.py
+++ b/tests/test_queue_guard.py
@@ -55,6 +55,12 @@
         self.assertEqual(0.0, self.guards.expected_wait_s("other", 9, 50.0, 105.0))
         self.assertEqual(0.0, self.guards.expected_wait_s("q", 9, 50.0, 111.0))
 
+    def test_queue_is_open_again_when_its_upstreams_are_back(self):
+        """Guards against refusals for seconds after the last crash was over."""
+        self.crash_twice(now=100.0)
+        self.assertTrue(self.guards.is_guarded("q", 104.0))
+        self.assertFalse(self.guards.is_guarded("q", 106.0))
+
     def test_jobs_without_a_bystander_may_run_beside_each_other(self):
         """Guards against a queue that is served one job at a time for rare crashes."""
         self.crash_twice(now=100.0)
@@ -62,4 +68,4 @@
         for number in range(100):
             self.guards.add_outcome("q", 0.0, 0, 100.0 + number / 20)
         self.assertEqual(1, limit)
-        self.assertGreater(self.guards.limit("q", 105.0), 3)
+        self.assertGreater(self.guards.limit("q", 104.96), 3)
