--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -152,6 +152,8 @@
         return handle()
 
     def _handle_delayed(self, handle):
+        if self.crashed:
+            return
         self.delayed_outcomes.append(handle().outcome)
 
     def _reply(self, outcome, **lists):
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -68,6 +68,10 @@
         """Guards against starts beyond a capacity that an outdated report promises."""
         self._run(720)
 
+    def test_seed_916(self):
+        """Guards against orders that a crashed upstream of the soak still executes."""
+        self._run(916)
+
     def test_ports_are_assigned_once(self):
         """Guards against an entry that cannot start beside an upstream (seed 733)."""
         with patch("random.choice", side_effect=[20_001, 20_001, 20_002]):
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -51,6 +51,16 @@
 
         return session.start(task, 1, str(work_ms), is_wanted)
 
+    def test_crashed_upstream_executes_no_delayed_start(self):
+        """Guards against a run that the stand-in reports although it has crashed."""
+        upstream = LeasedUpstream()
+        upstream.fail_request("start", delay_s=0.05)
+        request = StartRequest("j.0.0.0", 1, "100", upstream.clock_ms + 900, 1)
+        self.assertRaises(NoReply, upstream.start, "i-1", request)
+        upstream.crash()
+        gevent.sleep(0.1)
+        self.assertEqual([], upstream.records)
+
     def test_end_of_a_run_is_acknowledged(self):
         """Guards against ended runs that an upstream keeps reporting."""
         upstream = LeasedUpstream()
