--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -128,7 +128,7 @@
         owner.reported_accepting = _accepts_from(owner, capacity)
         owner.reported_free = capacity.free
         owner.reported_isolated = self._isolated_peer_jobs(owner)
-        report = _room_report(owner, capacity)
+        report = _capacity_report(owner, capacity)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
     def _run(self):
@@ -168,7 +168,7 @@
     return capacity.accepting and not owner.released
 
 
-def _room_report(owner, capacity):
+def _capacity_report(owner, capacity):
     peer_runs, peer_ratio = owner.take_peer_ratio()
     return ttypes.RoomReport(
         owner.last_batch,
--- a/papayaward/coordination/entry_selection.py
+++ b/papayaward/coordination/entry_selection.py
@@ -18,7 +18,7 @@
 
 # Number of entries to which a runner keeps links.
 _MAX_ENTRIES = 10
-# Number of those that are chosen in the runner's own failure domain: enough for an
+# Largest number of these in the runner's own failure domain: enough for an
 # entry to find most executors nearby, and few enough that it keeps the others if its
 # failure domain is taken out of service.
 _MAX_LOCAL_ENTRIES = 4
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -20,7 +20,7 @@
 _USEFUL_OBJECTIVES = 3.0
 # Executors whose speeds differ by less than this factor rank as equally fast.
 _SPEED_STEP = math.log(1.12)
-# Number of tasks of a phase that are placed on one executor before another is chosen.
+# Number of tasks of a phase that go to one executor before the next executor is used.
 # Together they cost one message with one specification, and the job depends on fewer
 # executors; all of them on one would leave a wide job to a single one that may fail.
 _MAX_TOGETHER = 4
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -19,7 +19,7 @@
 # time and the minimum below.
 _SLOW_RUN_RATIO = 1.5
 _SLOW_RUN_MIN_S = 0.25
-# Time after the start from which the progress tells how long a run takes.
+# Age of a run from which its progress is used to estimate its remaining time.
 _PROGRESS_AFTER_S = 0.1
 
 
--- a/papayaward/coordination/lost_upstreams.py
+++ b/papayaward/coordination/lost_upstreams.py
@@ -62,7 +62,7 @@
             return None
         is_same = lost.upstream == view.upstream
         if is_same and not view.accepting:
-            # The report may be a stored one; whether the upstream still runs is known
+            # The report may be a stored one. The upstream is known to be still running
             # when the executor accepts tasks for it.
             return None
         del self._lost[view.name]
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -28,7 +28,7 @@
 # Crashes and jobs that are assumed when a guard begins.
 _PRIOR_CRASHES = 1.0
 _PRIOR_JOBS = 10.0
-# Time with waiting jobs after which the rate of a guarded queue's jobs is known.
+# Total time with waiting jobs from which the rate of a guarded queue's jobs is used.
 _MIN_BACKLOG_S = 0.5
 # Time in which the weight of a crash and of a job halves.
 _HALF_LIFE_S = 5.0
--- a/papayaward/coordination/speeds.py
+++ b/papayaward/coordination/speeds.py
@@ -15,7 +15,7 @@
 
 # Variances of the natural logarithms of service times.
 _NEW_EXECUTOR_VARIANCE = 1.0
-# An idle executor is assumed to be at most 20 times as fast as last measured.
+# An idle executor is assumed to become at most 20 times as fast as its last runs.
 _MAX_VARIANCE = 9.0
 _NEW_CLASS_VARIANCE = 0.25
 _MIN_VARIANCE = 0.03
@@ -40,7 +40,7 @@
 
 # Difference of speed between two ranks; less than 3 % is noise.
 _RANK_STEP = 0.03
-# Lower than the rank of any measured executor, so that unmeasured ones are tried first.
+# Lower than the rank of any executor with runs, so that new ones are tried first.
 _UNMEASURED_RANK = -1000
 # An executor whose estimate has a larger standard deviation is probed with one task.
 _UNCERTAIN_DEVIATION = 0.3
--- a/papayaward/coordination/store_sync.py
+++ b/papayaward/coordination/store_sync.py
@@ -22,8 +22,8 @@
 
 log = logging.getLogger(__name__)
 
-# Longest wait of a watch. An open connection may be silent for good without a sign; the
-# changes of the time until the watch is repeated are missed until then.
+# Longest wait of a watch. If its connection goes silent, changes are noticed only when
+# the watch is repeated.
 _WATCH_TIMEOUT_S = 1.5
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 0.8
--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -42,7 +42,7 @@
         self._state = None
         self._changed = Event()
         self._saved = None
-        # Revision of the stored report, as far as it is known.
+        # Expected revision of the stored report; a conflict tells the actual one.
         self._revision = 0
         gevent.spawn(repeat, self._run)
 
