--- a/papayaward/coordination/reply_tracker.py
+++ b/papayaward/coordination/reply_tracker.py
@@ -35,21 +35,24 @@
         self._failures = 0
         self._failing_since = 0.0
         self._last_failure = None
+        self._last_reply = None
 
-    def on_reply(self, elapsed_s):
+    def on_reply(self, elapsed_s, now):
         """Records a reply.
 
         Args:
             elapsed_s: Time from the request to the reply, seconds.
+            now: Time, seconds.
         """
         error_s = elapsed_s - self._mean_s
         self._mean_s += _MEAN_WEIGHT * error_s
         self._deviation_s += _MEAN_WEIGHT * (abs(error_s) - self._deviation_s)
-        self.on_delayed_reply()
+        self.on_delayed_reply(now)
 
-    def on_delayed_reply(self):
+    def on_delayed_reply(self, now):
         """Records a reply that the upstream was asked to delay."""
         self._failures = 0
+        self._last_reply = now
 
     def on_no_reply(self, now):
         """Records a request without a reply."""
@@ -89,3 +92,16 @@
         Returns 0 if the latest request was answered, however long ago.
         """
         return now - self._failing_since if self._failures else 0.0
+
+    def log_fields(self, now):
+        """Returns what is known of the time at which an upstream was lost.
+
+        Returns:
+            dict: Seconds since the last reply, None if there was none, and since the
+                first request without a reply after it.
+        """
+        reply_s = None if self._last_reply is None else now - self._last_reply
+        return {
+            "last_reply_s": reply_s and round(reply_s, 3),
+            "failing_s": round(self.failing_s(now), 3),
+        }
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -234,9 +234,9 @@
             raise
         now = clock.now()
         if not wait_s:
-            self._replies.on_reply(now - sent_at)
+            self._replies.on_reply(now - sent_at, now)
         else:
-            self._replies.on_delayed_reply()
+            self._replies.on_delayed_reply(now)
         self._set_silent(False)
         self._lease.on_reply(reply.clock_ms, now)
         return reply
@@ -425,7 +425,11 @@
         if not self._closed:
             log.warning(
                 "upstream_lost",
-                extra={"upstream": self.state.instance, "reason": reason},
+                extra={
+                    "upstream": self.state.instance,
+                    "reason": reason,
+                    **self._replies.log_fields(clock.now()),
+                },
             )
             self.close()
             self._on_lost(reason)
