--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -28,6 +28,8 @@
 __all__ = ["LeasedUpstream", "StartRecord", "serve"]
 
 _STOP_DELAY_S = 0.01
+# Time until a connection to a crashed instance is refused.
+_REFUSAL_DELAY_S = 0.001
 _POLL_S = 0.005
 _MAX_CONNECTIONS = 64
 _PREFIX = "/papayaward/"
@@ -136,6 +138,7 @@
 
     def _handle_request(self, name, handle, timeout_s):
         if self.crashed:
+            gevent.sleep(_REFUSAL_DELAY_S)
             raise Unreachable("connection refused")
         delay_s = self.loss()
         if delay_s is not None:
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -80,6 +80,11 @@
         """Returns whether a task runs on the present instance."""
         return any(name == task for name, _ in self._upstream.running)
 
+    def crash_from_outside(self):
+        """Ends the present instance for a reason that lies in none of its runs."""
+        self._upstream.crash()
+        self._on_crash()
+
     def _begin(self):
         self.number += 1
         instance = f"{self.name}-{self.number}"
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -109,6 +109,37 @@
         self.assertEqual(("failed", "crashes upstreams"), _outcome(outcome))
         self.assertLessEqual(len(starts), 3)
 
+    def test_start_after_the_crash_of_an_idle_upstream_is_no_run_under_it(self):
+        """Guards against jobs blamed for a crash that preceded their starts."""
+        upstream = LocalUpstream("r1")
+        link = FakeLink("e1")
+        upstream.executor.on_link_up(link, clock.now())
+        gevent.sleep(0.05)
+        upstream.crash()
+        link.mark_alive()
+        upstream.executor.on_heartbeat(link, 0, clock.now())
+        group = start_group("a.0.0.0", work_ms=500)
+        group.starts += [ttypes.TaskStart(f"a.0.0.{i}", 1) for i in range(1, 4)]
+        batch = ttypes.StartBatch(1, [group])
+        upstream.executor.on_message(link, batch, clock.now())
+        gevent.sleep(0.05)
+        self.assertEqual(4, len(link.ends()))
+        self.assertEqual(0, upstream.crash_relay.records.crashes_under("a"))
+
+    def test_job_is_not_shown_as_failed_after_an_outage_of_several_upstreams(self):
+        """Guards against a restart on an upstream that crashed in the same moment."""
+        fleet = self.fleet(executors=8, restart_s=1.0)
+        jobs = [
+            self.submit(fleet.entries[0], job(f"{number:016x}", "300", tasks=4))
+            for number in range(4)
+        ]
+        gevent.sleep(0.1)
+        for upstream in fleet.upstreams[:6]:
+            upstream.crash_from_outside()
+        for one in jobs:
+            self.assertTrue(one.finished.wait(3.0))
+        self.assertEqual(["completed"] * 4, [_kind(one) for one in jobs])
+
     def view_after_loss(self, upstream, accepting):
         """Returns the view of an executor that is back after its link was lost."""
         return SimpleNamespace(
