Blame a job for a crash only if the upstream may have received its start

Cause: a start counted as received from the moment at which it was handed to the client, so of several starts that were connecting to an upstream that had crashed before, one was found refused and the others were recorded as runs that it crashed under. With the run lost in the outage itself these were two crashes under one task.

A start now has a typed delivery: it is unanswered from the moment its bytes are sent on a connection, started once the upstream confirms it, and not delivered again if a reply rejects it or comes from another instance. That a reply of another instance counted as received was found by reading; the new test could not run on the old interface.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -20,6 +20,7 @@
 from .crash_relay import CrashRelay
 from .leased_runs import Owner, Run, isolated_jobs, may_isolate
 from .upstream_crashes import crash_of, log_crash
+from .upstream_requests import Delivery
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -309,11 +310,11 @@
         def is_wanted():
             return not run.stopping and not run.ended
 
-        def set_received(received):
-            run.received = received
+        def on_delivery(delivery):
+            run.delivery = delivery
 
         result, number = session.start(
-            run.task, run.run, run.spec, is_wanted, set_received
+            run.task, run.run, run.spec, is_wanted, on_delivery
         )
         run.run = number
         if run.ended or result == "ended":
@@ -432,7 +433,11 @@
             self._session.close()
             self._session = None
         # A start that the crashed upstream has not received cannot be the cause.
-        runs = [run for run in self._runs.values() if run.received]
+        runs = [
+            run
+            for run in self._runs.values()
+            if run.delivery is not Delivery.NOT_DELIVERED
+        ]
         if unplanned and runs:
             log_crash(self._state.key, reason, runs, now)
             # The notice precedes the ends, so that an entry knows why they were lost.
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -10,6 +10,7 @@
 
 from ..protocol.jobs import Resources
 from ..state.crash_records import job_id_of
+from .upstream_requests import Delivery
 
 __all__ = ["Owner", "Run", "isolated_jobs", "may_isolate"]
 
@@ -39,8 +40,7 @@
     declared_s: float
     started_at: float
     running: bool = False
-    # Whether the upstream may have received a request to start the run.
-    received: bool = False
+    delivery: Delivery = Delivery.NOT_DELIVERED
     stopping: bool = False
     ended: bool = False
     percent: int = -1
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -46,7 +46,7 @@
                     "run": run.run,
                     "request_id": run.request_id,
                     "age_s": round(now - run.started_at, 3),
-                    "acknowledged": run.running,
+                    "delivery": run.delivery.value,
                 }
                 for run in latest_first[:_MAX_LOGGED_RUNS]
             ],
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -4,17 +4,21 @@
 
 Requests from an executor to an upstream that runs tasks under a lease, and replies.
 
-The client of an upstream has three methods: `start(instance, request, timeout_s)`,
+The client of an upstream has three methods:
+`start(instance, request, timeout_s, on_sent)`,
 `stop(instance, task, run, fencing_token, timeout_s)` and
 `poll(instance, request, timeout_s)`. They return an `UpstreamReply`, or raise `NoReply`
-or `Unreachable`.
+or `Unreachable`. `on_sent` is called when a connection is made, immediately before the
+request is sent.
 """
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from ..protocol.jobs import Resources
 
 __all__ = [
+    "Delivery",
     "NoReply",
     "PollRequest",
     "RunEnd",
@@ -33,6 +37,20 @@
     """No connection was made, so the upstream has not received the request."""
 
 
+class Delivery(Enum):
+    """What is known of a request to start a run.
+
+    A crash is related to a run only if the upstream may have received its start.
+    """
+
+    # No connection was made, or the upstream rejected the request.
+    NOT_DELIVERED = "not delivered"
+    # The request was sent and not answered: the run may have begun.
+    UNANSWERED = "unanswered"
+    # The upstream confirmed that the run has begun.
+    STARTED = "started"
+
+
 @dataclass(frozen=True)
 class UpstreamState:
     """State that an upstream reports.
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -13,7 +13,13 @@
 from .. import clock
 from .lease_clock import LeaseClock
 from .reply_tracker import ReplyTracker
-from .upstream_requests import NoReply, PollRequest, StartRequest, Unreachable
+from .upstream_requests import (
+    Delivery,
+    NoReply,
+    PollRequest,
+    StartRequest,
+    Unreachable,
+)
 
 __all__ = ["UpstreamSession"]
 
@@ -30,6 +36,27 @@
 _KILL_DELAY_S = 0.1
 
 
+class _DeliveryTracker:
+    """Follows what is known of one start over several attempts."""
+
+    def __init__(self, on_delivery):
+        self._on_delivery = on_delivery
+        self._unanswered = 0
+
+    def on_sent(self):
+        """Records that an attempt is sent over a connection."""
+        self._unanswered += 1
+        self._on_delivery(Delivery.UNANSWERED)
+
+    def on_reply(self, started):
+        """Records the reply to an attempt; earlier ones may remain unanswered."""
+        self._unanswered -= 1
+        if started:
+            self._on_delivery(Delivery.STARTED)
+        elif not self._unanswered:
+            self._on_delivery(Delivery.NOT_DELIVERED)
+
+
 class UpstreamSession:
     """Session with one upstream instance.
 
@@ -96,7 +123,7 @@
         """Wakes the poll loop."""
         self._wakeup.set()
 
-    def start(self, task, run, spec, is_wanted, set_received=lambda received: None):
+    def start(self, task, run, spec, is_wanted, on_delivery=lambda delivery: None):
         """Starts a run.
 
         A request without a reply is sent again with the same number, which starts no
@@ -107,8 +134,8 @@
             run: Number of the run.
             spec: Specification of the job, opaque text.
             is_wanted: Function that returns whether the run is still wanted.
-            set_received: Function that takes whether the upstream may have received
-                a request to start the run.
+            on_delivery: Function that takes the `Delivery` of the start whenever it
+                changes.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
@@ -117,13 +144,14 @@
         """
         unanswered = 0
         result = "rejected"
+        delivery = _DeliveryTracker(on_delivery)
         for _ in range(_START_ATTEMPTS):
             if self._closed or not is_wanted():
                 result = "cancelled"
                 break
             token = self._token
             try:
-                outcome = self._try_start(task, run, spec, unanswered, set_received)
+                outcome = self._try_start(task, run, spec, unanswered, delivery)
             except NoReply as error:
                 unanswered += 1
                 log.info(
@@ -150,7 +178,7 @@
                 return settled, run
         return result, run
 
-    def _try_start(self, task, run, spec, attempt, set_received):
+    def _try_start(self, task, run, spec, attempt, delivery):
         """Sends one start request and returns its outcome.
 
         Returns:
@@ -167,16 +195,17 @@
         lease_ms = self._lease.lease_ms(until)
         request = StartRequest(task, run, spec, lease_ms, self._token)
         instance = self.state.instance
-        set_received(True)
         try:
             reply = self._call(
-                lambda timeout_s: self._upstream.start(instance, request, timeout_s),
+                lambda timeout_s: self._upstream.start(
+                    instance, request, timeout_s, delivery.on_sent
+                ),
                 attempt,
             )
         except Unreachable:
-            set_received(attempt > 0)
             self._on_instance_lost("connection refused")
             return "unreachable"
+        delivery.on_reply(reply.outcome == "ok")
         if reply.outcome == "other_instance":
             self._on_instance_lost("another upstream instance replied")
             return "unreachable"
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -114,8 +114,10 @@
 
     # The requests, as `UpstreamSession` sends them.
 
-    def start(self, instance, request, timeout_s=0.0):
-        return self._handle_request("start", lambda: self._start(request), timeout_s)
+    def start(self, instance, request, timeout_s=0.0, on_sent=lambda: None):
+        return self._handle_request(
+            "start", lambda: self._start(request), timeout_s, on_sent
+        )
 
     def stop(self, instance, task, run, fencing_token, timeout_s=0.0):
         return self._handle_request(
@@ -136,10 +138,11 @@
             reply = self._poll(request)
         return reply
 
-    def _handle_request(self, name, handle, timeout_s):
+    def _handle_request(self, name, handle, timeout_s, on_sent=lambda: None):
         if self.crashed:
             gevent.sleep(_REFUSAL_DELAY_S)
             raise Unreachable("connection refused")
+        on_sent()
         delay_s = self.loss()
         if delay_s is not None:
             gevent.spawn_later(delay_s, self._handle_delayed, handle)
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -9,7 +9,12 @@
 from testtools import TestCase
 
 from papayaward import clock
-from papayaward.coordination.upstream_requests import NoReply, StartRequest
+from papayaward.coordination.upstream_requests import (
+    Delivery,
+    NoReply,
+    StartRequest,
+    UpstreamReply,
+)
 from papayaward.coordination.upstream_session import UpstreamSession
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import upstream_state
@@ -61,6 +66,38 @@
         gevent.sleep(0.1)
         self.assertEqual([], upstream.records)
 
+    def test_start_that_another_instance_answers_was_not_delivered(self):
+        """Guards against a job blamed for a crash before its start was sent."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        deliveries = []
+
+        def reply_as_another_instance(instance, request, timeout_s, on_sent):
+            on_sent()
+            return UpstreamReply("other_instance")
+
+        upstream.start = reply_as_another_instance
+        session.start("j.0.0.0", 1, "50", lambda: True, deliveries.append)
+        self.assertEqual([Delivery.UNANSWERED, Delivery.NOT_DELIVERED], deliveries)
+
+    def test_unanswered_start_stays_in_question_after_a_refusal_of_its_repetition(self):
+        """Guards against a crash by a start that its repetition clears of blame."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        deliveries = []
+        send = upstream.start
+
+        def lose_reply_and_crash(instance, request, timeout_s, on_sent):
+            if upstream.crashed:
+                return send(instance, request, timeout_s, on_sent)
+            on_sent()
+            upstream.crash()
+            raise NoReply("connection reset")
+
+        upstream.start = lose_reply_and_crash
+        session.start("j.0.0.0", 1, "50", lambda: True, deliveries.append)
+        self.assertEqual([Delivery.UNANSWERED], deliveries)
+
     def test_end_of_a_run_is_acknowledged(self):
         """Guards against ended runs that an upstream keeps reporting."""
         upstream = LeasedUpstream()
