Show a job as failed only after known crashes under one of its running tasks

A caller must not be told that a job crashes upstreams because that is probable in one process.

What is counted for a verdict and what bounds the starts are now two counts in each process's records. A crash notice says which tasks the upstream had confirmed to be running, and only if the upstream was in touch until it crashed: connections broke and were refused, and no request timed out. Two such crashes under one task of a likely cause, or three, make the job failed. Three crashes that a task may have been in bound its starts; the job is then answered unknown ("upstreams crashed repeatedly"), and executors refuse it by that count, which is the same everywhere. A notice also carries the uncertainty of the time of the crash, and an upstream that was merely out of reach until its lease expired confirms nothing.

--- a/benchmarks/crash_model.py
+++ b/benchmarks/crash_model.py
@@ -24,6 +24,7 @@
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_runs import Run, isolated_jobs, may_isolate
 from papayaward.coordination.upstream_crashes import crash_of
+from papayaward.coordination.upstream_requests import Delivery
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import (
     LeasedJobRequest,
@@ -191,6 +192,7 @@
         now = self._simulation.now
         run = Run.of_start(group, start, need, entry, now)
         run.running = True
+        run.delivery = Delivery.STARTED
         self._runs[run.task] = run
         self._free = self._free - need
         run_s = run.declared_s * random.uniform(*_RUN_SHARES)
@@ -229,7 +231,8 @@
         lost = list(self._runs.values())
         now = self._simulation.now
         key = f"{self.name}@{self.instance}"
-        self._simulation.on_crash(crash_of(key, _SERVICE, lost, now))
+        crash = crash_of(key, _SERVICE, lost, now, witnessed=True)
+        self._simulation.on_crash(crash)
         self.up = False
         for lost_run in lost:
             self._end(lost_run, "lost")
--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -76,6 +76,7 @@
                 extra={
                     "upstream": crash.upstream,
                     "age_s": round(now - crash.at, 3),
+                    "uncertainty_s": round(crash.uncertainty_s, 3),
                     "probabilities": {
                         job.job_id: round(self.records.probability(job.job_id), 3)
                         for job in crash.jobs
@@ -93,10 +94,13 @@
                 crash.upstream,
                 int((now - crash.at) * 1000),
                 [
-                    ttypes.CrashedJob(job.queue, list(job.tasks), job.weight)
+                    ttypes.CrashedJob(
+                        job.queue, list(job.tasks), job.weight, list(job.started)
+                    )
                     for job in crash.jobs
                 ],
                 crash.service,
+                int(crash.uncertainty_s * 1000),
             )
             for crash in crashes
         ]
@@ -120,12 +124,18 @@
 
 def _from_notice(notice, now):
     jobs = tuple(
-        CrashedJob(job.queue, tuple(job.tasks), _checked_weight(job.weight))
+        CrashedJob(
+            job.queue,
+            tuple(job.tasks),
+            _checked_weight(job.weight),
+            tuple(task for task in job.started or () if task in job.tasks),
+        )
         for job in notice.jobs
         if job.tasks
     )
     crashed_at = now - notice.age_ms / 1000.0
-    return Crash(notice.upstream, notice.service_name, crashed_at, jobs)
+    uncertainty_s = max(0, notice.uncertainty_ms or 0) / 1000.0
+    return Crash(notice.upstream, notice.service_name, crashed_at, jobs, uncertainty_s)
 
 
 def _checked_weight(weight):
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -36,6 +36,8 @@
     START = ""
     # A task crashed several upstreams.
     CONDEMNED = "crashes upstreams"
+    # A task may have been in several crashes, and is not known to have caused them.
+    EXHAUSTED = "upstreams crashed repeatedly"
     # The job has probably crashed an upstream, and another start could cost one more.
     GIVEN_UP = "upstream crashed"
 
@@ -67,6 +69,8 @@
         job_id = job.request.job_id
         if self._records.is_condemned(job_id):
             return Verdict.CONDEMNED
+        if self._records.is_exhausted(job_id):
+            return Verdict.EXHAUSTED
         if not self._records.is_likely(job_id):
             return Verdict.START
         if not self._guards.is_guarded(job.queue.name, now):
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -61,8 +61,9 @@
 # Reasons for which no executor will ever run a task, with the reason of the outcome.
 _FINAL_REASONS = {
     "invalid": "rejected by the upstream",
-    "crashing": Verdict.CONDEMNED.value,
 }
+# Reason for which an executor refuses a job after too many crashes under it.
+_CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
 _NO_ROOM_REASONS = ("busy", "not_isolated")
 
@@ -286,6 +287,9 @@
             if reason in _FINAL_REASONS:
                 self.end(task.job, "failed", _FINAL_REASONS[reason], now)
                 return
+            if reason == _CRASHING_REASON:
+                self._end_crashing(task.job, now)
+                return
             if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
             self._requeue(task, reason, now)
@@ -299,6 +303,14 @@
             if job is not None:
                 self._end_if_crashing(job, now)
 
+    def _end_crashing(self, job, now):
+        """Ends a job that an executor refuses because of crashes under it.
+
+        If this entry does not know the crashes, it cannot say that the job caused them.
+        """
+        if not self._end_if_crashing(job, now):
+            self.end(job, "unknown", Verdict.EXHAUSTED.value, now)
+
     def _end_if_crashing(self, job, now):
         """Ends a job that must not be started again; returns whether it was ended."""
         verdict = self._isolation.verdict(job, self._views.values(), now)
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -131,7 +131,7 @@
         elif last is not None and state.born_ms < last.born_ms:
             return
         else:
-            self._drop_session("the upstream restarted", unplanned=True)
+            self._drop_crashed_session("the upstream restarted", now)
             self._state = state
             self._open_session(state)
         self.check_accepting()
@@ -285,7 +285,7 @@
         if not self._free().covers(need):
             return "busy"
         job_id = job_id_of(start.task)
-        if self._crashes.records.is_condemned(job_id):
+        if self._crashes.records.is_exhausted(job_id):
             return "crashing"
         limit = group.isolation_limit
         if limit and not may_isolate(self._runs.values(), job_id, limit):
@@ -421,34 +421,50 @@
             self._on_session_lost,
         )
 
-    def _drop_session(self, reason, unplanned=False):
-        """Closes the session; all runs on the upstream are lost.
+    def _drop_crashed_session(self, reason, now):
+        """Closes the session of an instance that another one has replaced."""
+        if self._session is not None:
+            self._publish_crash(self._session.loss(reason, now), now)
+        self._drop_session(reason)
 
-        Args:
-            reason: Reason for the log.
-            unplanned: Whether the upstream ended without notice.
-        """
+    def _drop_session(self, reason):
+        """Closes the session; all runs on the upstream are lost."""
         now = clock.now()
         if self._session is not None:
             self._session.close()
             self._session = None
-        # A start that the crashed upstream has not received cannot be the cause.
+        for run in list(self._runs.values()):
+            self._finish(run, "lost", now)
+        log.info("session_closed", extra={"reason": reason})
+
+    def _publish_crash(self, loss, now):
+        """Tells all processes what the upstream may have been running.
+
+        The notice precedes the ends of the runs, so that an entry knows why they were
+        lost. A start that the upstream has not received cannot be the cause.
+
+        Args:
+            loss: `InstanceLoss`.
+            now: Time, seconds.
+        """
         runs = [
             run
             for run in self._runs.values()
             if run.delivery is not Delivery.NOT_DELIVERED
         ]
-        if unplanned and runs:
-            log_crash(self._state.key, reason, runs, now)
-            # The notice precedes the ends, so that an entry knows why they were lost.
-            crash = crash_of(self._state.key, self._state.service, runs, now)
-            self._crashes.publish(crash, now)
-        for run in list(self._runs.values()):
-            self._finish(run, "lost", now)
-        log.info("session_closed", extra={"reason": reason})
+        if not runs:
+            return
+        key, service = self._state.key, self._state.service
+        log_crash(key, loss.reason, runs, loss.at)
+        crash = crash_of(
+            key, service, runs, loss.at, loss.uncertainty_s, loss.witnessed
+        )
+        self._crashes.publish(crash, now)
 
-    def _on_session_lost(self, reason):
-        self._drop_session(reason, unplanned=not self._state.draining)
+    def _on_session_lost(self, loss):
+        if not self._state.draining:
+            self._publish_crash(loss, clock.now())
+        self._drop_session(loss.reason)
         # The upstream's next report opens a new session.
         self.check_accepting()
 
--- a/papayaward/coordination/reply_tracker.py
+++ b/papayaward/coordination/reply_tracker.py
@@ -36,6 +36,12 @@
         self._failing_since = 0.0
         self._last_failure = None
         self._last_reply = None
+        self._timed_out = False
+
+    @property
+    def timed_out(self):
+        """Whether a request has timed out since the last reply."""
+        return self._timed_out
 
     def on_reply(self, elapsed_s, now):
         """Records a reply.
@@ -53,9 +59,17 @@
         """Records a reply that the upstream was asked to delay."""
         self._failures = 0
         self._last_reply = now
+        self._timed_out = False
+
+    def on_no_reply(self, now, timed_out=True):
+        """Records a request without a reply.
 
-    def on_no_reply(self, now):
-        """Records a request without a reply."""
+        Args:
+            now: Time, seconds.
+            timed_out: Whether there was no sign of the upstream, as opposed to a
+                connection that broke.
+        """
+        self._timed_out = self._timed_out or timed_out
         if not self._failures:
             self._failing_since = now
         self._failures += 1
@@ -93,15 +107,25 @@
         """
         return now - self._failing_since if self._failures else 0.0
 
+    def failed_at(self, now):
+        """Returns when the first request after the last reply failed, seconds.
+
+        Returns `now` if the last request was answered.
+        """
+        return self._failing_since if self._failures else now
+
+    def silence_s(self, until):
+        """Returns the time from the last reply until another time, seconds."""
+        return 0.0 if self._last_reply is None else max(0.0, until - self._last_reply)
+
     def log_fields(self, now):
         """Returns what is known of the time at which an upstream was lost.
 
         Returns:
-            dict: Seconds since the last reply, None if there was none, and since the
-                first request without a reply after it.
+            dict: Seconds since the last reply, and since the first request without a
+                reply after it.
         """
-        reply_s = None if self._last_reply is None else now - self._last_reply
         return {
-            "last_reply_s": reply_s and round(reply_s, 3),
+            "last_reply_s": round(self.silence_s(now), 3),
             "failing_s": round(self.failing_s(now), 3),
         }
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -11,6 +11,7 @@
 
 from ..state import metrics
 from ..state.crash_records import Crash, CrashedJob, job_id_of
+from .upstream_requests import Delivery
 
 __all__ = ["LostRun", "crash_of", "log_crash"]
 
@@ -63,22 +64,29 @@
         queue: Name of its job's queue.
         declared_s: Declared run time, seconds.
         started_at: Time of the start, seconds.
+        delivery: `Delivery` of the start.
+        stopping: Whether a stop of the run has been requested.
     """
 
     task: str
     queue: str
     declared_s: float
     started_at: float
+    delivery: Delivery = Delivery.UNANSWERED
+    stopping: bool = False
 
 
-def crash_of(upstream, service, runs, at):
+def crash_of(upstream, service, runs, at, uncertainty_s=0.0, witnessed=False):
     """Returns the `Crash` of an upstream.
 
     Args:
         upstream: Key of the upstream instance.
         service: Its service.
         runs: `LostRun` or `Run` of each run that was lost.
-        at: Time of the crash, seconds.
+        at: Latest time of the crash, seconds.
+        uncertainty_s: Time before `at` in which it may have crashed as well.
+        witnessed: Whether the upstream was in touch until it crashed, so that the runs
+            that it has started did not end before.
     """
     by_job = {}
     for run in runs:
@@ -88,10 +96,16 @@
             job_runs[0].queue,
             tuple(run.task for run in job_runs),
             max(_weight(run, at) for run in job_runs),
+            tuple(run.task for run in job_runs if witnessed and _was_running(run)),
         )
         for job_runs in by_job.values()
     )
-    return Crash(upstream, service, at, jobs)
+    return Crash(upstream, service, at, jobs, uncertainty_s)
+
+
+def _was_running(run):
+    """Returns whether a run is known to have begun and was not being stopped."""
+    return run.delivery is Delivery.STARTED and not run.stopping
 
 
 def _weight(run, at):
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -18,7 +18,9 @@
 from ..protocol.jobs import Resources
 
 __all__ = [
+    "ConnectionBroken",
     "Delivery",
+    "InstanceLoss",
     "NoReply",
     "PollRequest",
     "RunEnd",
@@ -33,6 +35,10 @@
     """The upstream did not reply; it may still execute the request at any time."""
 
 
+class ConnectionBroken(NoReply):
+    """The connection broke before the reply was complete."""
+
+
 class Unreachable(Exception):
     """No connection was made, so the upstream has not received the request."""
 
@@ -82,6 +88,24 @@
         return f"{self.instance}@{self.born_ms}"
 
 
+@dataclass(frozen=True)
+class InstanceLoss:
+    """The end of an upstream instance, as far as its requests showed it.
+
+    Attributes:
+        reason: How it was noticed.
+        at: Latest time of the end, seconds.
+        uncertainty_s: Time before `at` in which it may have ended as well.
+        witnessed: Whether the instance was in touch until it ended: connections to it
+            broke and were refused, and no request timed out.
+    """
+
+    reason: str
+    at: float
+    uncertainty_s: float
+    witnessed: bool
+
+
 @dataclass(frozen=True)
 class StartRequest:
     """Request to start a run of a task.
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -14,7 +14,9 @@
 from .lease_clock import LeaseClock
 from .reply_tracker import ReplyTracker
 from .upstream_requests import (
+    ConnectionBroken,
     Delivery,
+    InstanceLoss,
     NoReply,
     PollRequest,
     StartRequest,
@@ -70,8 +72,8 @@
         on_progress: Function that takes the progress in percent by (task, run) and
             the current time.
         on_change: Function called when `ready` may have changed.
-        on_lost: Function that takes a reason, called when no run can be active on the
-            instance any more.
+        on_lost: Function that takes an `InstanceLoss`, called when no run can be active
+            on the instance any more.
     """
 
     def __init__(
@@ -252,9 +254,10 @@
         timeout_s = self._replies.timeout_s(attempt)
         try:
             reply = send(timeout_s + wait_s)
-        except NoReply:
+        except NoReply as error:
             now = clock.now()
-            self._replies.on_no_reply(now)
+            timed_out = not isinstance(error, ConnectionBroken)
+            self._replies.on_no_reply(now, timed_out)
             self._set_silent(self._replies.is_silent(now))
             # A connection that fails at once would else be retried in a tight loop. The
             # first retry is not delayed: it shows whether the upstream has crashed.
@@ -375,7 +378,7 @@
                 if reply is not None and reply.outcome == "fenced":
                     self._raise_token()
             if self._replies.is_failing() and clock.now() > self.all_ended_at:
-                self._on_instance_lost("no reply until the lease expired")
+                self._on_instance_lost("no reply until the lease expired", False)
 
     def _renew_delay_s(self, now):
         """Returns the time until the next renewal, seconds.
@@ -450,15 +453,32 @@
                 return "ended" if ended else "never"
         return "ended"
 
-    def _on_instance_lost(self, reason):
+    def loss(self, reason, now, is_gone=True):
+        """Returns the `InstanceLoss` if the instance is lost now.
+
+        Args:
+            reason: How it was noticed.
+            now: Time, seconds.
+            is_gone: Whether the instance is known to be gone, as opposed to out of
+                reach.
+        """
+        witnessed = is_gone and not self._replies.timed_out
+        at = self._replies.failed_at(now) if witnessed else now
+        uncertainty_s = 0.0 if witnessed else self._replies.silence_s(at)
+        return InstanceLoss(reason, at, uncertainty_s, witnessed)
+
+    def _on_instance_lost(self, reason, is_gone=True):
         if not self._closed:
+            now = clock.now()
+            loss = self.loss(reason, now, is_gone)
             log.warning(
                 "upstream_lost",
                 extra={
                     "upstream": self.state.instance,
                     "reason": reason,
-                    **self._replies.log_fields(clock.now()),
+                    "witnessed": loss.witnessed,
+                    **self._replies.log_fields(now),
                 },
             )
             self.close()
-            self._on_lost(reason)
+            self._on_lost(loss)
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -833,6 +833,7 @@
      - queue
      - tasks
      - weight
+     - started
 
     """
 
@@ -840,13 +841,15 @@
         'queue',
         'tasks',
         'weight',
+        'started',
     )
 
 
-    def __init__(self, queue=None, tasks=None, weight=None,):
+    def __init__(self, queue=None, tasks=None, weight=None, started=None,):
         self.queue = queue
         self.tasks = tasks
         self.weight = weight
+        self.started = started
 
 
 class CrashNotice(TBase):
@@ -856,6 +859,7 @@
      - age_ms
      - jobs
      - service_name
+     - uncertainty_ms
 
     """
 
@@ -864,14 +868,16 @@
         'age_ms',
         'jobs',
         'service_name',
+        'uncertainty_ms',
     )
 
 
-    def __init__(self, upstream=None, age_ms=None, jobs=None, service_name=None,):
+    def __init__(self, upstream=None, age_ms=None, jobs=None, service_name=None, uncertainty_ms=None,):
         self.upstream = upstream
         self.age_ms = age_ms
         self.jobs = jobs
         self.service_name = service_name
+        self.uncertainty_ms = uncertainty_ms
 
 
 class CrashNotices(TBase):
@@ -1172,6 +1178,7 @@
     (1, TType.STRING, 'queue', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'tasks', (TType.STRING, 'UTF8', False), None, ),  # 2
     (3, TType.DOUBLE, 'weight', None, None, ),  # 3
+    (4, TType.LIST, 'started', (TType.STRING, 'UTF8', False), None, ),  # 4
 )
 all_structs.append(CrashNotice)
 CrashNotice.thrift_spec = (
@@ -1180,6 +1187,7 @@
     (2, TType.I32, 'age_ms', None, None, ),  # 2
     (3, TType.LIST, 'jobs', (TType.STRUCT, [CrashedJob, None], False), None, ),  # 3
     (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.I32, 'uncertainty_ms', None, None, ),  # 5
 )
 all_structs.append(CrashNotices)
 CrashNotices.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -253,6 +253,8 @@
   1: string queue
   2: list<string> tasks
   3: double weight
+  // Those of the tasks that are known to have been running.
+  4: list<string> started
 }
 
 // An upstream that ended without notice. `upstream` names the instance, so that each
@@ -262,6 +264,8 @@
   2: i32 age_ms
   3: list<CrashedJob> jobs
   4: string service_name
+  // Time before `age_ms` in which the crash may have happened as well.
+  5: i32 uncertainty_ms
 }
 
 struct CrashNotices {
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -22,10 +22,10 @@
 _MAX_CRASHES = 500
 # Time in which the jobs that ran on a crashed upstream are expected to end.
 _RECENT_S = 5.0
-# Crashes under one task after which its job is not started again if it is the likely
-# cause, and after which it is not started again in any case.
+# Crashes under one running task after which its job is condemned if it is the likely
+# cause, and after which it is condemned in any case.
 _MIN_CRASHES = 2
-_MAX_TASK_CRASHES = 3
+_MAX_CRASHES_UNDER_TASK = 3
 # Rate of crashes of one upstream from outside of the jobs, for each second, and the
 # factor by which each other upstream raises it that crashed at the same time without
 # the job in question.
@@ -56,11 +56,14 @@
         tasks: Names of the tasks.
         weight: Probability density of a crash at this time if the job is the cause,
             for each second.
+        started: Those of the tasks that are known to have been running. The upstream
+            may have received the starts of the others, or not.
     """
 
     queue: str
     tasks: tuple
     weight: float
+    started: tuple = ()
 
     @property
     def job_id(self):
@@ -75,14 +78,16 @@
     Attributes:
         upstream: Key of the instance.
         service: Service of the upstream.
-        at: Time of the crash, seconds.
-        jobs: `CrashedJob` of each job that ran there.
+        at: Latest time of the crash, seconds.
+        jobs: `CrashedJob` of each job that may have run there.
+        uncertainty_s: Time before `at` in which the crash may have happened as well.
     """
 
     upstream: str
     service: str
     at: float
     jobs: tuple
+    uncertainty_s: float = 0.0
 
 
 @dataclass
@@ -92,11 +97,13 @@
     Attributes:
         shares: Probability that the job has caused a crash, by upstream, in the order
             of the crashes.
-        upstreams: Keys of the crashed upstreams, by task.
+        upstreams: Keys of the crashed upstreams that may have run it, by task.
+        started: Keys of the crashed upstreams that are known to have run it, by task.
     """
 
     shares: dict = field(default_factory=dict)
     upstreams: dict = field(default_factory=dict)
+    started: dict = field(default_factory=dict)
 
     @property
     def probability(self):
@@ -104,9 +111,14 @@
         return next(reversed(self.shares.values()))
 
     @property
-    def task_crashes(self):
-        """Number of crashes under the task with most of them."""
-        return max(len(upstreams) for upstreams in self.upstreams.values())
+    def possible_crashes(self):
+        """Number of crashes that the task with most of them may have been in."""
+        return _most(self.upstreams)
+
+    @property
+    def known_crashes(self):
+        """Number of crashes that the task with most of them was running in."""
+        return _most(self.started)
 
 
 @dataclass
@@ -185,13 +197,28 @@
         return now - next(reversed(self._crashes.values())).at < _RECENT_S
 
     def is_condemned(self, job_id):
-        """Returns whether a job has a task that is not to be started again."""
+        """Returns whether a job has a task that has crashed upstreams.
+
+        Only crashes under a task that was running count, so that a job is not shown as
+        failed because of starts that reached no upstream.
+        """
         record = self._jobs.get(job_id)
         if record is None:
             return False
-        if record.task_crashes >= _MAX_TASK_CRASHES:
+        if record.known_crashes >= _MAX_CRASHES_UNDER_TASK:
             return True
-        return record.task_crashes >= _MIN_CRASHES and self.is_likely(job_id)
+        return record.known_crashes >= _MIN_CRASHES and self.is_likely(job_id)
+
+    def is_exhausted(self, job_id):
+        """Returns whether a job has a task that must not be started again.
+
+        The crashes that the task may have been in count as well, so that the number of
+        starts is bounded for a task that crashes upstreams before they confirm it.
+        """
+        record = self._jobs.get(job_id)
+        if record is None:
+            return False
+        return record.possible_crashes >= _MAX_CRASHES_UNDER_TASK
 
     def is_likely(self, job_id):
         """Returns whether a job has probably crashed an upstream."""
@@ -258,6 +285,8 @@
         record.shares[upstream] = 0.0
         for task in job.tasks:
             record.upstreams.setdefault(task, set()).add(upstream)
+        for task in job.started:
+            record.started.setdefault(task, set()).add(upstream)
 
     def _set_share(self, job, upstream, share, now):
         """Sets the probability that a `CrashedJob` has caused a crash."""
@@ -279,9 +308,22 @@
 
     def _remove(self, job, record, upstream):
         del record.shares[upstream]
-        for task in job.tasks:
-            record.upstreams[task].discard(upstream)
-            if not record.upstreams[task]:
-                del record.upstreams[task]
+        for upstreams in (record.upstreams, record.started):
+            for task in job.tasks:
+                _remove_from(upstreams, task, upstream)
         if not record.upstreams:
             del self._jobs[job.job_id]
+
+
+def _most(upstreams):
+    """Returns the number of upstreams of the task with most of them."""
+    return max((len(keys) for keys in upstreams.values()), default=0)
+
+
+def _remove_from(upstreams, task, upstream):
+    keys = upstreams.get(task)
+    if keys is None:
+        return
+    keys.discard(upstream)
+    if not keys:
+        del upstreams[task]
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -19,6 +19,7 @@
 from gevent.pywsgi import WSGIServer
 
 from papayaward.coordination.upstream_requests import (
+    ConnectionBroken,
     NoReply,
     RunEnd,
     Unreachable,
@@ -131,7 +132,7 @@
         while request.wait_ms and not reply.ends and time.monotonic() < until:
             gevent.sleep(_POLL_S)
             if self.crashed:
-                raise NoReply("connection closed")
+                raise ConnectionBroken("connection closed")
             if self.silent:
                 gevent.sleep(max(0.0, times_out_at - time.monotonic()))
                 raise NoReply("no reply to poll")
