Poll idle upstreams, and publish their crashes

The poll for ends stays open on an idle upstream now; its connection breaks with the crash. The poll loop also no longer repeats a poll without a delay that is answered with an error.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -441,7 +441,8 @@
         """Tells all processes what the upstream may have been running.
 
         The notice precedes the ends of the runs, so that an entry knows why they were
-        lost. A start that the upstream has not received cannot be the cause.
+        lost. A start that the upstream has not received cannot be the cause. A crash
+        without runs is published as well, since it shows an outage.
 
         Args:
             loss: `InstanceLoss`.
@@ -452,8 +453,6 @@
             for run in self._runs.values()
             if run.delivery is not Delivery.NOT_DELIVERED
         ]
-        if not runs:
-            return
         key, service = self._state.key, self._state.service
         log_crash(key, loss.reason, runs, loss.at)
         crash = crash_of(
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -8,7 +8,6 @@
 import logging
 
 import gevent
-from gevent.event import Event
 
 from .. import clock
 from .lease_clock import LeaseClock
@@ -103,7 +102,6 @@
         self._silent = False
         self._taken_over = False
         self._closed = False
-        self._wakeup = Event()
         self._greenlets = [gevent.spawn(self._take_over)]
 
     @property
@@ -121,10 +119,6 @@
         self._closed = True
         gevent.killall(self._greenlets, block=False)
 
-    def wake(self):
-        """Wakes the poll loop."""
-        self._wakeup.set()
-
     def start(self, task, run, spec, is_wanted, on_delivery=lambda delivery: None):
         """Starts a run.
 
@@ -211,10 +205,7 @@
         if reply.outcome == "other_instance":
             self._on_instance_lost("another upstream instance replied")
             return "unreachable"
-        if reply.outcome == "ok":
-            self._wakeup.set()
-            return "started"
-        return reply.outcome
+        return "started" if reply.outcome == "ok" else reply.outcome
 
     def stop(self, task, run):
         """Stops a run; its end is reported once a poll lists it.
@@ -236,7 +227,6 @@
             except Unreachable:
                 self._on_instance_lost("connection refused")
                 return
-            self._wakeup.set()
             if reply.outcome != "fenced":
                 return
             self._raise_token()
@@ -358,7 +348,6 @@
         if new_ends:
             self._last_end = new_ends[-1].number
             self._on_ends(new_ends, now)
-            self._wakeup.set()
 
     def _renew(self):
         attempt = 0
@@ -394,9 +383,6 @@
     def _poll(self):
         attempt = 0
         while not self._closed:
-            if not self._has_runs() and self._acked_end == self._last_end:
-                self._wakeup.clear()
-                self._wakeup.wait()
             acked = self._last_end
             wait_ms = self._end_wait_ms(clock.now())
             request = PollRequest(self._token, acked, None, wait_ms)
@@ -408,10 +394,16 @@
                 self._acked_end = acked
             elif reply.outcome == "fenced":
                 self._raise_token()
+            else:
+                gevent.sleep(_RETRY_S)
 
     def _end_wait_ms(self, now):
-        # Without runs there is no end to wait for, so the upstream replies at once.
-        if not self._has_runs():
+        """Returns how long the upstream may wait for an end before it replies.
+
+        An idle upstream is polled as well: the connection breaks when it crashes, long
+        before a start would show it.
+        """
+        if not self._has_runs() and self._acked_end != self._last_end:
             return 0
         return _LOSSY_END_WAIT_MS if self._replies.is_lossy(now) else _END_WAIT_MS
 
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -125,6 +125,17 @@
         on_sent()
         gevent.sleep(9.0)
 
+    def test_crash_of_an_idle_upstream_is_noticed_without_a_start(self):
+        """Guards against starts that are sent to an upstream that is long gone."""
+        crashes = []
+        self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
+        gevent.sleep(0.1)
+        crashed_at = clock.now()
+        self.upstream.crash()
+        self.wait_for(lambda: self.executor.refusal_reason, seconds=0.2)
+        self.assertEqual([()], [crash.jobs for crash in crashes])
+        self.assertLess(abs(crashes[0].at - crashed_at), 0.02)
+
     def resize(self, cores, sequence):
         state = upstream_state(cores=cores, sequence=sequence)
         self.executor.on_upstream_report(state, clock.now())
