Do not show a job as failed for three crashes that it is unlikely to have caused

Failed is now said only of a likely cause; the number of crashes bounds the starts, at three, or at four for an unlikely cause.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -23,9 +23,12 @@
 # Time in which the jobs that ran on a crashed upstream are expected to end.
 _RECENT_S = 5.0
 # Crashes under one running task after which its job is condemned if it is the likely
-# cause, and after which it is condemned in any case.
+# cause.
 _MIN_CRASHES = 2
+# Crashes that a task may have been in after which it is not started again, and the same
+# for a job that is unlikely to have caused the last one, as after several outages.
 _MAX_CRASHES_UNDER_TASK = 3
+_MAX_UNLIKELY_CRASHES_UNDER_TASK = 4
 # Rate of crashes of one upstream from outside of the jobs, for each second, and the
 # factor by which each other upstream raises it that crashed at the same time without
 # the job in question.
@@ -36,6 +39,8 @@
 _MAX_OTHERS = 8
 # Probability from which a job is the likely cause of a crash.
 _LIKELY = 0.9
+# Probability below which a job is unlikely to have caused a crash.
+_UNLIKELY = 0.1
 # Probability that a job crashes upstreams, if nothing is known about its queue.
 _BASE_PROBABILITY = 0.003
 # Part of a queue's jobs that is assumed to crash upstreams for each recent crash that
@@ -205,8 +210,6 @@
         record = self._jobs.get(job_id)
         if record is None:
             return False
-        if record.known_crashes >= _MAX_CRASHES_UNDER_TASK:
-            return True
         return record.known_crashes >= _MIN_CRASHES and self.is_likely(job_id)
 
     def is_exhausted(self, job_id):
@@ -218,7 +221,11 @@
         record = self._jobs.get(job_id)
         if record is None:
             return False
-        return record.possible_crashes >= _MAX_CRASHES_UNDER_TASK
+        is_unlikely = record.probability < _UNLIKELY
+        limit = (
+            _MAX_UNLIKELY_CRASHES_UNDER_TASK if is_unlikely else _MAX_CRASHES_UNDER_TASK
+        )
+        return record.possible_crashes >= limit
 
     def is_likely(self, job_id):
         """Returns whether a job has probably crashed an upstream."""
