Start nothing on a recalled upstream before it reports its capacity

Callers: none saw an error; the upstream was overloaded. A rule of the users is LIMIT: no start that brings an upstream over its capacity. Cause: a restarted runner recalled the capacity from the store. The write of the smaller one was still being retried when its predecessor was killed, so that it had the old one until the next report. Evidence: upstream_state_not_saved up to the kill, then upstream_recalled with 32 cores, and upstream_capacity_changed from 32 to 9.6 cores with 30 in use. Change: a recalled upstream is taken over at once (its runs stopped, earlier requests fenced), but tasks are refused with not_reported until it reports. Remembering in the store that a write is pending is not possible while the store is away, and a report may also be missed while no runner is up. A report of the time of the last one would cost a write for each report.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -62,6 +62,8 @@
         self._is_domain_out = is_domain_out
         self._session = None
         self._state = None
+        # Whether the state is a report of the upstream to this process.
+        self._is_reported = False
         self._owners = {}
         self._runs = {}
         self._used = Resources()
@@ -93,6 +95,8 @@
             return "no_upstream"
         if self._state.draining:
             return "draining"
+        if not self._is_reported:
+            return "not_reported"
         if self._session is None or not self._session.ready:
             return "upstream_silent"
         if self._is_domain_out(self._state.domain):
@@ -111,6 +115,20 @@
 
     # The upstream's reports.
 
+    def recall_upstream(self, state):
+        """Takes over the upstream that a predecessor of this process knew.
+
+        No task starts before the upstream reports: its capacity may have shrunk since
+        the stored report, and it may not guard its capacity itself.
+
+        Args:
+            state: `UpstreamState` of the stored report.
+        """
+        self._state = state
+        self._is_reported = False
+        self._open_session(state)
+        self.check_accepting()
+
     def on_upstream_report(self, state, now):
         """Handles a report from the upstream.
 
@@ -133,6 +151,7 @@
             self._drop_session("the upstream restarted", unplanned=True)
             self._state = state
             self._open_session(state)
+        self._is_reported = True
         self.check_accepting()
 
     def _log_capacity_change(self, last, state):
--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -4,8 +4,10 @@
 
 Persists an upstream's latest report in the store, for a restart of the runner.
 
-An upstream reports every second or two. Without the stored report, it would be idle for
-that long after a restart of the runner.
+An upstream reports every second or two. With the stored report, a restarted runner
+stops the runs of its predecessor before that, so that tasks start as soon as the report
+comes. They do not start earlier: the capacity may have shrunk while the store was away,
+or while no runner was there to handle the report.
 """
 
 import json
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -133,7 +133,7 @@
         state = self._state_store.load()
         if state is not None and self.executor.state is None:
             log.info("upstream_recalled", extra={"upstream": state.instance})
-            self.executor.on_upstream_report(state, self.now())
+            self.executor.recall_upstream(state)
 
     def _discover_entries(self):
         """Reads the entries' addresses from the store while no entry is linked."""
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -152,6 +152,30 @@
         self.wait_for(lambda: len(self.upstream.running) == 4)
         self.wait_for(lambda: ("n.0.0.2", "not_run:busy") in link.ends())
 
+    def test_recalled_upstream_starts_nothing_before_its_report(self):
+        """Guards against starts with a capacity that an upstream no longer has."""
+        self.executor = LeasedExecutor(self.upstream, self.domains_out.__contains__)
+        self.executor.recall_upstream(upstream_state(sequence=5))
+        self.wait_for(lambda: self.executor._session.ready)
+        link = self.link()
+        self.send_heartbeats(link)
+        self.send(link, start_group("j.0.0.0"))
+        # A delayed report that is older than the stored one tells nothing new.
+        self.resize(4, sequence=4)
+        self.send(link, start_group("k.0.0.0"))
+        self.resize(1, sequence=6)
+        self.send(link, *[start_group(f"l.0.0.{i}", work_ms=300) for i in range(2)])
+        self.wait_for(lambda: len(link.ends()) == 3)
+        self.assertEqual(
+            [
+                ("j.0.0.0", "not_run:not_reported"),
+                ("k.0.0.0", "not_run:not_reported"),
+                ("l.0.0.1", "not_run:busy"),
+            ],
+            link.ends(),
+        )
+        self.assertEqual([("l.0.0.0", 1)], list(self.upstream.running))
+
     def test_start_that_arrived_before_a_pause_is_refused(self):
         """Guards against a second run of a task after a pause of the runner.
 
