Do not count an executor's tasks against its slots unless its load is limited

Cause: a start needed fewer tasks of the entry there than tasks of its own size fit into the whole upstream, even if the executor was neither ejected nor in a ramp. Beside four tasks of one core a task of four cores was not placed on 16 cores, 12 of them free. A shrunk upstream has few slots, so that it was hit most. Free capacity is checked anyway. Change: ejection tells how many tasks are allowed, or that there is no limit; only such a limit is compared.

--- a/papayaward/coordination/ejection.py
+++ b/papayaward/coordination/ejection.py
@@ -66,16 +66,21 @@
 
     def limit(self, executor, slots, now):
         """Returns how many slots of an executor may be used now."""
+        allowed = self.allowed(executor, now)
+        return slots if allowed is None else min(slots, allowed)
+
+    def allowed(self, executor, now):
+        """Returns how many tasks may run on an executor now, None for no limit."""
         health = self._health.get(executor)
         if health is None:
-            return slots
+            return None
         if health.ejected_until is not None:
             if now < health.ejected_until:
                 return 0
             # A single task probes whether the executor has recovered.
             health.ejected_until = None
             self._start_ramp(health, 1)
-        return slots if health.allowed is None else min(slots, health.allowed)
+        return health.allowed
 
     def start_ramp(self, executor, slots):
         """Limits the slots of a new or reconnected executor until tasks succeed."""
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -167,8 +167,8 @@
             assigned = sum(other.may_run_on(view.name) for other in siblings)
             if assigned >= phase.max_per_upstream:
                 return False
-        slots = max(1, view.capacity.cpu_millis // max(1, phase.need.cpu_millis))
-        return self._ejection.limit(view.name, slots, now) > len(view.tasks)
+        allowed = self._ejection.allowed(view.name, now)
+        return allowed is None or len(view.tasks) < allowed
 
     def rank(self, view, task):
         """Returns the sort key of an executor for a task; the lowest is preferred."""
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -107,6 +107,16 @@
         gevent.sleep(0.01)
         self.assertEqual(1, len(link.starts()))
 
+    def test_large_task_starts_beside_as_many_small_ones_as_would_fit_of_its_size(self):
+        """Guards against a task that waits although an executor has room for it."""
+        link = self.executor(cores=16)
+        self.submit(tasks=4)
+        phase = Phase(1, Resources(4000, 64, 0), 0.1)
+        request = replace(job_request(job_id="f" * 16), phases=(phase,))
+        self.scheduler.submit(request, job_queue(), clock.now())
+        gevent.sleep(0.01)
+        self.assertEqual("f" * 16 + ".0.0.0", link.starts()[-1].task)
+
     def test_job_completes_when_every_task_is_done(self):
         """Guards against completion of a job before all its tasks are done."""
         link = self.executor()
