Run the second copy of a job on another executor than the first

Cause: two faults of the scenario. (1) An executor answers a second grant of a task from its own record, and the scenario left the placement to chance. If the batch of the other executor arrives some 50 ms late, the coordinator's executor runs all tasks but those of the first round; if both executors have the same speed rank, the second run places every task as the first did, and no second start happens. (2) The coordinator removes an expired record at a tick, up to 1 s after its time to live of 1 s; the second submission came 2.2 s after the answer. A tick that is 0.2 s late leaves the record in place, and the second submission is answered from it.

The first run now has only the coordinator's executor, the second only the other one, whose record is empty, so each of the 30 tasks must start a second time unless the mechanism prevents it. The second submission waits until the coordinator reports that the record is gone and until the block's time to live has passed. The block lives 4 s instead of 2 s, as a number may be half as old when it is handed out, and the scenario now requires that the first run is complete.

--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -27,9 +27,8 @@
 __all__ = []
 
 _PARALLEL_SCENARIOS = 3
-# An executor that receives a task twice answers from its own record. With few tasks,
-# each might be sent to the same executor twice, and no second start would be found.
 _TASK_COUNT = 30
+_BLOCK_TTL_S = 4.0
 
 _RUNNERS = [{"domain": "a"}, {"domain": "b"}]
 
@@ -47,6 +46,50 @@
     return [r["start"] - since for r in fleet.records(name) if r["start"] > since]
 
 
+def _accepting_executors(fleet, coordinator):
+    """Returns the names of the executors that can get tasks of a coordinator."""
+    document = call(fleet.entry(), "GET", "/admin/status?detail=1").json
+    return {
+        view["member"]
+        for status in document["coordinators"]
+        if status["member"] == coordinator
+        for view in status["executors"]
+        if view["linked"] and view["accepting"]
+    }
+
+
+def _wait_for_executors(fleet, coordinator, names):
+    """Waits until exactly the named executors can get tasks of a coordinator."""
+    fleet.wait_until(lambda: _accepting_executors(fleet, coordinator) == names)
+
+
+def _accept_only_on(fleet, coordinator, name):
+    """Lets only one executor accept tasks of a coordinator.
+
+    An executor answers a second grant of a task from its own record, and placement
+    may choose the same executor for both runs of a job. On two different executors a
+    second run cannot remain unnoticed.
+    """
+    for other in fleet.runner_http:
+        fleet.control_upstream(other, leaving=other != name)
+    _wait_for_executors(fleet, coordinator, {name})
+
+
+def _run_on_coordinator(fleet):
+    """Runs a job on its coordinator's executor, which accepts no later tasks.
+
+    Returns:
+        str: The identifier of the job.
+    """
+    coordinator, other = fleet.coordinator(), _other_runner(fleet)
+    _accept_only_on(fleet, coordinator, coordinator)
+    job_id = fleet.new_ids(1)[0]
+    reply = fleet.submit(echo_tasks(_TASK_COUNT, 5), job_id=job_id)
+    assert reply.status == 200, reply.body
+    _accept_only_on(fleet, coordinator, other)
+    return job_id
+
+
 def start_dedup(fleet):
     """Invariant 1: the coordinator resends grants after a link became silent."""
     coordinator, other = fleet.coordinator(), _other_runner(fleet)
@@ -61,17 +104,21 @@
 
 def record_dedup(fleet):
     """Invariant 1: the caller submits the same job twice."""
-    job_id = fleet.new_ids(1)[0]
-    fleet.submit(echo_tasks(_TASK_COUNT, 5), job_id=job_id)
+    job_id = _run_on_coordinator(fleet)
     fleet.submit(echo_tasks(_TASK_COUNT, 5), index=1, job_id=job_id)
     return _double_starts(fleet)
 
 
 def block_expiry(fleet):
     """Invariant 1: a duplicate arrives after its record and block expired."""
-    job_id = fleet.new_ids(1)[0]
-    fleet.submit(echo_tasks(_TASK_COUNT, 5), job_id=job_id)
-    gevent.sleep(2.2)
+    job_id = _run_on_coordinator(fleet)
+    # The block was issued before the job ran.
+    expired = time.monotonic() + _BLOCK_TTL_S
+    path = f"/admin/explain/{job_id}"
+    fleet.wait_until(
+        lambda: call(fleet.entry(), "GET", path).json.get("found") is False
+    )
+    gevent.sleep(max(0.0, expired - time.monotonic()))
     fleet.submit(echo_tasks(_TASK_COUNT, 5), index=1, job_id=job_id)
     return _double_starts(fleet)
 
@@ -233,7 +280,7 @@
     return [] if job.successful() else ["no answer after 4 s"]
 
 
-_SHORT_BLOCK_TTL = {"runner": {"id_block_ttl_s": 2.0, "result_ttl_s": 1.0}}
+_SHORT_BLOCK_TTL = {"runner": {"id_block_ttl_s": _BLOCK_TTL_S, "result_ttl_s": 1.0}}
 # The delayed push must not be lost because its link is closed as silent.
 _LONG_LINK_TIMEOUT = {"runner": {"heartbeat_misses": 20}}
 
