Kill the executor in the retry_guard scenario only once a request runs on it

Cause: the scenario killed the executor 0.3 s after it sent the requests, whether or not one had started there. A grant that has not started by then is retried and starts once, which is no violation. On a loaded machine the link to the executor or the start of its tasks can take longer than 0.3 s.

The scenario waits until the coordinator can use both executors and until the upstream of the executor that it kills has recorded a start.

--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -214,6 +214,7 @@
 def retry_guard(fleet):
     """Invariant 6: an executor is killed during requests that are not idempotent."""
     victim = _other_runner(fleet)
+    _wait_for_executors(fleet, fleet.coordinator(), set(fleet.runner_http))
     body = {"service": "dispatch", "tenant": "t1", "class": "c1"}
     requests = [
         gevent.spawn(
@@ -221,11 +222,12 @@
             fleet.entry(),
             "POST",
             "/v1/requests",
-            {**body, "body": {"work_ms": 700, "echo": number}},
+            {**body, "body": {"work_ms": 2000, "echo": number}},
         )
         for number in range(12)
     ]
-    gevent.sleep(0.3)
+    # A request that was granted but not started is started only once.
+    fleet.wait_until(lambda: fleet.records(victim))
     fleet.kill(victim)
     gevent.joinall(requests, timeout=10)
     return _double_starts(fleet)
