Test a kept connection without letting other greenlets run before the request

What callers saw: after an upstream closed its kept connections (restart), a request sent on one of them was answered `unknown`, or cost an idempotent request one of its two lost runs, although no upstream had received it. In a process with more than 1,024 open files each request on a kept connection ended so, whatever the upstream did.

Cause: gevent's `select` with a timeout of 0 yields to the other greenlets after the system call and before it returns, so the result is one iteration of the event loop old when the request is sent. It also raises ValueError for descriptors from 1,024 on, outside of the handled errors; the executor took the dead greenlet for a lost run.

A non-blocking peek tests the connection without a switch and for any descriptor.

--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -12,7 +12,6 @@
 from urllib.parse import quote
 
 from gevent import socket
-from gevent.select import select
 
 from .http_parser import read_response
 
@@ -93,8 +92,7 @@
     def _connect(self):
         while self._idle:
             sock = self._idle.pop()
-            # An idle connection becomes readable when the upstream closes it.
-            if not select([sock], [], [], 0)[0]:
+            if _is_open(sock):
                 return sock
             sock.close()
         try:
@@ -132,3 +130,23 @@
             for name, value in headers.items()
         ]
         return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def _is_open(sock):
+    """Returns whether an idle connection is open and has nothing to read.
+
+    Other greenlets don't run during the test, as they would with gevent's `select`:
+    the upstream could close the connection before the request is sent, and the
+    request would count as one that may have run.
+    """
+    sock.settimeout(0.0)
+    try:
+        # Data, too, makes the connection unusable: it answers no request.
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    finally:
+        sock.settimeout(None)
+    return False
