Answer `failed` only for tasks that the upstream answered

What callers saw: a single request that reached its deadline was answered `failed` ("it ran, and failed") although the upstream had not answered it, or although it had never been sent because no connection was made in time. An idempotent request whose run was lost with its upstream, and whose deadline passed before its retry, was `failed` too, with `tasks_started` 1.

Cause: the executor reported each passed deadline as FAILED, and the coordinator counted a lost run as a known start. A failed connection attempt of this kind also counted against the executor's health and used a retry.

Now a deadline that passes before the request is sent is a rejection, which proves that the task did not start, and a later one is a lost run with the reason `deadline`. Only an answer of the upstream (OK or FAILED) makes a task count as started. The outcome at a deadline comes from one place, `Results.expire`: `not_run`, `unknown`, or `failed` if a task of the job is known to have started.

--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -299,9 +299,17 @@
         task.start()
 
     def _run(self, key, grant, deadline, now):
+        may_have_started = False
+
+        def before_sending():
+            nonlocal may_have_started
+            self._recheck_gate(deadline)
+            may_have_started = True
+
         with gevent.Timeout(max(0.001, deadline - now), False):
-            return self._call_upstream(key, grant, deadline)
-        return TaskStatus.FAILED, b"", Reason.DEADLINE
+            return self._call_upstream(key, grant, before_sending)
+        status = TaskStatus.LOST if may_have_started else TaskStatus.REJECTED
+        return status, b"", Reason.DEADLINE
 
     def _recheck_gate(self, deadline):
         """Checks the start gate again once the connection is open.
@@ -322,7 +330,7 @@
         if reason not in (Reason.NONE, Reason.NO_SLOT):
             raise _StartDenied(reason)
 
-    def _call_upstream(self, key, grant, deadline):
+    def _call_upstream(self, key, grant, before_sending):
         job_id, index, attempt = key
         headers = {
             "Papayaward-Job": job_id,
@@ -334,7 +342,7 @@
         self._requests_in_flight += 1
         try:
             status, body = self._client.post(
-                "/run", grant.body, headers, lambda: self._recheck_gate(deadline)
+                "/run", grant.body, headers, before_sending
             )
         except _StartDenied as error:
             return TaskStatus.REJECTED, b"", error.reason
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -24,6 +24,9 @@
 
 _INFEASIBLE_RETRY_MS = 1000
 
+# The upstream answered, so the task is known to have started.
+_ANSWERED = (TaskStatus.OK, TaskStatus.FAILED)
+
 _service_seconds = lru_cache(4096)(metrics.SERVICE_SECONDS.labels)
 
 
@@ -112,14 +115,11 @@
             self._on_rejected(view, grant, result, now)
             return
         view.on_start()
-        record.started += 1
-        if status != TaskStatus.CANCELLED:
-            service_s = result.service_us / 1e6
-            spec = record.spec
-            _service_seconds(spec.tenant, spec.job_class).observe(service_s)
-            self._update_health(view, spec, status, service_s, now)
-        elif record.extra_attempts:
-            self._add_cancelled_sample(view, record.spec, result, now)
+        if status in _ANSWERED:
+            record.started += 1
+        # An executor that no longer has a result says nothing about its upstream.
+        if result.reason != Reason.DUPLICATE:
+            self._observe_run(view, record, result, now)
         if record.done:
             return
         if status == TaskStatus.OK:
@@ -127,7 +127,18 @@
         elif status == TaskStatus.FAILED:
             self._on_task_failed(grant, result, view.member, now)
         else:
-            self._on_task_lost(grant, view.member, now)
+            self._on_task_lost(grant, view.member, now, result.reason)
+
+    def _observe_run(self, view, record, result, now):
+        """Uses a run for the metrics, the speed and the health of its executor."""
+        if result.status == TaskStatus.CANCELLED:
+            if record.extra_attempts:
+                self._add_cancelled_sample(view, record.spec, result, now)
+            return
+        service_s = result.service_us / 1e6
+        spec = record.spec
+        _service_seconds(spec.tenant, spec.job_class).observe(service_s)
+        self._update_health(view, spec, result.status, service_s, now)
 
     def _add_cancelled_sample(self, view, spec, result, now):
         """Uses the run time of a cancelled copy as a lower bound of its service time.
@@ -198,13 +209,16 @@
         else:
             self._dispatcher.requeue(record, index)
 
-    def _on_task_lost(self, grant, member, now):
+    def _on_task_lost(self, grant, member, now, reason=Reason.TASK_LOST):
         record, index = grant.record, grant.index
         record.running.pop((index, grant.attempt), None)
         record.maybe_started = True
         record.lost_runs += 1
         if record.done or _other_copy_runs(record, index):
             return
+        if reason == Reason.DEADLINE:
+            self.expire(record, now)
+            return
         detail = f"task {index} may have run on {member}, its result is lost"
         may_retry = record.lost_runs < MAX_LOST_RUNS
         if may_retry and self._retry(record, index, detail, now):
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -12,8 +12,9 @@
 from testtools import TestCase
 
 from papayaward import clock
-from papayaward.coordination.executor import Executor
+from papayaward.coordination.executor import Executor, Upstream
 from papayaward.protocol.gen import ttypes
+from papayaward.protocol.outcomes import Reason, TaskStatus
 
 __all__ = []
 
@@ -22,6 +23,54 @@
 _ACTUAL_SLOTS = 2
 
 
+def _executor():
+    """Returns an executor whose start gate is open."""
+    config = SimpleNamespace(domains_out=())
+    node = SimpleNamespace(
+        incarnation=1,
+        domain="a",
+        config=SimpleNamespace(config=config),
+        evidence=SimpleNamespace(latest=clock.now()),
+        draining=False,
+        settings=SimpleNamespace(evidence_max_age_s=60.0, announce_ttl_s=60.0),
+    )
+    return Executor(node)
+
+
+def _upstream(port, instance="i1"):
+    return Upstream("127.0.0.1", port, _ANNOUNCED_SLOTS, instance=instance)
+
+
+class _Coordinator:
+    """Link to a coordinator that collects the results of its grants."""
+
+    def __init__(self, executor):
+        self._executor = executor
+        self._granted = 0
+        self.peer = SimpleNamespace(member="coordinator")
+        self.results = []
+        executor.on_link_up(self)
+
+    def try_send(self, message):
+        if isinstance(message, ttypes.ResultBatch):
+            self.results += message.results
+        return True
+
+    def grant(self, deadline_ms=60_000):
+        """Grants one task."""
+        self._granted += 1
+        grant = ttypes.Grant("j", self._granted, 1, b"{}", deadline_ms, "t1", "c1")
+        self._executor.on_message(self, ttypes.RunBatch(1, [grant]), clock.now())
+
+    def run(self, deadline_ms=60_000):
+        """Grants one task and returns its status and reason."""
+        self.grant(deadline_ms)
+        with gevent.Timeout(5):
+            while len(self.results) < self._granted:
+                gevent.sleep(0.01)
+        return self.results[-1].status, self.results[-1].reason
+
+
 class RefusalsTest(TestCase):
     def setUp(self):
         super().setUp()
@@ -29,24 +78,8 @@
         server = StreamServer(("127.0.0.1", 0), self._serve)
         server.start()
         self.addCleanup(server.stop)
-        config = SimpleNamespace(domains_out=())
-        node = SimpleNamespace(
-            incarnation=1,
-            domain="a",
-            config=SimpleNamespace(config=config),
-            evidence=SimpleNamespace(latest=clock.now()),
-            draining=False,
-            settings=SimpleNamespace(evidence_max_age_s=60.0, announce_ttl_s=60.0),
-        )
-        self.executor = Executor(node)
-        upstream = SimpleNamespace(
-            host="127.0.0.1",
-            port=server.server_port,
-            slots=_ANNOUNCED_SLOTS,
-            leaving=False,
-            instance="i1",
-        )
-        self.executor.announce(upstream, clock.now())
+        self.executor = _executor()
+        self.executor.announce(_upstream(server.server_port), clock.now())
 
     def _serve(self, sock, _):
         sock.recv(65536)
@@ -75,3 +108,37 @@
             while self.executor.running > _ACTUAL_SLOTS:
                 gevent.sleep(0.01)
         self.assertEqual(_ACTUAL_SLOTS, self.executor.slots)
+
+
+class DeadlineTest(TestCase):
+    """The deadline passes before the upstream answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.executor = _executor()
+        self.executor.announce(_upstream(1), clock.now())
+        self.coordinator = _Coordinator(self.executor)
+
+    def test_deadline_before_the_request_is_sent(self):
+        """Guards against `failed` for a task that was never sent to the upstream.
+
+        It would also count against the executor's health and use a retry.
+        """
+        self.executor._client = SimpleNamespace(post=_connect_forever)
+        refused = (TaskStatus.REJECTED, Reason.DEADLINE)
+        self.assertEqual(refused, self.coordinator.run(deadline_ms=20))
+
+    def test_deadline_after_the_request_was_sent(self):
+        """Guards against `failed` for a task of which the upstream says nothing."""
+        self.executor._client = SimpleNamespace(post=_never_answer)
+        lost = (TaskStatus.LOST, Reason.DEADLINE)
+        self.assertEqual(lost, self.coordinator.run(deadline_ms=20))
+
+
+def _connect_forever(path, body, headers, check):
+    gevent.sleep(60)
+
+
+def _never_answer(path, body, headers, check):
+    check()
+    gevent.sleep(60)
