Keep what is known of a replaced upstream apart from the new one

What callers saw: after an upstream was replaced at the same address (a VM that went away without closing its connections), each connection kept from before cost one run: the new VM reset it after the request was sent, and the request was answered `unknown` or lost one of its two runs. A connection to the earlier address that was refused, or a 429 that arrived late, made the new upstream count as absent or full until its next announcement and a pause.

Cause: connections were dropped only when the address changed, not when the instance did; and what a request learned was applied to the upstream that was announced when it ended, not to the one that it was sent to.

Now a new process (address or instance) gets a new client and new slots, a request keeps those that it began with, and a client drops its idle connections when one of them was lost.

--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -53,8 +53,9 @@
     instance: str = ""
 
 
-def _address(upstream):
-    return upstream.host, upstream.port
+def _process(upstream):
+    """Returns what differs between two processes that announce themselves."""
+    return upstream.host, upstream.port, upstream.instance
 
 
 class _StartDenied(NotSent):
@@ -138,10 +139,9 @@
         if upstream == previous and was_present:
             return
         self._upstream = upstream
-        if previous is None or _address(previous) != _address(upstream):
+        if previous is None or _process(previous) != _process(upstream):
+            # Connections and refusals of an earlier process do not apply to a new one.
             self._client = UpstreamClient(upstream.host, upstream.port)
-        if previous is None or previous.instance != upstream.instance:
-            # Refusals of an earlier process do not apply to a new one.
             self._usable_slots = UsableSlots()
         self._usable_slots.announce(upstream.slots)
         self._slots = self._usable_slots.usable(len(self._running), now)
@@ -339,18 +339,19 @@
             "Papayaward-Tenant": grant.tenant,
             "Papayaward-Class": grant.job_class,
         }
+        # Another process may announce itself before this one answers.
+        client, usable_slots = self._client, self._usable_slots
         self._requests_in_flight += 1
         try:
-            status, body = self._client.post(
-                "/run", grant.body, headers, before_sending
-            )
+            status, body = client.post("/run", grant.body, headers, before_sending)
         except _StartDenied as error:
             return TaskStatus.REJECTED, b"", error.reason
         except NotSent:
             # The upstream gets no task until its next announcement and the end of a
             # pause, and then a single probe task.
-            self._upstream_present = False
-            self._usable_slots.on_unreachable(clock.now())
+            if client is self._client:
+                self._upstream_present = False
+            usable_slots.on_unreachable(clock.now())
             return TaskStatus.REJECTED, b"", Reason.UPSTREAM_GONE
         except UpstreamConnectionLost:
             return TaskStatus.LOST, b"", Reason.TASK_LOST
@@ -361,10 +362,10 @@
             metrics.REJECTED_GRANTS.labels("upstream_busy").inc()
             # `_running` still includes other refused tasks, since many responses can
             # arrive before the first of their greenlets has finished.
-            self._usable_slots.on_refused(self._requests_in_flight, now)
+            usable_slots.on_refused(self._requests_in_flight, now)
             self._slots = self._usable_slots.usable(self._requests_in_flight, now)
             return TaskStatus.REJECTED, b"", Reason.NO_SLOT
-        self._usable_slots.on_served()
+        usable_slots.on_served()
         if status == _HTTP_OK:
             return TaskStatus.OK, _as_json(body), Reason.NONE
         return TaskStatus.FAILED, body[:1000], Reason.TASK_FAILED
--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -79,6 +79,8 @@
             reusable = True
             raise
         except Exception as error:
+            # The upstream may be gone without having closed its other connections.
+            self.close()
             raise UpstreamConnectionLost(str(error) or type(error).__name__) from error
         finally:
             # Closing the connection also signals a cancellation to the upstream.
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 
 import gevent
+import gevent.event
 from gevent.server import StreamServer
 from testtools import TestCase
 
@@ -15,10 +16,12 @@
 from papayaward.coordination.executor import Executor, Upstream
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.outcomes import Reason, TaskStatus
+from papayaward.transport.upstream_http import NotSent
 
 __all__ = []
 
 _REFUSED = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+_SERVED = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 _ANNOUNCED_SLOTS = 16
 _ACTUAL_SLOTS = 2
 
@@ -135,6 +138,113 @@
         self.assertEqual(lost, self.coordinator.run(deadline_ms=20))
 
 
+class ReplacedUpstreamTest(TestCase):
+    """An upstream is replaced while requests to the earlier one are in progress."""
+
+    def setUp(self):
+        super().setUp()
+        self.connections = 0
+        self.server = StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.executor = _executor()
+        self.coordinator = _Coordinator(self.executor)
+
+    def _serve(self, sock, _):
+        self.connections += 1
+        while sock.recv(65536):
+            sock.sendall(_SERVED)
+
+    def _announce(self, port, instance):
+        self.executor.announce(_upstream(port, instance), clock.now())
+
+    def test_connections_of_the_earlier_instance_are_not_used(self):
+        """Guards against runs that are lost on connections to a stopped process.
+
+        A replaced VM closes no connection; the new one resets those it does not know,
+        after the request was sent.
+        """
+        self._announce(self.server.server_port, "i1")
+        self.assertEqual(TaskStatus.OK, self.coordinator.run()[0])
+        self._announce(self.server.server_port, "i2")
+        self.assertEqual(TaskStatus.OK, self.coordinator.run()[0])
+        self.assertEqual(2, self.connections)
+
+    def test_connections_are_not_used_after_one_was_lost(self):
+        """Guards against losing one run for each kept connection of a dead upstream."""
+        self._announce(self.server.server_port, "i1")
+        for _ in range(2):
+            self.coordinator.grant()
+        with gevent.Timeout(5):
+            while len(self.coordinator.results) < 2:
+                gevent.sleep(0.01)
+        self.assertEqual(2, self.connections)
+        idle = self.executor._client._idle
+        idle.append(_DeadConnection(idle.pop()))
+        self.assertEqual(TaskStatus.LOST, self.coordinator.run()[0])
+        self.assertEqual(TaskStatus.OK, self.coordinator.run()[0])
+        self.assertEqual(3, self.connections)
+
+    def test_refused_connection_to_the_earlier_address(self):
+        """Guards against taking a new upstream for unreachable."""
+        refused = gevent.event.Event()
+
+        def fail_when_set(path, body, headers, check):
+            refused.wait()
+            raise NotSent("connection refused")
+
+        self._announce(1, "i1")
+        self.executor._client = SimpleNamespace(post=fail_when_set)
+        self.coordinator.grant()
+        gevent.sleep(0)
+        self._announce(self.server.server_port, "i2")
+        refused.set()
+        with gevent.Timeout(5):
+            while not self.coordinator.results:
+                gevent.sleep(0.01)
+        gone = (TaskStatus.REJECTED, Reason.UPSTREAM_GONE)
+        result = self.coordinator.results[0]
+        self.assertEqual(gone, (result.status, result.reason))
+        self.assertTrue(self.executor.accepting)
+        self.executor.tick(clock.now())
+        self.assertEqual(_ANNOUNCED_SLOTS, self.executor.slots)
+        self.assertEqual(TaskStatus.OK, self.coordinator.run()[0])
+
+    def test_late_refusal_of_the_earlier_instance(self):
+        """Guards against applying the limit of a stopped process to a new one."""
+        late = gevent.event.Event()
+
+        def refuse_when_set(path, body, headers, check):
+            check()
+            late.wait()
+            return 429, b""
+
+        self._announce(1, "i1")
+        self.executor._client = SimpleNamespace(post=refuse_when_set)
+        self.coordinator.grant()
+        gevent.sleep(0)
+        self._announce(self.server.server_port, "i2")
+        late.set()
+        with gevent.Timeout(5):
+            while not self.coordinator.results:
+                gevent.sleep(0.01)
+        self.executor.tick(clock.now())
+        self.assertEqual(_ANNOUNCED_SLOTS, self.executor.slots)
+
+
+class _DeadConnection:
+    """Connection whose peer is gone without having closed it."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    def sendall(self, data):
+        raise ConnectionResetError("reset by the new VM")
+
+
 def _connect_forever(path, body, headers, check):
     gevent.sleep(60)
 
