Place tasks elsewhere whose grant could not be sent

What callers saw: a task that was granted to an executor while the link to it was closing was answered `unknown` ("may have run") after the reconnect grace, or counted as a lost run of an idempotent request, although nothing had been sent. At its deadline it was `unknown` instead of `not_run`. A retry that an executor rejected went to the fastest executor, also to the one whose upstream it had been lost with, and ended there as `unknown` after the second lost run.

Cause: the dispatcher ignored whether the link accepted a batch, and a link that is closed stays in the executor's view until its reader has stopped. Rejected retries went to the queue of first grants, and the rejecting executor counted as tried.

Now closed links get no grants, a grant that the link did not accept is withdrawn and its task queued again, and a rejected retry stays a retry for an untried executor. Grants that were sent on an earlier link stay outstanding if sending again fails.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -161,8 +161,11 @@
         self.wake()
 
     def requeue(self, record, index):
-        """Requeues a task whose grant was rejected."""
-        self._queue.requeue(record.queued_job, index)
+        """Requeues a task whose grant was rejected or not sent."""
+        if record.extra_attempts:
+            self._queued_retries.append((record, index))
+        else:
+            self._queue.requeue(record.queued_job, index)
         self.wake()
 
     def queue_retry(self, record, index):
@@ -182,8 +185,11 @@
         if view is None:
             return False
         self._queue.acquire_slot(record.spec.tenant)
-        self._send_grants(view, [self._record_grant(view, record, index, now)], now)
-        return True
+        grant = self._record_grant(view, record, index, now)
+        if self._send_grants(view, [grant], now):
+            return True
+        self._withdraw(view, grant)
+        return False
 
     def take_hedgeable(self):
         """Returns and clears the new grants that may be hedged.
@@ -428,17 +434,17 @@
             self._bind_tasks(now)
             self._place_bound(batches, now)
         for member, grants in batches.items():
-            self._send_grants(self.executors[member], grants, now)
+            self._send_or_requeue(self.executors[member], grants, now)
         metrics.QUEUED_TASKS.set(self.queued)
 
     def _place_on_fastest(self, batches, now):
         queue = self._queue
-        if not queue or not self._free:
+        heap = [_order_and_view(view) for view in self._free_views()]
+        if not queue or not heap:
             return
         if len(queue) == 1:
-            heap = [min(map(_order_and_view, self._free.values()))]
+            heap = [min(heap)]
         else:
-            heap = [*map(_order_and_view, self._free.values())]
             heapq.heapify(heap)
         while queue and heap:
             view = heap[0][1]
@@ -530,12 +536,31 @@
         usable = (view for view in self.executors.values() if view.usable)
         if all(view.member in tried for view in usable):
             tried = ()
-        others = (view for view in self._free.values() if view.member not in tried)
+        others = (view for view in self._free_views() if view.member not in tried)
         return min(others, key=attrgetter("order"), default=None)
 
-    def _send_grants(self, view, outstanding, now):
-        if view.link is None:
+    def _free_views(self):
+        """Returns the views with free slots to which grants can be sent."""
+        return [view for view in self._free.values() if view.linked]
+
+    def _send_or_requeue(self, view, grants, now):
+        """Sends new grants; requeues their tasks if the link has closed."""
+        if self._send_grants(view, grants, now):
             return
+        for grant in grants:
+            self._withdraw(view, grant)
+            self.requeue(grant.record, grant.index)
+
+    def _withdraw(self, view, grant):
+        """Removes a grant that was not sent, so that its task has not started."""
+        record = grant.record
+        self.release_grant(view, record.spec.job_id, grant.index, grant.attempt)
+        record.forget_grant(grant.index, grant.attempt, view.member)
+
+    def _send_grants(self, view, outstanding, now):
+        """Sends grants; returns whether the link was open."""
+        if not view.linked:
+            return False
         grants = [
             Grant(
                 grant.record.spec.job_id,
@@ -548,8 +573,8 @@
             )
             for grant in outstanding
         ]
-        view.link.try_send(RunBatch(view.incarnation, grants))
         view.last_batch_at = now
+        return view.link.try_send(RunBatch(view.incarnation, grants))
 
     def _request_reports(self, now):
         """Requests slot reports from executors that got no batch recently.
--- a/papayaward/coordination/executor_views.py
+++ b/papayaward/coordination/executor_views.py
@@ -84,11 +84,16 @@
         """Whether faster executors are known."""
         return self.faster_rate > 0.0
 
+    @property
+    def linked(self):
+        """Whether a message can be sent; a closed link stays until its reader stops."""
+        return self.link is not None and not self.link.closed
+
     @property
     def usable(self):
         """Whether grants may be sent to the executor at all."""
         return (
-            self.link is not None
+            self.linked
             and self.listed
             and self.accepting
             and self.in_service
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -201,6 +201,7 @@
     def _on_rejected(self, view, grant, result, now):
         record, index = grant.record, grant.index
         view.on_rejection(now)
+        record.forget_grant(index, grant.attempt, view.member)
         record.timeline.add(now, "rejected", index, view.member, result.reason)
         if record.done or _other_copy_runs(record, index):
             return
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -116,6 +116,15 @@
         """Whether the job has its outcome."""
         return self.outcome is not None
 
+    def forget_grant(self, index, attempt, member):
+        """Removes a grant under which the task provably did not start."""
+        self.running.pop((index, attempt), None)
+        if member in self.tried_executors:
+            # An earlier grant to the same executor keeps its own entry.
+            tried = list(self.tried_executors)
+            tried.remove(member)
+            self.tried_executors = tuple(tried)
+
 
 class JobRecords:
     """Records of the jobs of one coordinator, by identifier.
--- a/tests/coordinator_case.py
+++ b/tests/coordinator_case.py
@@ -30,10 +30,13 @@
             member=member, incarnation=incarnation, domain="a", role="runner"
         )
         self.closed = False
+        # Whether the link closes instead of sending the next message.
+        self.fails = False
         self.echoed_us = 0
         self.sent = []
 
     def try_send(self, message):
+        self.closed = self.closed or self.fails
         if not self.closed:
             self.sent.append(message)
         return not self.closed
--- a/tests/test_lost_runs.py
+++ b/tests/test_lost_runs.py
@@ -79,3 +79,87 @@
             lost = (TaskStatus.LOST, Reason.DUPLICATE)
             self.result(self.link, *lost, _NOW, job_id=f"j{index}")
         self.assertEqual([], ejection.ejected(_NOW))
+
+
+class GrantThatWasNotSentTest(CoordinatorCase):
+    """A link closes, which its view shows only after the reader has stopped."""
+
+    def setUp(self):
+        super().setUp()
+        self.closing = RecordedLink("x")
+        self.other = RecordedLink("y")
+        for link in (self.closing, self.other):
+            self.connect(link, _NOW, slots=1)
+
+    def test_closed_link_gets_no_grants(self):
+        """Guards against `unknown` for a task that no executor has received."""
+        self.closing.closed = True
+        record = self.submit(_NOW)
+        self.assertEqual([("j", 0, 1)], self.other.grants())
+        self.coordinator.on_executor_down(self.closing, _NOW)
+        self.coordinator._tick(_NOW + 2)
+        self.assertFalse(record.done)
+
+    def test_task_waits_while_every_link_is_closed(self):
+        """Guards against `unknown` for a task that provably did not run."""
+        self.closing.closed = self.other.closed = True
+        record = self.submit(_NOW, deadline=_DEADLINE)
+        for link in (self.closing, self.other):
+            self.coordinator.on_executor_down(link, _NOW)
+        self.coordinator._tick(_NOW + 2)
+        self.assertFalse(record.done)
+        self.coordinator._tick(_DEADLINE)
+        outcome = record.outcome
+        self.assertEqual(
+            (Outcome.NOT_RUN, Reason.DEADLINE), (outcome.outcome, outcome.reason)
+        )
+
+    def test_grant_that_fails_to_be_sent_is_placed_elsewhere(self):
+        """Guards against losing tasks with a link whose send queue is full."""
+        self.closing.fails = True
+        record = self.submit(_NOW)
+        self.dispatcher._dispatch(_NOW)
+        self.assertEqual([], self.closing.grants())
+        self.assertEqual(1, len(self.other.grants()))
+        self.assertEqual(0, self.dispatcher.queued)
+        self.assertEqual(["y"], list(record.running.values()))
+
+    def test_retry_that_fails_to_be_sent_is_placed_elsewhere(self):
+        """Guards against ending a retried request with a closed link."""
+        self.closing.fails = True
+        record = self.submit(_NOW, idempotent=True)
+        self.dispatcher._dispatch(_NOW)
+        attempt = self.other.grants()[0][2]
+        self.result(
+            self.other, TaskStatus.LOST, Reason.TASK_LOST, _NOW, attempt=attempt
+        )
+        third = RecordedLink("z")
+        self.dispatcher.queue_retry(record, 0)
+        self.connect(third, _NOW, slots=1)
+        self.dispatcher._dispatch(_NOW)
+        self.dispatcher._dispatch(_NOW)
+        self.assertEqual(1, len(third.grants()))
+        self.assertFalse(record.done)
+
+
+class RejectedRetryTest(CoordinatorCase):
+    def test_rejected_retry_is_not_sent_to_the_executor_that_lost_it(self):
+        """Guards against a second lost run while an untried executor is usable.
+
+        Executor "y" has rejected the retry, so the request has not run there.
+        """
+        lost, untried = RecordedLink("x"), RecordedLink("y")
+        self.connect(lost, _NOW, slots=1)
+        record = self.submit(_NOW, idempotent=True)
+        self.result(lost, TaskStatus.LOST, Reason.TASK_LOST, _NOW)
+        # Executor "x" gets work last for 1 s.
+        later = _NOW + 2
+        self.connect(untried, later, slots=1)
+        self.coordinator._tick(later)
+        self.dispatcher.queue_retry(record, 0)
+        self.dispatcher._dispatch(later)
+        self.assertEqual([("j", 0, 2)], untried.grants())
+        self.result(untried, TaskStatus.REJECTED, Reason.NO_SLOT, later, attempt=2)
+        self.dispatcher._dispatch(later)
+        self.assertEqual([("j", 0, 2), ("j", 0, 3)], untried.grants())
+        self.assertEqual([("j", 0, 1)], lost.grants())
