Split the dispatcher by job

It keeps the queue and the placement; the rest moves, without a change of behaviour, to `cell_executors` (membership, links, load limits and order of the executors), `grants` (what was granted, sent, withdrawn and cancelled), `queue_load` (shares and estimates for admission), `slot_hold` (waiting for a faster slot) and `early_binding` (baseline policies). Each receives what it uses; none refers back to the dispatcher. Metrics, messages, settings and log events keep their names.

--- /dev/null
+++ b/papayaward/coordination/queue_load.py
@@ -0,0 +1,126 @@
+"""
+papayaward.coordination.queue_load
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Load and shares of a coordinator's queue, and what a job demands of it.
+"""
+
+from .admission import Demand, Load, fair_share
+
+__all__ = ["QueueLoad"]
+
+_DEFAULT_PRIORITY = 10
+_SHARE_TTL_S = 0.05
+
+
+class QueueLoad:
+    """Shares of the tenants in the slots, and estimates for admission.
+
+    Args:
+        node: The runner.
+        records: `JobRecords`, whose open bytes count towards the admission limit.
+        queue: `FairQueue`.
+        speeds: `SpeedEstimates`.
+    """
+
+    def __init__(self, node, records, queue, speeds):
+        self._node = node
+        self._records = records
+        self._queue = queue
+        self._speeds = speeds
+        self._slots = 0
+        self._config_version = None
+        self._shares = {}
+
+    @property
+    def slots(self):
+        """Total slots of the usable executors."""
+        return self._slots
+
+    def set_slots(self, slots):
+        """Sets the total slots; updates the shares if they may have changed."""
+        version = self._node.config.version
+        if slots == self._slots and version == self._config_version:
+            return
+        self._slots = slots
+        self._config_version = version
+        self._shares = {}
+        self._queue.set_shares(self._quota_and_weight)
+
+    def demand(self, spec, size):
+        """Returns the `Demand` of a job for admission.
+
+        Args:
+            spec: `JobSpec`.
+            size: Size of the tasks, bytes.
+        """
+        task_s = best_s = 0.0
+        if self._speeds.knows(spec.job_class):
+            task_s = self._speeds.expected_s(spec.job_class)
+            best_s = task_s * self._speeds.min_slowness()
+        return Demand(
+            len(spec.tasks),
+            size,
+            task_s,
+            best_s,
+            self._speeds.fastest_s(spec.job_class),
+            self.priority(spec.job_class),
+            spec.deadline,
+        )
+
+    def load(self, tenant, queued, known_slots, now):
+        """Returns the `Load` of this coordinator for a job of a tenant.
+
+        Args:
+            tenant: Name of the tenant.
+            queued: Number of tasks waiting for a slot.
+            known_slots: Total slots of all executors, usable or not.
+            now: Monotonic time, seconds.
+        """
+        return Load(
+            queued,
+            self._records.open_bytes,
+            self._queue.queued_tasks(tenant),
+            self._records.tenant_bytes(tenant),
+            self._slots,
+            known_slots,
+            self._share(tenant, now),
+            self._queue.queued_work(tenant),
+        )
+
+    def priority(self, name):
+        """Returns the priority of a class of jobs."""
+        job_class = self._node.config.config.classes.get(name)
+        return _DEFAULT_PRIORITY if job_class is None else job_class.priority
+
+    def will_miss_deadline(self, queued, now):
+        """Returns whether the estimates show that a job will miss its deadline.
+
+        Tasks that take longer than earlier ones make the queue longer than
+        admission assumed. A job that cannot be completed in time is rejected
+        before it uses any slots.
+        """
+        spec = queued.job.spec
+        remaining_s = spec.deadline - now
+        tasks = queued.job.tasks
+        needed_s = self._speeds.fastest_s(spec.job_class)
+        if tasks > 1 and self._speeds.knows(spec.job_class):
+            task_s = self._speeds.expected_s(spec.job_class)
+            slots = max(1.0, self._share(spec.tenant, now))
+            needed_s = max(task_s * self._speeds.min_slowness(), tasks * task_s / slots)
+        return needed_s > remaining_s
+
+    def _quota_and_weight(self, name):
+        tenant = self._node.config.config.tenants.get(name)
+        if tenant is None:
+            return 0.0, 1.0
+        return tenant.quota * self._slots, tenant.weight
+
+    def _share(self, name, now):
+        share, until = self._shares.get(name, (0.0, 0.0))
+        if now >= until:
+            quota, weight = self._quota_and_weight(name)
+            demands = self._queue.demands()
+            share = fair_share(self._slots, name, quota, weight, demands)
+            self._shares[name] = (share, now + _SHARE_TTL_S)
+        return share
