Reject JSON from outside that cannot be used or passed on

Values of other programs were checked partly: a text nested 900 levels deep, an infinite number, NaN or surrogates in UTF-8 were accepted and failed in a later use. An address with a port such as "²" or with 5,000 digits raised ValueError instead of the getters' own error, which callers of the getters do not catch, and describing a nested value in an error could raise RecursionError.

read_json and read_object now bound the depth by a constant, since the parser's limit depends on the stack that is left, reject numbers beyond the range of a float, and decode UTF-8 strictly. Addresses accept only ASCII digits and printable hosts; get_peer_address also requires an IP number, because name resolution blocks the process. Errors describe lists and objects by their size.

--- a/papayaward/protocol/options.py
+++ b/papayaward/protocol/options.py
@@ -6,9 +6,13 @@
 """
 
 import json
+import math
+import socket
 
 __all__ = [
     "MAX_INT32",
+    "MAX_INTEGER",
+    "MAX_JSON_DEPTH",
     "OptionError",
     "check_text",
     "get_address",
@@ -16,14 +20,31 @@
     "get_choice",
     "get_int",
     "get_number",
+    "get_object",
+    "get_peer_address",
     "get_string",
     "get_string_list",
+    "read_json",
     "read_object",
 ]
 
 # Largest value of the integers in messages between processes.
 MAX_INT32 = 2**31 - 1
 
+# Largest integer that every JSON program represents exactly; it fits in the 64-bit
+# fields of messages.
+MAX_INTEGER = 2**53
+
+# The parser's own limit depends on the stack that is left, so that a value which one
+# process accepts could fail in another, or later when it is encoded again.
+MAX_JSON_DEPTH = 64
+
+_MAX_PORT = 65535
+_MAX_HOST_LENGTH = 253
+_MAX_ITEM_LENGTH = 1024
+# Length of the description of a rejected value.
+_MAX_SHOWN = 80
+
 _MISSING = object()
 
 
@@ -36,22 +57,94 @@
     """
 
     def __init__(self, name, value, allowed):
-        found = "nothing" if value is _MISSING else repr(value)[:80]
+        found = _describe(value)
         super().__init__(f"{name}: found {found}, allowed is {allowed}")
         self.name = name
         self.allowed = allowed
 
 
-def read_object(text):
-    """Returns the JSON object in a text, str or bytes.
+def _describe(value):
+    """Returns a short text for a value that may be huge or deeply nested."""
+    if value is _MISSING:
+        return "nothing"
+    if isinstance(value, dict):
+        return f"an object with {len(value)} members"
+    if isinstance(value, (list, tuple)):
+        return f"a list of {len(value)}"
+    if isinstance(value, str):
+        value = value[:_MAX_SHOWN]
+    return repr(value)[:_MAX_SHOWN]
+
+
+def _parse_float(text):
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(f"the number {text[:20]} is too large")
+    return value
+
+
+def _reject_constant(text):
+    # JSON has neither infinities nor NaN, so another program could not read them.
+    raise ValueError(f"{text} is no JSON number")
+
+
+_decode = json.JSONDecoder(
+    parse_float=_parse_float, parse_constant=_reject_constant
+).decode
+
+
+def read_json(text):
+    """Returns the value of a JSON text that another program wrote.
+
+    The last of two equal keys of an object counts. Strings may hold lone surrogates,
+    which `get_string` rejects.
+
+    Args:
+        text: str, or bytes in UTF-8.
 
     Raises:
-        OptionError: The text is not a JSON object.
+        OptionError: The text is no JSON, is nested too deeply, or holds a number that
+            cannot be represented.
     """
     try:
-        document = json.loads(text)
+        if not isinstance(text, str):
+            text = str(text, "utf-8-sig")
+        document = _decode(text)
     except (ValueError, TypeError, RecursionError) as error:
-        raise OptionError("body", str(error)[:60], "a JSON object") from None
+        raise OptionError("body", str(error)[:60], "JSON") from None
+    if _may_be_deep(text) and _is_deep(document):
+        allowed = f"JSON nested at most {MAX_JSON_DEPTH} levels deep"
+        raise OptionError("body", document, allowed)
+    return document
+
+
+def _may_be_deep(text):
+    # Counting is faster than visiting every value, and enough for most texts.
+    return text.count("[") + text.count("{") > MAX_JSON_DEPTH
+
+
+def _is_deep(document):
+    level = [document]
+    for _ in range(MAX_JSON_DEPTH):
+        inner = []
+        for value in level:
+            if isinstance(value, dict):
+                inner += value.values()
+            elif isinstance(value, list):
+                inner += value
+        level = inner
+        if not level:
+            return False
+    return any(isinstance(value, (dict, list)) for value in level)
+
+
+def read_object(text):
+    """Returns the JSON object in a text; see `read_json`.
+
+    Raises:
+        OptionError: The text is not a JSON object.
+    """
+    document = read_json(text)
     if not isinstance(document, dict):
         raise OptionError("body", document, "a JSON object")
     return document
@@ -72,7 +165,7 @@
     return value
 
 
-def get_int(options, name, default=None, low=0, high=2**53):
+def get_int(options, name, default=None, low=0, high=MAX_INTEGER):
     """Returns an integer option between low and high, both included."""
     value = _get(options, name, default)
     if isinstance(value, bool) or not isinstance(value, int):
@@ -105,18 +198,29 @@
 def get_choice(options, name, choices, default=None):
     """Returns one of the allowed strings."""
     value = _get(options, name, default)
-    if value not in choices:
+    if not isinstance(value, str) or value not in choices:
         raise OptionError(name, value, "one of " + ", ".join(sorted(choices)))
     return value
 
 
+def get_object(options, name, default=None):
+    """Returns a JSON object."""
+    value = _get(options, name, default)
+    if not isinstance(value, dict):
+        raise OptionError(name, value, "an object")
+    return value
+
+
 def get_string_list(options, name, default=None, max_length=1000):
     """Returns a tuple of strings."""
     value = _get(options, name, default)
     if not isinstance(value, (list, tuple)) or len(value) > max_length:
         raise OptionError(name, value, f"a list of at most {max_length} strings")
-    if not all(isinstance(item, str) for item in value):
-        raise OptionError(name, value, "a list of strings")
+    if not all(
+        isinstance(item, str) and len(item) <= _MAX_ITEM_LENGTH for item in value
+    ):
+        allowed = f"strings of at most {_MAX_ITEM_LENGTH} characters"
+        raise OptionError(name, value, allowed)
     return tuple(check_text(name, item) for item in value)
 
 
@@ -138,7 +242,42 @@
     allowed = "an IP number and a port such as 10.0.0.1:7000"
     if not isinstance(value, str):
         raise OptionError(name, value, allowed)
-    host, separator, port = value.rpartition(":")
-    if not separator or not host or not port.isdigit() or int(port) > 65535:
+    host, _, port = value.rpartition(":")
+    if not _is_host(host) or not _is_port(port):
         raise OptionError(name, value, allowed)
     return host, int(port)
+
+
+def get_peer_address(options, name):
+    """Returns the (host, port) pair of another process, which is to be dialled.
+
+    A host name is rejected: name resolution blocks the whole process.
+    """
+    host, port = get_address(options, name)
+    if not _is_ip_number(host):
+        raise OptionError(name, host, "an IP number")
+    if not port:
+        raise OptionError(name, port, "a port from 1")
+    return host, port
+
+
+def _is_ip_number(host):
+    for family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            socket.inet_pton(family, host)
+        except OSError:
+            continue
+        return True
+    return False
+
+
+def _is_host(text):
+    # A socket fails on other characters, partly with errors other than `OSError`.
+    printable = text.isascii() and text.isprintable() and " " not in text
+    return 0 < len(text) <= _MAX_HOST_LENGTH and printable
+
+
+def _is_port(text):
+    # `int` accepts digits of other scripts, and `isdigit` even more than `int`.
+    is_number = text.isascii() and text.isdigit() and len(text) <= len(str(_MAX_PORT))
+    return is_number and int(text) <= _MAX_PORT
