Check each field of an upstream's stored report

A runner whose stored report was overwritten by another program failed while it restarted: 200,000 nested brackets raised RecursionError, which ended the greenlet that restores the report. An infinite or 30-digit capacity, a label that is an object or a start time of another type was taken as it was and failed in the messages to the entries.

load now uses the checked getters, with the ranges of the messages' fields. An odd report is logged and ignored as before a missing one.

--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -17,6 +17,16 @@
 
 from ..loops import repeat
 from ..protocol.jobs import Resources
+from ..protocol.options import (
+    MAX_INT32,
+    OptionError,
+    get_bool,
+    get_int,
+    get_object,
+    get_string,
+    get_string_list,
+    read_object,
+)
 from ..protocol.store_errors import StoreConflict, StoreError
 from .upstream_requests import UpstreamState
 
@@ -52,11 +62,8 @@
             value = self._store.read(self._key).values.get(self._key)
             if value is None:
                 return None
-            document = json.loads(value)
-            document["capacity"] = Resources(**document["capacity"])
-            document["labels"] = tuple(document["labels"])
-            return UpstreamState(**document)
-        except (StoreError, ValueError, KeyError, TypeError) as error:
+            return _parse_state(value)
+        except (StoreError, OptionError) as error:
             # Not fatal: the upstream's next report is used instead, only later.
             log.info("upstream_state_not_loaded", extra={"error": str(error)})
             return None
@@ -100,6 +107,30 @@
             self._revision = self._store.put(self._key, value, 0, conflict.revision)
 
 
+def _parse_state(value):
+    """Decodes a stored report.
+
+    Raises:
+        OptionError: The report is malformed; another program must have written it.
+    """
+    document = read_object(value)
+    capacity = get_object(document, "capacity")
+    return UpstreamState(
+        instance=get_string(document, "instance"),
+        service=get_string(document, "service"),
+        domain=get_string(document, "domain"),
+        capacity=Resources(
+            get_int(capacity, "cpu_millis", high=MAX_INT32),
+            get_int(capacity, "memory_mb", high=MAX_INT32),
+            get_int(capacity, "gpus", high=MAX_INT32),
+        ),
+        labels=get_string_list(document, "labels"),
+        draining=get_bool(document, "draining"),
+        sequence=get_int(document, "sequence"),
+        born_ms=get_int(document, "born_ms"),
+    )
+
+
 def _without_sequence(state):
     """Returns a report without its sequence number, which changes every time."""
     return {**asdict(state), "sequence": 0}
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -8,10 +8,14 @@
 raise anything but its own error.
 """
 
+import json
+from dataclasses import asdict
 from functools import partial
 
 from testtools import TestCase
 
+from papayaward.coordination.store_sync import Snapshot
+from papayaward.coordination.upstream_state_store import UpstreamStateStore
 from papayaward.protocol.options import (
     OptionError,
     get_address,
@@ -22,6 +26,7 @@
     read_object,
 )
 from tests import odd_values
+from tests.leased_case import upstream_state
 
 __all__ = []
 
@@ -81,3 +86,43 @@
         """Guards against a check of another value than the one that is used."""
         document = read_object(b'{"a": 1, "a": 99}')
         self.assertRaises(OptionError, get_int, document, "a", high=9)
+
+
+class _OneKeyStore:
+    def __init__(self):
+        self.value = None
+
+    def read(self, prefix):
+        return Snapshot(1, {prefix: self.value})
+
+
+class UpstreamStateStoreTest(TestCase):
+    def test_odd_report_is_not_recalled(self):
+        """Guards against a restarted runner that fails on the stored report."""
+        store = _OneKeyStore()
+        states = UpstreamStateStore(store, "r1")
+        state = upstream_state(labels=("a", "r1-3"))
+        document = asdict(state)
+        store.value = json.dumps(document).encode()
+        self.assertEqual(state, states.load())
+        fields = {
+            ("instance",): odd_values.TEXT_VALUES,
+            ("service",): odd_values.TEXT_VALUES,
+            ("domain",): odd_values.TEXT_VALUES,
+            ("capacity",): odd_values.OBJECTS,
+            ("capacity", "cpu_millis"): odd_values.NUMBERS,
+            ("capacity", "memory_mb"): odd_values.NUMBERS,
+            ("capacity", "gpus"): odd_values.NUMBERS,
+            ("labels", 0): odd_values.TEXT_VALUES,
+            ("draining",): {"number": "1", "text": '"no"', "null": "null"},
+            ("sequence",): odd_values.NUMBERS,
+            ("born_ms",): odd_values.NUMBERS,
+        }
+
+        def load(text):
+            store.value = text
+            if states.load() is None:
+                raise ValueError
+
+        cases = odd_values.odd_texts(document, fields)
+        self.assertEqual([], odd_values.not_rejected(load, ValueError, cases))
