Follow the store's lists after an odd item or reply

An entry stopped following the operators' keys or the list of entries, or its own key expired while it ran, after one item or reply that could not be read: a value that is no base64 text, an item of another type, a reply nested too deeply or without a revision. PlatformStore raised KeyError, TypeError, AttributeError or RecursionError, and neither the watches nor the greenlet that keeps the key alive expect anything but StoreError, so they ended for good.

Both loops log other errors once (store_call_failed) and go on. A host or port that no socket accepts raised OverflowError or ValueError instead of NotSent in requests to the store and the upstream.

--- a/papayaward/coordination/store_sync.py
+++ b/papayaward/coordination/store_sync.py
@@ -56,6 +56,12 @@
         self._outage_start = None
         self._retry_delay_s = _MIN_RETRY_DELAY_S
 
+    def on_unexpected_error(self, error):
+        """Handles an error that is not the store's, which must not end the loop."""
+        if self._outage_start is None:
+            log.exception("store_call_failed", extra={"purpose": self._purpose})
+        self.on_error(error)
+
     def on_success(self):
         if self._outage_start is not None:
             outage_s = round(clock.now() - self._outage_start, 3)
@@ -100,6 +106,8 @@
             )
         except StoreError as error:
             outages.on_error(error)
+        except Exception as error:
+            outages.on_unexpected_error(error)
 
 
 def _handle(on_snapshot, snapshot):
@@ -157,3 +165,5 @@
                 gevent.sleep(_RENEW_INTERVAL_S)
             except StoreError as error:
                 outages.on_error(error)
+            except Exception as error:
+                outages.on_unexpected_error(error)
--- a/papayaward/protocol/options.py
+++ b/papayaward/protocol/options.py
@@ -19,6 +19,7 @@
     "get_bool",
     "get_choice",
     "get_int",
+    "get_list",
     "get_number",
     "get_object",
     "get_peer_address",
@@ -211,11 +212,17 @@
     return value
 
 
-def get_string_list(options, name, default=None, max_length=1000):
-    """Returns a tuple of strings."""
+def get_list(options, name, default=None, max_length=100_000):
+    """Returns a list of any values."""
     value = _get(options, name, default)
     if not isinstance(value, (list, tuple)) or len(value) > max_length:
-        raise OptionError(name, value, f"a list of at most {max_length} strings")
+        raise OptionError(name, value, f"a list of at most {max_length} items")
+    return value
+
+
+def get_string_list(options, name, default=None, max_length=1000):
+    """Returns a tuple of strings."""
+    value = get_list(options, name, default, max_length)
     if not all(
         isinstance(item, str) and len(item) <= _MAX_ITEM_LENGTH for item in value
     ):
--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -99,7 +99,8 @@
             sock.close()
         try:
             sock = socket.create_connection(self._address, _CONNECT_TIMEOUT_S)
-        except OSError as error:
+        except (OSError, OverflowError, ValueError) as error:
+            # The last two are raised for a port or a host that no address can have.
             raise NotSent(str(error)) from error
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/tests/test_odd_platform_values.py
@@ -0,0 +1,286 @@
+"""
+tests.test_odd_platform_values
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Readers of the adapter and of the lists of entries, with the table of odd values.
+"""
+
+import json
+import sys
+from base64 import b64encode
+from functools import partial
+from pathlib import Path
+
+import gevent
+from gevent.pywsgi import WSGIServer
+from testtools import TestCase
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
+
+from adapter.store import PlatformStore  # noqa: E402
+from adapter.upstream import PlatformUpstream  # noqa: E402
+
+from papayaward.coordination.store_sync import (  # noqa: E402
+    Presence,
+    watch_prefix,
+)
+from papayaward.coordination.upstream_requests import (  # noqa: E402
+    NoReply,
+    PollRequest,
+    Unreachable,
+)
+from papayaward.leased_node import NodeSettings  # noqa: E402
+from papayaward.protocol.codec import encode  # noqa: E402
+from papayaward.protocol.store_errors import StoreError  # noqa: E402
+from tests import odd_values  # noqa: E402
+from tests.leased_case import FakeLink  # noqa: E402
+
+__all__ = []
+
+HOST = "127.0.0.1"
+PREFIX = "papayaward/entries/"
+_SETTLE_S = 0.05
+
+
+class _Server:
+    """HTTP server that answers each request with the same body.
+
+    Attributes:
+        status: Status line of the next responses.
+        content: Body of the next responses, bytes.
+        paths: Paths of the requests.
+    """
+
+    def __init__(self, case):
+        self.status = "200 OK"
+        self.content = b"{}"
+        self.paths = []
+        self._server = WSGIServer((HOST, 0), self._answer, log=None)
+        self._server.start()
+        case.addCleanup(self._server.stop)
+
+    @property
+    def address(self):
+        return HOST, self._server.server_port
+
+    def _answer(self, environ, start_response):
+        environ["wsgi.input"].read()
+        self.paths.append(environ["PATH_INFO"])
+        length = str(len(self.content))
+        start_response(self.status, [("Content-Length", length)])
+        return [self.content]
+
+
+def _item(key, value, revision=5):
+    return {"key": key, "value": b64encode(value).decode(), "rev": revision}
+
+
+class StoreTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.server = _Server(self)
+        self.store = PlatformStore(self.server.address)
+
+    def not_rejected(self, call, document, fields):
+        def read(text):
+            self.server.content = text
+            return call()
+
+        cases = odd_values.odd_texts(document, fields)
+        return odd_values.not_rejected(read, StoreError, cases)
+
+    def test_odd_replies_are_store_errors(self):
+        """Guards against a watch, or a lease, that ends with an odd reply."""
+        lists = {n: f for n, f in odd_values.OBJECTS.items() if n != "list"}
+        numbers = odd_values.NUMBERS
+        page = {"at_rev": 7, "items": [], "has_more": False}
+        fields = {("at_rev",): numbers, ("items",): {**lists, "object": "{}"}}
+        read = partial(self.store.read, PREFIX)
+        self.assertEqual([], self.not_rejected(read, page, fields))
+        wait = partial(self.store.wait, PREFIX, 1, 0.1)
+        fields = {("at_rev",): numbers}
+        self.assertEqual(
+            [], self.not_rejected(wait, {"at_rev": 7, "events": []}, fields)
+        )
+        grant = partial(self.store.grant_lease, 10.0)
+        # An identifier may use all 64 bits.
+        self.assertEqual(
+            [], self.not_rejected(grant, {"lease_id": 3}, {("lease_id",): numbers})
+        )
+        put = partial(self.store.put, "k", b"v", 0)
+        self.assertEqual([], self.not_rejected(put, {"rev": 3}, {("rev",): numbers}))
+        self.server.status = "412 Precondition Failed"
+        put = partial(self.store.put, "k", b"v", 0, 1)
+        lines = self.not_rejected(
+            put, {"items": [{"rev": 3}]}, {("items", 0, "rev"): numbers}
+        )
+        self.assertEqual([], lines)
+
+    def test_odd_item_costs_only_itself(self):
+        """Guards against a list that is not followed because of one item."""
+        good = [_item(PREFIX + "a", b"1"), _item(PREFIX + "z", b"2")]
+        expected = {PREFIX + "a": b"1", PREFIX + "z": b"2"}
+        odd = _item(PREFIX + "odd", b"3")
+        values = {**odd_values.TEXT_VALUES, "no base64": '"/w="', "other": '"\\u00b2"'}
+        # A value may be empty, or long.
+        del values["null"], values["long text"]
+        for path, fragments in (
+            (("items", 1), odd_values.OBJECTS),
+            (("items", 1, "key"), odd_values.TEXT_VALUES),
+            (("items", 1, "value"), values),
+        ):
+            for name, fragment in fragments.items():
+                page = {"at_rev": 7, "items": [good[0], odd, good[1]]}
+                text = odd_values.with_fragment(page, path, fragment)
+                # Odd enough to make the whole reply unreadable.
+                if name in ("nested", "infinity", "not a number"):
+                    continue
+                self.server.content = text
+                found = self.store.read(PREFIX).values
+                self.assertEqual(expected, found, f"{path}: {name}")
+
+    def test_odd_item_is_logged_once(self):
+        """Guards against a log line for each reading of the list."""
+        items = [_item(PREFIX + "a", b"1"), {"key": PREFIX + "odd", "value": 7}]
+        self.server.content = json.dumps({"at_rev": 7, "items": items}).encode()
+        with odd_values.LogRecorder() as recorder:
+            for _ in range(3):
+                self.store.read(PREFIX)
+        records = recorder.events("store_item_invalid")
+        self.assertEqual([PREFIX + "odd"], [record.key for record in records])
+
+    def test_page_without_progress_ends_the_reading(self):
+        """Guards against dozens of calls for the same page."""
+        reply = {"at_rev": 7, "items": [{"key": 7}], "has_more": True}
+        self.server.content = json.dumps(reply).encode()
+        self.assertRaises(StoreError, self.store.read, PREFIX)
+        self.assertEqual(1, len(self.server.paths))
+
+
+class _FailingStore:
+    """Store whose first call fails with an error of another kind."""
+
+    def __init__(self, reply):
+        self._reply = reply
+        self.calls = 0
+
+    def _call(self, *args):
+        self.calls += 1
+        if self.calls == 1:
+            raise OverflowError("port must be 0-65535.")
+        return self._reply
+
+    read = wait = grant_lease = put = renew_lease = _call
+
+
+class LoopsTest(TestCase):
+    def test_watch_goes_on_after_an_unexpected_error(self):
+        """Guards against a list that no process follows any more."""
+        store = _FailingStore(None)
+        task = gevent.spawn(watch_prefix, store, PREFIX, lambda snapshot, now: None)
+        self.addCleanup(task.kill, block=False)
+        gevent.sleep(0.3)
+        self.assertFalse(task.dead)
+        self.assertTrue(store.calls > 1)
+
+    def test_presence_goes_on_after_an_unexpected_error(self):
+        """Guards against an entry whose key vanishes while it runs."""
+        store = _FailingStore(1)
+        presence = Presence(store, PREFIX + "a", b"1")
+        self.addCleanup(presence.remove)
+        store.revoke_lease = lambda lease: None
+        gevent.sleep(0.3)
+        self.assertTrue(store.calls > 2)
+
+    def test_unusable_address_of_a_request_is_no_reply(self):
+        """Guards against a poll loop that ends with an `OverflowError`."""
+        for host, port in ((HOST, 70_000), (HOST, -1), ("\0", 7000), ("h" * 500, 1)):
+            upstream = PlatformUpstream((host, port))
+            poll = partial(upstream.poll, "i-1", PollRequest(1, 0), 1.0)
+            self.assertRaises((NoReply, Unreachable), poll)
+            self.assertRaises(StoreError, PlatformStore((host, port)).read, PREFIX)
+
+
+def _settings(role, service=""):
+    return NodeSettings("e1", role, "r", "a", service, (HOST, 7000), (), 3.0)
+
+
+class _Snapshots:
+    """Store that holds some values, without a network.
+
+    Attributes:
+        values: bytes by key.
+    """
+
+    def __init__(self, values):
+        self.values = values
+        self.revision = 1
+
+    def read(self, prefix):
+        from papayaward.coordination.store_sync import Snapshot
+
+        values = {k: v for k, v in self.values.items() if k.startswith(prefix)}
+        return Snapshot(self.revision, values)
+
+    def wait(self, prefix, revision, wait_s):
+        gevent.sleep(0.01)
+        return self.revision, self.revision > revision
+
+
+class _EncodingLink(FakeLink):
+    """Link that encodes each message, as one with a socket does."""
+
+    def try_send(self, message):
+        encode(message)
+        return super().try_send(message)
+
+
+def _report():
+    return {
+        "service": "s",
+        "zone": "a",
+        "state": "ready",
+        "capacity": {"cpu": 1000, "mem_mb": 64, "gpus": 0},
+        "labels": ["a"],
+        "seq_no": 1,
+        "born": 1_700_000_000_000,
+    }
+
+
+_REPORT_FIELDS = {
+    ("service",): odd_values.TEXT_VALUES,
+    ("zone",): odd_values.TEXT_VALUES,
+    ("state",): odd_values.TEXT_VALUES,
+    ("capacity",): odd_values.OBJECTS,
+    ("capacity", "cpu"): odd_values.NUMBERS,
+    ("capacity", "mem_mb"): odd_values.NUMBERS,
+    ("capacity", "gpus"): odd_values.NUMBERS,
+    ("labels", 0): odd_values.TEXT_VALUES,
+    ("seq_no",): odd_values.NUMBERS,
+    ("born",): {**odd_values.NUMBERS, "far future": str(2**53)},
+}
+
+
+class _Body:
+    def __init__(self, content):
+        self._content = content
+
+    def read(self, size=None):
+        return self._content if size is None else self._content[:size]
+
+
+def _environ(method, path, content):
+    return {
+        "wsgi.input": _Body(content),
+        "CONTENT_LENGTH": str(len(content)),
+        "HTTP_HOST": "h:1",
+        "PATH_INFO": path,
+        "REQUEST_METHOD": method,
+    }
+
+
+def _put_report(registry, text):
+    statuses = []
+    environ = _environ("PUT", "/papayaward/instances/i-1", text)
+    registry(environ, lambda status, headers: statuses.append(status))
+    return statuses[0]
