Follow a list of entries or members that holds an odd address

An entry told its runners no list at all, and a runner found no entry, when one key under papayaward/entries/ had a port such as "²" or with 5,000 digits (the error was no OptionError), or a name or address with a lone surrogate, which no message can hold. A host name was dialled, and its resolution blocks the whole process. A runner closed its link at each list that held one address it could not read, for instance because a member's setting `advertise` had a port out of range; the setting was not checked. A dialler with such an address logged a traceback for each attempt, several a second.

Entries' keys and lists of members are read one by one; one that names no entry with an IP number and a port is skipped and logged once with its key (entry_key_invalid) or member (member_invalid). The setting `advertise` is checked like the other addresses. A dialler treats an impossible address as an ordinary failure and logs only the first of several faults in a row.

--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -17,10 +17,16 @@
 from .coordination.store_sync import Presence, watch_prefix
 from .leased_node import LeasedNode
 from .protocol.gen.ttypes import DomainsPush, Member, Members
-from .protocol.options import OptionError, get_address, get_string, read_object
+from .protocol.options import (
+    OptionError,
+    get_peer_address,
+    get_string,
+    read_object,
+)
+from .rejection_log import RejectionLog
 from .transport.peers import serve_links
 
-__all__ = ["ENTRIES_PREFIX", "LeasedEntry", "entry_addresses"]
+__all__ = ["ENTRIES_PREFIX", "LeasedEntry", "entry_addresses", "entry_rejections"]
 
 log = logging.getLogger(__name__)
 
@@ -35,23 +41,37 @@
 _ENTRIES_INTERVAL_S = 0.5
 
 
-def entry_addresses(snapshot):
-    """Returns the `EntryAddress` of each entry registered in a store snapshot."""
+def entry_rejections():
+    """Returns a `RejectionLog` for `entry_addresses`."""
+    return RejectionLog(log, "entry_key_invalid")
+
+
+def entry_addresses(snapshot, rejections):
+    """Returns the `EntryAddress` of each entry registered in a store snapshot.
+
+    Args:
+        snapshot: `Snapshot`.
+        rejections: `RejectionLog` for keys that do not name an entry.
+    """
     found = []
     for key, value in snapshot.values.items():
         try:
-            document = read_object(value)
-            entry = EntryAddress(
-                key.removeprefix(ENTRIES_PREFIX),
-                get_address(document, "link"),
-                get_string(document, "domain", ""),
-            )
-            found.append(entry)
+            found.append(_read_entry(key, value))
+            rejections.accept(key)
         except OptionError as error:
-            log.warning("entry_key_invalid", extra={"key": key, "error": str(error)})
+            rejections.reject(key, error)
     return sorted(found)
 
 
+def _read_entry(key, value):
+    document = read_object(value)
+    return EntryAddress(
+        get_string({"member": key.removeprefix(ENTRIES_PREFIX)}, "member"),
+        get_peer_address(document, "link"),
+        get_string(document, "domain", ""),
+    )
+
+
 class LeasedEntry(LeasedNode):
     """Entry that owns the jobs of the callers connected to it.
 
@@ -69,6 +89,7 @@
         self._store = store
         self._watch_operator_keys = watch_operator_keys
         self._entries = ()
+        self._rejections = entry_rejections()
         self._presence = None
         self.scheduler = JobScheduler(self.domains.is_out, self.crashes)
         self._configured = Event()
@@ -160,7 +181,7 @@
         self.broadcast(DomainsPush(self.domains.revision, sorted(self.domains.out)))
 
     def _on_entries(self, snapshot, now):
-        entries = entry_addresses(snapshot)
+        entries = entry_addresses(snapshot, self._rejections)
         names = [entry.member for entry in entries]
         log.info("entries_changed", extra={"entries": names})
         if self.settings.member not in names and not self.draining:
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -13,13 +13,14 @@
 from .coordination.entry_links import STORE, EntryLinks
 from .coordination.entry_selection import EntryAddress
 from .coordination.leased_executor import LeasedExecutor
+from .coordination.member_lists import read_members
 from .coordination.upstream_state_store import UpstreamStateStore
-from .leased_entry import ENTRIES_PREFIX, entry_addresses
+from .leased_entry import ENTRIES_PREFIX, entry_addresses, entry_rejections
 from .leased_node import LeasedNode
 from .loops import repeat
 from .protocol.gen.ttypes import Members
-from .protocol.options import get_address
 from .protocol.store_errors import StoreError
+from .rejection_log import RejectionLog
 from .transport.peers import Dialler
 
 __all__ = ["LeasedRunner"]
@@ -46,6 +47,8 @@
     def __init__(self, settings, store, upstream):
         super().__init__(settings, bytes, runner_fetch_delay_s)
         self._store = store
+        self._rejected_entries = entry_rejections()
+        self._rejected_members = RejectionLog(log, "member_invalid")
         self._state_store = UpstreamStateStore(store, settings.member)
         self.executor = LeasedExecutor(upstream, self.domains.is_out, self.crashes)
         self.domains.on_change(lambda now: self.executor.check_accepting())
@@ -113,12 +116,10 @@
         """Handles a message from an entry; returns whether its type is supported."""
         if isinstance(message, Members):
             entries = [
-                EntryAddress(
-                    listed.member,
-                    get_address({"address": listed.address}, "address"),
-                    listed.domain,
+                EntryAddress(listed.member, address, listed.domain or "")
+                for listed, address in read_members(
+                    message.members, self._rejected_members
                 )
-                for listed in message.members
             ]
             self._entry_links.set_list(link.peer.member, entries)
             self._entry_links.update(now)
@@ -139,7 +140,8 @@
         """Reads the entries' addresses from the store while no entry is linked."""
         if not self.links:
             try:
-                found = entry_addresses(self._store.read(ENTRIES_PREFIX))
+                snapshot = self._store.read(ENTRIES_PREFIX)
+                found = entry_addresses(snapshot, self._rejected_entries)
                 self._entry_links.set_list(STORE, found)
                 self._entry_links.update(self.now())
             except StoreError as error:
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -273,6 +273,11 @@
     member = values.get("member")
     if member is not None and not re.fullmatch(MEMBER_PATTERN, member):
         yield f"member: found {member!r}, allowed is {MEMBER_PATTERN}"
+    if values.get("advertise"):
+        try:
+            get_address(values, "advertise")
+        except OptionError as error:
+            yield str(error)
     for name in ("entries", "store"):
         for index, address in enumerate(values.get(name, ())):
             try:
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -16,6 +16,7 @@
 from .coordination.coordinator import Coordinator
 from .coordination.evidence import RunnerEvidence, age_ms
 from .coordination.executor import Executor, Upstream
+from .coordination.member_lists import read_members
 from .loops import repeat
 from .protocol.gen.ttypes import Heartbeat, Hello, Members
 from .protocol.options import (
@@ -26,6 +27,7 @@
     get_string,
     read_object,
 )
+from .rejection_log import RejectionLog
 from .state import invariants, metrics
 from .transport.http_api import HttpApi, Response, json_response, serve_http
 from .transport.link import PROTOCOL_VERSION, LinkStats
@@ -64,6 +66,7 @@
         self.coordinator = Coordinator(self)
         self._links = {}
         self._members_by_entry = {}
+        self._rejections = RejectionLog(log, "member_invalid")
         # Names of the members that entries list, by address.
         self._listed = {}
         # (member, `Dialler`) by address.
@@ -207,7 +210,7 @@
         return link.dialled == (self.settings.member < link.peer.member)
 
     def _on_members(self, link, message):
-        self._members_by_entry[link.peer.member] = message.members
+        self._members_by_entry[link.peer.member] = message.members or ()
         members = {
             member.member: member
             for known in self._members_by_entry.values()
@@ -215,16 +218,15 @@
         }
         self.coordinator.on_members(list(members.values()))
         self._listed = {
-            member.address: member.member
-            for member in members.values()
+            address: member.member
+            for member, address in read_members(members.values(), self._rejections)
             if member.member != self.settings.member
         }
         self._stop_diallers()
         for address, member in self._listed.items():
             if address not in self._diallers:
-                host, port = get_address({"address": address}, "address")
                 is_linked = partial(self._links.__contains__, member)
-                dialler = Dialler((host, port), self, is_linked)
+                dialler = Dialler(address, self, is_linked)
                 self._diallers[address] = (member, dialler)
 
     def _stop_diallers(self):
--- a/papayaward/transport/peers.py
+++ b/papayaward/transport/peers.py
@@ -72,9 +72,7 @@
                 gevent.sleep(_MAX_DELAY_S)
                 continue
             try:
-                sock = socket.create_connection(self._address, _CONNECT_TIMEOUT_S)
-                sock.settimeout(None)
-                self._link = Link(sock, self._node, dialled=True)
+                self._link = Link(self._connect(), self._node, dialled=True)
                 self._link.run()
                 delay = _MIN_DELAY_S
                 self._failing_since = None
@@ -83,12 +81,24 @@
                 delay = self._after_failure(delay)
             except Exception:
                 # A fault in the handling of the new link; the next one may work.
-                log.exception("link_failed", extra={"address": "%s:%d" % self._address})
+                if self._failing_since is None:
+                    address = "%s:%d" % self._address
+                    log.exception("link_failed", extra={"address": address})
                 delay = self._after_failure(delay)
             # Jitter, so that the members do not all reconnect to a restarted entry at
             # the same time.
             gevent.sleep(delay * random.uniform(0.5, 1.0))
 
+    def _connect(self):
+        """Returns a connected socket; raises OSError if there is none."""
+        try:
+            sock = socket.create_connection(self._address, _CONNECT_TIMEOUT_S)
+        except (OverflowError, ValueError) as error:
+            # Raised for a port or a host that no address can have.
+            raise OSError(str(error)) from error
+        sock.settimeout(None)
+        return sock
+
     def _after_failure(self, delay):
         """Records a failed attempt and returns the delay before the next one."""
         if self._failing_since is None:
--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -17,6 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
+from adapter.configuration import parse_routing  # noqa: E402
 from adapter.store import PlatformStore  # noqa: E402
 from adapter.upstream import PlatformUpstream  # noqa: E402
 
@@ -29,8 +30,11 @@
     PollRequest,
     Unreachable,
 )
+from papayaward.leased_entry import LeasedEntry  # noqa: E402
 from papayaward.leased_node import NodeSettings  # noqa: E402
+from papayaward.leased_runner import LeasedRunner  # noqa: E402
 from papayaward.protocol.codec import encode  # noqa: E402
+from papayaward.protocol.gen.ttypes import Member, Members  # noqa: E402
 from papayaward.protocol.store_errors import StoreError  # noqa: E402
 from tests import odd_values  # noqa: E402
 from tests.leased_case import FakeLink  # noqa: E402
@@ -235,6 +239,75 @@
         return super().try_send(message)
 
 
+class EntriesTest(TestCase):
+    good = json.dumps({"link": "10.0.0.1:7000", "domain": "a"}).encode()
+
+    def odd_entries(self):
+        """Returns the values of odd entries by key."""
+        document = {"link": "10.0.0.9:7000", "domain": "a"}
+        fields = {
+            ("link",): odd_values.PEER_ADDRESSES,
+            ("domain",): odd_values.TEXT_VALUES,
+        }
+        cases = odd_values.odd_texts(document, fields)
+        odd = {f"{PREFIX}{number}": value for number, (_, value) in enumerate(cases)}
+        return {**odd, PREFIX: self.good, PREFIX + "\ud800": self.good}
+
+    def entry(self):
+        entry = LeasedEntry(_settings("entry"), parse_routing, None, None)
+        entry._presence = type("NoPresence", (), {"republish": lambda self: None})()
+        return entry
+
+    def test_entry_tells_the_runners_all_other_entries(self):
+        """Guards against runners that do not learn of entries because of an odd one."""
+        entry = self.entry()
+        link = _EncodingLink("r1", "runner")
+        entry.on_link_up(link, 0.0)
+        store = _Snapshots({**self.odd_entries(), PREFIX + "x": self.good})
+        entry._on_entries(store.read(PREFIX), 0.0)
+        listed = [member.member for member in link.of_type(Members)[-1].members]
+        self.assertEqual(["x"], listed)
+
+    def test_odd_entries_are_logged_once(self):
+        """Guards against a log line for each reading of the list."""
+        entry = self.entry()
+        store = _Snapshots(self.odd_entries())
+        with odd_values.LogRecorder() as recorder:
+            for _ in range(3):
+                entry._on_entries(store.read(PREFIX), 0.0)
+        keys = [record.key for record in recorder.events("entry_key_invalid")]
+        self.assertEqual(len(store.values), len(keys))
+        self.assertEqual(len(keys), len(set(keys)))
+
+    def test_runner_dials_the_other_entries_of_the_store(self):
+        """Guards against a runner without entries because of an odd one."""
+        store = _Snapshots({**self.odd_entries(), PREFIX + "x": self.good})
+        runner = LeasedRunner(_settings("runner", "s"), store, None)
+        gevent.spawn(runner._discover_entries)
+        gevent.sleep(_SETTLE_S)
+        self.assertEqual({("10.0.0.1", 7000)}, runner._entry_links.addresses)
+
+    def test_runner_dials_the_other_members_of_a_list(self):
+        """Guards against a link that closes with each list of its entry."""
+        runner = LeasedRunner(_settings("runner", "s"), _Snapshots({}), None)
+        link = FakeLink("e1")
+        runner.on_link_up(link, 0.0)
+        texts = [text for text in odd_values.PEER_ADDRESSES.values() if text[0] == '"']
+        odd = [json.loads(text) for text in texts]
+        members = [
+            Member(f"m{number}", 0, address, "a", "")
+            for number, address in enumerate([*odd, None])
+        ]
+        members.append(Member("x", 0, "10.0.0.1:7000", "a", ""))
+        with odd_values.LogRecorder() as recorder:
+            for _ in range(3):
+                runner.on_message(link, Members(members), 0.0)
+        self.assertIn(("10.0.0.1", 7000), runner._entry_links.addresses)
+        self.assertEqual(1, len(runner._entry_links.addresses))
+        records = recorder.events("member_invalid")
+        self.assertEqual(len(members) - 1, len(records))
+
+
 def _report():
     return {
         "service": "s",
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -12,10 +12,13 @@
 from dataclasses import asdict
 from functools import partial
 
+import gevent
+from gevent.server import StreamServer
 from testtools import TestCase
 
 from papayaward.coordination.store_sync import Snapshot
 from papayaward.coordination.upstream_state_store import UpstreamStateStore
+from papayaward.protocol.gen.ttypes import Member, Members
 from papayaward.protocol.options import (
     OptionError,
     get_address,
@@ -25,8 +28,11 @@
     get_string_list,
     read_object,
 )
+from papayaward.protocol.settings import SettingsError, check_settings
+from papayaward.runner import Runner
+from papayaward.transport.peers import Dialler
 from tests import odd_values
-from tests.leased_case import upstream_state
+from tests.leased_case import FakeLink, upstream_state
 
 __all__ = []
 
@@ -88,6 +94,74 @@
         self.assertRaises(OptionError, get_int, document, "a", high=9)
 
 
+def _peer_addresses():
+    """Returns the odd addresses that a message can hold, which is encoded as UTF-8."""
+    texts = [text for text in odd_values.PEER_ADDRESSES.values() if text[0] == '"']
+    addresses = [json.loads(text) for text in texts]
+    return [address for address in addresses if "\ud800" not in address]
+
+
+class MembersTest(TestCase):
+    def test_coordinator_dials_the_other_members_of_a_list(self):
+        """Guards against a link that closes with each list of its entry."""
+        settings = check_settings(
+            {
+                "role": "runner",
+                "member": "r1",
+                "domain": "a",
+                "listen": "127.0.0.1:7000",
+                "http": "127.0.0.1:7001",
+                "service": "s",
+                "entries": ["127.0.0.1:7002"],
+            }
+        )
+        runner = Runner(settings)
+        link = FakeLink("e1")
+        members = [
+            Member(f"m{number}", 0, address, "a", "s")
+            for number, address in enumerate([*_peer_addresses(), None])
+        ]
+        members.append(Member("x", 0, "127.0.0.1:9", "a", "s"))
+        with odd_values.LogRecorder() as recorder:
+            for _ in range(3):
+                runner.on_message(link, Members(members), 0.0)
+        dialled = {address for address in runner._diallers}
+        for _, dialler in runner._diallers.values():
+            dialler.stop()
+        self.assertEqual({("127.0.0.1", 9)}, dialled)
+        self.assertEqual(len(members) - 1, len(recorder.events("member_invalid")))
+
+    def test_advertised_address_is_checked(self):
+        """Guards against a runner that no other can dial because of a typing error."""
+        document = {"role": "runner", "advertise": "10.0.0.1:70000"}
+        error = self.assertRaises(SettingsError, check_settings, document)
+        self.assertIn("advertise: found", str(error))
+
+
+class DiallerTest(TestCase):
+    def test_unusable_address_is_an_ordinary_failure(self):
+        """Guards against a traceback in the log for each attempt."""
+        for address in (("127.0.0.1", 70_000), ("h" * 500, 7000), ("a\0b", 7000)):
+            with odd_values.LogRecorder() as recorder:
+                dialler = Dialler(address, None)
+                gevent.sleep(0.2)
+                self.assertIsNotNone(dialler.failing_since)
+                dialler.stop()
+            self.assertEqual([], recorder.events("link_failed"), address)
+
+    def test_repeated_fault_of_a_link_is_logged_once(self):
+        """Guards against a traceback in the log for each attempt."""
+        server = StreamServer(("127.0.0.1", 0), lambda sock, _: gevent.sleep(1.0))
+        server.start()
+        self.addCleanup(server.stop)
+        with odd_values.LogRecorder() as recorder:
+            # A process without any of the functions that a link calls.
+            dialler = Dialler(("127.0.0.1", server.server_port), None)
+            gevent.sleep(0.5)
+            dialler.stop()
+        self.assertEqual(1, len(recorder.events("link_failed")))
+
+
 class _OneKeyStore:
     def __init__(self):
         self.value = None
