--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -29,7 +29,7 @@
 )
 from .protocol.outcomes import JobOutcome, Outcome, Reason
 from .protocol.store_errors import StoreError
-from .transport.http_api import json_response, problem_response
+from .transport.http_api import json_response, problem_response, read_numbers
 
 __all__ = ["CallerApi"]
 
@@ -197,7 +197,7 @@
     def _get(self, request, single):
         try:
             job_id = parse_job_id(request.argument)
-            wait_ms = get_int(_int_query(request), "wait_ms", 0, high=600_000)
+            wait_ms = get_int(read_numbers(request.query), "wait_ms", 0, high=600_000)
         except IdentifierError as error:
             return self._refusal(RequestError(Reason.IDENTIFIER_UNKNOWN, str(error)))
         except OptionError as error:
@@ -371,10 +371,3 @@
             return None
         next_id = entry.coordinator_client.take_cached_id(view, clock.now())
         return None if next_id is None else str(next_id)
-
-
-def _int_query(request):
-    return {
-        name: int(value) if value.isdigit() else value
-        for name, value in request.query.items()
-    }
--- a/papayaward/config_api.py
+++ b/papayaward/config_api.py
@@ -19,7 +19,12 @@
 from .protocol.config_text import ConfigError, parse_config
 from .protocol.options import OptionError, get_bool, get_int, get_string, read_object
 from .protocol.store_errors import StoreError
-from .transport.http_api import Response, json_response, problem_response
+from .transport.http_api import (
+    Response,
+    json_response,
+    problem_response,
+    read_numbers,
+)
 
 __all__ = ["ConfigApi"]
 
@@ -58,14 +63,16 @@
 
     def _get_confirmed(self, request):
         try:
-            version = get_int(_int_query(request), "version", low=1)
+            version = get_int(read_numbers(request.query), "version", low=1)
         except OptionError as error:
             return problem_response(400, {"detail": str(error)})
         return json_response(200, self._rollout_state(version))
 
     def _get_history(self, request):
         try:
-            limit = get_int(_int_query(request), "limit", 20, low=1, high=_MAX_HISTORY)
+            limit = get_int(
+                read_numbers(request.query), "limit", 20, low=1, high=_MAX_HISTORY
+            )
             entries = self._entry.config_writer.read_history(limit)
         except OptionError as error:
             return problem_response(400, {"detail": str(error)})
@@ -174,10 +181,3 @@
             "confirmed": acceptance.confirmed,
             "unconfirmed": acceptance.unconfirmed,
         }
-
-
-def _int_query(request):
-    return {
-        name: int(value) if value.isdecimal() and len(value) < 16 else value
-        for name, value in request.query.items()
-    }
--- a/papayaward/transport/http_api.py
+++ b/papayaward/transport/http_api.py
@@ -24,6 +24,8 @@
     "Response",
     "json_response",
     "problem_response",
+    "read_body",
+    "read_numbers",
     "serve_http",
     "watch_disconnect",
 ]
@@ -32,6 +34,8 @@
 
 _DRAIN_POLL_S = 0.05
 _FINAL_REQUEST_WAIT_S = 0.2
+# More than any number in a query has; `int` rejects numbers of thousands of digits.
+_MAX_DIGITS = 15
 _CONNECTION = "papayaward.connection"
 
 
@@ -190,6 +194,40 @@
     return gevent.spawn(watch)
 
 
+def read_body(environ, max_bytes):
+    """Returns the body of a request; None if it is too long or has an invalid length.
+
+    Args:
+        environ: WSGI environment of the request.
+        max_bytes: Maximum size.
+    """
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or -1)
+    except ValueError:
+        return None
+    if length > max_bytes:
+        return None
+    stream = environ["wsgi.input"]
+    body = stream.read(length if length >= 0 else max_bytes + 1)
+    return body if len(body) <= max_bytes else None
+
+
+def read_numbers(query):
+    """Returns query parameters with their decimal numbers as int, for `get_int`.
+
+    Args:
+        query: Texts by name.
+    """
+    return {
+        name: int(text) if _is_number(text) else text for name, text in query.items()
+    }
+
+
+def _is_number(text):
+    # `int` rejects some of the characters that `isdigit` accepts.
+    return text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS
+
+
 class HttpApi:
     """WSGI application that dispatches requests to handlers by route.
 
@@ -242,18 +280,6 @@
                 for name, value in environ.items()
                 if name.startswith("HTTP_")
             },
-            self._read_body(environ),
+            read_body(environ, self._max_body_bytes),
         )
         return handler(request)
-
-    def _read_body(self, environ):
-        try:
-            length = int(environ.get("CONTENT_LENGTH") or -1)
-        except ValueError:
-            return None
-        limit = self._max_body_bytes
-        if length > limit:
-            return None
-        stream = environ["wsgi.input"]
-        body = stream.read(length if length >= 0 else limit + 1)
-        return body if len(body) <= limit else None
--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -18,8 +18,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
 from adapter.configuration import parse_routing  # noqa: E402
+from adapter.registry import Registry  # noqa: E402
 from adapter.store import PlatformStore  # noqa: E402
-from adapter.upstream import PlatformUpstream  # noqa: E402
+from adapter.upstream import PlatformUpstream, read_state  # noqa: E402
 
 from papayaward.coordination.store_sync import (  # noqa: E402
     Presence,
@@ -35,6 +36,7 @@
 from papayaward.leased_runner import LeasedRunner  # noqa: E402
 from papayaward.protocol.codec import encode  # noqa: E402
 from papayaward.protocol.gen.ttypes import Member, Members  # noqa: E402
+from papayaward.protocol.options import OptionError, read_object  # noqa: E402
 from papayaward.protocol.store_errors import StoreError  # noqa: E402
 from tests import odd_values  # noqa: E402
 from tests.leased_case import FakeLink  # noqa: E402
@@ -334,6 +336,87 @@
 }
 
 
+class UpstreamTest(TestCase):
+    def test_odd_reports_are_rejected(self):
+        """Guards against a state that no message can hold."""
+        cases = odd_values.odd_texts(_report(), _REPORT_FIELDS)
+
+        def read(text):
+            return read_state("i-1", read_object(text))
+
+        self.assertEqual([], odd_values.not_rejected(read, OptionError, cases))
+
+    def test_registry_refuses_odd_reports_and_logs_each_upstream_once(self):
+        """Guards against a registry that fails, and a line for each report."""
+        runner = LeasedRunner(_settings("runner", "s"), _Snapshots({}), None)
+        registry = Registry(runner)
+        cases = list(odd_values.odd_texts(_report(), _REPORT_FIELDS))
+        with odd_values.LogRecorder() as recorder:
+            statuses = {_put_report(registry, text) for _, text in cases}
+        self.assertEqual({"400 Bad Request"}, statuses)
+        self.assertEqual(1, len(recorder.events("report_ignored")))
+        self.assertIsNone(runner.executor.state)
+
+    def test_registry_reads_no_endless_report(self):
+        """Guards against a runner that runs out of memory."""
+        runner = LeasedRunner(_settings("runner", "s"), _Snapshots({}), None)
+        text = json.dumps({**_report(), "x": "x" * (5 << 20)}).encode()
+        self.assertEqual("400 Bad Request", _put_report(Registry(runner), text))
+
+    def test_odd_replies_are_no_replies(self):
+        """Guards against a poll loop that ends with an odd reply."""
+        server = _Server(self)
+        upstream = PlatformUpstream(server.address)
+
+        def poll(text):
+            server.content = text
+            return upstream.poll("i-1", PollRequest(1, 0), odd_values.ALIVE_S)
+
+        document = {
+            "clock_ms": 5,
+            "born": 1,
+            "running": [["a.0.0.0", 1, "", 50, 7]],
+            "ended": [[1, "a.0.0.0", 1, "done", ""]],
+        }
+        poll(json.dumps(document).encode())
+        numbers, lists = odd_values.NUMBERS, dict(odd_values.OBJECTS)
+        del lists["list"]
+        fields = {
+            ("clock_ms",): numbers,
+            ("born",): numbers,
+            ("running",): lists,
+            ("ended",): lists,
+            ("running", 0): odd_values.OBJECTS,
+            ("running", 0, 0): odd_values.TEXT_VALUES,
+            ("running", 0, 1): numbers,
+            ("ended", 0): odd_values.OBJECTS,
+            ("ended", 0, 0): numbers,
+            ("ended", 0, 1): odd_values.TEXT_VALUES,
+            ("ended", 0, 2): numbers,
+            ("ended", 0, 3): odd_values.TEXT_VALUES,
+        }
+        cases = list(odd_values.odd_texts(document, fields))
+        # An empty reply is one without lists.
+        cases = [case for case in cases if case[0] != "empty"]
+        self.assertEqual([], odd_values.not_rejected(poll, NoReply, cases))
+        server.status = "409 Conflict"
+        cases = [
+            (name, b'{"reason": %s}' % fragment.encode())
+            for name, fragment in odd_values.TEXT_VALUES.items()
+        ]
+        self.assertEqual([], odd_values.not_rejected(poll, NoReply, cases))
+
+    def test_odd_progress_is_limited_to_percents(self):
+        """Guards against a remaining time that no message can hold."""
+        server = _Server(self)
+        upstream = PlatformUpstream(server.address)
+        for percent in (-(10**12), 10**12):
+            row = ["a.0.0.0", 1, "", percent]
+            server.content = json.dumps({"clock_ms": 5, "running": [row]}).encode()
+            reply = upstream.poll("i-1", PollRequest(1, 0), odd_values.ALIVE_S)
+            self.assertIn(reply.running["a.0.0.0", 1], (0, 100))
+
+
 class _Body:
     def __init__(self, content):
         self._content = content
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -30,6 +30,7 @@
 )
 from papayaward.protocol.settings import SettingsError, check_settings
 from papayaward.runner import Runner
+from papayaward.transport.http_api import read_numbers
 from papayaward.transport.peers import Dialler
 from tests import odd_values
 from tests.leased_case import FakeLink, upstream_state
@@ -88,6 +89,13 @@
         """Guards against a label of megabytes in each message to the entries."""
         self.assertRaises(OptionError, get_string_list, {"a": ["x" * (1 << 20)]}, "a")
 
+    def test_odd_numbers_of_a_query_are_rejected(self):
+        """Guards against a 500 response to a caller's typing error."""
+        for text in ("\u00b2", "\u0663", "9" * 5000, "-1", "1e3", "", "0x1"):
+            numbers = read_numbers({"a": text})
+            self.assertRaises(OptionError, get_int, numbers, "a")
+        self.assertEqual(20, get_int(read_numbers({"a": "20"}), "a"))
+
     def test_last_of_two_equal_keys_is_checked(self):
         """Guards against a check of another value than the one that is used."""
         document = read_object(b'{"a": 1, "a": 99}')
