--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -17,7 +17,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
-from adapter.configuration import parse_routing  # noqa: E402
+from adapter.callers import CallerApi, UnsupportedJob, read_job  # noqa: E402
+from adapter.configuration import parse_routing, watch_operator_keys  # noqa: E402
 from adapter.registry import Registry  # noqa: E402
 from adapter.store import PlatformStore  # noqa: E402
 from adapter.upstream import PlatformUpstream, read_state  # noqa: E402
@@ -35,11 +36,12 @@
 from papayaward.leased_node import NodeSettings  # noqa: E402
 from papayaward.leased_runner import LeasedRunner  # noqa: E402
 from papayaward.protocol.codec import encode  # noqa: E402
+from papayaward.protocol.config_text import ConfigError  # noqa: E402
 from papayaward.protocol.gen.ttypes import Member, Members  # noqa: E402
 from papayaward.protocol.options import OptionError, read_object  # noqa: E402
 from papayaward.protocol.store_errors import StoreError  # noqa: E402
 from tests import odd_values  # noqa: E402
-from tests.leased_case import FakeLink  # noqa: E402
+from tests.leased_case import FakeLink, job_queue  # noqa: E402
 
 __all__ = []
 
@@ -310,6 +312,62 @@
         self.assertEqual(len(members) - 1, len(records))
 
 
+class OperatorKeysTest(TestCase):
+    route = {"name": "q", "host": "h", "prefix": "/q/", "service": "s"}
+
+    def test_odd_configurations_are_rejected(self):
+        """Guards against a process that exits on an odd configuration."""
+        document = {"version": 1, "routes": [self.route]}
+        lists = {n: f for n, f in odd_values.OBJECTS.items() if n != "list"}
+        fields = {
+            ("version",): odd_values.NUMBERS,
+            ("routes",): {**lists, "object": '{"a": 1}'},
+            ("routes", 0): odd_values.OBJECTS,
+            ("routes", 0, "name"): odd_values.TEXT_VALUES,
+            ("routes", 0, "host"): odd_values.TEXT_VALUES,
+            ("routes", 0, "prefix"): odd_values.TEXT_VALUES,
+            ("routes", 0, "service"): odd_values.TEXT_VALUES,
+        }
+        for name in ("priority", "attempts"):
+            fields["routes", 0, name] = odd_values.NUMBERS
+        for name in ("stretch", "target_duration_ms", "timeout_ms"):
+            numbers = dict(odd_values.NUMBERS)
+            del numbers["fraction"]
+            fields["routes", 0, name] = numbers
+        cases = odd_values.odd_texts(document, fields)
+        self.assertEqual([], odd_values.not_rejected(parse_routing, ConfigError, cases))
+
+    def test_domains_are_followed_beside_an_odd_configuration(self):
+        """Guards against a domain that stays in service, and a line for each read."""
+        text = json.dumps({"version": 3, "routes": [self.route]}).encode()
+        store = _Snapshots({"op/config": b"[" * 200_000, "op/evacuate/a": b"{}"})
+        configs, domains = [], []
+        task = gevent.spawn(
+            watch_operator_keys,
+            store,
+            lambda version, text, now: configs.append(version),
+            lambda revision, out, now: domains.append(out),
+        )
+        self.addCleanup(task.kill, block=False)
+        with odd_values.LogRecorder() as recorder:
+            for _ in range(3):
+                store.revision += 1
+                gevent.sleep(_SETTLE_S)
+        self.assertEqual(["a"], domains[-1])
+        self.assertEqual(1, len(recorder.events("config_invalid")))
+        store.values["op/config"] = text
+        store.revision += 1
+        gevent.sleep(_SETTLE_S)
+        self.assertEqual([3], configs)
+
+    def test_longest_timeout_of_a_queue_fits_in_a_message(self):
+        """Guards against jobs of a queue that cannot be sent to any runner."""
+        queue = job_queue(timeout_s=1e9)
+        body = b'{"best_effort": true, "phases": [{"cpu": 1}]}'
+        job = read_job("0" * 16, body, {}, queue)
+        self.assertTrue(job.timeout_s * 1000 < 2**31, job.timeout_s)
+
+
 def _report():
     return {
         "service": "s",
@@ -440,3 +498,44 @@
     environ = _environ("PUT", "/papayaward/instances/i-1", text)
     registry(environ, lambda status, headers: statuses.append(status))
     return statuses[0]
+
+
+class CallersTest(TestCase):
+    def test_odd_jobs_are_rejected(self):
+        """Guards against an entry that fails on a job, or cannot send it."""
+        phase = {"count": 1, "cpu": 1000, "after": [0]}
+        document = {"best_effort": True, "spec": "1", "phases": [{"cpu": 1}, phase]}
+        fields = {
+            ("spec",): odd_values.TEXT_VALUES,
+            ("phases",): odd_values.OBJECTS,
+            ("phases", 0): {
+                n: f for n, f in odd_values.OBJECTS.items() if n != "object"
+            },
+            ("phases", 1, "after"): {
+                n: f for n, f in odd_values.OBJECTS.items() if n != "list"
+            },
+            ("phases", 1, "after", 0): odd_values.NUMBERS,
+        }
+        for name in ("count", "cpu", "mem_mb", "gpus", "est_runtime_ms"):
+            fields["phases", 1, name] = odd_values.NUMBERS
+        fields["phases", 1, "max_per_server"] = odd_values.NUMBERS
+        for name in ("constraints", "affinity"):
+            fields["phases", 1, name] = odd_values.TEXT_VALUES
+
+        def read(text):
+            return read_job("0" * 16, text, {"deadline": "99"}, job_queue())
+
+        cases = odd_values.odd_texts(document, fields)
+        errors = (OptionError, UnsupportedJob)
+        self.assertEqual([], odd_values.not_rejected(read, errors, cases))
+
+    def test_endless_job_is_refused(self):
+        """Guards against an entry that runs out of memory."""
+        entry = LeasedEntry(_settings("entry"), parse_routing, None, None)
+        route = OperatorKeysTest.route
+        text = json.dumps({"version": 1, "routes": [route]}).encode()
+        entry.config.offer(1, text, 0.0)
+        statuses = []
+        environ = _environ("POST", "/q/" + "0" * 16, b"x" * (3 << 20))
+        CallerApi(entry)(environ, lambda status, headers: statuses.append(status[:3]))
+        self.assertEqual(["413"], statuses)
