Check each value of the platform's settings file

A process ended with a traceback, or printed one instead of the event reload_failed, when a section of its settings was null or a list, or when the file was no UTF-8. A port out of range, or one that is a string, was accepted and failed only in a later bind or connect.

--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -6,10 +6,12 @@
 """
 
 import json
+import os
 import sys
 from base64 import b64encode
 from functools import partial
 from pathlib import Path
+from tempfile import NamedTemporaryFile
 
 import gevent
 from gevent.pywsgi import WSGIServer
@@ -17,9 +19,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
 
+from adapter import process  # noqa: E402
 from adapter.callers import CallerApi, UnsupportedJob, read_job  # noqa: E402
 from adapter.configuration import parse_routing, watch_operator_keys  # noqa: E402
 from adapter.registry import Registry  # noqa: E402
+from adapter.settings import read_settings  # noqa: E402
 from adapter.store import PlatformStore  # noqa: E402
 from adapter.upstream import PlatformUpstream, read_state  # noqa: E402
 
@@ -539,3 +543,65 @@
         environ = _environ("POST", "/q/" + "0" * 16, b"x" * (3 << 20))
         CallerApi(entry)(environ, lambda status, headers: statuses.append(status[:3]))
         self.assertEqual(["413"], statuses)
+
+
+class SettingsTest(TestCase):
+    def test_odd_settings_are_rejected(self):
+        """Guards against a process that ends while it reads its settings again."""
+        document = {
+            "node_name": "n",
+            "ip": "10.0.0.1",
+            "zone": "a",
+            "region": "r",
+            "service": "s",
+            "port_range": [7720, 7735],
+            "seeds": ["10.0.0.2:8166"],
+            "platform": {"address": "10.0.0.3:8169"},
+            "bounds": {"grace_s": 3},
+            "listen_addrs": {"front": "10.0.0.1:80"},
+            "app": "10.0.0.1:81",
+        }
+        read_settings(json.dumps(document), "runner")
+        lists = {n: f for n, f in odd_values.OBJECTS.items() if n != "list"}
+        grace = {n: f for n, f in odd_values.NUMBERS.items() if n != "fraction"}
+        del grace["many digits"]
+        # An address that is empty or null is one that is not given.
+        addresses = {
+            name: fragment
+            for name, fragment in odd_values.ADDRESSES.items()
+            if name not in ("null", "list", "object")
+        }
+        services = {n: f for n, f in odd_values.TEXT_VALUES.items() if n != "null"}
+        fields = {
+            ("node_name",): odd_values.TEXT_VALUES,
+            ("ip",): odd_values.TEXT_VALUES,
+            ("zone",): odd_values.TEXT_VALUES,
+            ("service",): services,
+            ("port_range",): odd_values.OBJECTS,
+            ("port_range", 0): {**odd_values.NUMBERS, "range": "70000"},
+            ("seeds",): {**lists, "object": '{"a": 1}'},
+            ("seeds", 0): odd_values.ADDRESSES,
+            ("platform",): odd_values.OBJECTS,
+            ("platform", "address"): odd_values.ADDRESSES,
+            ("bounds",): odd_values.OBJECTS,
+            ("bounds", "grace_s"): grace,
+            ("listen_addrs",): odd_values.OBJECTS,
+            ("listen_addrs", "front"): addresses,
+            ("app",): addresses,
+        }
+        cases = odd_values.odd_texts(document, fields)
+
+        def read(text):
+            return read_settings(text, "runner")
+
+        self.assertEqual([], odd_values.not_rejected(read, OptionError, cases))
+
+    def test_odd_file_leaves_the_settings_unchanged(self):
+        """Guards against a process that ends while it reads its settings again."""
+        applied = []
+        with NamedTemporaryFile() as file:
+            self.patch(os, "environ", {"PAPAYAWARD_SETTINGS": file.name})
+            for content in odd_values.TEXTS.values():
+                Path(file.name).write_bytes(content)
+                process._reload("runner", applied.append)
+        self.assertEqual([], applied)
