Read keys of the store one by one, with the range of the messages

An entry logged a failed step at each poll of the store, 20 a second, after a reply that it could not read: only the call itself turned errors into StoreError, not the decoding. A configuration whose version has 30 digits was put in force; the version is part of each heartbeat, whose 64-bit field cannot hold it, so that all links would have ended. One unreadable entry of the history hid the whole history from operators, and an unreadable mapping of an idempotency key was a failed request with a traceback instead of `unknown`.

Replies and values are decoded with the checked getters inside the call. An unreadable history entry is skipped and logged once with its key (history_entry_invalid).

--- a/papayaward/coordination/config_writer.py
+++ b/papayaward/coordination/config_writer.py
@@ -6,13 +6,16 @@
 """
 
 import json
+import logging
 from dataclasses import asdict, dataclass
 
 import gevent
 
 from .. import clock
 from ..protocol.config_diff import diff_texts, summarise
+from ..protocol.options import OptionError, get_int, get_string, read_object
 from ..protocol.store_errors import StoreError, StoreRefused
+from ..rejection_log import RejectionLog
 from ..transport.store_client import delete_operation, put_operation
 
 __all__ = [
@@ -24,6 +27,8 @@
     "WriteResult",
 ]
 
+log = logging.getLogger(__name__)
+
 CONFIG_KEY = "papayaward/config"
 HISTORY_KEY = "papayaward/history/"
 
@@ -123,6 +128,7 @@
         self._store = store
         self._revision = 0
         self._head_version = 0
+        self._rejections = RejectionLog(log, "history_entry_invalid")
 
     @property
     def head_version(self):
@@ -153,8 +159,14 @@
             StoreError: The store did not answer.
         """
         first, end = _history_key(after + 1), HISTORY_KEY + "~"
-        values = self._store.list(first, end, limit)
-        return [_parse(HistoryEntry, value) for value in values]
+        entries = []
+        for key, value in self._store.list(first, end, limit).items():
+            try:
+                entries.append(_parse(HistoryEntry, value))
+                self._rejections.accept(key)
+            except StoreError as error:
+                self._rejections.reject(key, error)
+        return entries
 
     def preview(self, submission, in_force):
         """Returns what `write` would do: `written` or a conflict.
@@ -305,13 +317,19 @@
         StoreError: The value is malformed; another program must have written it.
     """
     try:
-        document = json.loads(value)
-        fields = {name: document[name] for name in kind.__dataclass_fields__}
-        for name, value in fields.items():
-            if type(value) is not kind.__dataclass_fields__[name].type:
-                raise TypeError(f"{name} is {value!r:.80}")
-            if isinstance(value, str):
-                value.encode()
-        return kind(**fields)
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
-        raise StoreError(f"the store holds a malformed value: {error!r}") from error
+        document = read_object(value)
+        fields = {
+            name: _read_field(document, name, field.type)
+            for name, field in kind.__dataclass_fields__.items()
+        }
+    except OptionError as error:
+        raise StoreError(f"the store holds a malformed value: {error}") from error
+    return kind(**fields)
+
+
+def _read_field(document, name, kind):
+    if kind is int:
+        return get_int(document, name)
+    if name not in document:
+        raise OptionError(name, None, "a string")
+    return get_string(document, name, "", _MAX_VALUE_BYTES)
--- a/papayaward/coordination/idempotency_keys.py
+++ b/papayaward/coordination/idempotency_keys.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-from ..protocol.identifiers import parse_job_id
+from ..protocol.identifiers import IdentifierError, parse_job_id
+from ..protocol.options import OptionError, get_string, read_object
 from ..protocol.store_errors import StoreError
 
 __all__ = ["IdempotencyKeys", "KeyMapping", "KeyWriteLimiter"]
@@ -134,6 +135,15 @@
 
 
 def _parse(found):
-    document = json.loads(found.value)
-    job_id = parse_job_id(document["id"])
-    return KeyMapping(job_id, document["fingerprint"], found.revision)
+    """Decodes a mapping in the store.
+
+    Raises:
+        StoreError: The mapping is malformed; another program must have written it.
+    """
+    try:
+        document = read_object(found.value)
+        job_id = parse_job_id(get_string(document, "id"))
+        fingerprint = get_string(document, "fingerprint")
+    except (OptionError, IdentifierError) as error:
+        raise StoreError(f"the store holds a malformed mapping: {error}") from error
+    return KeyMapping(job_id, fingerprint, found.revision)
--- a/papayaward/protocol/options.py
+++ b/papayaward/protocol/options.py
@@ -109,7 +109,7 @@
     """
     try:
         if not isinstance(text, str):
-            text = str(text, "utf-8-sig")
+            text = str(text, "utf-8")
         document = _decode(text)
     except (ValueError, TypeError, RecursionError) as error:
         raise OptionError("body", str(error)[:60], "JSON") from None
--- a/papayaward/transport/store_client.py
+++ b/papayaward/transport/store_client.py
@@ -12,6 +12,14 @@
 import gevent
 from geventhttpclient import HTTPClient
 
+from ..protocol.options import (
+    OptionError,
+    get_int,
+    get_list,
+    get_object,
+    get_string,
+    read_object,
+)
 from ..protocol.store_errors import StoreError, StoreRefused
 
 __all__ = [
@@ -22,6 +30,10 @@
 ]
 
 _TIMEOUT_S = 1.0
+_MAX_INT64 = 2**63 - 1
+_MAX_INT64_DIGITS = 19
+# Base64 text of the largest value, with a margin.
+_MAX_VALUE_CHARACTERS = 4 << 20
 
 
 @dataclass(frozen=True)
@@ -75,9 +87,8 @@
         Raises:
             StoreError: The store did not answer.
         """
-        reply = self._call("/v3/kv/range", {"key": _encode(key), "keys_only": True})
-        values = reply.get("kvs", ())
-        return int(values[0]["mod_revision"]) if values else 0
+        query = {"key": _encode(key), "keys_only": True}
+        return self._call("/v3/kv/range", query, _read_revision)
 
     def get(self, key):
         """Returns the `StoreValue` of a key, or None.
@@ -85,11 +96,10 @@
         Raises:
             StoreError: The store did not answer.
         """
-        reply = self._call("/v3/kv/range", {"key": _encode(key)})
-        return _first_value(reply)
+        return self._call("/v3/kv/range", {"key": _encode(key)}, _read_first_value)
 
     def list(self, first, end, limit):
-        """Returns the values of the last keys in [first, end), in descending order.
+        """Returns the values of the last keys in [first, end), the last key first.
 
         Args:
             first: First key, str.
@@ -97,22 +107,19 @@
             limit: Maximum number of values.
 
         Returns:
-            list: bytes.
+            dict: bytes by key.
 
         Raises:
             StoreError: The store did not answer.
         """
-        reply = self._call(
-            "/v3/kv/range",
-            {
-                "key": _encode(first),
-                "range_end": _encode(end),
-                "limit": str(limit),
-                "sort_order": "DESCEND",
-                "sort_target": "KEY",
-            },
-        )
-        return [b64decode(item.get("value", "")) for item in reply.get("kvs", ())]
+        query = {
+            "key": _encode(first),
+            "range_end": _encode(end),
+            "limit": str(limit),
+            "sort_order": "DESCEND",
+            "sort_target": "KEY",
+        }
+        return self._call("/v3/kv/range", query, _read_values)
 
     def compare_and_swap(self, key, value, revision, lease=0, operations=()):
         """Writes a value if the key's revision is still the given one.
@@ -132,7 +139,7 @@
             StoreError: The store did not answer; the write may have taken effect.
         """
         encoded = _encode(key)
-        reply = self._call(
+        return self._call(
             "/v3/kv/txn",
             {
                 "compare": [
@@ -146,11 +153,8 @@
                 "success": [put_operation(key, value, lease), *operations],
                 "failure": [{"request_range": {"key": encoded}}],
             },
+            _read_swap,
         )
-        if reply.get("succeeded"):
-            return True, None
-        responses = reply.get("responses", [{}])
-        return False, _first_value(responses[0].get("response_range", {}))
 
     def grant_lease(self, ttl_s):
         """Returns the identifier of a new lease.
@@ -158,10 +162,18 @@
         Raises:
             StoreError: The store did not answer.
         """
-        reply = self._call("/v3/lease/grant", {"TTL": str(int(ttl_s)), "ID": "0"})
-        return int(reply["ID"])
+        query = {"TTL": str(int(ttl_s)), "ID": "0"}
+        return self._call("/v3/lease/grant", query, _read_lease)
 
-    def _call(self, path, document):
+    def _call(self, path, document, read_reply):
+        """Sends a request and returns its decoded reply.
+
+        Args:
+            path: Path of the request.
+            document: JSON document to send.
+            read_reply: Function that takes the object in the reply and returns the
+                result, or raises `OptionError`.
+        """
         body = json.dumps(document)
         client = self._clients[self._current]
         try:
@@ -172,7 +184,7 @@
                 raise StoreRefused(f"the store refused the call: {content[:200]}")
             if response.status_code != 200:
                 raise StoreError(f"the store answered {response.status_code}")
-            return json.loads(content)
+            return read_reply(read_object(bytes(content)))
         except StoreError:
             self._switch_address()
             raise
@@ -188,9 +200,58 @@
     return b64encode(key.encode()).decode()
 
 
-def _first_value(reply):
-    values = reply.get("kvs", ())
-    if not values:
+def _read_items(reply):
+    items = get_list(reply, "kvs", ())
+    return [get_object({"kvs": item}, "kvs") for item in items]
+
+
+def _read_revision(reply):
+    items = _read_items(reply)
+    return _get_int64(items[0], "mod_revision") if items else 0
+
+
+def _read_first_value(reply):
+    items = _read_items(reply)
+    if not items:
         return None
-    first = values[0]
-    return StoreValue(b64decode(first.get("value", "")), int(first["mod_revision"]))
+    return StoreValue(
+        _get_bytes(items[0], "value"), _get_int64(items[0], "mod_revision")
+    )
+
+
+def _read_values(reply):
+    return {
+        _get_bytes(item, "key").decode("utf-8", "replace"): _get_bytes(item, "value")
+        for item in _read_items(reply)
+    }
+
+
+def _read_swap(reply):
+    """Returns whether a write took effect, and the `StoreValue` found if not."""
+    if reply.get("succeeded"):
+        return True, None
+    responses = get_list(reply, "responses", [{}])
+    if not responses:
+        raise OptionError("responses", responses, "a list of at least one object")
+    response = get_object({"responses": responses[0]}, "responses")
+    return False, _read_first_value(get_object(response, "response_range", {}))
+
+
+def _read_lease(reply):
+    return _get_int64(reply, "ID")
+
+
+def _get_int64(item, name):
+    """Returns a 64-bit integer, which the JSON form of the protocol writes as text."""
+    value = item.get(name)
+    if isinstance(value, str) and value.isascii() and value.isdigit():
+        value = int(value[: _MAX_INT64_DIGITS + 1])
+    return get_int({name: value}, name, high=_MAX_INT64)
+
+
+def _get_bytes(item, name):
+    text = get_string(item, name, "", _MAX_VALUE_CHARACTERS)
+    try:
+        return b64decode(text, validate=True)
+    except ValueError as error:
+        raise OptionError(name, str(error), "base64 text") from error
