Read all JSON of other programs with the checked reader

A result that is NaN, or text in UTF-16, was passed on as JSON, and its caller could not parse the answer to the whole job. A settings file or the reply of an entry that is nested too deeply ended the program with a traceback.

These readers use read_json or read_object as well. What remains of json.loads is the configuration text's own parser, which finds positions and duplicate keys, and texts that the process wrote itself. A result that is no JSON within the limits becomes a JSON string, as other results that are no JSON.

--- a/papayaward/cli_commands.py
+++ b/papayaward/cli_commands.py
@@ -11,6 +11,7 @@
 from urllib.parse import quote
 
 from .cli_format import format_explain, format_status, table
+from .protocol.options import OptionError, read_json
 from .transport.entry_client import EntryUnavailable
 
 __all__ = [
@@ -127,8 +128,8 @@
 def submit(client, options):
     """Submits a job and prints its outcome."""
     try:
-        tasks = json.loads(read_file(options.file))
-    except (ValueError, RecursionError) as error:
+        tasks = read_json(read_file(options.file))
+    except OptionError as error:
         raise CommandError(Exit.REFUSED, f"{options.file}: {error}") from None
     document = {"service": options.service, "tenant": options.tenant}
     document.update({"class": options.job_class, "tasks": tasks})
--- a/papayaward/cli_config.py
+++ b/papayaward/cli_config.py
@@ -18,6 +18,7 @@
 from .cli_format import format_changes, format_findings, format_history
 from .protocol.config_diff import diff_texts
 from .protocol.config_text import ConfigError, parse_config
+from .protocol.options import read_object
 from .transport.entry_client import EntryUnavailable
 
 __all__ = ["apply", "check", "diff", "domain", "history", "show"]
@@ -103,7 +104,7 @@
 
 def _change_domains(text, options):
     """Returns the changed text, or None if the domains already have that state."""
-    document = json.loads(text)
+    document = read_object(text)
     known, out = document.get("domains", []), document.get("domains_out", [])
     unknown = [name for name in options.name if name not in known]
     if unknown:
--- a/papayaward/coordination/executor.py
+++ b/papayaward/coordination/executor.py
@@ -15,6 +15,7 @@
 from ..protocol import mechanisms
 from ..protocol.gen.ttypes import CancelTasks, ResultBatch, RunBatch, SlotReport
 from ..protocol.gen.ttypes import TaskResult as Result
+from ..protocol.options import OptionError, read_json
 from ..protocol.outcomes import Reason, TaskStatus
 from ..state import invariants, metrics
 from ..state.started_tasks import StartedTasks
@@ -70,10 +71,10 @@
 
 
 def _as_json(body):
-    """Returns the body if it is JSON, else the body as a JSON string."""
+    """Returns the body if it is JSON that callers can read, else as a JSON string."""
     try:
-        json.loads(body)
-    except (ValueError, RecursionError):
+        read_json(body)
+    except OptionError:
         return json.dumps(body.decode("utf-8", "replace")).encode()
     return body
 
--- a/papayaward/operator_api.py
+++ b/papayaward/operator_api.py
@@ -5,8 +5,6 @@
 HTTP interface for operators: status and job timelines.
 """
 
-import json
-
 from gevent.pool import Pool
 
 from . import clock
@@ -14,6 +12,7 @@
 from .coordination.evidence import age_ms
 from .protocol.gen.ttypes import Query
 from .protocol.identifiers import IdentifierError, parse_job_id
+from .protocol.options import OptionError, read_object
 from .state import invariants
 from .transport.http_api import Response, json_response, problem_response
 
@@ -85,9 +84,10 @@
                 lambda number: Query(number, kind, argument),
                 clock.now() + 1.0,
             )
-        except (CoordinatorUnavailable, TimeoutError):
+            document = read_object(reply.document)
+        except (CoordinatorUnavailable, TimeoutError, OptionError):
             return None
-        return {"member": hello.member, **json.loads(reply.document)}
+        return {"member": hello.member, **document}
 
 
 def _member_status(view, now):
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -22,6 +22,7 @@
     get_number,
     get_string,
     get_string_list,
+    read_object,
 )
 
 __all__ = [
@@ -302,7 +303,7 @@
     """
     try:
         with open(path, encoding="utf-8") as stream:
-            document = json.load(stream)
+            document = read_object(stream.read())
     except (OSError, ValueError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
     return check_settings(document)
--- a/papayaward/transport/entry_client.py
+++ b/papayaward/transport/entry_client.py
@@ -14,7 +14,7 @@
 import gevent
 from geventhttpclient import HTTPClient
 
-from ..protocol.options import OptionError, get_address
+from ..protocol.options import OptionError, get_address, read_object
 
 __all__ = ["EntryClient", "EntryReply", "EntryUnavailable"]
 
@@ -53,10 +53,10 @@
 
     @property
     def json(self):
-        """The body as a JSON document; an object with `detail` if it is not JSON."""
+        """The JSON object in the body; one with `detail` if the body is none."""
         try:
-            return json.loads(self.body)
-        except ValueError:
+            return read_object(self.body)
+        except OptionError:
             return {"detail": self.body[:200].decode("utf-8", "replace")}
 
 
--- a/tests/test_odd_store_values.py
+++ b/tests/test_odd_store_values.py
@@ -8,12 +8,20 @@
 import json
 from base64 import b64encode
 from functools import partial
+from pathlib import Path
+from tempfile import NamedTemporaryFile
 
 from testtools import TestCase
 
 from papayaward.coordination.config_writer import ConfigWriter
+from papayaward.coordination.executor import _as_json
 from papayaward.coordination.idempotency_keys import IdempotencyKeys
+from papayaward.job_requests import RequestError, parse_job
+from papayaward.protocol.config_text import ConfigError, FleetConfig, parse_config
+from papayaward.protocol.options import OptionError, read_json, read_object
+from papayaward.protocol.settings import SettingsError, load_settings
 from papayaward.protocol.store_errors import StoreError
+from papayaward.transport.entry_client import EntryReply
 from papayaward.transport.store_client import StoreClient, StoreValue
 from tests import odd_values
 
@@ -158,3 +166,75 @@
         }
         cases = odd_values.odd_texts(document, fields)
         self.assertEqual([], odd_values.not_rejected(read, StoreError, cases))
+
+
+class TextsTest(TestCase):
+    def test_odd_settings_files_are_rejected(self):
+        """Guards against a traceback in place of the finding."""
+        with NamedTemporaryFile() as file:
+
+            def read(text):
+                Path(file.name).write_bytes(text)
+                return load_settings(file.name)
+
+            cases = odd_values.TEXTS.items()
+            self.assertEqual([], odd_values.not_rejected(read, SettingsError, cases))
+
+    def test_odd_configuration_texts_are_rejected(self):
+        """Guards against an entry that fails on an operator's text."""
+        document = {"services": [{"name": "s"}], "limits": {"max_tasks": 5}}
+        document["tenants"] = [{"name": "t", "weight": 1.0}]
+        parse_config(json.dumps(document))
+        fields = {
+            ("services",): odd_values.OBJECTS,
+            ("services", 0): odd_values.OBJECTS,
+            ("services", 0, "name"): odd_values.TEXT_VALUES,
+            ("limits",): odd_values.OBJECTS,
+            ("limits", "max_tasks"): odd_values.NUMBERS,
+            ("tenants", 0, "weight"): {
+                n: f for n, f in odd_values.NUMBERS.items() if n != "fraction"
+            },
+        }
+        cases = odd_values.odd_texts(document, fields)
+        self.assertEqual([], odd_values.not_rejected(parse_config, ConfigError, cases))
+
+    def test_odd_jobs_are_refused(self):
+        """Guards against a task that cannot be encoded, and a 500 response."""
+        document = {"service": "s", "tenant": "t", "class": "c", "tasks": [1]}
+        config = FleetConfig()
+
+        def find_service(name):
+            raise RequestError(None, name)
+
+        def read(text):
+            return parse_job(read_object(text), False, config, find_service)
+
+        fields = {
+            ("service",): odd_values.TEXT_VALUES,
+            ("tenant",): odd_values.TEXT_VALUES,
+            ("class",): odd_values.TEXT_VALUES,
+            ("deadline_ms",): odd_values.NUMBERS,
+            ("tasks",): odd_values.OBJECTS,
+            ("tasks", 0): {n: odd_values.NUMBERS[n] for n in ("nested", "infinity")},
+        }
+        cases = odd_values.odd_texts(document, fields)
+        errors = (OptionError, RequestError)
+        self.assertEqual([], odd_values.not_rejected(read, errors, cases))
+
+    def test_odd_result_becomes_a_string(self):
+        """Guards against an answer to a job that its caller cannot parse."""
+        for name, text in odd_values.TEXTS.items():
+            result = json.loads(_as_json(text), parse_constant=self.fail)
+            if name not in ("list", "number"):
+                self.assertIsInstance(result, str, name)
+
+    def test_odd_reply_of_an_entry_is_shown_as_text(self):
+        """Guards against an operator's tool that ends with a traceback."""
+        for name, text in odd_values.TEXTS.items():
+            reply = EntryReply("e", 502, text)
+            self.assertIsInstance(reply.json, dict, name)
+
+    def test_json_of_any_kind_can_be_read(self):
+        """Guards against a reader that accepts objects only."""
+        for value in (None, True, 5, 0.5, "x", [1], {"a": [{}]}, [[[]]] * 100):
+            self.assertEqual(value, read_json(json.dumps(value)))
