Refuse a Hello without required fields, and echoes from the future

A peer whose Hello lacked a field failed in the handling of the new link, with a traceback for each of its connections. A heartbeat that echoes a time stamp far ahead of the receiver's clock showed the peer as alive for that long: the lease of its runs would have been renewed after it was gone.

The handshake fails for such a Hello, like for one of another version. An echo counts only if the receiver can have sent its time stamp.

Failed before: OddMessagesTest of tests.test_link, 2 of 2 tests.

--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -33,6 +33,20 @@
 _MAX_UNSENT_BYTES = 128 * 1024 * 1024
 
 
+# Fields of a `Hello` without which a peer cannot be handled; link_number is optional.
+_HELLO_FIELDS = (
+    "member",
+    "incarnation",
+    "role",
+    "region",
+    "domain",
+    "service_name",
+    "address",
+    "config_version",
+    "draining",
+)
+
+
 class LinkClosed(Exception):
     """The link was closed before or while a message was sent."""
 
@@ -210,6 +224,9 @@
             raise FrameError("the first message is not a Hello")
         if message.protocol_version != PROTOCOL_VERSION:
             raise FrameError(f"unsupported protocol version {message.protocol_version}")
+        missing = [n for n in _HELLO_FIELDS if getattr(message, n) is None]
+        if missing:
+            raise FrameError(f"the Hello lacks {', '.join(missing)}")
         self._peer = message
         self._last_received = clock.now()
 
@@ -269,7 +286,9 @@
 
     def _on_heartbeat(self, heartbeat, now):
         self.last_stamp_us = heartbeat.stamp_us
-        self._echoed_us = max(self._echoed_us, heartbeat.echo_us)
+        # A stamp that was not sent yet would show the peer as alive until then.
+        if heartbeat.echo_us <= now * 1e6:
+            self._echoed_us = max(self._echoed_us, heartbeat.echo_us)
         self._node.on_heartbeat(self, heartbeat, now)
         if not self._dialled:
             self.try_send(self._node.heartbeat(self, now))
