Limit the length of a response

A server whose response does not end, in its header, its body or interim responses, used up the memory of the process that reads it. Responses of more than 64 MiB, the length of the longest message, are now an error. Odd lengths and statuses were rejected by the parser before; a test now shows it.

Failed before: test_endless_responses of tests.test_http_parser.

--- a/papayaward/transport/http_parser.py
+++ b/papayaward/transport/http_parser.py
@@ -17,6 +17,8 @@
 __all__ = ["BrokenResponse", "read_response"]
 
 _RECEIVE_BYTES = 65536
+# Limits the memory that a server can make this process allocate.
+_MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 _FIRST_FINAL_STATUS = 200
 
 
@@ -36,7 +38,7 @@
 
 
 class BrokenResponse(Exception):
-    """The response is incomplete, or a second response followed it."""
+    """The response is incomplete or too long, or a second response followed it."""
 
 
 class _Response(_parser.HTTPResponseParser):
@@ -82,14 +84,19 @@
         tuple: Status code, body (bytes), and whether the connection may be used again.
 
     Raises:
-        BrokenResponse: The connection ended early or sent more than one response.
+        BrokenResponse: The connection ended early, or sent more than one response or
+            one that is too long.
         HTTPException: The response is malformed.
         OSError: The connection failed.
     """
     response = _Response()
+    received = 0
     # Interim responses (1xx) are complete messages before the final one.
     while not response.complete or response.get_code() < _FIRST_FINAL_STATUS:
         data = sock.recv(_RECEIVE_BYTES)
+        received += len(data)
+        if received > _MAX_RESPONSE_BYTES:
+            raise BrokenResponse(f"response of more than {_MAX_RESPONSE_BYTES} bytes")
         # Empty data signals the end of the connection to the parser, which completes
         # responses without a length.
         response.feed(data)
--- a/tests/test_http_parser.py
+++ b/tests/test_http_parser.py
@@ -16,6 +16,7 @@
 __all__ = []
 
 _OK = b"HTTP/1.1 200 OK\r\n"
+_ODD_NUMBERS = (b"9" * 30, b"9" * 5000, b"-5", b"1e3", b"\xb2", b"0x10", b"NaN")
 
 
 class _Socket:
@@ -67,6 +68,31 @@
                 (BrokenResponse, HTTPException), read_response, _Socket(parts)
             )
 
+    def test_endless_responses(self):
+        """Guards against a server that uses up the memory of this process."""
+        chunk = b"%x\r\n" % 65536 + b"x" * 65536 + b"\r\n"
+        field = b"X-A: " + b"x" * 65536 + b"\r\n"
+        for head, part in (
+            (_OK + b"Transfer-Encoding: chunked\r\n\r\n", chunk),
+            (_OK, field),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 3000),
+        ):
+            parts = [head, *[part] * 1500]
+            self.assertRaises(BrokenResponse, read_response, _Socket(parts))
+
+    def test_odd_numbers(self):
+        """Guards against a length or status that ends in another error."""
+        chunked = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        for response in (
+            *(_OK + b"Content-Length: " + n + b"\r\n\r\n" for n in _ODD_NUMBERS),
+            *(b"HTTP/1.1 " + n + b" OK\r\n\r\n" for n in _ODD_NUMBERS),
+            chunked + b"f" * 30 + b"\r\n",
+            chunked + b"-1\r\n",
+        ):
+            self.assertRaises(
+                (BrokenResponse, HTTPException), read_response, _Socket([response])
+            )
+
     def test_runner_does_not_load_the_client(self):
         """Guards against imports that take megabytes of memory in every runner."""
         code = (
