--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -50,7 +50,11 @@
 
     def put(self, key, document):
         """Writes a key as an operator does."""
-        self._write(key, b64encode(json.dumps(document).encode()).decode(), 0)
+        self.put_bytes(key, json.dumps(document).encode())
+
+    def put_bytes(self, key, value):
+        """Writes a key as another program does, which may write any bytes."""
+        self._write(key, b64encode(value).decode(), 0)
 
     def delete(self, key):
         """Removes a key."""
@@ -134,10 +138,10 @@
 
     def _read_item(self, key):
         item = self._items[key]
-        value = b64decode(item["value"]).decode()
+        value = b64decode(item["value"])
         for address, proxy in self.address_map.items():
-            value = value.replace(address, proxy)
-        return {**item, "value": b64encode(value.encode()).decode()}
+            value = value.replace(address.encode(), proxy.encode())
+        return {**item, "value": b64encode(value).decode()}
 
     def _watch(self, query):
         after = int(query["after"])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from standins.fleet import free_port
 from standins.platform_fleet import HOST, PlatformFleet
 from standins.platform_store import PlatformStoreStandIn
+from tests import odd_values
 
 
 class PlatformTest(TestCase):
@@ -227,3 +228,30 @@
         self.assertEqual(
             ("r-1", "the entry is silent"), (stopped["request_id"], stopped["reason"])
         )
+
+    def test_jobs_are_served_beside_odd_keys_of_another_program(self):
+        """Guards against processes that end, or stop following the store's lists."""
+        self.start_fleet(runners=1)
+        odd = [text for text in odd_values.PEER_ADDRESSES.values() if text[0] == '"']
+        values = [b'{"link": %s}' % text.encode() for text in odd]
+        values += odd_values.TEXTS.values()
+        for number, value in enumerate(values):
+            for prefix in ("papayaward/entries/odd", "op/evacuate/", "op/odd"):
+                self.fleet.store.put_bytes(f"{prefix}{number}", value)
+        self.fleet.store.put_bytes("papayaward/upstreams/r1", b"[" * 200_000)
+        self.fleet.start("e2", "entry")
+        self.fleet.start("r1", "runner")
+        self.fleet.start_upstream("r1")
+        self.assertTrue(self.fleet.wait_ready("e2"), self.fleet.log("e2")[-2000:])
+        for entry in ("e1", "e2"):
+            status, content = self.fleet.submit("0" * 15 + entry[1], 50, entry=entry)
+            self.assertEqual(200, status, content)
+        self.fleet.configure(4, prefix="/new/")
+        gevent.sleep(1.0)
+        for entry in ("e1", "e2"):
+            self.assertEqual(404, self.fleet.submit("0" * 16, 1, entry=entry)[0])
+        for name, process in self.fleet.processes.items():
+            self.assertIsNone(process.poll(), name)
+        keys = [event["key"] for event in self.fleet.events("e1", "entry_key_invalid")]
+        self.assertEqual(len(values), len(set(keys)))
+        self.assertEqual(len(keys), len(set(keys)))
