Log an invalid configuration version once

A process whose peer has a version that it cannot parse, for instance because of a newer release, asked for it and logged config_invalid with each heartbeat.

Failed before: ConfigHolderTest of tests.test_odd_store_values (5 lines for two versions).

--- a/papayaward/coordination/config_sync.py
+++ b/papayaward/coordination/config_sync.py
@@ -33,6 +33,8 @@
         self._text = b"{}"
         self._config = FleetConfig() if initial is None else initial
         self._listeners = []
+        # A peer offers a version again with each heartbeat.
+        self._rejected_version = None
 
     @property
     def version(self):
@@ -73,9 +75,7 @@
         except ConfigError as error:
             # Entries validate every text before they write it, so another program
             # wrote this one; the old version stays in force.
-            log.error(
-                "config_invalid", extra={"version": version, "error": str(error)[:500]}
-            )
+            self._log_rejection(version, error)
             return False
         self._version, self._text, self._config = version, text, config
         metrics.CONFIG_VERSION.set(version)
@@ -84,6 +84,13 @@
             listener(now)
         return True
 
+    def _log_rejection(self, version, error):
+        if version == self._rejected_version:
+            return
+        self._rejected_version = version
+        extra = {"version": version, "error": str(error)[:500]}
+        log.error("config_invalid", extra=extra)
+
     def on_message(self, link, message, now):
         """Handles `ConfigPull` and `ConfigPush`; returns False for other messages."""
         if isinstance(message, ConfigPull):
--- a/tests/test_odd_store_values.py
+++ b/tests/test_odd_store_values.py
@@ -13,6 +13,7 @@
 
 from testtools import TestCase
 
+from papayaward.coordination.config_sync import ConfigHolder
 from papayaward.coordination.config_writer import ConfigWriter
 from papayaward.coordination.executor import _as_json
 from papayaward.coordination.idempotency_keys import IdempotencyKeys
@@ -168,6 +169,17 @@
         self.assertEqual([], odd_values.not_rejected(read, StoreError, cases))
 
 
+class ConfigHolderTest(TestCase):
+    def test_invalid_version_is_logged_once(self):
+        """Guards against a log line for each heartbeat of a peer that has it."""
+        holder = ConfigHolder()
+        with odd_values.LogRecorder() as recorder:
+            for version in (5, 5, 5, 6, 6):
+                holder.offer(version, b"[" * 200_000, 0.0)
+        records = recorder.events("config_invalid")
+        self.assertEqual([5, 6], [record.version for record in records])
+
+
 class TextsTest(TestCase):
     def test_odd_settings_files_are_rejected(self):
         """Guards against a traceback in place of the finding."""
