Log a key again that was accepted in between, whatever its characters

A key that is not ASCII is remembered in its escaped form, and was not forgotten when its entry became readable again. Failed before: RejectionLogTest.test_key_is_logged_again_after_it_was_accepted of tests.test_odd_values. Another test shows the bound of 1,000 keys.

--- a/papayaward/rejection_log.py
+++ b/papayaward/rejection_log.py
@@ -37,8 +37,7 @@
             key: Key of the entry; may be of any type.
             error: Reason.
         """
-        shown = ascii(key) if not isinstance(key, str) or not key.isascii() else key
-        shown = shown[:_MAX_SHOWN_CHARACTERS]
+        shown = _shown(key)
         if shown in self._keys or len(self._keys) >= _MAX_KEYS:
             return
         self._keys.add(shown)
@@ -49,4 +48,13 @@
 
     def accept(self, key):
         """Records a usable entry; it is logged again if it becomes unusable."""
-        self._keys.discard(key)
+        if self._keys:
+            self._keys.discard(_shown(key))
+
+
+def _shown(key):
+    """Returns a text for a key that may be huge, or no text at all."""
+    if isinstance(key, str):
+        key = key[:_MAX_SHOWN_CHARACTERS]
+        return key if key.isascii() else ascii(key)
+    return ascii(key)[:_MAX_SHOWN_CHARACTERS]
--- a/tests/test_odd_values.py
+++ b/tests/test_odd_values.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import logging
 from dataclasses import asdict
 from functools import partial
 
@@ -29,6 +30,7 @@
     read_object,
 )
 from papayaward.protocol.settings import SettingsError, check_settings
+from papayaward.rejection_log import RejectionLog
 from papayaward.runner import Runner
 from papayaward.transport.http_api import read_numbers
 from papayaward.transport.peers import Dialler
@@ -170,6 +172,28 @@
         self.assertEqual(1, len(recorder.events("link_failed")))
 
 
+class RejectionLogTest(TestCase):
+    def test_key_is_logged_again_after_it_was_accepted(self):
+        """Guards against an unusable entry that nobody notices."""
+        for key in ("a", "\u00e9", "x" * 500):
+            with odd_values.LogRecorder() as recorder:
+                rejections = RejectionLog(logging.getLogger("papayaward"), "odd")
+                for _ in range(2):
+                    rejections.reject(key, "reason")
+                    rejections.reject(key, "another reason")
+                    rejections.accept(key)
+            self.assertEqual(2, len(recorder.events("odd")), key)
+
+    def test_number_of_keys_is_bounded(self):
+        """Guards against a program that fills the log and the memory with new keys."""
+        with odd_values.LogRecorder() as recorder:
+            rejections = RejectionLog(logging.getLogger("papayaward"), "odd")
+            for number in range(5000):
+                rejections.reject(number, "reason")
+        self.assertEqual(1000, len(recorder.events("odd")))
+        self.assertEqual(1, len(recorder.events("further_rejections_not_logged")))
+
+
 class _OneKeyStore:
     def __init__(self):
         self.value = None
