--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -22,6 +22,7 @@
     get_number,
     get_string,
     get_string_list,
+    read_object,
 )
 
 __all__ = [
@@ -273,6 +274,11 @@
     member = values.get("member")
     if member is not None and not re.fullmatch(MEMBER_PATTERN, member):
         yield f"member: found {member!r}, allowed is {MEMBER_PATTERN}"
+    if values.get("advertise"):
+        try:
+            get_address(values, "advertise")
+        except OptionError as error:
+            yield str(error)
     for name in ("entries", "store"):
         for index, address in enumerate(values.get(name, ())):
             try:
@@ -297,7 +303,7 @@
     """
     try:
         with open(path, encoding="utf-8") as stream:
-            document = json.load(stream)
+            document = read_object(stream.read())
     except (OSError, ValueError) as error:
         raise SettingsError([f"{path}: {error}"]) from error
     return check_settings(document)
