--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -5,6 +5,8 @@
 Short platform runs with faults from fixed seeds; longer ones are run by hand.
 """
 
+import socket
+from tempfile import TemporaryDirectory
 from unittest.mock import patch
 
 from testtools import TestCase
@@ -74,12 +76,25 @@
 
     def test_ports_are_assigned_once(self):
         """Guards against an entry that cannot start beside an upstream (seed 733)."""
-        with patch("random.choice", side_effect=[20_001, 20_001, 20_002]):
-            with patch("random.randint", side_effect=[20_001, 20_001, 20_002]):
+        with TemporaryDirectory() as directory:
+            first, second = _unused_ports()
+            with (
+                patch("tempfile.gettempdir", return_value=directory),
+                patch("random.choice", side_effect=[first, first, second]),
+                patch("random.randint", side_effect=[first, first, second]),
+            ):
                 ports = [platform_fleet.free_port() for _ in range(2)]
-        self.assertEqual([20_001, 20_002], ports)
+        self.assertEqual([first, second], ports)
 
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
         self.assertGreater(answers["200"], _MIN_COMPLETED, answers)
+
+
+def _unused_ports():
+    """Returns two ports of the loopback address that no process uses."""
+    with socket.socket() as first, socket.socket() as second:
+        for sock in (first, second):
+            sock.bind(("127.0.0.1", 0))
+        return first.getsockname()[1], second.getsockname()[1]
