Skip notices of crashes in the future or with weights without a finite sum

A notice with a negative age lay 24 days ahead, so it never expired and kept the older ones with it; two weights of 1e308 made every probability there undefined. Both need an odd peer. The extended test of unreadable notices failed on the parent (both were recorded).

--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -9,7 +9,6 @@
 """
 
 import logging
-import math
 
 from ..protocol.gen import ttypes
 from ..state.crash_records import Crash, CrashedJob, CrashRecords
@@ -20,6 +19,8 @@
 
 # Number of notices in one message to a peer that has just connected.
 _MAX_NOTICES = 200
+# Largest weight of a job, for each second; the sum of several must stay finite.
+_MAX_WEIGHT = 1e6
 
 
 class CrashRelay:
@@ -133,12 +134,14 @@
         for job in notice.jobs
         if job.tasks
     )
+    if notice.age_ms < 0:
+        raise ValueError(f"age {notice.age_ms} ms is negative")
     crashed_at = now - notice.age_ms / 1000.0
     uncertainty_s = max(0, notice.uncertainty_ms or 0) / 1000.0
     return Crash(notice.upstream, notice.service_name, crashed_at, jobs, uncertainty_s)
 
 
 def _checked_weight(weight):
-    if not 0.0 < weight < math.inf:
-        raise ValueError(f"weight {weight} of a job is not positive")
+    if not 0.0 < weight <= _MAX_WEIGHT:
+        raise ValueError(f"weight {weight} of a job is out of range")
     return weight
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -297,7 +297,13 @@
             "u@1", 0, [ttypes.CrashedJob("q", ["j.0.0.0"], 1.0)], "s"
         )
         bad = ttypes.CrashNotice("u@2", 0, [ttypes.CrashedJob("q", ["k.0.0.0"], -1.0)])
-        message = ttypes.CrashNotices([bad, ttypes.CrashNotice(), good])
+        jobs = [ttypes.CrashedJob("q", [f"{i}.0.0.0"], 1e308) for i in range(2)]
+        huge = ttypes.CrashNotice("u@3", 0, jobs, "s")
+        future = ttypes.CrashNotice(
+            "u@4", -(2**31), [ttypes.CrashedJob("q", ["l.0.0.0"], 1.0)], "s"
+        )
+        empty = ttypes.CrashNotice()
+        message = ttypes.CrashNotices([bad, empty, huge, future, good])
         self.assertTrue(relay.on_message(FakeLink("r1"), message, clock.now()))
         self.assertEqual(["u@1"], [crash.upstream for crash in relay.records.all()])
 
