--- /dev/null
+++ b/tests/test_crash_evidence.py
@@ -0,0 +1,91 @@
+"""
+tests.test_crash_evidence
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What is known of the crash of an upstream, and what is only assumed.
+"""
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.coordination.upstream_requests import (
+    ConnectionBroken,
+    Delivery,
+    UpstreamReply,
+)
+from papayaward.coordination.upstream_session import UpstreamSession
+from papayaward.protocol.gen import ttypes
+from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
+from standins.leased_upstream import LeasedUpstream
+from tests.leased_case import FakeLink, job_queue, start_group, upstream_state
+from tests.leased_fleet import LeasedFleet, LocalUpstream, job
+
+DEADLY = "d" * 16
+
+
+def _crash(upstream, at, *job_ids, uncertainty_s=0.0):
+    jobs = tuple(
+        CrashedJob("q", (f"{job_id}.0.0.0",), 5.0, (f"{job_id}.0.0.0",))
+        for job_id in job_ids
+    )
+    return Crash(upstream, "dispatch", at, jobs, uncertainty_s)
+
+
+class CrashRecordsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.records = CrashRecords()
+        self.now = clock.now()
+
+    def add(self, crash):
+        self.records.add(crash, self.now)
+
+
+class ExecutorEvidenceTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstream = LocalUpstream("r1", restart_s=9.0)
+        self.executor = self.upstream.executor
+        self.link = FakeLink("e1")
+        self.executor.on_link_up(self.link, clock.now())
+        gevent.sleep(0.05)
+
+    def send(self, group):
+        self.link.mark_alive()
+        self.executor.on_heartbeat(self.link, 0, clock.now())
+        batch = ttypes.StartBatch(1, [group])
+        self.executor.on_message(self.link, batch, clock.now())
+
+    def test_start_that_reached_no_upstream_is_reported_as_not_run(self):
+        """Guards against a caller told that a job may have run that never started."""
+        self.upstream.crash()
+        group = start_group("a.0.0.0", work_ms=500)
+        group.starts += [ttypes.TaskStart(f"a.0.0.{i}", 1) for i in range(1, 4)]
+        self.send(group)
+        gevent.sleep(0.05)
+        self.assertEqual(4, len(self.link.ends()))
+        outcomes = {outcome.partition(":")[0] for _, outcome in self.link.ends()}
+        self.assertEqual({"not_run"}, outcomes)
+
+
+class SessionEvidenceTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.losses = []
+        self.upstream = LeasedUpstream()
+        self.session = UpstreamSession(
+            self.upstream,
+            upstream_state(),
+            lambda now: now + 0.95,
+            lambda: True,
+            lambda ends, now: None,
+            lambda running, now: None,
+            lambda: None,
+            self.losses.append,
+        )
+        self.addCleanup(self.session.close)
+        while not self.session.ready:
+            gevent.sleep(0.01)
+
+
