Show that a task which takes its VM along is started on every VM

An entry publishes the crash of an upstream whose executor is gone only when the executor is back with another instance.

--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -142,12 +142,16 @@
         """Returns each upstream on which a task runs."""
         return [upstream for upstream in self.upstreams if upstream.runs(task)]
 
-    def replace(self, upstream):
-        """Replaces an upstream and the process beside it by new ones."""
+    def lose(self, upstream):
+        """Ends an upstream and the process beside it."""
         for entry, executor_link, entry_link in upstream.entry_links:
             entry_link.closed = True
             entry.on_link_down(executor_link, clock.now())
         upstream.crash()
+
+    def replace(self, upstream):
+        """Replaces an upstream and the process beside it by new ones."""
+        self.lose(upstream)
         new = LocalUpstream(upstream.name, number=upstream.number)
         self.upstreams[self.upstreams.index(upstream)] = new
         for number, entry in enumerate(self.entries):
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -89,3 +89,19 @@
             gevent.sleep(0.01)
 
 
+class LostExecutorsTest(TestCase):
+    def test_task_that_takes_its_vm_along_is_not_started_on_every_one(self):
+        """Guards against a task that is started until the first lost VM returns."""
+        fleet = LeasedFleet(executors=8)
+        self.addCleanup(fleet.close)
+        gevent.sleep(0.1)
+        request = job(DEADLY, "9000", expected_s=9.0, timeout_s=30.0)
+        one = fleet.entries[0].submit(request, job_queue(), clock.now())
+        until, starts = clock.now() + 8.0, 0
+        while clock.now() < until and one.outcome is None:
+            for upstream in fleet.running(request.job_id + ".0.0.0"):
+                starts += 1
+                fleet.lose(upstream)
+            gevent.sleep(0.01)
+        # Three crashes, and at most two further starts.
+        self.assertLessEqual(starts, 5)
