Relate a crash with an uncertain time to the outage it may belong to

The uncertainty of the time of a crash was recorded, sent and logged, but no decision used it: an upstream that was out of reach until its lease expired counted as an independent crash up to a second after the outage, and its jobs as likely causes. Crashes are related now if the intervals in which they may have happened are close. The new test failed before.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -243,7 +243,7 @@
         others = (
             other
             for other in reversed(self._crashes.values())
-            if abs(other.at - crash.at) < _OUTAGE_S and other.upstream != crash.upstream
+            if _may_coincide(other, crash) and other.upstream != crash.upstream
         )
         return list(itertools.islice(others, _MAX_OTHERS))
 
@@ -324,6 +324,13 @@
     keys = upstreams.get(task)
     if keys is None:
         return
+def _may_coincide(first, second):
+    """Returns whether two crashes may have happened at the same moment."""
+    earliest = max(crash.at - crash.uncertainty_s for crash in (first, second))
+    latest = min(first.at, second.at)
+    return earliest - latest < _OUTAGE_S
+
+
     keys.discard(upstream)
     if not keys:
         del upstreams[task]
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -41,6 +41,20 @@
     def add(self, crash):
         self.records.add(crash, self.now)
 
+    def test_crash_whose_time_is_uncertain_may_belong_to_an_outage(self):
+        """Guards against a job blamed for an outage that was noticed late."""
+        exact, late = CrashRecords(), CrashRecords()
+        for records, at, uncertainty_s in (
+            (exact, self.now - 1.0, 0.0),
+            (late, self.now, 1.0),
+        ):
+            for number in range(4):
+                outage = _crash(f"u{number}", self.now - 1.0, f"o{number}")
+                records.add(outage, self.now)
+            crash = _crash("a", at, "a", uncertainty_s=uncertainty_s)
+            records.add(crash, self.now)
+        self.assertAlmostEqual(exact.probability("a"), late.probability("a"))
+
 
 class ExecutorEvidenceTest(TestCase):
     def setUp(self):
