Keep crashes under jobs when idle upstreams crash in large numbers

Crashes of idle upstreams are recorded since. 500 of them displaced the crashes under a job that must not be started again, so that its count began anew. Crashes without jobs are forgotten first now. The new test failed before.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -176,7 +176,7 @@
         for other in (*self._others_at(crash), crash):
             self._relate_jobs(other, now)
         if len(self._crashes) > _MAX_CRASHES:
-            self._remove_oldest()
+            self._remove_crash(self._least_needed())
         return True
 
     def expire(self, now):
@@ -184,7 +184,7 @@
         while self._crashes:
             if now - next(iter(self._crashes.values())).at <= _RECORD_TTL_S:
                 return
-            self._remove_oldest()
+            self._remove_crash(oldest)
 
     def all(self):
         """Returns each `Crash` that is remembered, in the order of their arrival."""
@@ -296,8 +296,18 @@
         self._queues[job.queue] = _QueueRecord(crashes, now)
         shares[upstream] = share
 
-    def _remove_oldest(self):
-        upstream, crash = self._crashes.popitem(last=False)
+    def _least_needed(self):
+        """Returns the oldest `Crash` without jobs, or the oldest one.
+
+        The crashes under jobs bound the starts of their tasks.
+        """
+        crashes = self._crashes.values()
+        without_jobs = (crash for crash in crashes if not crash.jobs)
+        return next(without_jobs, next(iter(crashes)))
+
+    def _remove_crash(self, crash):
+        upstream = crash.upstream
+        del self._crashes[upstream]
         del self._base_probabilities[upstream]
         for job in crash.jobs:
             record = self._jobs.get(job.job_id)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -41,6 +41,14 @@
     def add(self, crash):
         self.records.add(crash, self.now)
 
+    def test_crashes_of_idle_upstreams_do_not_displace_those_under_jobs(self):
+        """Guards against a count of starts that begins anew after a large outage."""
+        for number in range(3):
+            self.add(_crash(f"a{number}", self.now, "a"))
+        for number in range(500):
+            self.add(_crash(f"idle{number}", self.now))
+        self.assertTrue(self.records.is_exhausted("a"))
+
     def test_crash_whose_time_is_uncertain_may_belong_to_an_outage(self):
         """Guards against a job blamed for an outage that was noticed late."""
         exact, late = CrashRecords(), CrashRecords()
