Find a recent crash although an older one was told after it

has_recent looked only at the notice that arrived last. A peer that connects sends notices of up to 60 s ago, after which jobs were placed beside suspects although an upstream had crashed a second ago. The new test failed before.

--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -182,7 +182,8 @@
     def expire(self, now):
         """Forgets old crashes."""
         while self._crashes:
-            if now - next(iter(self._crashes.values())).at <= _RECORD_TTL_S:
+            oldest = next(iter(self._crashes.values()))
+            if now - oldest.at <= _RECORD_TTL_S:
                 return
             self._remove_crash(oldest)
 
@@ -192,9 +193,7 @@
 
     def has_recent(self, now):
         """Returns whether an upstream crashed in the last seconds."""
-        if not self._crashes:
-            return False
-        return now - next(reversed(self._crashes.values())).at < _RECENT_S
+        return any(now - crash.at < _RECENT_S for crash in self._crashes.values())
 
     def is_condemned(self, job_id):
         """Returns whether a job has a task that has crashed upstreams.
@@ -325,6 +324,13 @@
             del self._jobs[job.job_id]
 
 
+def _may_coincide(first, second):
+    """Returns whether two crashes may have happened at the same moment."""
+    earliest = max(crash.at - crash.uncertainty_s for crash in (first, second))
+    latest = min(first.at, second.at)
+    return earliest - latest < _OUTAGE_S
+
+
 def _most(upstreams):
     """Returns the number of upstreams of the task with most of them."""
     return max((len(keys) for keys in upstreams.values()), default=0)
@@ -334,13 +340,6 @@
     keys = upstreams.get(task)
     if keys is None:
         return
-def _may_coincide(first, second):
-    """Returns whether two crashes may have happened at the same moment."""
-    earliest = max(crash.at - crash.uncertainty_s for crash in (first, second))
-    latest = min(first.at, second.at)
-    return earliest - latest < _OUTAGE_S
-
-
     keys.discard(upstream)
     if not keys:
         del upstreams[task]
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -63,6 +63,12 @@
             records.add(crash, self.now)
         self.assertAlmostEqual(exact.probability("a"), late.probability("a"))
 
+    def test_old_crash_that_is_told_late_does_not_hide_a_recent_one(self):
+        """Guards against jobs placed beside suspects after a peer has connected."""
+        self.add(_crash("recent", self.now - 1.0, "a"))
+        self.add(_crash("old", self.now - 30.0, "b"))
+        self.assertTrue(self.records.has_recent(self.now))
+
 
 class ExecutorEvidenceTest(TestCase):
     def setUp(self):
