Do not publish the replacement of a draining upstream as a crash

A refused connection to a draining upstream is no crash, but the report of the instance that replaced it was published as one, with the runs that were left as known to have been running. The new test failed before.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -423,7 +423,7 @@
 
     def _drop_crashed_session(self, reason, now):
         """Closes the session of an instance that another one has replaced."""
-        if self._session is not None:
+        if self._session is not None and not self._state.draining:
             self._publish_crash(self._session.loss(reason, now), now)
         self._drop_session(reason)
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -96,6 +96,17 @@
         outcomes = {outcome.partition(":")[0] for _, outcome in self.link.ends()}
         self.assertEqual({"not_run"}, outcomes)
 
+    def test_replacement_of_a_draining_upstream_is_no_crash(self):
+        """Guards against jobs blamed for the planned restart of an upstream."""
+        self.send(start_group("a.0.0.0", work_ms=9000))
+        gevent.sleep(0.05)
+        draining = upstream_state("r1-1", 8, born_ms=1, sequence=2, draining=True)
+        self.executor.on_upstream_report(draining, clock.now())
+        self.executor.on_upstream_report(
+            upstream_state("r1-2", 8, born_ms=2), clock.now()
+        )
+        self.assertEqual((), self.upstream.crash_relay.records.all())
+
 
 class SessionEvidenceTest(TestCase):
     def setUp(self):
