Do not take a start accepted by a later instance for a run of this one

An instance that restarted with the same identifier accepts a start that was meant for its predecessor. The reply counted as a run that the predecessor had started and crashed under. It ends the session now, as in a poll. The new test failed before.

--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -205,6 +205,10 @@
         if reply.outcome == "other_instance":
             self._on_instance_lost("another upstream instance replied")
             return "unreachable"
+        if self._is_other_instance(reply):
+            # The start may have been repeated, so that this instance received it too.
+            self._on_instance_lost("another upstream instance replied")
+            return "unreachable"
         return "started" if reply.outcome == "ok" else reply.outcome
 
     def stop(self, task, run):
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -127,6 +127,18 @@
         while not self.session.ready:
             gevent.sleep(0.01)
 
+    def test_start_that_a_later_instance_accepts_was_not_started_by_this_one(self):
+        """Guards against a crash counted under a run that began after it."""
+        deliveries = []
+
+        def reply_as_restarted(instance, request, timeout_s, on_sent):
+            on_sent()
+            return UpstreamReply("ok", self.upstream.clock_ms, born_ms=2)
+
+        self.upstream.start = reply_as_restarted
+        self.session.start("j.0.0.0", 1, "50", lambda: True, deliveries.append)
+        self.assertNotIn(Delivery.STARTED, deliveries)
+
 
 class LostExecutorsTest(TestCase):
     def test_task_that_takes_its_vm_along_is_not_started_on_every_one(self):
