Do not take the first reset of a connection for a crash that follows later

If connections were reset for a while and then refused, the crash was dated to the first reset and called witnessed, although the upstream had been alive in between and its runs may have ended unnoticed. Such a loss is uncertain now if more than 0.3 s lie between. The new test failed before.

--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -33,6 +33,10 @@
 _LOSSY_END_WAIT_MS = 100
 _RETRY_S = 0.05
 _START_ATTEMPTS = 6
+# Longest time from the first connection that breaks to the refusal of another one for
+# which both are taken for the same crash. Connections that break for longer show an
+# upstream that is alive, and whose runs may end unnoticed.
+_MAX_WITNESSED_S = 0.3
 # Time that an upstream needs to kill its runs when the lease expires, with a margin.
 _KILL_DELAY_S = 0.1
 
@@ -201,14 +205,14 @@
         except Unreachable:
             self._on_instance_lost("connection refused")
             return "unreachable"
-        delivery.on_reply(reply.outcome == "ok")
-        if reply.outcome == "other_instance":
-            self._on_instance_lost("another upstream instance replied")
-            return "unreachable"
         if self._is_other_instance(reply):
             # The start may have been repeated, so that this instance received it too.
             self._on_instance_lost("another upstream instance replied")
             return "unreachable"
+        delivery.on_reply(reply.outcome == "ok")
+        if reply.outcome == "other_instance":
+            self._on_instance_lost("another upstream instance replied")
+            return "unreachable"
         return "started" if reply.outcome == "ok" else reply.outcome
 
     def stop(self, task, run):
@@ -458,7 +462,8 @@
             is_gone: Whether the instance is known to be gone, as opposed to out of
                 reach.
         """
-        witnessed = is_gone and not self._replies.timed_out
+        in_touch = self._replies.failing_s(now) < _MAX_WITNESSED_S
+        witnessed = is_gone and in_touch and not self._replies.timed_out
         at = self._replies.failed_at(now) if witnessed else now
         uncertainty_s = 0.0 if witnessed else self._replies.silence_s(at)
         return InstanceLoss(reason, at, uncertainty_s, witnessed)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -139,6 +139,25 @@
         self.session.start("j.0.0.0", 1, "50", lambda: True, deliveries.append)
         self.assertNotIn(Delivery.STARTED, deliveries)
 
+    def test_upstream_whose_connections_were_reset_may_have_crashed_later(self):
+        """Guards against the first reset of a connection taken for the crash."""
+        poll = self.upstream.poll
+
+        def reset(instance, request, timeout_s):
+            if self.upstream.crashed:
+                return poll(instance, request, timeout_s)
+            raise ConnectionBroken("connection reset")
+
+        self.upstream.poll = reset
+        gevent.sleep(1.5)
+        self.assertEqual([], self.losses)
+        crashed_at = clock.now()
+        self.upstream.crash()
+        gevent.sleep(0.2)
+        (loss,) = self.losses
+        self.assertLess(loss.at - loss.uncertainty_s, crashed_at + 0.01)
+        self.assertGreaterEqual(loss.at, crashed_at)
+
 
 class LostExecutorsTest(TestCase):
     def test_task_that_takes_its_vm_along_is_not_started_on_every_one(self):
