--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -181,15 +181,16 @@
         for other in (*self._others_at(crash), crash):
             self._relate_jobs(other, now)
         if len(self._crashes) > _MAX_CRASHES:
-            self._remove_oldest()
+            self._remove_crash(self._least_needed())
         return True
 
     def expire(self, now):
         """Forgets old crashes."""
         while self._crashes:
-            if now - next(iter(self._crashes.values())).at <= _RECORD_TTL_S:
+            oldest = next(iter(self._crashes.values()))
+            if now - oldest.at <= _RECORD_TTL_S:
                 return
-            self._remove_oldest()
+            self._remove_crash(oldest)
 
     def all(self):
         """Returns each `Crash` that is remembered, in the order of their arrival."""
@@ -197,9 +198,7 @@
 
     def has_recent(self, now):
         """Returns whether an upstream crashed in the last seconds."""
-        if not self._crashes:
-            return False
-        return now - next(reversed(self._crashes.values())).at < _RECENT_S
+        return any(now - crash.at < _RECENT_S for crash in self._crashes.values())
 
     def is_condemned(self, job_id):
         """Returns whether a job has a task that has crashed upstreams.
@@ -250,7 +249,7 @@
         others = (
             other
             for other in reversed(self._crashes.values())
-            if abs(other.at - crash.at) < _OUTAGE_S and other.upstream != crash.upstream
+            if _may_coincide(other, crash) and other.upstream != crash.upstream
         )
         return list(itertools.islice(others, _MAX_OTHERS))
 
@@ -303,8 +302,18 @@
         self._queues[job.queue] = _QueueRecord(crashes, now)
         shares[upstream] = share
 
-    def _remove_oldest(self):
-        upstream, crash = self._crashes.popitem(last=False)
+    def _least_needed(self):
+        """Returns the oldest `Crash` without jobs, or the oldest one.
+
+        The crashes under jobs bound the starts of their tasks.
+        """
+        crashes = self._crashes.values()
+        without_jobs = (crash for crash in crashes if not crash.jobs)
+        return next(without_jobs, next(iter(crashes)))
+
+    def _remove_crash(self, crash):
+        upstream = crash.upstream
+        del self._crashes[upstream]
         del self._base_probabilities[upstream]
         for job in crash.jobs:
             record = self._jobs.get(job.job_id)
@@ -322,6 +331,13 @@
             del self._jobs[job.job_id]
 
 
+def _may_coincide(first, second):
+    """Returns whether two crashes may have happened at the same moment."""
+    earliest = max(crash.at - crash.uncertainty_s for crash in (first, second))
+    latest = min(first.at, second.at)
+    return earliest - latest < _OUTAGE_S
+
+
 def _most(upstreams):
     """Returns the number of upstreams of the task with most of them."""
     return max((len(keys) for keys in upstreams.values()), default=0)
