--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -12,6 +12,7 @@
 
 from enum import Enum
 
+from ..state.crash_records import MAX_CRASHES_UNDER_TASK
 from .isolated_placement import place_isolated
 from .queue_guard import QueueGuards, shard
 
@@ -82,6 +83,15 @@
             return Verdict.GIVEN_UP
         return Verdict.START
 
+    def has_lost_too_many(self, task):
+        """Returns whether a task must not be started again after its lost upstreams.
+
+        While the VM of an upstream is away, nobody can publish whether it crashed, so
+        that the upstreams that this entry has lost count beside the known notices.
+        """
+        crashed = self._records.upstreams_of(task.name)
+        return len(crashed | task.lost_upstreams) >= MAX_CRASHES_UNDER_TASK
+
     def is_without_executors(self, job, views, now):
         """Returns whether all executors for the job's guarded queue are down."""
         if not self._guards.is_guarded(job.queue.name, now):
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -499,6 +499,14 @@
         remaining_s = self._placement.remaining_s(job, now)
         return now + _CLOSING_SHARE * remaining_s > self._closing_at
 
+    def _on_executor_lost(self, task, now):
+        """Handles a task whose executor did not return before its lease ended."""
+        task.lost_upstreams.add(task.executor.upstream)
+        if self._isolation.has_lost_too_many(task):
+            self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
+        else:
+            self._requeue(task, "the lease at the lost executor ended", now)
+
     def _check_lost(self, now):
         for key, groups in list(self._lost.items()):
             remaining = []
@@ -508,7 +516,7 @@
                     continue
                 for task in tasks:
                     if task.state is LOST:
-                        self._requeue(task, "the lease at the lost executor ended", now)
+                        self._on_executor_lost(task, now)
             if remaining:
                 self._lost[key] = remaining
             else:
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -28,6 +28,7 @@
         "failures",
         "isolation_limit",
         "job",
+        "lost_upstreams",
         "moves",
         "name",
         "phase_number",
@@ -46,6 +47,8 @@
         self.moves = 0
         self.isolation_limit = 0
         self.avoided_executors = set()
+        # Keys of the upstreams whose executors did not return in time.
+        self.lost_upstreams = set()
         self.executor = None
         self.sent_at = 0.0
 
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -14,7 +14,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field, replace
 
-__all__ = ["Crash", "CrashRecords", "CrashedJob", "job_id_of"]
+__all__ = [
+    "MAX_CRASHES_UNDER_TASK",
+    "Crash",
+    "CrashRecords",
+    "CrashedJob",
+    "job_id_of",
+]
 
 # Crashes are forgotten after this time; a caller that submits a job again does so
 # within seconds.
@@ -27,7 +33,7 @@
 _MIN_CRASHES = 2
 # Crashes that a task may have been in after which it is not started again, and the same
 # for a job that is unlikely to have caused the last one, as after several outages.
-_MAX_CRASHES_UNDER_TASK = 3
+MAX_CRASHES_UNDER_TASK = 3
 _MAX_UNLIKELY_CRASHES_UNDER_TASK = 4
 # Rate of crashes of one upstream from outside of the jobs, for each second, and the
 # factor by which each other upstream raises it that crashed at the same time without
@@ -222,7 +228,7 @@
             return False
         is_unlikely = record.probability < _UNLIKELY
         limit = (
-            _MAX_UNLIKELY_CRASHES_UNDER_TASK if is_unlikely else _MAX_CRASHES_UNDER_TASK
+            _MAX_UNLIKELY_CRASHES_UNDER_TASK if is_unlikely else MAX_CRASHES_UNDER_TASK
         )
         return record.possible_crashes >= limit
 
@@ -244,6 +250,11 @@
         record = self._jobs.get(job_id)
         return 0 if record is None else len(record.shares)
 
+    def upstreams_of(self, task):
+        """Returns the keys of the crashed upstreams that may have run a task."""
+        record = self._jobs.get(job_id_of(task))
+        return set() if record is None else record.upstreams.get(task, set())
+
     def _others_at(self, crash):
         """Returns crashes of other upstreams at the same time as a `Crash`."""
         others = (
