Report starts that were never sent as not run when an upstream is lost

The executor reports starts that were not sent as not run now. So that this stays true, a start that is still connecting when the session closes is not sent any more: the client asks before it sends, and another instance with the same identifier can no longer accept it.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -447,13 +447,17 @@
         self._drop_session(reason)
 
     def _drop_session(self, reason):
-        """Closes the session; all runs on the upstream are lost."""
+        """Closes the session; all runs on the upstream are lost.
+
+        A start that has not been sent by now never is, so its task has not run.
+        """
         now = clock.now()
         if self._session is not None:
             self._session.close()
             self._session = None
         for run in list(self._runs.values()):
-            self._finish(run, "lost", now)
+            is_sent = run.delivery is not Delivery.NOT_DELIVERED
+            self._finish(run, "lost" if is_sent else "not_run:unreachable", now)
         log.info("session_closed", extra={"reason": reason})
 
     def _publish_crash(self, loss, now):
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -5,11 +5,11 @@
 Requests from an executor to an upstream that runs tasks under a lease, and replies.
 
 The client of an upstream has three methods:
-`start(instance, request, timeout_s, on_sent)`,
+`start(instance, request, timeout_s, may_send)`,
 `stop(instance, task, run, fencing_token, timeout_s)` and
 `poll(instance, request, timeout_s)`. They return an `UpstreamReply`, or raise `NoReply`
-or `Unreachable`. `on_sent` is called when a connection is made, immediately before the
-request is sent.
+or `Unreachable`. `may_send` is called when a connection is made, immediately before the
+request is sent; the request is not sent if it returns False, and `NoReply` is raised.
 """
 
 from dataclasses import dataclass, field
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -42,16 +42,26 @@
 
 
 class _DeliveryTracker:
-    """Follows what is known of one start over several attempts."""
+    """Follows what is known of one start over several attempts.
 
-    def __init__(self, on_delivery):
+    Args:
+        on_delivery: Function that takes each new `Delivery`.
+        is_open: Function that returns whether the session is open. Once it is closed,
+            the executor has reported what was not sent as not run.
+    """
+
+    def __init__(self, on_delivery, is_open):
         self._on_delivery = on_delivery
+        self._is_open = is_open
         self._unanswered = 0
 
-    def on_sent(self):
-        """Records that an attempt is sent over a connection."""
+    def may_send(self):
+        """Records that an attempt is about to be sent; returns whether it may be."""
+        if not self._is_open():
+            return False
         self._unanswered += 1
         self._on_delivery(Delivery.UNANSWERED)
+        return True
 
     def on_reply(self, started):
         """Records the reply to an attempt; earlier ones may remain unanswered."""
@@ -144,7 +154,7 @@
         """
         unanswered = 0
         result = "rejected"
-        delivery = _DeliveryTracker(on_delivery)
+        delivery = _DeliveryTracker(on_delivery, lambda: not self._closed)
         for _ in range(_START_ATTEMPTS):
             if self._closed or not is_wanted():
                 result = "cancelled"
@@ -198,7 +208,7 @@
         try:
             reply = self._call(
                 lambda timeout_s: self._upstream.start(
-                    instance, request, timeout_s, delivery.on_sent
+                    instance, request, timeout_s, delivery.may_send
                 ),
                 attempt,
             )
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -115,9 +115,9 @@
 
     # The requests, as `UpstreamSession` sends them.
 
-    def start(self, instance, request, timeout_s=0.0, on_sent=lambda: None):
+    def start(self, instance, request, timeout_s=0.0, may_send=lambda: True):
         return self._handle_request(
-            "start", lambda: self._start(request), timeout_s, on_sent
+            "start", lambda: self._start(request), timeout_s, may_send
         )
 
     def stop(self, instance, task, run, fencing_token, timeout_s=0.0):
@@ -139,11 +139,12 @@
             reply = self._poll(request)
         return reply
 
-    def _handle_request(self, name, handle, timeout_s, on_sent=lambda: None):
+    def _handle_request(self, name, handle, timeout_s, may_send=lambda: True):
         if self.crashed:
             gevent.sleep(_REFUSAL_DELAY_S)
             raise Unreachable("connection refused")
-        on_sent()
+        if not may_send():
+            raise NoReply("not sent")
         delay_s = self.loss()
         if delay_s is not None:
             gevent.spawn_later(delay_s, self._handle_delayed, handle)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -131,8 +131,8 @@
         """Guards against a crash counted under a run that began after it."""
         deliveries = []
 
-        def reply_as_restarted(instance, request, timeout_s, on_sent):
-            on_sent()
+        def reply_as_restarted(instance, request, timeout_s, may_send):
+            may_send()
             return UpstreamReply("ok", self.upstream.clock_ms, born_ms=2)
 
         self.upstream.start = reply_as_restarted
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -121,8 +121,8 @@
         self.wait_for(lambda: crashes)
         self.assertEqual({"a", "b"}, {job.job_id for job in crashes[0].jobs})
 
-    def send_without_reply(self, instance, request, timeout_s, on_sent):
-        on_sent()
+    def send_without_reply(self, instance, request, timeout_s, may_send):
+        may_send()
         gevent.sleep(9.0)
 
     def test_crash_of_an_idle_upstream_is_noticed_without_a_start(self):
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -77,8 +77,8 @@
         session = self.open_ready(upstream)
         deliveries = []
 
-        def reply_as_another_instance(instance, request, timeout_s, on_sent):
-            on_sent()
+        def reply_as_another_instance(instance, request, timeout_s, may_send):
+            may_send()
             return UpstreamReply("other_instance")
 
         upstream.start = reply_as_another_instance
@@ -92,10 +92,10 @@
         deliveries = []
         send = upstream.start
 
-        def lose_reply_and_crash(instance, request, timeout_s, on_sent):
+        def lose_reply_and_crash(instance, request, timeout_s, may_send):
             if upstream.crashed:
-                return send(instance, request, timeout_s, on_sent)
-            on_sent()
+                return send(instance, request, timeout_s, may_send)
+            may_send()
             upstream.crash()
             raise NoReply("connection reset")
 
