--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -18,9 +18,6 @@
 _OVERHEAD_S = 0.012
 # A result that arrives after more than this many times the objective is useless.
 _USEFUL_OBJECTIVES = 3.0
-# A late job keeps its place among those on time if at most this fraction of its tasks
-# waits: they cost little, and without them the other runs were in vain.
-_COMPLETION_SHARE = 0.25
 # Executors whose speeds differ by less than this factor rank as equally fast.
 _SPEED_STEP = math.log(1.12)
 # Number of tasks of a phase that go to one executor before the next executor is used.
@@ -68,9 +65,8 @@
     def order(self, jobs, now):
         """Returns the jobs in the order in which capacity is allocated to them.
 
-        Jobs that can no longer meet their objective come last, unless few of their
-        tasks wait. The others are sorted by the queue's priority, then by the latest
-        start that meets the objective.
+        Jobs that can no longer meet their objective come last. The others are sorted
+        by the queue's priority, then by the latest start that meets the objective.
         """
 
         def key(job):
@@ -184,13 +180,9 @@
     def _lateness(self, job, latest_start, now):
         """Returns 0 if a job can meet its objective, 1 if late, 2 if useless.
 
-        A started job of which few tasks wait counts as one that can.
-
         A timeout shorter than the useful time means that the caller has submitted the
         job before and has already waited for it, so the job is late.
         """
-        if job.started and job.waiting_share <= _COMPLETION_SHARE:
-            return 0
         useful_s = _USEFUL_OBJECTIVES * job.objective_s
         if now > job.arrived_at + useful_s:
             return 2
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -131,12 +131,6 @@
             for task in self.phases[number]
         )
 
-    @property
-    def waiting_share(self):
-        """Fraction of the tasks that are not assigned to an executor."""
-        tasks = self.tasks
-        return sum(task.state is WAITING for task in tasks) / len(tasks)
-
     def critical_path_s(self):
         """Returns the declared run time of the unfinished critical path, seconds."""
         return max(
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -376,17 +376,6 @@
         self.submit(job_queue(name="first", priority=0), job_id="b" * 16)
         self.assertEqual("b" * 16, self.first_start())
 
-    def test_late_job_that_lacks_few_tasks_is_completed_before_others(self):
-        """Guards against a job that is answered 504 as its last task never starts."""
-        link = self.executor(cores=3)
-        self.submit(tasks=4)
-        gevent.sleep(0.3)
-        self.submit(job_id="f" * 16, timeout_s=9.0)
-        report = capacity_report(1, cores=3, free=1)
-        self.scheduler.on_message(link, report, clock.now())
-        gevent.sleep(0.01)
-        self.assertEqual("0123456789abcdef.0.0.3", link.starts()[-1].task)
-
     def test_late_job_is_placed_after_jobs_on_time(self):
         """Guards against late jobs that make others miss their objective."""
         # The remaining time is less than three times the objective of 0.22 s, which
