--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -237,8 +237,14 @@
         return self.probability(job_id) >= _LIKELY
 
     def is_repeatedly_likely(self, job_id):
-        """Returns whether a job has probably crashed several upstreams."""
-        return self.is_likely(job_id) and self.crashes_under(job_id) >= _MIN_CRASHES
+        """Returns whether a job has probably crashed several upstreams.
+
+        Unlike for `is_condemned`, different tasks of the job may have been running.
+        """
+        record = self._jobs.get(job_id)
+        if record is None or not self.is_likely(job_id):
+            return False
+        return len(set().union(*record.started.values())) >= _MIN_CRASHES
 
     def probability(self, job_id):
         """Returns the probability that a job crashes upstreams."""
--- a/tests/test_odd_fuzz.py
+++ b/tests/test_odd_fuzz.py
@@ -118,7 +118,8 @@
     def request(self, method, path, body, headers):
         return 200, self._content
 
-    def post(self, path, body, headers):
+    def post(self, path, body, headers, check):
+        check()
         return 200, self._content
 
 
