--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -150,7 +150,7 @@
         """
         for job in crash.jobs:
             is_guarded = self.is_guarded(job.queue, now)
-            if records.is_repeatedly_likely(job.job_id) or (
+            if records.is_condemned(job.job_id) or (
                 is_guarded and records.is_likely(job.job_id)
             ):
                 self._guard(job.queue, crash.service, now)
