Move the delivery of starts and the crash of a loss to modules of their own

The class that follows one start over its attempts is delivery_tracker now, and upstream_crashes makes the Crash from an InstanceLoss and the runs.

--- /dev/null
+++ b/papayaward/coordination/delivery_tracker.py
@@ -0,0 +1,41 @@
+"""
+papayaward.coordination.delivery_tracker
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What is known of one start that may need several attempts.
+"""
+
+from .upstream_requests import Delivery
+
+__all__ = ["DeliveryTracker"]
+
+
+class DeliveryTracker:
+    """Follows what is known of one start over several attempts.
+
+    Args:
+        on_delivery: Function that takes each new `Delivery`.
+        is_open: Function that returns whether the session is open. Once it is closed,
+            the executor has reported what was not sent as not run.
+    """
+
+    def __init__(self, on_delivery, is_open):
+        self._on_delivery = on_delivery
+        self._is_open = is_open
+        self._unanswered = 0
+
+    def may_send(self):
+        """Records that an attempt is about to be sent; returns whether it may be."""
+        if not self._is_open():
+            return False
+        self._unanswered += 1
+        self._on_delivery(Delivery.UNANSWERED)
+        return True
+
+    def on_reply(self, started):
+        """Records the reply to an attempt; earlier ones may remain unanswered."""
+        self._unanswered -= 1
+        if started:
+            self._on_delivery(Delivery.STARTED)
+        elif not self._unanswered:
+            self._on_delivery(Delivery.NOT_DELIVERED)
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -19,7 +19,7 @@
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
 from .leased_runs import Owner, Run, isolated_jobs, may_isolate
-from .upstream_crashes import crash_of, log_crash
+from .upstream_crashes import crash_of_loss
 from .upstream_requests import Delivery
 from .upstream_session import UpstreamSession
 
@@ -464,23 +464,13 @@
         """Tells all processes what the upstream may have been running.
 
         The notice precedes the ends of the runs, so that an entry knows why they were
-        lost. A start that the upstream has not received cannot be the cause. A crash
-        without runs is published as well, since it shows an outage.
+        lost. A crash without runs is published as well, since it shows an outage.
 
         Args:
             loss: `InstanceLoss`.
             now: Time, seconds.
         """
-        runs = [
-            run
-            for run in self._runs.values()
-            if run.delivery is not Delivery.NOT_DELIVERED
-        ]
-        key, service = self._state.key, self._state.service
-        log_crash(key, loss.reason, runs, loss.at)
-        crash = crash_of(
-            key, service, runs, loss.at, loss.uncertainty_s, loss.witnessed
-        )
+        crash = crash_of_loss(self._state, loss, self._runs.values())
         self._crashes.publish(crash, now)
 
     def _on_session_lost(self, loss):
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -13,7 +13,7 @@
 from ..state.crash_records import Crash, CrashedJob, job_id_of
 from .upstream_requests import Delivery
 
-__all__ = ["LostRun", "crash_of", "log_crash"]
+__all__ = ["LostRun", "crash_of", "crash_of_loss"]
 
 log = logging.getLogger(__name__)
 
@@ -24,7 +24,7 @@
 _MAX_LOGGED_RUNS = 20
 
 
-def log_crash(upstream, reason, runs, now):
+def _log_crash(upstream, reason, runs, now):
     """Logs the runs of an upstream that has crashed, the latest start first.
 
     Args:
@@ -103,6 +103,23 @@
     return Crash(upstream, service, at, jobs, uncertainty_s)
 
 
+def crash_of_loss(state, loss, runs):
+    """Logs the crash of an upstream and returns its `Crash`.
+
+    A start that the upstream has not received cannot be the cause.
+
+    Args:
+        state: `UpstreamState` of the instance.
+        loss: `InstanceLoss`.
+        runs: `Run` of each run that the executor had there.
+    """
+    sent = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
+    _log_crash(state.key, loss.reason, sent, loss.at)
+    return crash_of(
+        state.key, state.service, sent, loss.at, loss.uncertainty_s, loss.witnessed
+    )
+
+
 def _was_running(run):
     """Returns whether a run is known to have begun and was not being stopped."""
     return run.delivery is Delivery.STARTED and not run.stopping
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -10,11 +10,11 @@
 import gevent
 
 from .. import clock
+from .delivery_tracker import DeliveryTracker
 from .lease_clock import LeaseClock
 from .reply_tracker import ReplyTracker
 from .upstream_requests import (
     ConnectionBroken,
-    Delivery,
     InstanceLoss,
     NoReply,
     PollRequest,
@@ -41,37 +41,6 @@
 _KILL_DELAY_S = 0.1
 
 
-class _DeliveryTracker:
-    """Follows what is known of one start over several attempts.
-
-    Args:
-        on_delivery: Function that takes each new `Delivery`.
-        is_open: Function that returns whether the session is open. Once it is closed,
-            the executor has reported what was not sent as not run.
-    """
-
-    def __init__(self, on_delivery, is_open):
-        self._on_delivery = on_delivery
-        self._is_open = is_open
-        self._unanswered = 0
-
-    def may_send(self):
-        """Records that an attempt is about to be sent; returns whether it may be."""
-        if not self._is_open():
-            return False
-        self._unanswered += 1
-        self._on_delivery(Delivery.UNANSWERED)
-        return True
-
-    def on_reply(self, started):
-        """Records the reply to an attempt; earlier ones may remain unanswered."""
-        self._unanswered -= 1
-        if started:
-            self._on_delivery(Delivery.STARTED)
-        elif not self._unanswered:
-            self._on_delivery(Delivery.NOT_DELIVERED)
-
-
 class UpstreamSession:
     """Session with one upstream instance.
 
@@ -154,7 +123,7 @@
         """
         unanswered = 0
         result = "rejected"
-        delivery = _DeliveryTracker(on_delivery, lambda: not self._closed)
+        delivery = DeliveryTracker(on_delivery, lambda: not self._closed)
         for _ in range(_START_ATTEMPTS):
             if self._closed or not is_wanted():
                 result = "cancelled"
