--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,8 +1,7 @@
-"""A client cancels its job just after channels of the entry went silent."""
+"""An entry is killed and comes back at once while orders are carried out late."""
 
-import random
+import signal
 import sys
-import time
 from pathlib import Path
 
 import gevent
@@ -10,64 +9,73 @@
 
 monkey.patch_subprocess()
 
-from common.fleet import Fleet, job_body, main, note_runs  # noqa: E402
+from common.fleet import (  # noqa: E402
+    Fleet,
+    job_body,
+    main,
+    note_overlaps,
+    submit_until_answered,
+)
 
-_JOB_ID = "00000000c0de0001"
-_TASKS = 16
-_WORK_MS = 12000
-_STABLE_WINDOW_S = 3.0
-_CANCEL_S = 3.0
-_KILL_GRACE_S = 0.05
-_SILENT_SHARE = 0.5
+_ROUNDS = 5
+_JOBS = 10
+_TASKS = 40
+_WORK_MS = 5000
+_CPU = 150
+_MEM_MB = 256
+_LATE_SHARE = 0.5
+_LATE_S = 3.0
+_RESTART_S = 0.1
 
 
-def _submit(fleet, record, entry):
-    body = job_body(_TASKS, _WORK_MS)
-    record.note(f"POST {_JOB_ID} to {entry}")
-    status, answer = fleet.call(entry, "POST", _JOB_ID, body)
-    record.note(f"POST {_JOB_ID} answered: {status} {answer}")
+def _kill_and_restart(fleet, record, entry):
+    """Kills an entry and starts it again, as the platform does after a short delay."""
+    fleet.signal(entry, signal.SIGKILL)
+    while fleet.processes[entry].poll() is None:
+        gevent.sleep(0.01)
+    gevent.sleep(_RESTART_S)
+    fleet.start_process(entry)
+    record.note(f"{entry} is started again")
+
+
+def _play_round(fleet, record, trouble, number):
+    entries = fleet.entries if number % 2 else fleet.entries[::-1]
+    statuses = []
+    clients = [
+        gevent.spawn(
+            submit_until_answered,
+            fleet,
+            record,
+            f"{0xC0DE0000 + 100 * number + i:016x}",
+            job_body(_TASKS, _WORK_MS, _CPU, _MEM_MB),
+            entries,
+            statuses,
+        )
+        for i in range(_JOBS)
+    ]
+    gevent.sleep(2.0)
+    if trouble:
+        record.note("half of the orders get no answer and are carried out late")
+        for upstream in fleet.upstreams.values():
+            upstream.late_share = _LATE_SHARE
+        _kill_and_restart(fleet, record, entries[0])
+        gevent.sleep(_LATE_S)
+        for upstream in fleet.upstreams.values():
+            upstream.late_share = 0.0
+        record.note("orders are answered again")
+    gevent.joinall(clients, timeout=25)
+    if not trouble and statuses != [200] * _JOBS:
+        raise RuntimeError(f"answers: {statuses}")
 
 
 def play(record, trouble):
     fleet = Fleet(record, entries=2, runners=4, cores=48)
     try:
         fleet.start()
-        entry = fleet.entries[0]
         record.note("the fleet is ready")
-        gevent.spawn(_submit, fleet, record, entry)
-        gevent.sleep(1.0)
-        disturbed_at = time.monotonic()
-        if trouble:
-            channels = fleet.link_proxies[entry].channels
-            count = int(_SILENT_SHARE * len(channels))
-            for channel in random.Random(1).sample(channels, count):
-                channel.silent = True
-            record.note(
-                f"{count} of {len(channels)} open channels between {entry} and runners "
-                "are silent from now on; new ones work"
-            )
-            gevent.sleep(0.2)
-        record.note(f"DELETE {_JOB_ID} at {entry}")
-        status, answer = fleet.call(entry, "DELETE", _JOB_ID)
-        acked_at = time.monotonic()
-        record.note(f"DELETE {_JOB_ID} answered: {status} {answer}")
-        if status not in (200, 410):
-            raise RuntimeError("the cancelling was not acknowledged")
-        # The task has to be gone after a calm stretch of this length.
-        calm_from = max(acked_at, disturbed_at + _STABLE_WINDOW_S)
-        gone_by = calm_from + _CANCEL_S + _KILL_GRACE_S
-        gevent.sleep(gone_by + 0.5 - time.monotonic())
-        runs = [r for r in fleet.runs() if r.task.startswith(_JOB_ID)]
-        note_runs(record, runs)
-        late = [r for r in runs if r.ended_at is None or r.ended_at > gone_by]
-        for r in late:
-            record.note(
-                f"{r.task} runs on {r.upstream}, {gone_by - acked_at:.2f} s after the "
-                "ack of the cancelling"
-            )
-        if not runs:
-            raise RuntimeError("the job was not started")
-        return bool(late)
+        for number in range(1, _ROUNDS + 1):
+            _play_round(fleet, record, trouble, number)
+        return note_overlaps(record, fleet)
     finally:
         fleet.stop()
 
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -275,9 +275,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def job_body(tasks, work_ms, cpu=1600):
+def job_body(tasks, work_ms, cpu=1600, mem_mb=256):
     """Returns a job of one step that need not be stored."""
-    phase = {"count": tasks, "cpu": cpu, "mem_mb": 256, "est_runtime_ms": work_ms}
+    phase = {"count": tasks, "cpu": cpu, "mem_mb": mem_mb, "est_runtime_ms": work_ms}
     return {"spec": str(work_ms), "best_effort": True, "phases": [phase]}
 
 
