--- a/review/2/case.py
+++ b/review/2/case.py
@@ -47,22 +47,6 @@
     return len(clients)
 
 
-def _crash(fleet, record, name):
-    """Crashes an upstream without a sign, and starts it again under its id."""
-    upstream, proxy = fleet.upstreams[name], fleet.app_proxies[name]
-    record.note(f"upstream of {name} crashes silently")
-    proxy.silent = True
-    upstream.stop()
-    gevent.sleep(_DOWN_S)
-    # Its machine answers again, and knows none of the channels of before.
-    for channel in list(proxy.channels):
-        channel.reset()
-    upstream.first_report_s = _FIRST_REPORT_S
-    upstream.start()
-    proxy.silent = False
-    record.note(f"upstream of {name} runs again")
-
-
 def play(record, trouble):
     fleet = Fleet(record, entries=2, runners=4, cores=48)
     try:
@@ -75,7 +59,8 @@
         for i in range(_ROUNDS):
             gevent.sleep(_CRASH_AFTER_S)
             if trouble:
-                _crash(fleet, record, fleet.runners[i % len(fleet.runners)])
+                name = fleet.runners[i % len(fleet.runners)]
+                fleet.crash_silently(name, _DOWN_S, _FIRST_REPORT_S)
             gevent.sleep(_ROUND_S - _CRASH_AFTER_S)
         sent = load.get()
         if len(statuses) < sent or (not trouble and set(statuses) != {200}):
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -64,7 +64,7 @@
 class Fleet:
     """Processes, stand-ins and proxies of one case."""
 
-    def __init__(self, record, entries=2, runners=4, cores=16):
+    def __init__(self, record, entries=2, runners=4, cores=16, clock_ms=0):
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes = {}
@@ -74,6 +74,7 @@
         self.app_proxies = {}
         self._logs = []
         self._cores = cores
+        self._clock_ms = clock_ms
         self._net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         base = random.randint(20000, 31000)
         self._ports = {"front": base, "ready": base + 1, "control": base + 2}
@@ -165,7 +166,9 @@
         upstream = Upstream(f"i-{name}", settings, self._cores)
         self.app_proxies[name] = Proxy((host, int(port)), upstream.address)
         self.upstreams[name] = upstream
+        upstream.clock_ms = self._clock_ms
         upstream.start()
+        upstream.clock_ms = 0
 
     def start_process(self, name):
         """Starts a program of the project with the command of the deploy file."""
@@ -245,6 +248,28 @@
         except OSError as error:
             return None, f"{type(error).__name__}: {error}"
 
+    def crash_silently(self, name, down_s, first_report_s):
+        """Crashes an upstream without a sign, and starts it again under its id.
+
+        Args:
+            name: Name of its machine.
+            down_s: Time for which the machine does not answer, seconds.
+            first_report_s: Time from the start of the new lifetime to its first report,
+                seconds.
+        """
+        upstream, proxy = self.upstreams[name], self.app_proxies[name]
+        self.record.note(f"upstream of {name} crashes silently")
+        proxy.silent = True
+        upstream.stop()
+        gevent.sleep(down_s)
+        # Its machine answers again, and knows none of the channels of before.
+        for channel in list(proxy.channels):
+            channel.reset()
+        upstream.first_report_s = first_report_s
+        upstream.start()
+        proxy.silent = False
+        self.record.note(f"upstream of {name} runs again")
+
     def runs(self):
         """Returns the `RunRecord`s of all upstreams, in the order of their starts."""
         found = [r for upstream in self.upstreams.values() for r in upstream.records]
@@ -368,8 +393,14 @@
     return bool(found)
 
 
+def _exit_on_signal(number, frame):
+    """Leaves by an exception, so that the processes that were started are ended."""
+    raise SystemExit(2)
+
+
 def main(play, folder, limit_s=110):
     """Plays a case and returns the exit code: 1 broken, 0 held, 2 could not run."""
+    signal.signal(signal.SIGTERM, _exit_on_signal)
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"disruption: {'on' if trouble else 'off'}")
--- a/review/common/upstream.py
+++ b/review/common/upstream.py
@@ -46,8 +46,9 @@
 class Lifetime:
     """One life of an upstream: what it runs, its ends, its lease and its clock."""
 
-    def __init__(self, name, records):
+    def __init__(self, name, records, clock_ms=0):
         self.name = name
+        self._first_clock_ms = clock_ms
         self.born_ms = int(time.time() * 1000)
         self.records = records
         self.crashed = False
@@ -63,7 +64,8 @@
 
     @property
     def clock_ms(self):
-        return int((time.monotonic() - self._started) * 1000)
+        elapsed_ms = int((time.monotonic() - self._started) * 1000)
+        return self._first_clock_ms + elapsed_ms
 
     def end_all(self):
         """Ends what runs, as a crash does."""
@@ -160,6 +162,7 @@
         late_share: Share of the orders (starts and stops) that get no answer and are
             carried out late.
         first_report_s: Time from the start of a lifetime to its first report, seconds.
+        clock_ms: Clock of the next lifetime when it starts, milliseconds.
     """
 
     def __init__(self, name, settings, cores, labels=("a", "r1-1")):
@@ -167,6 +170,7 @@
         self.records = []
         self.late_share = 0.0
         self.first_report_s = 0.0
+        self.clock_ms = 0
         self._random = random.Random(name)
         self._settings = settings
         self._cores = cores
@@ -183,7 +187,7 @@
 
     def start(self):
         """Begins a lifetime, under the same id."""
-        self._life = Lifetime(self.name, self.records)
+        self._life = Lifetime(self.name, self.records, self.clock_ms)
         self._server = WSGIServer(self.address, self._handle, log=None)
         self._server.start()
         self._reporter = gevent.spawn(self._report, self._life)
