Stop the runs of ended jobs again after a link breaks

Cause: the tasks of an ended job stayed in state SENT until their end was reported. If the link to their executor broke before, on_link_down made them LOST like those of a live job; they were then taken as wanted when the executor listed them, or queued again when it did not. Nothing on these ways looked at the job's outcome.

Fix: EndingJobs keeps the tasks of ended jobs that may be running until an end, a list of runs or the end of the lease shows that they are over. They are never queued again, and a listed run is stopped again. A job that is submitted again at the same entry waits for them, as its tasks have the same names.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -21,10 +21,11 @@
 from ..state import metrics
 from .crash_relay import CrashRelay
 from .ejection import Ejection
+from .ending_jobs import EndingJobs
 from .isolation import Isolation, Verdict
 from .job_placement import Placement
 from .job_report import job_fields, report_end
-from .job_state import DONE, LOST, SENT, WAITING, Job
+from .job_state import LOST, SENT, WAITING, Job
 from .leased_views import LeasedView
 from .lost_upstreams import LostUpstreams
 from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
@@ -82,6 +83,7 @@
         self._jobs = {}
         # Jobs that may have tasks without an executor, by identifier.
         self._waiting = {}
+        self._ending = EndingJobs()
         self._views = {}
         self._lost = {}
         self._lost_upstreams = LostUpstreams()
@@ -171,8 +173,7 @@
         for task in job.tasks:
             if task.state is SENT:
                 stops.setdefault(task.executor, []).append(task)
-            elif task.state is LOST:
-                task.state = DONE
+        self._ending.add(job)
         for view, tasks in stops.items():
             view.link.try_send(ttypes.StopBatch([task.name for task in tasks]))
         report_end(job, now)
@@ -252,7 +253,11 @@
             self._speeds.add(view.name, _ALL_QUEUES, report.peer_ratio, now)
 
     def _on_running_tasks(self, view, names, now):
-        """Reconciles lost tasks with the tasks that a reconnected executor runs."""
+        """Reconciles lost tasks with the tasks that a reconnected executor runs.
+
+        The runs of jobs that have ended meanwhile are stopped, or stopped again: the
+        request to stop them may have been lost with the link.
+        """
         key = (view.name, view.link.peer.incarnation)
         for _, tasks in self._lost.pop(key, ()):
             for task in tasks:
@@ -261,11 +266,11 @@
                 if task.name in names:
                     task.state, task.executor = SENT, view
                     view.tasks[task.name] = task
-                    names.discard(task.name)
+                    if task.job.outcome is None:
+                        names.discard(task.name)
                 else:
                     self._requeue(task, "not running after the link broke", now)
         if names:
-            # Tasks of jobs that ended while the executor was unreachable.
             view.link.try_send(ttypes.StopBatch(sorted(names)))
 
     def _on_end(self, view, end, now):
@@ -278,8 +283,12 @@
         task.job.may_have_run = task.job.may_have_run or not is_refusal
         if end.outcome == "done" and task.job.outcome is None:
             self._on_done(view, task, end, now)
-        if task.state is not SENT or task.job.outcome is not None:
+        if task.state is not SENT:
             return
+        if task.job.outcome is not None:
+            self._ending.on_run_over(task)
+            return
+        task.state = WAITING
         if end.outcome == "failed":
             self._on_failed(view, task, now)
         elif is_refusal:
@@ -409,6 +418,9 @@
             log.warning("executor_ejected", extra={"executor": view.name})
 
     def _requeue(self, task, reason, now):
+        if task.job.outcome is not None:
+            self._ending.on_run_over(task)
+            return
         executor = task.executor
         task.state = WAITING
         task.executor = None
@@ -447,7 +459,11 @@
         """
         batches = StartBatches(self._placement.run_s)
         placement_round = self._isolation.begin_round(self._views.values(), now)
-        jobs = [job for job in self._waiting.values() if placement_round.may_place(job)]
+        jobs = [
+            job
+            for job_id, job in self._waiting.items()
+            if job_id not in self._ending and placement_round.may_place(job)
+        ]
         for job in self._placement.order(jobs, now):
             for number in job.ready_phases():
                 for task, view in placement_round.place(job, number):
@@ -501,8 +517,9 @@
 
     def _on_executor_lost(self, task, now):
         """Handles a task whose executor did not return before its lease ended."""
+        task.state = WAITING
         task.lost_upstreams.add(task.executor.upstream)
-        if self._isolation.has_lost_too_many(task):
+        if task.job.outcome is None and self._isolation.has_lost_too_many(task):
             self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
         else:
             self._requeue(task, "the lease at the lost executor ended", now)
