Keep starts undecided that an upstream's next lifetime may have received

Cause: an unanswered start is sent again, the next lifetime executes it, and its reply tells another `born`. The session took this for the loss of the instance only, the executor reported all runs as lost, and the entry started the task elsewhere while it ran.

Fix: runs whose start was sent after the last request that showed the known lifetime are undecided. They are lost when the next lifetime has been taken over or the longest lease has ended there. Whether a start was confirmed does not matter, since replies to starts may not tell `born`. Replies to stops are checked for the lifetime as well, and the clock of another lifetime is not used for leases.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -39,6 +39,9 @@
 _MAX_START_STALENESS_S = 0.45
 # Time for an entry to reconnect after its connection broke.
 _RECONNECT_GRACE_S = 0.2
+# Longest time for which a run continues at a lifetime of the upstream that was not
+# taken over: the longest lease, on a slow clock, and the time to kill the run.
+_UNLEASED_RUN_S = 1.1
 # While the closing process waits for a run, other tasks may still start if they are
 # expected to end within this fraction of the run's expected time.
 _CLOSING_RUN_SHARE = 0.9
@@ -149,7 +152,8 @@
         elif last is not None and state.born_ms < last.born_ms:
             return
         else:
-            self._drop_crashed_session("the upstream restarted", now)
+            replaced = last is not None and last.instance == state.instance
+            self._drop_crashed_session("the upstream restarted", now, replaced)
             self._state = state
             self._open_session(state)
         self._is_reported = True
@@ -176,6 +180,8 @@
 
     def check_accepting(self):
         """Notifies the entries when tasks may start or may no longer start."""
+        if self._session is not None and self._session.taken_over:
+            self._finish_undecided(lambda run: True)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -331,12 +337,14 @@
 
         def on_delivery(delivery):
             run.delivery = delivery
+            if delivery is Delivery.UNANSWERED:
+                run.sent_at = clock.now()
 
         result, number = session.start(
             run.task, run.run, run.spec, is_wanted, on_delivery
         )
         run.run = number
-        if run.ended or result == "ended":
+        if run.ended or run.over_by is not None or result == "ended":
             return
         if result == "started":
             run.running = True
@@ -440,25 +448,46 @@
             self._on_session_lost,
         )
 
-    def _drop_crashed_session(self, reason, now):
+    def _drop_crashed_session(self, reason, now, replaced):
         """Closes the session of an instance that another one has replaced."""
         if self._session is not None and not self._state.draining:
             self._publish_crash(self._session.loss(reason, now), now)
-        self._drop_session(reason)
+        self._drop_session(reason, replaced)
 
-    def _drop_session(self, reason):
+    def _drop_session(self, reason, replaced=False):
         """Closes the session; all runs on the upstream are lost.
 
-        A start that has not been sent by now never is, so its task has not run.
+        A start that has not been sent by now never is, so its task has not run. One
+        that another lifetime with the same identifier may have received is undecided:
+        its run is lost when that lifetime is taken over or the run's lease has ended.
         """
         now = clock.now()
-        if self._session is not None:
-            self._session.close()
-            self._session = None
+        session, self._session = self._session, None
+        if session is not None:
+            session.close()
+        undecided = 0
         for run in list(self._runs.values()):
-            is_sent = run.delivery is not Delivery.NOT_DELIVERED
-            self._finish(run, "lost" if is_sent else "not_run:unreachable", now)
-        log.info("session_closed", extra={"reason": reason})
+            if run.delivery is Delivery.NOT_DELIVERED:
+                self._finish(run, "not_run:unreachable", now)
+            elif replaced and (
+                session is None or session.may_have_reached_other(run.sent_at)
+            ):
+                run.over_by = run.over_by or now + _UNLEASED_RUN_S
+                undecided += 1
+            else:
+                self._finish(run, "lost", now)
+        log.info("session_closed", extra={"reason": reason, "undecided": undecided})
+
+    def _finish_undecided(self, is_over):
+        """Reports undecided runs as lost.
+
+        Args:
+            is_over: Function that takes a `Run` and returns whether it is known to
+                have ended.
+        """
+        for run in list(self._runs.values()):
+            if run.over_by is not None and is_over(run):
+                self._finish(run, "lost", clock.now())
 
     def _publish_crash(self, loss, now):
         """Tells all processes what the upstream may have been running.
@@ -476,13 +505,14 @@
     def _on_session_lost(self, loss):
         if not self._state.draining:
             self._publish_crash(loss, clock.now())
-        self._drop_session(loss.reason)
+        self._drop_session(loss.reason, loss.replaced)
         # The upstream's next report opens a new session.
         self.check_accepting()
 
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
+        self._finish_undecided(lambda run: now >= run.over_by)
         for owner in list(self._owners.values()):
             self._check_owner(owner, now)
             owner.link.relaxed = not owner.is_active(now)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -41,6 +41,11 @@
     started_at: float
     running: bool = False
     delivery: Delivery = Delivery.NOT_DELIVERED
+    # Time at which the start was last sent.
+    sent_at: float = 0.0
+    # If the next lifetime of the upstream may have received the start: time by which
+    # the run has ended there.
+    over_by: float | None = None
     stopping: bool = False
     ended: bool = False
     percent: int = -1
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -98,12 +98,15 @@
         uncertainty_s: Time before `at` in which it may have ended as well.
         witnessed: Whether the instance was in touch until it ended: connections to it
             broke and were refused, and no request timed out.
+        replaced: Whether another lifetime with the same identifier replied, which may
+            have received requests that were meant for this one.
     """
 
     reason: str
     at: float
     uncertainty_s: float
     witnessed: bool
+    replaced: bool = False
 
 
 @dataclass(frozen=True)
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -83,6 +83,8 @@
         self._acked_end = 0
         self._replies = ReplyTracker()
         self._silent = False
+        # Time at which the latest request was sent whose reply told the lifetime.
+        self._identified_at = 0.0
         self._taken_over = False
         self._closed = False
         self._greenlets = [gevent.spawn(self._take_over)]
@@ -92,11 +94,24 @@
         """Whether tasks may be started."""
         return self._taken_over and not self._closed and not self._silent
 
+    @property
+    def taken_over(self):
+        """Whether earlier starts take no effect any more and their runs have ended."""
+        return self._taken_over
+
     @property
     def all_ended_at(self):
         """Local time by which every run that was started has ended, seconds."""
         return self._lease.until + _KILL_DELAY_S
 
+    def may_have_reached_other(self, sent_at):
+        """Returns whether another lifetime may have received a request.
+
+        Args:
+            sent_at: Time at which the request was sent, seconds.
+        """
+        return sent_at >= self._identified_at
+
     def close(self):
         """Stops sending requests."""
         self._closed = True
@@ -184,9 +199,9 @@
         except Unreachable:
             self._on_instance_lost("connection refused")
             return "unreachable"
-        if self._is_other_instance(reply):
-            # The start may have been repeated, so that this instance received it too.
-            self._on_instance_lost("another upstream instance replied")
+        if self._is_other_lifetime(reply):
+            # It may have executed the start.
+            self._on_replaced()
             return "unreachable"
         delivery.on_reply(reply.outcome == "ok")
         if reply.outcome == "other_instance":
@@ -214,6 +229,9 @@
             except Unreachable:
                 self._on_instance_lost("connection refused")
                 return
+            if self._is_other_lifetime(reply):
+                self._on_replaced()
+                return
             if reply.outcome != "fenced":
                 return
             self._raise_token()
@@ -247,6 +265,10 @@
         else:
             self._replies.on_delayed_reply(now)
         self._set_silent(False)
+        if self._is_other_lifetime(reply):
+            return reply
+        if reply.born_ms:
+            self._identified_at = max(self._identified_at, sent_at)
         self._lease.on_reply(reply.clock_ms, now)
         return reply
 
@@ -316,9 +338,12 @@
         except Unreachable:
             self._on_instance_lost("connection refused")
             return None
-        if reply.outcome == "other_instance" or self._is_other_instance(reply):
+        if reply.outcome == "other_instance":
             self._on_instance_lost("another upstream instance replied")
             return None
+        if self._is_other_lifetime(reply):
+            self._on_replaced()
+            return None
         if reply.outcome == "ok":
             now = clock.now()
             self._handle_ends(reply.ends, now)
@@ -326,7 +351,9 @@
                 self._on_progress(reply.running, now)
         return reply
 
-    def _is_other_instance(self, reply):
+    def _is_other_lifetime(self, reply):
+        if reply.outcome == "other_instance":
+            return False
         born_ms = self.state.born_ms
         return born_ms and reply.born_ms and reply.born_ms != born_ms
 
@@ -432,7 +459,7 @@
                 return "ended" if ended else "never"
         return "ended"
 
-    def loss(self, reason, now, is_gone=True):
+    def loss(self, reason, now, is_gone=True, replaced=False):
         """Returns the `InstanceLoss` if the instance is lost now.
 
         Args:
@@ -440,17 +467,22 @@
             now: Time, seconds.
             is_gone: Whether the instance is known to be gone, as opposed to out of
                 reach.
+            replaced: See `InstanceLoss`.
         """
         in_touch = self._replies.failing_s(now) < _MAX_WITNESSED_S
         witnessed = is_gone and in_touch and not self._replies.timed_out
         at = self._replies.failed_at(now) if witnessed else now
         uncertainty_s = 0.0 if witnessed else self._replies.silence_s(at)
-        return InstanceLoss(reason, at, uncertainty_s, witnessed)
+        return InstanceLoss(reason, at, uncertainty_s, witnessed, replaced)
+
+    def _on_replaced(self):
+        reason = "another lifetime of the upstream replied"
+        self._on_instance_lost(reason, replaced=True)
 
-    def _on_instance_lost(self, reason, is_gone=True):
+    def _on_instance_lost(self, reason, is_gone=True, replaced=False):
         if not self._closed:
             now = clock.now()
-            loss = self.loss(reason, now, is_gone)
+            loss = self.loss(reason, now, is_gone, replaced)
             log.warning(
                 "upstream_lost",
                 extra={
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -69,6 +69,10 @@
         on_crash: Function called when a run has crashed the instance.
         loss: Function that returns after how many seconds the next request is executed
             without a reply; it returns None for a request that is handled as usual.
+        born_ms: Start of the lifetime, milliseconds, which replies tell; 0 if they
+            don't.
+        names_lifetime_in_lists_only: Whether only replies to polls tell `born_ms`.
+        first_clock_ms: Clock at the start of the lifetime, milliseconds.
     """
 
     instance: str = "i-1"
@@ -84,6 +88,9 @@
     silent: bool = False
     loss: object = lambda: None
     on_crash: object = lambda: None
+    born_ms: int = 0
+    names_lifetime_in_lists_only: bool = False
+    first_clock_ms: int = 1000
 
     def __post_init__(self):
         self._started = time.monotonic()
@@ -94,7 +101,7 @@
     @property
     def clock_ms(self):
         """The monotonic clock of this instance, in milliseconds."""
-        return int((time.monotonic() - self._started) * 1000) + 1000
+        return int((time.monotonic() - self._started) * 1000) + self.first_clock_ms
 
     def fail_request(self, name, delay_s=None, times=1):
         """Leaves the next requests of one type without a reply.
@@ -113,6 +120,16 @@
         self.running.clear()
         self.crashed = True
 
+    def end_run(self, task, outcome):
+        """Ends the active run of a task.
+
+        Args:
+            task: Name of the task.
+            outcome: Outcome that the upstream reports.
+        """
+        (record,) = [r for r in self.running.values() if r.task == task]
+        self._end(record, outcome)
+
     # The requests, as `UpstreamSession` sends them.
 
     def start(self, instance, request, timeout_s=0.0, may_send=lambda: True):
@@ -165,7 +182,9 @@
         self.delayed_outcomes.append(handle().outcome)
 
     def _reply(self, outcome, **lists):
-        return UpstreamReply(outcome, self.clock_ms, **lists)
+        tells_lifetime = lists or not self.names_lifetime_in_lists_only
+        born_ms = self.born_ms if tells_lifetime else 0
+        return UpstreamReply(outcome, self.clock_ms, born_ms=born_ms, **lists)
 
     def _is_fenced(self, token):
         if token < self.token:
