Exceed fencing tokens that an earlier lifetime left at an upstream

Cause: a session's token was the clock of its upstream. Requests that an old session repeated reached the next lifetime and left the high token of the old clock there. The new session began with the new clock and raised its token by one for each rejection.

Fix: a session begins above all tokens of its process, raises the token in doubling steps while it is rejected, and uses the one after the first accepted one, which may be equal to that of a predecessor.

test_successor_stops_runs_and_fences_late_requests reads the token by its new name; it checks the same.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -65,6 +65,8 @@
         self._upstream = upstream
         self._is_domain_out = is_domain_out
         self._session = None
+        # Above the fencing tokens of all sessions so far.
+        self._lowest_token = 1
         self._state = None
         # Whether the state is a report of the upstream to this process.
         self._is_reported = False
@@ -446,6 +448,7 @@
             self._on_progress,
             self.check_accepting,
             self._on_session_lost,
+            self._lowest_token,
         )
 
     def _drop_crashed_session(self, reason, now, replaced):
@@ -465,6 +468,7 @@
         session, self._session = self._session, None
         if session is not None:
             session.close()
+            self._lowest_token = session.next_token
         undecided = 0
         for run in list(self._runs.values()):
             if run.delivery is Delivery.NOT_DELIVERED:
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -11,6 +11,7 @@
 
 from .. import clock
 from .delivery_tracker import DeliveryTracker
+from .fencing_token import FencingToken
 from .lease_clock import LeaseClock
 from .reply_tracker import ReplyTracker
 from .upstream_requests import (
@@ -56,6 +57,7 @@
         on_change: Function called when `ready` may have changed.
         on_lost: Function that takes an `InstanceLoss`, called when no run can be active
             on the instance any more.
+        lowest_token: Lowest fencing token that the session may use.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         on_progress,
         on_change,
         on_lost,
+        lowest_token=1,
     ):
         self.state = state
         self._upstream = upstream
@@ -78,7 +81,7 @@
         self._on_change = on_change
         self._on_lost = on_lost
         self._lease = LeaseClock()
-        self._token = 0
+        self._token = FencingToken(lowest_token)
         self._last_end = 0
         self._acked_end = 0
         self._replies = ReplyTracker()
@@ -94,6 +97,11 @@
         """Whether tasks may be started."""
         return self._taken_over and not self._closed and not self._silent
 
+    @property
+    def next_token(self):
+        """Lowest fencing token that is above all tokens of this session."""
+        return self._token.value + 1
+
     @property
     def taken_over(self):
         """Whether earlier starts take no effect any more and their runs have ended."""
@@ -143,9 +151,9 @@
             if self._closed or not is_wanted():
                 result = "cancelled"
                 break
-            token = self._token
+            token = self._token.value
             try:
-                outcome = self._try_start(task, run, spec, unanswered, delivery)
+                outcome = self._try_start(task, run, spec, token, unanswered, delivery)
             except NoReply as error:
                 unanswered += 1
                 log.info(
@@ -161,8 +169,7 @@
                 run += 1
                 unanswered = 0
             elif outcome == "fenced":
-                if self._token == token:
-                    self._raise_token()
+                self._token.on_fenced(token)
             elif outcome != "late":
                 result = outcome
                 break
@@ -172,7 +179,7 @@
                 return settled, run
         return result, run
 
-    def _try_start(self, task, run, spec, attempt, delivery):
+    def _try_start(self, task, run, spec, token, attempt, delivery):
         """Sends one start request and returns its outcome.
 
         Returns:
@@ -187,7 +194,7 @@
         if until <= now:
             return "cancelled"
         lease_ms = self._lease.lease_ms(until)
-        request = StartRequest(task, run, spec, lease_ms, self._token)
+        request = StartRequest(task, run, spec, lease_ms, token)
         instance = self.state.instance
         try:
             reply = self._call(
@@ -216,10 +223,11 @@
         """
         attempt = 0
         while not self._closed:
+            token = self._token.value
             try:
                 reply = self._call(
-                    lambda timeout_s: self._upstream.stop(
-                        self.state.instance, task, run, self._token, timeout_s
+                    lambda timeout_s, token=token: self._upstream.stop(
+                        self.state.instance, task, run, token, timeout_s
                     ),
                     attempt,
                 )
@@ -234,7 +242,7 @@
                 return
             if reply.outcome != "fenced":
                 return
-            self._raise_token()
+            self._token.on_fenced(token)
 
     def _call(self, send, attempt=0, wait_s=0.0):
         """Sends a request and records whether and when it was answered.
@@ -294,22 +302,20 @@
     def _take_over(self):
         """Fences off earlier processes, and stops the runs that they started."""
         reply = self._poll_until_answered(PollRequest(0, 0))
-        # Higher than the token of every earlier process: each began with a reading of
-        # this clock and raised its token more slowly than the clock advances.
-        self._token = max(1, reply.clock_ms)
-        reply = self._poll_until_answered(PollRequest(self._token, 0))
-        while reply.running or reply.outcome != "ok":
-            if reply.outcome == "fenced":
-                self._raise_token()
+        self._token.raise_to(reply.clock_ms)
+        self._poll_until_accepted()
+        self._token.raise_above_accepted()
+        reply = self._poll_until_accepted()
+        while reply.running:
             for task, run in reply.running:
                 self.stop(task, run)
             gevent.sleep(_RETRY_S)
-            reply = self._poll_until_answered(PollRequest(self._token, self._last_end))
+            reply = self._poll_until_accepted()
         log.info(
             "upstream_taken",
             extra={
                 "upstream": self.state.instance,
-                "fencing_token": self._token,
+                "fencing_token": self._token.value,
             },
         )
         self._taken_over = True
@@ -317,6 +323,14 @@
         self._greenlets.append(gevent.spawn(self._poll))
         self._on_change()
 
+    def _poll_until_accepted(self):
+        while True:
+            request = PollRequest(self._token.value, self._last_end)
+            reply = self._poll_until_answered(request)
+            if reply.outcome == "ok":
+                return reply
+            gevent.sleep(_RETRY_S)
+
     def _poll_until_answered(self, request):
         while True:
             reply = self._try_poll(request)
@@ -349,6 +363,8 @@
             self._handle_ends(reply.ends, now)
             if reply.running:
                 self._on_progress(reply.running, now)
+        elif reply.outcome == "fenced":
+            self._token.on_fenced(request.fencing_token)
         return reply
 
     def _is_other_lifetime(self, reply):
@@ -375,11 +391,9 @@
                 # The lease of a silent upstream is not renewed: the state of its runs
                 # is unknown, and a restart elsewhere must wait for the lease to expire.
                 lease_ms = None if self._silent else self._lease.lease_ms(until)
-                request = PollRequest(self._token, self._last_end, lease_ms)
+                request = PollRequest(self._token.value, self._last_end, lease_ms)
                 reply = self._try_poll(request, attempt)
                 attempt = attempt + 1 if reply is None else 0
-                if reply is not None and reply.outcome == "fenced":
-                    self._raise_token()
             if self._replies.is_failing() and clock.now() > self.all_ended_at:
                 self._on_instance_lost("no reply until the lease expired", False)
 
@@ -399,16 +413,14 @@
         while not self._closed:
             acked = self._last_end
             wait_ms = self._end_wait_ms(clock.now())
-            request = PollRequest(self._token, acked, None, wait_ms)
+            request = PollRequest(self._token.value, acked, None, wait_ms)
             reply = self._try_poll(request, attempt)
             attempt = attempt + 1 if reply is None else 0
             if reply is None:
                 gevent.sleep(_RETRY_S if attempt > 1 else 0.0)
             elif reply.outcome == "ok":
                 self._acked_end = acked
-            elif reply.outcome == "fenced":
-                self._raise_token()
-            else:
+            elif reply.outcome != "fenced":
                 gevent.sleep(_RETRY_S)
 
     def _end_wait_ms(self, now):
@@ -421,9 +433,6 @@
             return 0
         return _LOSSY_END_WAIT_MS if self._replies.is_lossy(now) else _END_WAIT_MS
 
-    def _raise_token(self):
-        self._token = max(self._token + 1, self._lease.clock_ms or 0)
-
     def _has_ended(self, task, run, is_wanted):
         """Returns whether a run whose start was not answered has already ended."""
         return self._state_of(task, run) == "ended" or not is_wanted()
@@ -447,11 +456,11 @@
             str: `started`, `ended`, also if this session is closed, or `never`.
         """
         while not self._closed:
-            reply = self._try_poll(PollRequest(self._token, self._last_end))
+            reply = self._try_poll(PollRequest(self._token.value, self._last_end))
             if reply is None:
                 gevent.sleep(_RETRY_S)
             elif reply.outcome == "fenced":
-                self._raise_token()
+                continue
             elif (task, run) in reply.running:
                 return "started"
             else:
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -237,7 +237,8 @@
         first.close()
         self.open_ready(upstream)
         self.assertEqual(["stopped"], [r.outcome for r in upstream.records])
-        late = StartRequest("j.0.0.1", 1, "50", upstream.clock_ms + 500, first._token)
+        token = first.next_token - 1
+        late = StartRequest("j.0.0.1", 1, "50", upstream.clock_ms + 500, token)
         self.assertEqual("fenced", upstream.start("i-1", late).outcome)
 
     def test_run_number_is_raised_above_an_earlier_run(self):
