Bound the lease by runs that were only told to stop

Cause: the lease was counted over the present owners. A process that came back replaced the owner of the same name, so that nothing counted for the runs of its predecessor; they went on as long as the other heartbeats renewed the lease, until a stop got through. The same held for a run whose caller had left while its entry was well.

Fix: each run counts until its end, from the last sign of life of the process that sent it or the request to stop it, whichever is older. So that this cannot block an upstream, a start without a reply is also settled by the end of the lease that it carried.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -27,9 +27,9 @@
 
 log = logging.getLogger(__name__)
 
-# Time from the last evidence that an entry is alive to the expiry of the lease of its
-# runs. A caller whose entry died submits the job again 1.3 s later; killing the runs
-# when the lease expires takes another 50 ms.
+# Time from the last evidence that an entry is alive and wants its runs to the expiry of
+# their lease. A caller whose entry died, or who left, submits the job again 1.3 s
+# later; killing the runs when the lease expires takes another 50 ms.
 _LEASE_S = 0.95
 # The runs of an entry that was silent for longer are stopped, so that the lease that
 # they share with the other entries' runs can be renewed again.
@@ -200,7 +200,7 @@
         peer = link.peer
         owner = self._owners.get(peer.member)
         if owner is not None and owner.incarnation != peer.incarnation:
-            self._stop_runs_of(owner, "the entry restarted")
+            self._stop_runs_of(owner, "the entry restarted", now)
             owner = None
         if owner is None:
             owner = Owner(peer.member, peer.incarnation, link, 0.0)
@@ -257,7 +257,7 @@
             self._on_starts(link, message, now)
         elif isinstance(message, ttypes.StopBatch):
             for task in message.tasks:
-                self._stop(self._runs.get(task), "requested by the entry")
+                self._stop(self._runs.get(task), "requested by the entry", now)
         else:
             return False
         return True
@@ -352,7 +352,7 @@
             run.running = True
             run.started_at = clock.now()
             if run.stopping:
-                session.stop(run.task, run.run)
+                session.stop(run.task, run.run, lambda: not run.ended)
             return
         log.info(
             "start_failed",
@@ -399,10 +399,10 @@
             if owner is not run.owner:
                 owner.add_peer_run(ratio)
 
-    def _stop(self, run, reason):
+    def _stop(self, run, reason, now):
         if run is None or run.stopping:
             return
-        run.stopping = True
+        run.stop_requested_at = now
         log.info(
             "run_stopped",
             extra={
@@ -413,30 +413,33 @@
             },
         )
         if run.running and self._session is not None:
-            gevent.spawn(self._session.stop, run.task, run.run)
+            gevent.spawn(self._session.stop, run.task, run.run, lambda: not run.ended)
 
-    def stop_all(self, reason):
+    def stop_all(self, reason, now):
         """Stops all runs.
 
         Args:
             reason: Reason for the log.
+            now: Time, seconds.
         """
         for run in list(self._runs.values()):
-            self._stop(run, reason)
+            self._stop(run, reason, now)
 
-    def _stop_runs_of(self, owner, reason):
+    def _stop_runs_of(self, owner, reason, now):
         for run in list(self._runs.values()):
             if run.owner is owner:
-                self._stop(run, reason)
+                self._stop(run, reason, now)
 
     # The lease.
 
     def _lease_until(self, now):
-        """Returns when all runs must end unless the entries send further heartbeats."""
-        alive_at = [
-            owner.last_alive_at for owner in self._owners.values() if owner.runs
-        ]
-        return min(alive_at, default=now) + _LEASE_S
+        """Returns when all runs must end unless the entries send further heartbeats.
+
+        A run that is to be stopped counts until its end, since the request may get no
+        reply, and so does one of an entry that has restarted meanwhile.
+        """
+        wanted_at = [run.last_wanted_at for run in self._runs.values()]
+        return min(wanted_at, default=now) + _LEASE_S
 
     def _open_session(self, state):
         self._session = UpstreamSession(
@@ -528,7 +531,7 @@
         )
         if disconnected or now - owner.last_alive_at > _OWNER_SILENT_S:
             if owner.runs:
-                self._stop_runs_of(owner, "the entry is silent")
+                self._stop_runs_of(owner, "the entry is silent", now)
             elif disconnected:
                 self._owners.pop(owner.member, None)
 
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -46,7 +46,8 @@
     # If the next lifetime of the upstream may have received the start: time by which
     # the run has ended there.
     over_by: float | None = None
-    stopping: bool = False
+    # Time at which the run was to be stopped, None if it is wanted.
+    stop_requested_at: float | None = None
     ended: bool = False
     percent: int = -1
     progress_at: float = 0.0
@@ -76,6 +77,17 @@
             now,
         )
 
+    @property
+    def stopping(self):
+        """Whether the run is to be stopped."""
+        return self.stop_requested_at is not None
+
+    @property
+    def last_wanted_at(self):
+        """Time at which the run's entry was last known to want it, seconds."""
+        alive_at = self.owner.last_alive_at
+        return min(alive_at, self.stop_requested_at) if self.stopping else alive_at
+
     @property
     def isolated(self):
         """Whether the job is isolated here (see `isolation_limit` of `StartGroup`)."""
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -145,17 +145,22 @@
                 the same or a higher number for the task.
         """
         unanswered = 0
+        expires_ms = 0
         result = "rejected"
         delivery = DeliveryTracker(on_delivery, lambda: not self._closed)
         for _ in range(_START_ATTEMPTS):
             if self._closed or not is_wanted():
                 result = "cancelled"
                 break
-            token = self._token.value
+            request = self._start_request(task, run, spec, clock.now())
+            if request is None:
+                result = "cancelled"
+                break
             try:
-                outcome = self._try_start(task, run, spec, token, unanswered, delivery)
+                outcome = self._try_start(request, unanswered, delivery)
             except NoReply as error:
                 unanswered += 1
+                expires_ms = max(expires_ms, request.lease_ms)
                 log.info(
                     "start_unanswered",
                     extra={"task": task, "run": run, "error": str(error)},
@@ -169,32 +174,33 @@
                 run += 1
                 unanswered = 0
             elif outcome == "fenced":
-                self._token.on_fenced(token)
+                self._token.on_fenced(request.fencing_token)
             elif outcome != "late":
                 result = outcome
                 break
         if unanswered:
-            settled = self._settle_start(task, run)
+            settled = self._settle_start(task, run, expires_ms)
             if settled != "never":
                 return settled, run
         return result, run
 
-    def _try_start(self, task, run, spec, token, attempt, delivery):
+    def _start_request(self, task, run, spec, now):
+        """Returns the `StartRequest`, None if its lease would end at once."""
+        until = self._lease_end(now)
+        if until <= now:
+            return None
+        lease_ms = self._lease.lease_ms(until)
+        return StartRequest(task, run, spec, lease_ms, self._token.value)
+
+    def _try_start(self, request, attempt, delivery):
         """Sends one start request and returns its outcome.
 
         Returns:
-            str: `started`, `unreachable`, `cancelled` if the lease would end at once,
-                or the outcome of the upstream's reply.
+            str: `started`, `unreachable` or the outcome of the upstream's reply.
 
         Raises:
             NoReply: The upstream did not reply; the start may take effect later.
         """
-        now = clock.now()
-        until = self._lease_end(now)
-        if until <= now:
-            return "cancelled"
-        lease_ms = self._lease.lease_ms(until)
-        request = StartRequest(task, run, spec, lease_ms, token)
         instance = self.state.instance
         try:
             reply = self._call(
@@ -216,33 +222,48 @@
             return "unreachable"
         return "started" if reply.outcome == "ok" else reply.outcome
 
-    def stop(self, task, run):
+    def stop(self, task, run, is_needed=lambda: True):
         """Stops a run; its end is reported once a poll lists it.
 
         The upstream rejects a start of the run that arrives later.
+
+        Args:
+            task: Name of the task.
+            run: Number of the run.
+            is_needed: Function that returns whether the run may still be active.
         """
         attempt = 0
-        while not self._closed:
-            token = self._token.value
-            try:
-                reply = self._call(
-                    lambda timeout_s, token=token: self._upstream.stop(
-                        self.state.instance, task, run, token, timeout_s
-                    ),
-                    attempt,
-                )
-            except NoReply:
-                attempt += 1
-                continue
-            except Unreachable:
-                self._on_instance_lost("connection refused")
-                return
-            if self._is_other_lifetime(reply):
-                self._on_replaced()
-                return
-            if reply.outcome != "fenced":
-                return
+        while is_needed() and not self._try_stop(task, run, attempt):
+            attempt += 1
+
+    def _try_stop(self, task, run, attempt):
+        """Sends one request to stop a run.
+
+        Returns:
+            bool: Whether the upstream answered it, or the session is closed.
+        """
+        if self._closed:
+            return True
+        token = self._token.value
+        try:
+            reply = self._call(
+                lambda timeout_s: self._upstream.stop(
+                    self.state.instance, task, run, token, timeout_s
+                ),
+                attempt,
+            )
+        except NoReply:
+            return False
+        except Unreachable:
+            self._on_instance_lost("connection refused")
+            return True
+        if self._is_other_lifetime(reply):
+            self._on_replaced()
+            return True
+        if reply.outcome == "fenced":
             self._token.on_fenced(token)
+            return False
+        return True
 
     def _call(self, send, attempt=0, wait_s=0.0):
         """Sends a request and records whether and when it was answered.
@@ -437,17 +458,25 @@
         """Returns whether a run whose start was not answered has already ended."""
         return self._state_of(task, run) == "ended" or not is_wanted()
 
-    def _settle_start(self, task, run):
+    def _settle_start(self, task, run, expires_ms):
         """Ensures that a start without a reply takes no effect later.
 
-        Once the upstream has answered the request to stop the run, it rejects the
-        start, so the state that the next poll reports is final.
+        Once the upstream has answered the request to stop the run, or its clock has
+        passed the end of the lease that the start carried, it rejects the start. So the
+        state that the next poll reports is final.
 
         Returns:
-            str: `started` if the run is being stopped, `ended` or `never`.
+            str: `started` if the run is active or being stopped, `ended` or `never`.
         """
-        self.stop(task, run)
-        return self._state_of(task, run)
+        state = "never"
+        attempt = 0
+        is_final = False
+        while state == "never" and not is_final:
+            is_final = self._try_stop(task, run, attempt)
+            is_final = is_final or self._lease.clock_ms > expires_ms
+            state = self._state_of(task, run)
+            attempt += 1
+        return state
 
     def _state_of(self, task, run):
         """Polls until the upstream replies and returns the state of a run.
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -90,7 +90,7 @@
         self.executor.close(until - _STOP_TIMEOUT_S)
         while self.executor.running and self.now() < until - _STOP_TIMEOUT_S:
             gevent.sleep(_DRAIN_POLL_S)
-        self.executor.stop_all("the runner is shutting down")
+        self.executor.stop_all("the runner is shutting down", self.now())
         while self.executor.running and self.now() < until:
             gevent.sleep(_DRAIN_POLL_S)
         # Allows the last reports to be sent before the links are closed.
