Repeat refused stops and polls instead of taking them for answers

Callers saw two runs of one task at once on machines where upstreams answered calls with errors and lost the answers to starts.

Cause: an unhealthy upstream answers 429 or 503 and has done nothing. A stop that was refused counted as done, and a refused poll, which lists no runs, as an empty list. So a start without a reply was settled as never executed and its task was started elsewhere while it ran.

Fix: replies to stops and polls count only if they say that the request was executed, fenced or meant for another instance; any other one is repeated like a request without a reply. A 200 without the upstream's clock is no reply. A refused renewal is not granted.

--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -23,6 +23,7 @@
     "InstanceLoss",
     "NoReply",
     "PollRequest",
+    "Refused",
     "RunEnd",
     "StartRequest",
     "Unreachable",
@@ -39,6 +40,10 @@
     """The connection broke before the reply was complete."""
 
 
+class Refused(NoReply):
+    """The upstream replied that it did nothing, which tells nothing of its runs."""
+
+
 class Unreachable(Exception):
     """No connection was made, so the upstream has not received the request."""
 
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -19,6 +19,7 @@
     InstanceLoss,
     NoReply,
     PollRequest,
+    Refused,
     StartRequest,
     Unreachable,
 )
@@ -27,6 +28,9 @@
 
 log = logging.getLogger(__name__)
 
+# Outcomes of replies to stops and polls that tell the upstream's state, or that it is
+# another one. Any other reply means that nothing was done.
+_TELLING_OUTCOMES = ("ok", "fenced", "other_instance")
 _RENEW_INTERVAL_S = 0.2
 # Longest wait of a poll for an end. It is shorter while replies are lost, because the
 # loss of the reply to a poll is noticed only when its wait is over.
@@ -208,17 +212,15 @@
                     instance, request, timeout_s, delivery.may_send
                 ),
                 attempt,
+                may_refuse=True,
             )
         except Unreachable:
             self._on_instance_lost("connection refused")
             return "unreachable"
-        if self._is_other_lifetime(reply):
-            # It may have executed the start.
-            self._on_replaced()
-            return "unreachable"
-        delivery.on_reply(reply.outcome == "ok")
-        if reply.outcome == "other_instance":
-            self._on_instance_lost("another upstream instance replied")
+        # Another lifetime may have executed the start, another instance has not.
+        if not self._is_other_lifetime(reply) or reply.outcome == "other_instance":
+            delivery.on_reply(reply.outcome == "ok")
+        if self._is_lost(reply):
             return "unreachable"
         return "started" if reply.outcome == "ok" else reply.outcome
 
@@ -257,30 +259,39 @@
         except Unreachable:
             self._on_instance_lost("connection refused")
             return True
-        if self._is_other_lifetime(reply):
-            self._on_replaced()
+        if self._is_lost(reply):
             return True
         if reply.outcome == "fenced":
             self._token.on_fenced(token)
             return False
         return True
 
-    def _call(self, send, attempt=0, wait_s=0.0):
+    def _call(self, send, attempt=0, wait_s=0.0, may_refuse=False):
         """Sends a request and records whether and when it was answered.
 
+        A refusal is no answer unless the caller asks for it: the state of the upstream
+        remains unknown, and its lease was not renewed.
+
         Args:
             send: Function that takes the time to wait for the reply, seconds, and
                 returns the `UpstreamReply`.
             attempt: Number of earlier attempts without a reply.
             wait_s: Time for which the upstream was asked to wait, seconds.
+            may_refuse: Whether to return a reply that nothing was done.
+
+        Raises:
+            NoReply: There was no reply, or it was a refusal.
+            Unreachable: No connection was made.
         """
         sent_at = clock.now()
         timeout_s = self._replies.timeout_s(attempt)
         try:
             reply = send(timeout_s + wait_s)
+            if reply.outcome not in _TELLING_OUTCOMES and not may_refuse:
+                raise Refused(f"the reply was {reply.outcome}")
         except NoReply as error:
             now = clock.now()
-            timed_out = not isinstance(error, ConnectionBroken)
+            timed_out = not isinstance(error, (ConnectionBroken, Refused))
             self._replies.on_no_reply(now, timed_out)
             self._set_silent(self._replies.is_silent(now))
             # A connection that fails at once would else be retried in a tight loop. The
@@ -288,18 +299,21 @@
             if attempt:
                 gevent.sleep(max(0.0, sent_at + timeout_s - now))
             raise
-        now = clock.now()
-        if not wait_s:
-            self._replies.on_reply(now - sent_at, now)
-        else:
+        if reply.outcome not in ("unhealthy", "other_instance"):
+            self._on_reply(reply, sent_at, wait_s, clock.now())
+        return reply
+
+    def _on_reply(self, reply, sent_at, wait_s, now):
+        if wait_s:
             self._replies.on_delayed_reply(now)
+        else:
+            self._replies.on_reply(now - sent_at, now)
         self._set_silent(False)
         if self._is_other_lifetime(reply):
-            return reply
+            return
         if reply.born_ms:
             self._identified_at = max(self._identified_at, sent_at)
         self._lease.on_reply(reply.clock_ms, now)
-        return reply
 
     def _set_silent(self, silent):
         if silent == self._silent:
@@ -329,7 +343,7 @@
         reply = self._poll_until_accepted()
         while reply.running:
             for task, run in reply.running:
-                self.stop(task, run)
+                self._try_stop(task, run, 0)
             gevent.sleep(_RETRY_S)
             reply = self._poll_until_accepted()
         log.info(
@@ -373,11 +387,7 @@
         except Unreachable:
             self._on_instance_lost("connection refused")
             return None
-        if reply.outcome == "other_instance":
-            self._on_instance_lost("another upstream instance replied")
-            return None
-        if self._is_other_lifetime(reply):
-            self._on_replaced()
+        if self._is_lost(reply):
             return None
         if reply.outcome == "ok":
             now = clock.now()
@@ -388,9 +398,18 @@
             self._token.on_fenced(request.fencing_token)
         return reply
 
-    def _is_other_lifetime(self, reply):
+    def _is_lost(self, reply):
+        """Returns whether a reply shows that the instance is gone."""
         if reply.outcome == "other_instance":
-            return False
+            self._on_instance_lost("another upstream instance replied")
+            return True
+        if self._is_other_lifetime(reply):
+            reason = "another lifetime of the upstream replied"
+            self._on_instance_lost(reason, replaced=True)
+            return True
+        return False
+
+    def _is_other_lifetime(self, reply):
         born_ms = self.state.born_ms
         return born_ms and reply.born_ms and reply.born_ms != born_ms
 
@@ -513,10 +532,6 @@
         uncertainty_s = 0.0 if witnessed else self._replies.silence_s(at)
         return InstanceLoss(reason, at, uncertainty_s, witnessed, replaced)
 
-    def _on_replaced(self):
-        reason = "another lifetime of the upstream replied"
-        self._on_instance_lost(reason, replaced=True)
-
     def _on_instance_lost(self, reason, is_gone=True, replaced=False):
         if not self._closed:
             now = clock.now()
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -32,7 +32,7 @@
 # Time until a connection to a crashed instance is refused.
 _REFUSAL_DELAY_S = 0.001
 _POLL_S = 0.005
-_MAX_CONNECTIONS = 64
+_MAX_CONNECTIONS = 2048
 _PREFIX = "/papayaward/"
 
 
@@ -69,6 +69,9 @@
         on_crash: Function called when a run has crashed the instance.
         loss: Function that returns after how many seconds the next request is executed
             without a reply; it returns None for a request that is handled as usual.
+        order_loss: The same for starts and stops only.
+        is_unhealthy: Function that takes `start`, `stop` or `poll` and returns whether
+            the next such request is refused without being executed.
         born_ms: Start of the lifetime, milliseconds, which replies tell; 0 if they
             don't.
         names_lifetime_in_lists_only: Whether only replies to polls tell `born_ms`.
@@ -87,7 +90,9 @@
     crashed: bool = False
     silent: bool = False
     loss: object = lambda: None
+    order_loss: object = lambda: None
     on_crash: object = lambda: None
+    is_unhealthy: object = lambda name: False
     born_ms: int = 0
     names_lifetime_in_lists_only: bool = False
     first_clock_ms: int = 1000
@@ -145,24 +150,30 @@
     def poll(self, instance, request, timeout_s=0.0):
         times_out_at = time.monotonic() + timeout_s
         reply = self._handle_request("poll", lambda: self._poll(request), timeout_s)
+        if reply.outcome != "ok":
+            return reply
         until = time.monotonic() + request.wait_ms / 1000.0
         while request.wait_ms and not reply.ends and time.monotonic() < until:
             gevent.sleep(_POLL_S)
-            if self.crashed:
-                raise ConnectionBroken("connection closed")
             if self.silent:
                 gevent.sleep(max(0.0, times_out_at - time.monotonic()))
                 raise NoReply("no reply to poll")
+            if self.crashed:
+                raise ConnectionBroken("connection closed")
             reply = self._poll(request)
         return reply
 
     def _handle_request(self, name, handle, timeout_s, may_send=lambda: True):
-        if self.crashed:
+        if self.crashed and not self.silent:
             gevent.sleep(_REFUSAL_DELAY_S)
             raise Unreachable("connection refused")
         if not may_send():
             raise NoReply("not sent")
+        if self.is_unhealthy(name) and not self.silent:
+            return UpstreamReply("unhealthy")
         delay_s = self.loss()
+        if delay_s is None and name != "poll":
+            delay_s = self.order_loss()
         if delay_s is not None:
             gevent.spawn_later(delay_s, self._handle_delayed, handle)
         if self.silent or delay_s is not None:
@@ -314,7 +325,12 @@
             reply = handle(environ["PATH_INFO"].removeprefix(_PREFIX), body)
         except NoReply:
             gevent.sleep(3600)
+        if reply.outcome == "unhealthy":
+            start_response("503 Service Unavailable", [("Content-Length", "0")])
+            return [b""]
         document = {"clock_ms": reply.clock_ms}
+        if reply.born_ms:
+            document["born"] = reply.born_ms
         reason = _REASONS.get(reply.outcome)
         if reason:
             document["reason"] = reason
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import gevent
+from gevent.pywsgi import WSGIServer
 from testtools import TestCase
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
@@ -19,9 +20,13 @@
 from adapter.configuration import parse_routing  # noqa: E402
 from adapter.settings import read_settings  # noqa: E402
 from adapter.store import PlatformStore  # noqa: E402
-from adapter.upstream import read_state  # noqa: E402
+from adapter.upstream import PlatformUpstream, read_state  # noqa: E402
 
 from papayaward import clock  # noqa: E402
+from papayaward.coordination.upstream_requests import (  # noqa: E402
+    NoReply,
+    PollRequest,
+)
 from papayaward.leased_entry import LeasedEntry  # noqa: E402
 from papayaward.leased_node import NodeSettings  # noqa: E402
 from papayaward.protocol.config_text import ConfigError  # noqa: E402
@@ -122,6 +127,31 @@
             self.assertRaises(OptionError, read_state, "i-1", _report(**changes))
 
 
+class UpstreamReplyTest(TestCase):
+    def reply(self, status, content):
+        address = "127.0.0.1", free_port()
+
+        def application(environ, start_response):
+            start_response(f"{status} Status", [("Content-Length", str(len(content)))])
+            return [content]
+
+        server = WSGIServer(address, application, log=None)
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        upstream = PlatformUpstream(address)
+        return upstream.poll("i-1", PollRequest(1, 0), timeout_s=2.0)
+
+    def test_reply_without_a_clock_is_none(self):
+        """Guards against an empty reply that is taken for an empty list of runs."""
+        for content in (b"", b"{}", b'{"running":[],"ended":[]}'):
+            self.assertRaises(NoReply, self.reply, 200, content)
+
+    def test_refusal_without_a_body_is_told_from_a_list_of_runs(self):
+        """Guards against an unhealthy upstream that is taken for an idle one."""
+        for status in (429, 503):
+            self.assertEqual("unhealthy", self.reply(status, b"").outcome)
+
+
 class ConfigurationTest(TestCase):
     def test_longest_matching_prefix_of_the_host_is_used(self):
         """Guards against routing a request to the wrong queue."""
