Add faults of uncertain upstreams and returning callers to the soak

The soak had no upstream that refuses requests or comes back under its identifier, no orders executed late beside the restart of an entry, and no callers that leave while links break. The faults and jobs of earlier seeds stay the same.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -4,11 +4,11 @@
 
 Randomised soak test of the platform's processes under injected faults.
 
-Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]`. The last
-line is `soak: ok` or `soak: failed`. It is preceded by the events in order of time (if
-the run failed), the violations, the answers by status and the command that repeats the
-run. The seed determines the faults and the jobs, but not how the operating system
-interleaves the processes.
+Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]
+[--upstream-faults]`. The last line is `soak: ok` or `soak: failed`. It is preceded by
+the events in order of time (if the run failed), the violations, the answers by status
+and the command that repeats the run. The seed determines the faults and the jobs, but
+not how the operating system interleaves the processes.
 """
 
 import argparse
@@ -26,6 +26,8 @@
 
 from standins.platform_fleet import PlatformFleet
 
+from .upstream_faults import UPSTREAM_FAULTS, WORK_MS
+
 __all__ = ["FAULTS", "LOAD_FAULTS", "main", "run_soak"]
 
 _DOMAINS = ("a", "b", "c")
@@ -67,11 +69,15 @@
 class _Soak:
     """State of a run: the fleet, the faults and the callers' submissions."""
 
-    def __init__(self, fleet, seed, runners):
+    def __init__(self, fleet, seed, runners, with_upstream_faults=False):
         self.fleet = fleet
         self.rng = random.Random(seed)
         # Apart, so that the faults and jobs of earlier seeds stay the same.
         self.load_rng = random.Random(-seed - 1)
+        self.upstream_rng = random.Random(seed + 10**6)
+        self.with_upstream_faults = with_upstream_faults
+        self._work_ms = WORK_MS if with_upstream_faults else WORK_MS[:-1]
+        self._requests = {}
         self.entries = [f"e{i}" for i in range(_ENTRIES)]
         self.runners = [f"r{i}" for i in range(runners)]
         self.started_at = time.monotonic()
@@ -103,12 +109,14 @@
         rng = random.Random(self.rng.random())
         while not self.stopped:
             job_id = f"{rng.getrandbits(64):016x}"
-            work_ms, tasks = rng.choice((20, 100, 400, 900)), rng.randint(1, 5)
+            work_ms, tasks = rng.choice(self._work_ms), rng.randint(1, 5)
             spec = str(work_ms)
             if self.load_rng.random() < self.deadly_share:
                 job_id = _DEADLY_PREFIX + job_id[len(_DEADLY_PREFIX) :]
                 spec = f"deadly:{work_ms}:0"
             deadline_s = rng.uniform(1.5, 4.0)
+            if self.with_upstream_faults:
+                deadline_s += work_ms / 1000.0
             for _ in range(_ATTEMPTS):
                 entry = rng.choice(self.entries)
                 attempt = _Attempt(job_id, tasks, entry, time.monotonic(), deadline_s)
@@ -122,20 +130,43 @@
 
     def _send(self, attempt, spec, work_ms):
         reply = None
-        with gevent.Timeout(attempt.deadline_s + 2 * _ANSWER_SLACK_S, False):
-            reply = self.fleet.submit(
-                attempt.job_id,
-                spec,
-                attempt.entry,
-                attempt.tasks,
-                estimate_ms=work_ms,
-                deadline_ms=int(attempt.deadline_s * 1000),
-            )
+        patience = gevent.Timeout(attempt.deadline_s + 2 * _ANSWER_SLACK_S)
+        self._requests[patience] = gevent.getcurrent(), attempt
+        try:
+            with patience:
+                reply = self.fleet.submit(
+                    attempt.job_id,
+                    spec,
+                    attempt.entry,
+                    attempt.tasks,
+                    estimate_ms=work_ms,
+                    deadline_ms=int(attempt.deadline_s * 1000),
+                )
+        except gevent.Timeout as timeout:
+            if timeout is not patience:
+                raise
+        finally:
+            del self._requests[patience]
         attempt.ended_at = time.monotonic()
         if reply is not None and reply[0] is not None:
             attempt.status = reply[0]
             attempt.state = json.loads(reply[1] or b"{}").get("state", "")
 
+    def disconnect_callers(self, entry):
+        """Has the callers of an entry close their connections."""
+        for patience, (caller, attempt) in list(self._requests.items()):
+            if attempt.entry == entry:
+                caller.kill(patience, block=False)
+
+    def restart_at_once(self, name):
+        """Kills a process and starts it again, unless another fault has ended it."""
+        if self.fleet.processes[name].poll() is not None:
+            return
+        self.note(f"kill {name}, which returns at once")
+        self.record_fault(name, 1.0)
+        self.fleet.kill(name)
+        _start_process(self, name)
+
 
 # Faults: each function injects one and returns when it has ended.
 
@@ -332,6 +363,16 @@
         LOAD_FAULTS[soak.load_rng.choice(sorted(LOAD_FAULTS))](soak)
 
 
+def _inject_upstream_faults(soak):
+    """Starts random faults of `UPSTREAM_FAULTS`, which overlap, until the run stops."""
+    faults = []
+    while not soak.stopped and soak.with_upstream_faults:
+        gevent.sleep(soak.upstream_rng.expovariate(0.7))
+        name = soak.upstream_rng.choice(sorted(UPSTREAM_FAULTS))
+        faults.append(gevent.spawn(UPSTREAM_FAULTS[name], soak))
+    gevent.joinall(faults)
+
+
 # Checks.
 
 
@@ -447,7 +488,7 @@
     return found
 
 
-def run_soak(seed, seconds, runners=3, keep=None):
+def run_soak(seed, seconds, runners=3, keep=None, with_upstream_faults=False):
     """Runs the processes under faults and checks the guarantees.
 
     Args:
@@ -455,6 +496,7 @@
         seconds: Duration of the faults, in seconds.
         runners: Number of runners.
         keep: Directory for settings and logs; None to discard them.
+        with_upstream_faults: Whether to inject the faults of `UPSTREAM_FAULTS` as well.
 
     Returns:
         tuple: Findings (list of str), events (list of str) and the number of answers by
@@ -464,15 +506,16 @@
         if keep:
             Path(keep).mkdir(parents=True, exist_ok=True)
         fleet = PlatformFleet(keep or folder, proxied=True)
-        soak = _Soak(fleet, seed, runners)
+        soak = _Soak(fleet, seed, runners, with_upstream_faults)
         try:
             _start_fleet(soak)
             callers = [gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)]
             faults = gevent.spawn(_inject_faults, soak)
             load_faults = gevent.spawn(_inject_load_faults, soak)
+            upstream_faults = gevent.spawn(_inject_upstream_faults, soak)
             gevent.sleep(seconds)
             soak.stopped = True
-            gevent.joinall([faults, load_faults], timeout=20.0)
+            gevent.joinall([faults, load_faults, upstream_faults], timeout=20.0)
             gevent.joinall(callers, timeout=20.0)
             recovered = [fleet.wait_ready(entry) for entry in soak.entries]
             findings = _check_run(soak)
@@ -501,12 +544,17 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--runners", type=int, default=3)
     parser.add_argument("--keep", help="directory for settings and logs")
+    parser.add_argument("--upstream-faults", action="store_true")
     options = parser.parse_args(args)
     seed = options.seed
     if seed is None:
         seed = random.randrange(10**6)
     findings, events, answers = run_soak(
-        seed, options.seconds, options.runners, options.keep
+        seed,
+        options.seconds,
+        options.runners,
+        options.keep,
+        options.upstream_faults,
     )
     if findings:
         print("\n".join(events))
@@ -516,6 +564,8 @@
     print(
         f"repeat: python -m benchmarks.platform_soak --seed {seed} "
         f"--seconds {options.seconds:g} --runners {options.runners}"
+        + " --upstream-faults"
+        * options.upstream_faults
     )
     print("soak: failed" if findings else "soak: ok")
     return 1 if findings else 0
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -34,10 +34,13 @@
 # Time from a crash by a task to the next start of the upstream.
 _RESTART_S = 1.0
 _READY_TIMEOUT_S = 10.0
+# Clock of the first instance of an upstream, which is older than the runner.
+_FIRST_CLOCK_MS = 480_000
+_FIRST_BORN_MS = 5
 
 
 class _RestartableUpstream:
-    """The upstream of a runner; each start creates a new instance.
+    """The upstream of a runner; each start creates a new lifetime.
 
     Attributes:
         capacities: Time and number of cores of each change of its capacity.
@@ -80,13 +83,40 @@
         if self._reporter is not None:
             return
         self.draining = False
+        self._begin(f"i-{self.name}-{len(self.instances)}")
+
+    def restart_silently(self, downtime_s, first_report_s):
+        """Crashes the instance without a sign and starts a lifetime of its identifier.
+
+        Args:
+            downtime_s: Time for which nothing replies, seconds.
+            first_report_s: Time from the start of the new lifetime to its first report,
+                seconds.
+        """
+        if self._reporter is None or self.current.silent:
+            return
+        crashed = self.current
+        self._reporter.kill()
+        crashed.silent = True
+        crashed.crash()
+        gevent.sleep(downtime_s)
+        if crashed is self.current and self._reporter is not None:
+            self._server.stop(timeout=0)
+            self._begin(crashed.instance, first_report_s)
+
+    def _begin(self, instance, first_report_s=0.0):
+        is_first = not self.instances
         upstream = LeasedUpstream(
-            f"i-{self.name}-{len(self.instances)}", on_crash=self._on_task_crash
+            instance,
+            on_crash=self._on_task_crash,
+            born_ms=_FIRST_BORN_MS + len(self.instances),
+            names_lifetime_in_lists_only=len(self.instances) % 2 == 1,
+            first_clock_ms=_FIRST_CLOCK_MS if is_first else 0,
         )
         self.instances.append(upstream)
         host, port = self._settings["app"].split(":")
         self._server = serve(upstream, (host, int(port)))
-        self._reporter = gevent.spawn(self._report, upstream)
+        self._reporter = gevent.spawn(self._report, upstream, first_report_s)
 
     def _on_task_crash(self):
         self.crash()
@@ -100,10 +130,11 @@
             self.current.crash()
             self._reporter = None
 
-    def _report(self, upstream):
+    def _report(self, upstream, first_report_s):
         host, port = self._settings["listen_addrs"]["control"].split(":")
         client = UpstreamClient(host, int(port))
         sequence = 0
+        gevent.sleep(first_report_s)
         while True:
             if self.reporting:
                 sequence += 1
@@ -119,7 +150,7 @@
             "capacity": {"cpu": 1000 * self.cores, "mem_mb": 4096, "gpus": 0},
             "labels": ["a", "r1-1"],
             "seq_no": sequence,
-            "born": 5 + len(self.instances),
+            "born": upstream.born_ms,
         }
         path = f"/papayaward/instances/{upstream.instance}"
         try:
