Wait for the end of a deregistered upstream before its runs are lost

Cause, found by reading for the users' record: a DELETE of an upstream was taken for the end of its runs, which were started elsewhere at once. The upstream ends after it, and the request names no lifetime, so it may also come late for one that has started again.

Fix: a deregistered upstream counts as draining and its lease is not renewed. Its runs are over when it refuses connections, reports their ends, or the lease has ended.

Not seen in a run with real processes.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from dataclasses import asdict
+from dataclasses import asdict, replace
 
 import gevent
 
@@ -70,6 +70,7 @@
         self._state = None
         # Whether the state is a report of the upstream to this process.
         self._is_reported = False
+        self._is_deregistered = False
         self._owners = {}
         self._runs = {}
         self._used = Resources()
@@ -144,7 +145,7 @@
         """
         last = self._state
         if last is not None and _instance_key(last) == _instance_key(state):
-            if state.sequence < last.sequence:
+            if state.sequence < last.sequence or self._is_deregistered:
                 return
             if state.capacity != last.capacity:
                 self._log_capacity_change(last, state)
@@ -156,6 +157,7 @@
         else:
             replaced = last is not None and last.instance == state.instance
             self._drop_crashed_session("the upstream restarted", now, replaced)
+            self._is_deregistered = False
             self._state = state
             self._open_session(state)
         self._is_reported = True
@@ -174,9 +176,22 @@
         )
 
     def on_upstream_deregistered(self, instance, now):
-        """Handles the deregistration of an upstream instance."""
+        """Handles the deregistration of an upstream instance, which is about to end.
+
+        Its lease is not renewed any more. Its runs are not over before it refuses
+        connections, reports their ends or the lease has ended.
+        """
         if self._state is not None and self._state.instance == instance:
+            self._is_deregistered = True
+            self._state = replace(self._state, draining=True)
+            self._forget_deregistered()
+            self.check_accepting()
+
+    def _forget_deregistered(self):
+        """Closes the session of a deregistered upstream once it has no runs."""
+        if self._is_deregistered and not self._runs:
             self._drop_session("the upstream deregistered")
+            self._is_deregistered = False
             self._state = None
             self.check_accepting()
 
@@ -438,6 +453,8 @@
         A run that is to be stopped counts until its end, since the request may get no
         reply, and so does one of an entry that has restarted meanwhile.
         """
+        if self._is_deregistered:
+            return now
         wanted_at = [run.last_wanted_at for run in self._runs.values()]
         return min(wanted_at, default=now) + _LEASE_S
 
@@ -520,6 +537,7 @@
         gevent.sleep(_TICK_S)
         now = clock.now()
         self._finish_undecided(lambda run: now >= run.over_by)
+        self._forget_deregistered()
         for owner in list(self._owners.values()):
             self._check_owner(owner, now)
             owner.link.relaxed = not owner.is_active(now)
