Let an entry stop only its own runs

Cause, found by reading: a StopBatch named tasks, and the executor stopped whatever run had the name. The name of a task that a caller submitted again to another entry is the same, so a late stop of the first entry ended the second one's run, whose work was lost.

Fix: a run is stopped only if the entry is its owner.

Measured: test_stop_by_another_entry_leaves_a_run failed before.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -272,7 +272,10 @@
             self._on_starts(link, message, now)
         elif isinstance(message, ttypes.StopBatch):
             for task in message.tasks:
-                self._stop(self._runs.get(task), "requested by the entry", now)
+                run = self._runs.get(task)
+                # Another entry may run the task, for a caller that submitted it again.
+                if run is not None and run.owner.member == link.peer.member:
+                    self._stop(run, "requested by the entry", now)
         else:
             return False
         return True
@@ -415,7 +418,7 @@
                 owner.add_peer_run(ratio)
 
     def _stop(self, run, reason, now):
-        if run is None or run.stopping:
+        if run.stopping:
             return
         run.stop_requested_at = now
         log.info(
--- a/tests/test_returned_entry.py
+++ b/tests/test_returned_entry.py
@@ -107,3 +107,10 @@
         self.upstream.faults.clear()
         self.start(link, "l.0.0.0")
         self.assertEqual("", self.outcome("l.0.0.0"))
+
+    def test_stop_by_another_entry_leaves_a_run(self):
+        """Guards against an entry that stops a task submitted again to another one."""
+        link = self.connect()
+        self.executor.on_message(link, StopBatch(["k.0.0.0"]), clock.now())
+        gevent.sleep(0.2)
+        self.assertEqual("", self.outcome("k.0.0.0"))
