Move the entries that an executor runs tasks for to a module of their own

Links, heartbeats and silence of entries are now RunOwners; the executor stops runs and sends reports. No behaviour changes.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -18,7 +18,8 @@
 from ..state.crash_records import job_id_of
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
-from .leased_runs import Owner, Run, isolated_jobs, may_isolate
+from .leased_runs import Run, isolated_jobs, may_isolate
+from .run_owners import RunOwners
 from .upstream_crashes import crash_of_loss
 from .upstream_requests import Delivery
 from .upstream_session import UpstreamSession
@@ -31,14 +32,9 @@
 # their lease. A caller whose entry died, or who left, submits the job again 1.3 s
 # later; killing the runs when the lease expires takes another 50 ms.
 _LEASE_S = 0.95
-# The runs of an entry that was silent for longer are stopped, so that the lease that
-# they share with the other entries' runs can be renewed again.
-_OWNER_SILENT_S = 0.6
 # A start is refused if its entry was last known to be alive longer ago: after a pause
 # of this process the entry may have sent the task to another executor.
 _MAX_START_STALENESS_S = 0.45
-# Time for an entry to reconnect after its connection broke.
-_RECONNECT_GRACE_S = 0.2
 # Longest time for which a run continues at a lifetime of the upstream that was not
 # taken over: the longest lease, on a slow clock, and the time to kill the run.
 _UNLEASED_RUN_S = 1.1
@@ -71,7 +67,7 @@
         # Whether the state is a report of the upstream to this process.
         self._is_reported = False
         self._is_deregistered = False
-        self._owners = {}
+        self._owners = RunOwners()
         self._runs = {}
         self._used = Resources()
         self._isolated_runs = 0
@@ -79,7 +75,7 @@
         self._close_limit = 0.0
         self._was_accepting = False
         self._reports = CapacityReports(
-            self._owners, self._capacity, self._isolated_peer_jobs
+            self._owners.by_member, self._capacity, self._isolated_peer_jobs
         )
         gevent.spawn(repeat, self._tick)
 
@@ -212,18 +208,9 @@
 
     def on_link_up(self, link, now):
         """Adds a link to an entry and reports the entry's running tasks to it."""
-        peer = link.peer
-        owner = self._owners.get(peer.member)
-        if owner is not None and owner.incarnation != peer.incarnation:
-            self._stop_runs_of(owner, "the entry restarted", now)
-            owner = None
-        if owner is None:
-            owner = Owner(peer.member, peer.incarnation, link, 0.0)
-            self._owners[peer.member] = owner
-        owner.link, owner.disconnected_at = link, None
-        owner.released = False
-        owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
-        owner.capacity_changed = True
+        owner, replaced = self._owners.connect(link)
+        if replaced is not None:
+            self._stop_runs_of(replaced, "the entry restarted", now)
         # The ends are sent first, because the entry requeues a task that is neither
         # reported as ended nor listed as running.
         self._reports.send(owner, now)
@@ -232,9 +219,7 @@
 
     def on_link_down(self, link, now):
         """Records when the link to an entry broke."""
-        owner = self._owners.get(link.peer.member)
-        if owner is not None and owner.link is link:
-            owner.disconnected_at = now
+        self._owners.disconnect(link, now)
 
     def release_entry(self, member, released):
         """Sets whether an entry is to send no more tasks because its link will close.
@@ -243,15 +228,14 @@
             member: Name of the entry.
             released: Whether it is released; False if it is used again.
         """
-        owner = self._owners.get(member)
+        owner = self._owners.by_member.get(member)
         if owner is not None:
             owner.released = released
             self._reports.on_capacity_changed([owner])
 
     def is_idle_for(self, member):
         """Returns whether no task of an entry uses capacity here."""
-        owner = self._owners.get(member)
-        return owner is None or not (owner.runs or owner.ends)
+        return self._owners.is_idle(member)
 
     def on_heartbeat(self, link, queued, now):
         """Records when an entry was last known to be alive, and its waiting jobs.
@@ -261,10 +245,7 @@
             queued: Number of jobs that wait for capacity at the entry.
             now: Time, seconds.
         """
-        owner = self._owners.get(link.peer.member)
-        if owner is not None and owner.link is link:
-            owner.queued = queued
-            owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
+        self._owners.on_heartbeat(link, queued)
 
     def on_message(self, link, message, now):
         """Handles a message from an entry; returns whether it was handled."""
@@ -283,8 +264,8 @@
     # Runs.
 
     def _on_starts(self, link, batch, now):
-        owner = self._owners.get(link.peer.member)
-        if owner is None or owner.link is not link:
+        owner = self._owners.of_link(link)
+        if owner is None:
             return
         owner.last_batch = batch.number
         owner.last_start_at = now
@@ -413,7 +394,7 @@
         self._on_capacity_changed()
 
     def _add_peer_run(self, run, ratio):
-        for owner in self._owners.values():
+        for owner in self._owners:
             if owner is not run.owner:
                 owner.add_peer_run(ratio)
 
@@ -541,21 +522,11 @@
         now = clock.now()
         self._finish_undecided(lambda run: now >= run.over_by)
         self._forget_deregistered()
-        for owner in list(self._owners.values()):
-            self._check_owner(owner, now)
+        for owner in self._owners.silent(now):
+            self._stop_runs_of(owner, "the entry is silent", now)
+        for owner in self._owners:
             owner.link.relaxed = not owner.is_active(now)
 
-    def _check_owner(self, owner, now):
-        disconnected = (
-            owner.disconnected_at is not None
-            and now - owner.disconnected_at > _RECONNECT_GRACE_S
-        )
-        if disconnected or now - owner.last_alive_at > _OWNER_SILENT_S:
-            if owner.runs:
-                self._stop_runs_of(owner, "the entry is silent", now)
-            elif disconnected:
-                self._owners.pop(owner.member, None)
-
     def _free(self):
         if self._state is None:
             return Resources()
@@ -566,7 +537,7 @@
         self._reports.wake()
 
     def _on_capacity_changed(self):
-        self._reports.on_capacity_changed(self._owners.values())
+        self._reports.on_capacity_changed(self._owners)
 
     def _isolated_peer_jobs(self, owner):
         """Returns the number of isolated jobs of other entries that run here."""
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -198,7 +198,7 @@
         """
         link = self.link()
         link.mark_alive(seconds_ago=0.6)
-        self.executor._owners["e1"].last_alive_at = clock.now() - 0.6
+        self.executor._owners.by_member["e1"].last_alive_at = clock.now() - 0.6
         self.send(link, start_group())
         gevent.sleep(0.02)
         self.assertEqual([("j.0.0.0", "not_run:stale")], link.ends())
