--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from dataclasses import asdict, replace
 
 import gevent
 
@@ -18,6 +17,7 @@
 from ..state.crash_records import job_id_of
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
+from .current_upstream import CurrentUpstream, log_capacity_change
 from .leased_runs import Run, isolated_jobs, may_isolate
 from .run_owners import RunOwners
 from .upstream_crashes import crash_of_loss
@@ -60,13 +60,9 @@
         self._crashes = crashes or CrashRelay()
         self._upstream = upstream
         self._is_domain_out = is_domain_out
-        self._session = None
-        # Above the fencing tokens of all sessions so far.
-        self._lowest_token = 1
-        self._state = None
-        # Whether the state is a report of the upstream to this process.
-        self._is_reported = False
-        self._is_deregistered = False
+        self._current = CurrentUpstream(
+            self._open_session, self._publish_crash, self._on_session_closed
+        )
         self._owners = RunOwners()
         self._runs = {}
         self._used = Resources()
@@ -87,22 +83,17 @@
     @property
     def state(self):
         """`UpstreamState` of the upstream, None before the first report."""
-        return self._state
+        return self._current.state
 
     @property
     def refusal_reason(self):
         """Reason why no task may start now, empty if one may."""
         if self._closing and not self._runs:
             return "closing"
-        if self._state is None:
-            return "no_upstream"
-        if self._state.draining:
-            return "draining"
-        if not self._is_reported:
-            return "not_reported"
-        if self._session is None or not self._session.ready:
-            return "upstream_silent"
-        if self._is_domain_out(self._state.domain):
+        reason = self._current.refusal_reason
+        if reason:
+            return reason
+        if self._is_domain_out(self.state.domain):
             return "domain_out"
         return ""
 
@@ -121,15 +112,12 @@
     def recall_upstream(self, state):
         """Takes over the upstream that a predecessor of this process knew.
 
-        No task starts before the upstream reports: its capacity may have shrunk since
-        the stored report, and it may not guard its capacity itself.
+        No task starts before the upstream reports.
 
         Args:
             state: `UpstreamState` of the stored report.
         """
-        self._state = state
-        self._is_reported = False
-        self._open_session(state)
+        self._current.recall(state)
         self.check_accepting()
 
     def on_upstream_report(self, state, now):
@@ -139,61 +127,34 @@
             state: `UpstreamState`.
             now: Time, seconds.
         """
-        last = self._state
-        if last is not None and _instance_key(last) == _instance_key(state):
-            if state.sequence < last.sequence or self._is_deregistered:
-                return
-            if state.capacity != last.capacity:
-                self._log_capacity_change(last, state)
-            self._state = state
-            if self._session is None:
-                self._open_session(state)
-        elif last is not None and state.born_ms < last.born_ms:
+        last = self.state
+        if not self._current.on_report(state, now):
             return
-        else:
-            replaced = last is not None and last.instance == state.instance
-            self._drop_crashed_session("the upstream restarted", now, replaced)
-            self._is_deregistered = False
-            self._state = state
-            self._open_session(state)
-        self._is_reported = True
+        if last is not None and last.key == state.key:
+            if last.capacity != state.capacity:
+                log_capacity_change(last, state, self._used, len(self._runs))
         self.check_accepting()
 
-    def _log_capacity_change(self, last, state):
-        log.info(
-            "upstream_capacity_changed",
-            extra={
-                "upstream": state.instance,
-                "before": asdict(last.capacity),
-                "capacity": asdict(state.capacity),
-                "used": asdict(self._used),
-                "runs": len(self._runs),
-            },
-        )
-
     def on_upstream_deregistered(self, instance, now):
         """Handles the deregistration of an upstream instance, which is about to end.
 
         Its lease is not renewed any more. Its runs are not over before it refuses
         connections, reports their ends or the lease has ended.
         """
-        if self._state is not None and self._state.instance == instance:
-            self._is_deregistered = True
-            self._state = replace(self._state, draining=True)
+        if self._current.on_deregistered(instance):
             self._forget_deregistered()
             self.check_accepting()
 
     def _forget_deregistered(self):
-        """Closes the session of a deregistered upstream once it has no runs."""
-        if self._is_deregistered and not self._runs:
-            self._drop_session("the upstream deregistered")
-            self._is_deregistered = False
-            self._state = None
+        """Forgets a deregistered upstream once it has no runs."""
+        if self._current.is_deregistered and not self._runs:
+            self._current.forget()
             self.check_accepting()
 
     def check_accepting(self):
         """Notifies the entries when tasks may start or may no longer start."""
-        if self._session is not None and self._session.taken_over:
+        session = self._current.session
+        if session is not None and session.taken_over:
             self._finish_undecided(lambda run: True)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
@@ -321,7 +282,7 @@
         self._used = self._used + need
         self._isolated_runs += run.isolated
         owner.runs += 1
-        gevent.spawn(self._start, run, self._session)
+        gevent.spawn(self._start, run, self._current.session)
         return ""
 
     def _latest_end(self, now):
@@ -411,8 +372,9 @@
                 "reason": reason,
             },
         )
-        if run.running and self._session is not None:
-            gevent.spawn(self._session.stop, run.task, run.run, lambda: not run.ended)
+        session = self._current.session
+        if run.running and session is not None:
+            gevent.spawn(session.stop, run.task, run.run, lambda: not run.ended)
 
     def stop_all(self, reason, now):
         """Stops all runs.
@@ -437,13 +399,13 @@
         A run that is to be stopped counts until its end, since the request may get no
         reply, and so does one of an entry that has restarted meanwhile.
         """
-        if self._is_deregistered:
+        if self._current.is_deregistered:
             return now
         wanted_at = [run.last_wanted_at for run in self._runs.values()]
         return min(wanted_at, default=now) + _LEASE_S
 
-    def _open_session(self, state):
-        self._session = UpstreamSession(
+    def _open_session(self, state, on_lost, lowest_token):
+        return UpstreamSession(
             self._upstream,
             state,
             self._lease_until,
@@ -451,28 +413,18 @@
             self._on_ends,
             self._on_progress,
             self.check_accepting,
-            self._on_session_lost,
-            self._lowest_token,
+            on_lost,
+            lowest_token,
         )
 
-    def _drop_crashed_session(self, reason, now, replaced):
-        """Closes the session of an instance that another one has replaced."""
-        if self._session is not None and not self._state.draining:
-            self._publish_crash(self._session.loss(reason, now), now)
-        self._drop_session(reason, replaced)
-
-    def _drop_session(self, reason, replaced=False):
-        """Closes the session; all runs on the upstream are lost.
+    def _on_session_closed(self, session, reason, replaced):
+        """Ends the runs on an upstream whose session was closed.
 
         A start that has not been sent by now never is, so its task has not run. One
         that another lifetime with the same identifier may have received is undecided:
         its run is lost when that lifetime is taken over or the run's lease has ended.
         """
         now = clock.now()
-        session, self._session = self._session, None
-        if session is not None:
-            session.close()
-            self._lowest_token = session.next_token
         undecided = 0
         for run in list(self._runs.values()):
             if run.delivery is Delivery.NOT_DELIVERED:
@@ -485,6 +437,7 @@
             else:
                 self._finish(run, "lost", now)
         log.info("session_closed", extra={"reason": reason, "undecided": undecided})
+        self.check_accepting()
 
     def _finish_undecided(self, is_over):
         """Reports undecided runs as lost.
@@ -507,16 +460,9 @@
             loss: `InstanceLoss`.
             now: Time, seconds.
         """
-        crash = crash_of_loss(self._state, loss, self._runs.values())
+        crash = crash_of_loss(self.state, loss, self._runs.values())
         self._crashes.publish(crash, now)
 
-    def _on_session_lost(self, loss):
-        if not self._state.draining:
-            self._publish_crash(loss, clock.now())
-        self._drop_session(loss.reason, loss.replaced)
-        # The upstream's next report opens a new session.
-        self.check_accepting()
-
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
@@ -528,9 +474,9 @@
             owner.link.relaxed = not owner.is_active(now)
 
     def _free(self):
-        if self._state is None:
+        if self.state is None:
             return Resources()
-        return self._state.capacity - self._used
+        return self.state.capacity - self._used
 
     def _queue_end(self, owner, task, run, outcome, service_us):
         owner.ends.append(ttypes.TaskEnd(task, run, outcome, service_us))
@@ -547,16 +493,12 @@
 
     def _capacity(self):
         """Returns the `Capacity` that the entries are told."""
-        if self._state is None:
+        if self.state is None:
             return Capacity(Resources(), Resources(), False, (), "")
         return Capacity(
             self._free(),
-            self._state.capacity,
+            self.state.capacity,
             not self.refusal_reason,
-            self._state.labels,
-            self._state.key,
+            self.state.labels,
+            self.state.key,
         )
-
-
-def _instance_key(state):
-    return state.instance, state.born_ms
--- a/tests/test_fencing_token.py
+++ b/tests/test_fencing_token.py
@@ -54,7 +54,7 @@
 
     def test_late_request_of_the_earlier_session_starts_nothing(self):
         """Guards against a run that nobody knows at the next lifetime."""
-        token = self.executor._session.next_token - 1
+        token = self.executor._current.session.next_token - 1
         self.first.crash()
         self.address.lifetime = self.second
         self.report_second_lifetime()
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -171,7 +171,7 @@
         """Guards against starts with a capacity that an upstream no longer has."""
         self.executor = LeasedExecutor(self.upstream, self.domains_out.__contains__)
         self.executor.recall_upstream(upstream_state(sequence=5))
-        self.wait_for(lambda: self.executor._session.ready)
+        self.wait_for(lambda: self.executor._current.session.ready)
         link = self.link()
         self.send_heartbeats(link)
         self.send(link, start_group("j.0.0.0"))
@@ -249,7 +249,7 @@
         link = self.link()
         self.send(link, start_group(work_ms=10_000))
         gevent.sleep(0.05)
-        self.executor._session.close()
+        self.executor._current.session.close()
         stopped_at = clock.now()
         self.wait_for(lambda: self.upstream.records[0].outcome)
         self.assertEqual("lapsed", self.upstream.records[0].outcome)
