Move the tasks at executors out of reach to a module of their own

The scheduler kept them in nested lists of tuples by executor and process. LostTasks adds, takes back and expires them. No behaviour changes.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -25,8 +25,9 @@
 from .isolation import Isolation, Verdict
 from .job_placement import Placement
 from .job_report import job_fields, report_end
-from .job_state import LOST, SENT, WAITING, Job
+from .job_state import SENT, WAITING, Job
 from .leased_views import LeasedView
+from .lost_tasks import LostTasks
 from .lost_upstreams import LostUpstreams
 from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
 from .speeds import SpeedEstimates
@@ -36,9 +37,6 @@
 
 log = logging.getLogger(__name__)
 
-# Longest time for which a run continues after the link to its executor broke: the
-# rest of its lease, and the time to kill it when the lease expires.
-_LOST_RUN_S = 1.05
 _TICK_S = 0.02
 # Messages that arrive during the pause are handled together in the next round.
 _ROUND_PAUSE_S = 0.002
@@ -85,7 +83,7 @@
         self._waiting = {}
         self._ending = EndingJobs()
         self._views = {}
-        self._lost = {}
+        self._lost = LostTasks()
         self._lost_upstreams = LostUpstreams()
         self._closing_at = None
         self._speeds = SpeedEstimates()
@@ -208,13 +206,9 @@
             return
         del self._views[view.name]
         tasks = [task for task in view.tasks.values() if task.executor is view]
-        for task in tasks:
-            task.state = LOST
-            task.job.may_have_run = True
         if tasks:
+            self._lost.add(view, tasks, now)
             self._lost_upstreams.remember(view, tasks, now)
-            lost = self._lost.setdefault((view.name, link.peer.incarnation), [])
-            lost.append((now + _LOST_RUN_S, tasks))
             log.warning(
                 "tasks_out_of_reach", extra={"executor": view.name, "tasks": len(tasks)}
             )
@@ -258,18 +252,14 @@
         The runs of jobs that have ended meanwhile are stopped, or stopped again: the
         request to stop them may have been lost with the link.
         """
-        key = (view.name, view.link.peer.incarnation)
-        for _, tasks in self._lost.pop(key, ()):
-            for task in tasks:
-                if task.state is not LOST:
-                    continue
-                if task.name in names:
-                    task.state, task.executor = SENT, view
-                    view.tasks[task.name] = task
-                    if task.job.outcome is None:
-                        names.discard(task.name)
-                else:
-                    self._requeue(task, "not running after the link broke", now)
+        for task in self._lost.take_back(view):
+            if task.name not in names:
+                self._requeue(task, "not running after the link broke", now)
+                continue
+            task.state, task.executor = SENT, view
+            view.tasks[task.name] = task
+            if task.job.outcome is None:
+                names.discard(task.name)
         if names:
             view.link.try_send(ttypes.StopBatch(sorted(names)))
 
@@ -483,7 +473,8 @@
         Args:
             now: Time, seconds.
         """
-        self._check_lost(now)
+        for task in self._lost.take_expired(now):
+            self._on_executor_lost(task, now)
         placement_round = self._isolation.begin_round(self._views.values(), now)
         for view in self._views.values():
             view.link.relaxed = not view.tasks
@@ -523,18 +514,3 @@
             self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
         else:
             self._requeue(task, "the lease at the lost executor ended", now)
-
-    def _check_lost(self, now):
-        for key, groups in list(self._lost.items()):
-            remaining = []
-            for until, tasks in groups:
-                if now < until:
-                    remaining.append((until, tasks))
-                    continue
-                for task in tasks:
-                    if task.state is LOST:
-                        self._on_executor_lost(task, now)
-            if remaining:
-                self._lost[key] = remaining
-            else:
-                del self._lost[key]
