--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -434,6 +434,8 @@
             ):
                 run.over_by = run.over_by or now + _UNLEASED_RUN_S
                 undecided += 1
+                extra = {"task": run.task, "request_id": run.request_id}
+                log.info("start_undecided", extra=extra)
             else:
                 self._finish(run, "lost", now)
         log.info("session_closed", extra={"reason": reason, "undecided": undecided})
--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -135,7 +135,9 @@
                 ),
                 attempt,
             )
-        except NoReply:
+        except NoReply as error:
+            extra = {"task": task, "run": run, "error": str(error)}
+            log.info("stop_unanswered", extra=extra)
             return False
         except Unreachable:
             self.lose("connection refused")
