--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -86,6 +86,18 @@
                 ports = [platform_fleet.free_port() for _ in range(2)]
         self.assertEqual([first, second], ports)
 
+    def test_seed_2003_with_upstream_faults(self):
+        """Guards against overlapping runs beside uncertain upstreams.
+
+        On the code before, upstreams that refused stops or started again under their
+        identifiers ran tasks a second time.
+        """
+        findings, events, answers = run_soak(
+            2003, _SECONDS, runners=4, with_upstream_faults=True
+        )
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], 0, answers)
+
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
