--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -471,7 +471,12 @@
         if late_s > _ANSWER_SLACK_S and not soak.had_fault(
             attempt.entry, attempt.sent_at, attempt.ended_at
         ):
-            found.append(f"job {attempt.job_id} had no answer within its deadline")
+            found.append(
+                f"job {attempt.job_id} had no answer within its deadline of "
+                f"{attempt.deadline_s:.2f} s: sent to {attempt.entry} at "
+                f"{attempt.sent_at - soak.started_at:.2f} s, status {attempt.status} "
+                f"after {attempt.ended_at - attempt.sent_at:.2f} s"
+            )
     return found
 
 
