Report starts whose number was used by an earlier submission

Cause, found by reading: a start without a reply whose repetition was rejected as old returned "ended" if the run was no longer wanted, or if the list still had the end of an earlier submission's run of the same number. The executor then waited for an end that had been handled, and the run used capacity for good. Since stopped runs bound the lease, it would have blocked the upstream as well.

Fix: such a start goes on with the next number if it is wanted, and is reported as not run otherwise.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -306,7 +306,7 @@
             run.task, run.run, run.spec, is_wanted, on_delivery
         )
         run.run = number
-        if run.ended or run.over_by is not None or result == "ended":
+        if run.ended or run.over_by is not None:
             return
         if result == "started":
             run.running = True
@@ -318,6 +318,8 @@
             "start_failed",
             extra={"task": run.task, "request_id": run.request_id, "reason": result},
         )
+        # An end that did not end this run is that of an earlier submission's run with
+        # the same number, so the upstream rejected the start.
         if result == "unreachable":
             self._finish(run, "lost", clock.now())
         else:
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -66,8 +66,10 @@
             if outcome in ("started", "unreachable"):
                 return outcome, run
             if outcome == "old_run":
-                if unanswered and self._has_ended(task, run, is_wanted):
-                    return "ended", run
+                state = self._state_of(task, run) if unanswered else "never"
+                # The end of an earlier submission's run may be listed under the number.
+                if state == "started" or (state == "ended" and not is_wanted()):
+                    return state, run
                 run += 1
                 unanswered = 0
             elif outcome not in ("fenced", "late"):
@@ -87,10 +89,6 @@
         lease_ms = self._calls.lease.lease_ms(until)
         return StartRequest(task, run, spec, lease_ms, self._calls.token.value)
 
-    def _has_ended(self, task, run, is_wanted):
-        """Returns whether a run whose start was not answered has already ended."""
-        return self._state_of(task, run) == "ended" or not is_wanted()
-
     def _settle(self, task, run, expires_ms):
         """Ensures that a start without a reply takes no effect later.
 
--- a/tests/test_returned_entry.py
+++ b/tests/test_returned_entry.py
@@ -6,11 +6,14 @@
 does not answer the requests to stop them.
 """
 
+from dataclasses import replace
+
 import gevent
 from testtools import TestCase
 
 from papayaward import clock
 from papayaward.coordination.leased_executor import LeasedExecutor
+from papayaward.coordination.upstream_requests import RunEnd
 from papayaward.protocol.gen.ttypes import StartBatch, StopBatch
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import FakeLink, start_group, upstream_state
@@ -108,6 +111,28 @@
         self.start(link, "l.0.0.0")
         self.assertEqual("", self.outcome("l.0.0.0"))
 
+    def test_start_with_a_number_whose_end_is_still_listed_is_not_forgotten(self):
+        """Guards against a run that never began and uses capacity for good.
+
+        The listed end is that of an earlier submission of the job.
+        """
+        link = self.connect()
+        poll = self.upstream.poll
+        self.upstream._end_count = 1
+
+        def list_end(instance, request, timeout_s):
+            reply = poll(instance, request, timeout_s)
+            return replace(reply, ends=(RunEnd(1, "j.0.0.0", 1, "done"), *reply.ends))
+
+        self.upstream.poll = list_end
+        gevent.sleep(0.3)
+        self.upstream.last_runs["j.0.0.0"] = 1
+        self.upstream.fail_request("start")
+        self.start(link, "j.0.0.0")
+        self.assertEqual("", self.outcome("j.0.0.0"))
+        self.executor.on_message(link, StopBatch(["j.0.0.0"]), clock.now())
+        self.wait_for(link.ends)
+
     def test_stop_by_another_entry_leaves_a_run(self):
         """Guards against an entry that stops a task submitted again to another one."""
         link = self.connect()
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -249,6 +249,19 @@
         gevent.sleep(0.1)
         self.assertEqual(("started", 2), self.start(session))
 
+    def test_unwanted_start_with_a_used_number_has_not_ended(self):
+        """Guards against a task that is neither started nor reported as not run.
+
+        The number was used by an earlier submission of the job.
+        """
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        upstream.last_runs["j.0.0.0"] = 1
+        upstream.fail_request("start")
+        wanted = iter([True, True])
+        result = session.start("j.0.0.0", 1, "50", lambda: next(wanted, False))
+        self.assertEqual("cancelled", result[0])
+
     def test_lease_is_renewed_after_a_lost_poll(self):
         """Guards against runs that lapse because one renewal was not answered."""
         upstream = LeasedUpstream()
