--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -328,6 +328,9 @@
 
 
 def _start_process(soak, name):
+    """Starts a process again, unless another fault has already done so."""
+    if soak.fleet.processes[name].poll() is None:
+        return
     role = "entry" if name in soak.entries else "runner"
     soak.fleet.start(name, role, soak.fleet.settings[name]["zone"])
 
