Show that an unanswered start is lost while the next lifetime runs it

The executor reports a start without an answer as lost when the lease of a silent upstream has ended, though the next lifetime may have executed it, or may do so seconds later. Timeline and hypotheses of the incident are in the postmortem.

--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -118,6 +118,11 @@
         """
         self.faults.append(_Fault(name, delay_s, times))
 
+    def mute(self, seconds):
+        """Executes requests without a reply for some time."""
+        until = time.monotonic() + seconds
+        self.loss = lambda: 0.0 if time.monotonic() < until else None
+
     def crash(self):
         """Ends every run at once, without reporting the ends, and refuses requests."""
         for record in self.running.values():
