--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -155,7 +155,7 @@
         """Notifies the entries when tasks may start or may no longer start."""
         session = self._current.session
         if session is not None and session.taken_over:
-            self._finish_undecided(lambda run: True)
+            self._finish_undecided("the next lifetime was taken over", lambda run: True)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -439,20 +439,41 @@
                 extra = {"task": run.task, "request_id": run.request_id}
                 log.info("start_undecided", extra=extra)
             else:
-                self._finish(run, "lost", now)
+                self._lose(run, reason, now)
         log.info("session_closed", extra={"reason": reason, "undecided": undecided})
         self.check_accepting()
 
-    def _finish_undecided(self, is_over):
+    def _lose(self, run, reason, now):
+        """Reports a run as lost.
+
+        Args:
+            run: `Run`.
+            reason: What shows that it has ended, for the log.
+            now: Time, seconds.
+        """
+        log.info(
+            "run_lost",
+            extra={
+                "task": run.task,
+                "run": run.run,
+                "request_id": run.request_id,
+                "delivery": run.delivery.value,
+                "reason": reason,
+            },
+        )
+        self._finish(run, "lost", now)
+
+    def _finish_undecided(self, reason, is_over):
         """Reports undecided runs as lost.
 
         Args:
+            reason: What shows that they have ended, for the log.
             is_over: Function that takes a `Run` and returns whether it is known to
                 have ended.
         """
         for run in list(self._runs.values()):
             if run.over_by is not None and is_over(run):
-                self._finish(run, "lost", clock.now())
+                self._lose(run, reason, clock.now())
 
     def _publish_crash(self, loss, now):
         """Tells all processes what the upstream may have been running.
@@ -470,7 +491,7 @@
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
-        self._finish_undecided(lambda run: now >= run.over_by)
+        self._finish_undecided("its lease has ended", lambda run: now >= run.over_by)
         self._forget_deregistered()
         for owner in self._owners.silent(now):
             self._stop_runs_of(owner, "the entry is silent", now)
