Keep a start without a reply undecided until the next lifetime is taken over

An upstream crashes silently, returns under its identifier and executes starts, while no reply or report comes through. Cause: the end of a lease, a refused connection or 1.1 s were taken for the end of runs whose start had no reply. They show the end of the runs of one lifetime; a request without a reply may be executed seconds later, and Expect-Instance cannot tell two lifetimes with one identifier apart. Change: what a loss shows is decided for each run from its evidence (undecided_runs). A start with a request without a reply is undecided until the next lifetime is taken over, another instance is there, or no start can be executed any more (15 s and a lease). The session that follows takes over whichever lifetime replies first, without waiting for its report. A start that was confirmed is lost at once as before; a list of runs confirms it too.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -9,6 +9,7 @@
 from dataclasses import asdict, replace
 
 from .. import clock
+from .upstream_requests import LossEvidence
 
 __all__ = ["CurrentUpstream", "log_capacity_change"]
 
@@ -20,13 +21,13 @@
 
     Args:
         open_session: Function that takes an `UpstreamState`, a function to be called
-            with the `InstanceLoss` and the lowest fencing token, and returns an
-            `UpstreamSession`.
+            with the `InstanceLoss`, the lowest fencing token and whether the instance
+            is known to be up, and returns an `UpstreamSession`.
         on_crash: Function that takes an `InstanceLoss` and the current time, called
             before a session is closed because its instance has crashed.
         on_closed: Function that takes the `UpstreamSession` that was closed, or None,
-            the reason, and whether another lifetime with the same identifier has
-            replaced the instance.
+            the `LossEvidence` and the reason for the log, and returns whether runs are
+            undecided (see `undecided_runs`).
 
     Attributes:
         state: `UpstreamState`, None before the first report.
@@ -79,15 +80,13 @@
             state: `UpstreamState`.
             now: Time, seconds.
         """
-        last = self.state
-        if last is not None and _instance_key(last) == _instance_key(state):
-            if state.sequence < last.sequence or self.is_deregistered:
-                return False
+        if self._is_outdated(state):
+            return False
+        if self._is_current_lifetime(state):
+            self.is_deregistered = False
             self.state = state
             if self.session is None:
                 self._open()
-        elif last is not None and state.born_ms < last.born_ms:
-            return False
         else:
             self._replace(state, now)
         self._is_reported = True
@@ -103,38 +102,76 @@
 
     def forget(self):
         """Closes the session of a deregistered upstream that runs nothing any more."""
-        self._close("the upstream deregistered")
+        self._close(LossEvidence.OTHER_INSTANCE, "the upstream deregistered")
         self.is_deregistered = False
         self.state = None
 
-    def _replace(self, state, now):
+    def _is_outdated(self, state):
+        """Returns whether a report is older than what is known of the upstream."""
+        last = self.state
+        if last is None:
+            return False
+        replied_born_ms = self._replied_born_ms if state.born_ms else 0
+        if state.born_ms < max(last.born_ms, replied_born_ms):
+            return True
+        if _instance_key(last) != _instance_key(state):
+            return False
+        return state.sequence < last.sequence or self.is_deregistered
+
+    def _is_current_lifetime(self, state):
+        """Returns whether a report is that of the lifetime which the session is for."""
         last = self.state
+        if last is None or last.instance != state.instance:
+            return False
+        replied_born_ms = self._replied_born_ms if state.born_ms else 0
+        return state.born_ms == (replied_born_ms or last.born_ms)
+
+    @property
+    def _replied_born_ms(self):
+        """Start of the lifetime that replies, milliseconds; 0 if it is not known."""
+        return 0 if self.session is None else self.session.born_ms
+
+    def _replace(self, state, now):
+        last, session = self.state, self.session
+        is_same = last is not None and last.instance == state.instance
+        evidence = (
+            LossEvidence.OTHER_LIFETIME if is_same else LossEvidence.OTHER_INSTANCE
+        )
         reason = "the upstream restarted"
-        if self.session is not None and not last.draining:
-            self._on_crash(self.session.loss(reason, now), now)
-        replaced = last is not None and last.instance == state.instance
-        self._close(reason, replaced)
+        if session is not None and session.is_up and not last.draining:
+            self._on_crash(session.loss(evidence, reason, now), now)
+        self._close(evidence, reason)
         self.is_deregistered = False
         self.state = state
         self._open()
 
-    def _open(self):
+    def _open(self, is_up=True):
         self.session = self._open_session(
-            self.state, self._on_session_lost, self._lowest_token
+            self.state, self._on_session_lost, self._lowest_token, is_up
         )
 
-    def _close(self, reason, replaced=False):
+    def _close(self, evidence, reason):
+        """Closes the session; returns whether runs are undecided."""
         session, self.session = self.session, None
         if session is not None:
             session.close()
             self._lowest_token = session.next_token
-        self._on_closed(session, reason, replaced)
+        return self._on_closed(session, evidence, reason)
 
     def _on_session_lost(self, loss):
-        if not self.state.draining:
+        session = self.session
+        if session.born_ms not in (0, self.state.born_ms):
+            # The lifetime has replied, but never reported.
+            self.state = replace(self.state, born_ms=session.born_ms, sequence=0)
+        if session.is_up and not self.state.draining:
             self._on_crash(loss, clock.now())
-        # The upstream's next report opens a new session.
-        self._close(loss.reason, loss.replaced)
+        has_undecided = self._close(loss.evidence, loss.reason)
+        if has_undecided:
+            # The next lifetime is taken over as soon as it replies, so that the starts
+            # which it may have received are settled. Otherwise the upstream's next
+            # report opens a new session.
+            self._is_reported = False
+            self._open(is_up=False)
 
 
 def log_capacity_change(last, state, used, runs):
--- a/papayaward/coordination/delivery_tracker.py
+++ b/papayaward/coordination/delivery_tracker.py
@@ -15,12 +15,15 @@
 
     Args:
         on_delivery: Function that takes each new `Delivery`.
+        on_unanswered: Function that takes the number of requests without a reply
+            whenever it changes.
         is_open: Function that returns whether the session is open. Once it is closed,
             the executor has reported what was not sent as not run.
     """
 
-    def __init__(self, on_delivery, is_open):
+    def __init__(self, on_delivery, on_unanswered, is_open):
         self._on_delivery = on_delivery
+        self._on_unanswered = on_unanswered
         self._is_open = is_open
         self._unanswered = 0
 
@@ -28,14 +31,18 @@
         """Records that an attempt is about to be sent; returns whether it may be."""
         if not self._is_open():
             return False
-        self._unanswered += 1
+        self._add_unanswered(1)
         self._on_delivery(Delivery.UNANSWERED)
         return True
 
     def on_reply(self, started):
         """Records the reply to an attempt; earlier ones may remain unanswered."""
-        self._unanswered -= 1
+        self._add_unanswered(-1)
         if started:
             self._on_delivery(Delivery.STARTED)
         elif not self._unanswered:
             self._on_delivery(Delivery.NOT_DELIVERED)
+
+    def _add_unanswered(self, count):
+        self._unanswered += count
+        self._on_unanswered(self._unanswered)
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -20,8 +20,8 @@
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .leased_runs import Run, isolated_jobs, may_isolate
 from .run_owners import RunOwners
+from .undecided_runs import LOST, UNDECIDED, is_expired, outcome_at_loss
 from .upstream_crashes import crash_of_loss
-from .upstream_requests import Delivery
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -35,9 +35,6 @@
 # A start is refused if its entry was last known to be alive longer ago: after a pause
 # of this process the entry may have sent the task to another executor.
 _MAX_START_STALENESS_S = 0.45
-# Longest time for which a run continues at a lifetime of the upstream that was not
-# taken over: the longest lease, on a slow clock, and the time to kill the run.
-_UNLEASED_RUN_S = 1.1
 # While the closing process waits for a run, other tasks may still start if they are
 # expected to end within this fraction of the run's expected time.
 _CLOSING_RUN_SHARE = 0.9
@@ -155,7 +152,7 @@
         """Notifies the entries when tasks may start or may no longer start."""
         session = self._current.session
         if session is not None and session.taken_over:
-            self._finish_undecided("the next lifetime was taken over", lambda run: True)
+            self._lose_undecided("the next lifetime was taken over", lambda run: True)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -299,14 +296,17 @@
 
         def on_delivery(delivery):
             run.delivery = delivery
-            if delivery is Delivery.UNANSWERED:
+
+        def on_unanswered(count):
+            if count > run.unanswered:
                 run.sent_at = clock.now()
+            run.unanswered = count
 
         result, number = session.start(
-            run.task, run.run, run.spec, is_wanted, on_delivery
+            run.task, run.run, run.spec, is_wanted, on_delivery, on_unanswered
         )
         run.run = number
-        if run.ended or run.over_by is not None:
+        if run.ended or run.undecided:
             return
         if result == "started":
             run.running = True
@@ -321,7 +321,7 @@
         # An end that did not end this run is that of an earlier submission's run with
         # the same number, so the upstream rejected the start.
         if result == "unreachable":
-            self._finish(run, "lost", clock.now())
+            self._finish(run, LOST, clock.now())
         else:
             self._finish(run, "not_run:" + result, clock.now())
 
@@ -335,7 +335,10 @@
         """Reports runs that take far longer than expected to their entries."""
         for (task, _), percent in running.items():
             run = self._runs.get(task)
-            if run is None or not run.is_slow(percent, now):
+            if run is None:
+                continue
+            run.listed = True
+            if not run.is_slow(percent, now):
                 continue
             remaining_ms = int(run.remaining_s(percent, now) * 1000)
             elapsed_ms = int((now - run.started_at) * 1000)
@@ -375,7 +378,7 @@
             },
         )
         session = self._current.session
-        if run.running and session is not None:
+        if run.running and session is not None and not run.undecided:
             gevent.spawn(session.stop, run.task, run.run, lambda: not run.ended)
 
     def stop_all(self, reason, now):
@@ -406,7 +409,7 @@
         wanted_at = [run.last_wanted_at for run in self._runs.values()]
         return min(wanted_at, default=now) + _LEASE_S
 
-    def _open_session(self, state, on_lost, lowest_token):
+    def _open_session(self, state, on_lost, lowest_token, is_up):
         return UpstreamSession(
             self._upstream,
             state,
@@ -417,31 +420,54 @@
             self.check_accepting,
             on_lost,
             lowest_token,
+            is_up,
         )
 
-    def _on_session_closed(self, session, reason, replaced):
+    def _on_session_closed(self, session, evidence, reason):
         """Ends the runs on an upstream whose session was closed.
 
-        A start that has not been sent by now never is, so its task has not run. One
-        that another lifetime with the same identifier may have received is undecided:
-        its run is lost when that lifetime is taken over or the run's lease has ended.
+        Returns:
+            bool: Whether some of them are undecided (see `undecided_runs`).
         """
         now = clock.now()
         undecided = 0
         for run in list(self._runs.values()):
-            if run.delivery is Delivery.NOT_DELIVERED:
-                self._finish(run, "not_run:unreachable", now)
-            elif replaced and (
-                session is None or session.may_have_reached_other(run.sent_at)
-            ):
-                run.over_by = run.over_by or now + _UNLEASED_RUN_S
+            outcome = outcome_at_loss(
+                run,
+                evidence,
+                lambda sent_at: (
+                    session is None or session.may_have_reached_other(sent_at)
+                ),
+            )
+            if outcome == UNDECIDED:
                 undecided += 1
-                extra = {"task": run.task, "request_id": run.request_id}
-                log.info("start_undecided", extra=extra)
+                self._mark_undecided(run)
+            elif outcome == LOST:
+                self._lose(run, evidence.value, now)
             else:
-                self._lose(run, reason, now)
+                self._finish(run, outcome, now)
         log.info("session_closed", extra={"reason": reason, "undecided": undecided})
         self.check_accepting()
+        return undecided > 0
+
+    def _mark_undecided(self, run):
+        if run.undecided:
+            return
+        run.undecided = True
+        extra = {"task": run.task, "run": run.run, "request_id": run.request_id}
+        log.info("start_undecided", extra=extra)
+
+    def _lose_undecided(self, reason, is_over):
+        """Reports undecided runs as lost.
+
+        Args:
+            reason: What shows that they have ended, for the log.
+            is_over: Function that takes a `Run` and returns whether it is known to
+                have ended.
+        """
+        for run in list(self._runs.values()):
+            if run.undecided and is_over(run):
+                self._lose(run, reason, clock.now())
 
     def _lose(self, run, reason, now):
         """Reports a run as lost.
@@ -458,22 +484,11 @@
                 "run": run.run,
                 "request_id": run.request_id,
                 "delivery": run.delivery.value,
+                "unanswered": run.unanswered,
                 "reason": reason,
             },
         )
-        self._finish(run, "lost", now)
-
-    def _finish_undecided(self, reason, is_over):
-        """Reports undecided runs as lost.
-
-        Args:
-            reason: What shows that they have ended, for the log.
-            is_over: Function that takes a `Run` and returns whether it is known to
-                have ended.
-        """
-        for run in list(self._runs.values()):
-            if run.over_by is not None and is_over(run):
-                self._lose(run, reason, clock.now())
+        self._finish(run, LOST, now)
 
     def _publish_crash(self, loss, now):
         """Tells all processes what the upstream may have been running.
@@ -491,7 +506,9 @@
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
-        self._finish_undecided("its lease has ended", lambda run: now >= run.over_by)
+        self._lose_undecided(
+            "a late start is no longer possible", lambda run: is_expired(run, now)
+        )
         self._forget_deregistered()
         for owner in self._owners.silent(now):
             self._stop_runs_of(owner, "the entry is silent", now)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -43,9 +43,12 @@
     delivery: Delivery = Delivery.NOT_DELIVERED
     # Time at which the start was last sent.
     sent_at: float = 0.0
-    # If the next lifetime of the upstream may have received the start: time by which
-    # the run has ended there.
-    over_by: float | None = None
+    # Number of requests to start it that had no reply.
+    unanswered: int = 0
+    # Whether a list of the upstream's runs has shown it.
+    listed: bool = False
+    # Whether it may be active, or begin, at the next lifetime of the upstream.
+    undecided: bool = False
     # Time at which the run was to be stopped, None if it is wanted.
     stop_requested_at: float | None = None
     ended: bool = False
@@ -82,6 +85,11 @@
         """Whether the run is to be stopped."""
         return self.stop_requested_at is not None
 
+    @property
+    def is_unsettled(self):
+        """Whether a request to start the run may still be executed."""
+        return self.unanswered > 0 or self.undecided
+
     @property
     def last_wanted_at(self):
         """Time at which the run's entry was last known to want it, seconds."""
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -39,12 +39,14 @@
         self._lease_end = lease_end
         self._last_end = last_end
 
-    def start(self, task, run, spec, is_wanted, on_delivery):
+    def start(self, task, run, spec, is_wanted, on_delivery, on_unanswered):
         """Starts a run; see `UpstreamSession.start`."""
         unanswered = 0
         expires_ms = 0
         result = "rejected"
-        delivery = DeliveryTracker(on_delivery, lambda: not self._calls.closed)
+        delivery = DeliveryTracker(
+            on_delivery, on_unanswered, lambda: not self._calls.closed
+        )
         for _ in range(_START_ATTEMPTS):
             if self._calls.closed or not is_wanted():
                 result = "cancelled"
--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -19,6 +19,7 @@
 from .upstream_requests import (
     ConnectionBroken,
     InstanceLoss,
+    LossEvidence,
     NoReply,
     Refused,
     Unreachable,
@@ -47,18 +48,26 @@
         on_lost: Function that takes an `InstanceLoss`, called once when the instance is
             found to be lost.
         lowest_token: Lowest fencing token that may be used.
+        is_up: Whether the instance is known to be up. If it is not, a refused
+            connection is no loss, and the lifetime is the first that replies.
 
     Attributes:
         state: `UpstreamState` of the instance.
         token: `FencingToken` of the requests.
         lease: `LeaseClock` of the instance.
         replies: `ReplyTracker` of the requests.
+        born_ms: Start of the lifetime, milliseconds; 0 until it is known.
+        is_up: Whether the instance has been known to be up.
         silent: Whether the upstream has stopped replying.
         closed: Whether no more requests may be sent.
     """
 
-    def __init__(self, upstream, state, on_silent_changed, on_lost, lowest_token):
+    def __init__(
+        self, upstream, state, on_silent_changed, on_lost, lowest_token, is_up=True
+    ):
         self.state = state
+        self.born_ms = state.born_ms if is_up else 0
+        self.is_up = is_up
         self.token = FencingToken(lowest_token)
         self.lease = LeaseClock()
         self.replies = ReplyTracker()
@@ -102,7 +111,7 @@
                 may_refuse=True,
             )
         except Unreachable:
-            self.lose("connection refused")
+            self._on_refused()
             return "unreachable"
         # Another lifetime may have executed the start, another instance has not.
         if not self._is_other_lifetime(reply) or reply.outcome == "other_instance":
@@ -140,7 +149,7 @@
             log.info("stop_unanswered", extra=extra)
             return False
         except Unreachable:
-            self.lose("connection refused")
+            self._on_refused()
             return True
         if self._is_lost(reply):
             return True
@@ -171,7 +180,7 @@
         except NoReply:
             return None
         except Unreachable:
-            self.lose("connection refused")
+            self._on_refused()
             return None
         if self._is_lost(reply):
             return None
@@ -179,34 +188,32 @@
             self.token.on_fenced(request.fencing_token)
         return reply
 
-    def loss(self, reason, now, is_gone=True, replaced=False):
+    def loss(self, evidence, reason, now):
         """Returns the `InstanceLoss` if the instance is lost now.
 
         Args:
-            reason: How it was noticed.
+            evidence: `LossEvidence`.
+            reason: How it was noticed, for the log.
             now: Time, seconds.
-            is_gone: Whether the instance is known to be gone, as opposed to out of
-                reach.
-            replaced: See `InstanceLoss`.
         """
+        is_gone = evidence is not LossEvidence.SILENT
         in_touch = self.replies.failing_s(now) < _MAX_WITNESSED_S
         witnessed = is_gone and in_touch and not self.replies.timed_out
         at = self.replies.failed_at(now) if witnessed else now
         uncertainty_s = 0.0 if witnessed else self.replies.silence_s(at)
-        return InstanceLoss(reason, at, uncertainty_s, witnessed, replaced)
+        return InstanceLoss(evidence, reason, at, uncertainty_s, witnessed)
 
-    def lose(self, reason, is_gone=True, replaced=False):
+    def lose(self, evidence, reason):
         """Reports the instance as lost, unless no requests may be sent any more.
 
         Args:
+            evidence: As for `loss`.
             reason: As for `loss`.
-            is_gone: As for `loss`.
-            replaced: As for `loss`.
         """
         if self.closed:
             return
         now = clock.now()
-        loss = self.loss(reason, now, is_gone, replaced)
+        loss = self.loss(evidence, reason, now)
         log.warning(
             "upstream_lost",
             extra={
@@ -218,6 +225,10 @@
         )
         self._on_lost(loss)
 
+    def _on_refused(self):
+        if self.is_up:
+            self.lose(LossEvidence.REFUSED, "connection refused")
+
     def _call(self, send, attempt=0, wait_s=0.0, may_refuse=False):
         """Sends a request and records whether and when it was answered.
 
@@ -260,8 +271,10 @@
         else:
             self.replies.on_reply(now - sent_at, now)
         self._set_silent(False)
+        self.is_up = True
         if self._is_other_lifetime(reply):
             return
+        self.born_ms = self.born_ms or reply.born_ms
         if reply.born_ms:
             self._identified_at = max(self._identified_at, sent_at)
         self.lease.on_reply(reply.clock_ms, now)
@@ -280,13 +293,14 @@
     def _is_lost(self, reply):
         """Returns whether a reply shows that the instance is gone."""
         if reply.outcome == "other_instance":
-            self.lose("another upstream instance replied")
+            reason = "another upstream instance replied"
+            self.lose(LossEvidence.OTHER_INSTANCE, reason)
             return True
         if self._is_other_lifetime(reply):
-            self.lose("another lifetime of the upstream replied", replaced=True)
+            reason = "another lifetime of the upstream replied"
+            self.lose(LossEvidence.OTHER_LIFETIME, reason)
             return True
         return False
 
     def _is_other_lifetime(self, reply):
-        born_ms = self.state.born_ms
-        return born_ms and reply.born_ms and reply.born_ms != born_ms
+        return self.born_ms and reply.born_ms and reply.born_ms != self.born_ms
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -21,6 +21,8 @@
     "ConnectionBroken",
     "Delivery",
     "InstanceLoss",
+    "LossEvidence",
+    "MAX_START_DELAY_S",
     "NoReply",
     "PollRequest",
     "Refused",
@@ -32,6 +34,11 @@
 ]
 
 
+# A start without a reply may still be executed up to this time after it was sent,
+# seconds.
+MAX_START_DELAY_S = 15.0
+
+
 class NoReply(Exception):
     """The upstream did not reply; it may still execute the request at any time."""
 
@@ -62,6 +69,21 @@
     STARTED = "started"
 
 
+class LossEvidence(Enum):
+    """How the end of an upstream instance was noticed."""
+
+    # No process accepts connections, so that no run is active. A start that is still
+    # under way may be executed by the next lifetime.
+    REFUSED = "connections are refused"
+    # The lease has ended, and with it the runs of the lifetime that granted it.
+    SILENT = "no reply until the lease expired"
+    # Another lifetime with the same identifier has replied or reported.
+    OTHER_LIFETIME = "another lifetime is there"
+    # An instance with another identifier is in its place, or it has deregistered and
+    # run everything. Starts that name it are executed by nobody any more.
+    OTHER_INSTANCE = "another instance is there"
+
+
 @dataclass(frozen=True)
 class UpstreamState:
     """State that an upstream reports.
@@ -98,20 +120,19 @@
     """The end of an upstream instance, as far as its requests showed it.
 
     Attributes:
-        reason: How it was noticed.
+        evidence: `LossEvidence`.
+        reason: How it was noticed, for the log.
         at: Latest time of the end, seconds.
         uncertainty_s: Time before `at` in which it may have ended as well.
         witnessed: Whether the instance was in touch until it ended: connections to it
             broke and were refused, and no request timed out.
-        replaced: Whether another lifetime with the same identifier replied, which may
-            have received requests that were meant for this one.
     """
 
+    evidence: LossEvidence
     reason: str
     at: float
     uncertainty_s: float
     witnessed: bool
-    replaced: bool = False
 
 
 @dataclass(frozen=True)
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -12,7 +12,7 @@
 from .. import clock
 from .run_starter import RunStarter
 from .upstream_calls import UpstreamCalls
-from .upstream_requests import PollRequest
+from .upstream_requests import LossEvidence, PollRequest
 
 __all__ = ["UpstreamSession"]
 
@@ -24,6 +24,8 @@
 _END_WAIT_MS = 1000
 _LOSSY_END_WAIT_MS = 100
 _RETRY_S = 0.05
+# Time between two polls of an upstream that is expected back.
+_RETURN_POLL_S = 0.1
 # Time that an upstream needs to kill its runs when the lease expires, with a margin.
 _KILL_DELAY_S = 0.1
 
@@ -44,6 +46,8 @@
         on_lost: Function that takes an `InstanceLoss`, called when no run can be active
             on the instance any more.
         lowest_token: Lowest fencing token that the session may use.
+        is_up: Whether the instance is known to be up, as opposed to expected back; the
+            lifetime is then the first that replies.
     """
 
     def __init__(
@@ -57,9 +61,10 @@
         on_change,
         on_lost,
         lowest_token=1,
+        is_up=True,
     ):
         self._calls = UpstreamCalls(
-            upstream, state, on_change, self._on_instance_lost, lowest_token
+            upstream, state, on_change, self._on_instance_lost, lowest_token, is_up
         )
         self._starter = RunStarter(
             self._calls, self._poll_once, self._lease_end, lambda: self._last_end
@@ -90,6 +95,16 @@
         """Whether earlier starts take no effect any more and their runs have ended."""
         return self._taken_over
 
+    @property
+    def born_ms(self):
+        """Start of the upstream's lifetime, milliseconds; 0 until it is known."""
+        return self._calls.born_ms
+
+    @property
+    def is_up(self):
+        """Whether the upstream has been known to be up during this session."""
+        return self._calls.is_up
+
     @property
     def leased_until(self):
         """Local time by which every lease that was sent has expired, seconds."""
@@ -108,21 +123,30 @@
         """
         return self._calls.may_have_reached_other(sent_at)
 
-    def loss(self, reason, now):
+    def loss(self, evidence, reason, now):
         """Returns the `InstanceLoss` if the instance is lost now.
 
         Args:
-            reason: How it was noticed.
+            evidence: `LossEvidence`.
+            reason: How it was noticed, for the log.
             now: Time, seconds.
         """
-        return self._calls.loss(reason, now)
+        return self._calls.loss(evidence, reason, now)
 
     def close(self):
         """Stops sending requests."""
         self._calls.closed = True
         gevent.killall(self._greenlets, block=False)
 
-    def start(self, task, run, spec, is_wanted, on_delivery=lambda delivery: None):
+    def start(
+        self,
+        task,
+        run,
+        spec,
+        is_wanted,
+        on_delivery=lambda delivery: None,
+        on_unanswered=lambda count: None,
+    ):
         """Starts a run.
 
         A request without a reply is sent again with the same number, which starts no
@@ -135,13 +159,17 @@
             is_wanted: Function that returns whether the run is still wanted.
             on_delivery: Function that takes the `Delivery` of the start whenever it
                 changes.
+            on_unanswered: Function that takes the number of its requests without a
+                reply whenever it changes.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
                 number of the run, which is raised if the upstream has already received
                 the same or a higher number for the task.
         """
-        return self._starter.start(task, run, spec, is_wanted, on_delivery)
+        return self._starter.start(
+            task, run, spec, is_wanted, on_delivery, on_unanswered
+        )
 
     def stop(self, task, run, is_needed=lambda: True):
         """Stops a run; its end is reported once a poll lists it.
@@ -202,7 +230,7 @@
             reply = self._poll_once(request)
             if reply is not None:
                 return reply
-            gevent.sleep(_RETRY_S)
+            gevent.sleep(_RETRY_S if self._calls.is_up else _RETURN_POLL_S)
 
     def _poll_once(self, request, attempt=0):
         reply = self._calls.poll(request, attempt)
@@ -237,7 +265,8 @@
                 reply = self._poll_once(request, attempt)
                 attempt = attempt + 1 if reply is None else 0
             if self._calls.replies.is_failing() and clock.now() > self.all_ended_at:
-                self._calls.lose("no reply until the lease expired", is_gone=False)
+                reason = "no reply until the lease expired"
+                self._calls.lose(LossEvidence.SILENT, reason)
 
     def _renew_delay_s(self, now):
         """Returns the time until the next renewal, seconds.
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -56,3 +56,42 @@
         self.executor.on_upstream_report(upstream_state(born_ms=2), clock.now())
         self.wait_for(self.link.ends)
         self.assertNotEqual("", self.second.records[0].outcome)
+
+    def test_start_that_the_connection_broke_is_kept_after_a_refusal(self):
+        """Guards against a second run if the next lifetime executes a late start."""
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=9)
+        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
+        self.executor.on_message(self.link, batch, clock.now())
+        gevent.sleep(0.05)
+        self.first.crash()
+        gevent.sleep(0.5)
+        self.assertEqual([], self.link.ends())
+        self.address.lifetime = self.second
+        self.wait_for(self.link.ends)
+        self.assertEqual([("j.0.0.0", "lost")], self.link.ends())
+
+    def test_waiting_for_the_next_lifetime_publishes_one_crash(self):
+        """Guards against jobs that are condemned for one crash counted many times."""
+        crashes = []
+        self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=9)
+        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
+        self.executor.on_message(self.link, batch, clock.now())
+        gevent.sleep(0.05)
+        self.first.crash()
+        gevent.sleep(1.5)
+        self.assertEqual(1, len(crashes))
+
+    def test_another_instance_ends_the_wait(self):
+        """Guards against tasks that wait for an upstream that has been replaced."""
+        self.start_at_mute_lifetime()
+        self.address.lifetime = None
+        other = upstream_state("i-2", born_ms=3)
+        self.executor.on_upstream_report(other, clock.now())
+        self.assertIn(("j.0.0.0", "lost"), self.link.ends() or self.sent_ends())
+
+    def sent_ends(self):
+        gevent.sleep(0.05)
+        return self.link.ends()
