Tell entries which starts may still be executed, and of a take-over

A RoomReport lists the receiver's tasks whose start is not settled, from the moment the start is accepted: a request that is not sent yet may become one without a reply before the next report. When a listed run is confirmed, the next report follows after the usual interval. taken_over tells that starts of earlier processes take no effect any more. Both fields are optional, so that the protocol version stays the same.

The executor also acknowledged batches of an entry's earlier link, since it kept the number of the last one while the entry numbers the batches of each link from 1.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -46,6 +46,8 @@
         accepting: Whether tasks may start now.
         labels: Labels of the upstream.
         upstream: Key of the upstream instance; empty if there is none.
+        taken_over: Whether the starts of earlier processes take no effect on the
+            upstream any more and their runs have ended.
     """
 
     free: Resources
@@ -53,6 +55,7 @@
     accepting: bool
     labels: tuple
     upstream: str
+    taken_over: bool
 
 
 def report_due_at(owner, capacity, needs, isolated, now):
@@ -90,12 +93,15 @@
         capacity: Function that returns the current `Capacity`.
         isolated_peer_jobs: Function that takes an `Owner` and returns the number of
             isolated jobs of other entries.
+        unsettled: Function that takes an `Owner` and returns the names of its tasks
+            whose start may still be executed.
     """
 
-    def __init__(self, owners, capacity, isolated_peer_jobs):
+    def __init__(self, owners, capacity, isolated_peer_jobs, unsettled):
         self._owners = owners
         self._capacity = capacity
         self._isolated_peer_jobs = isolated_peer_jobs
+        self._unsettled = unsettled
         # Resources needed by the most recent kinds of tasks, the oldest first.
         self._needs = {}
         self._pending = Event()
@@ -111,6 +117,11 @@
             owner.capacity_changed = True
         self._pending.set()
 
+    def on_run_settled(self, owner):
+        """Schedules a report to an entry that was told of unsettled runs."""
+        if owner.reported_unsettled:
+            self.on_capacity_changed([owner])
+
     def record_need(self, need):
         """Records the resources that a task of some kind needs."""
         self._needs.pop(need, None)
@@ -128,7 +139,9 @@
         owner.reported_accepting = _accepts_from(owner, capacity)
         owner.reported_free = capacity.free
         owner.reported_isolated = self._isolated_peer_jobs(owner)
-        report = _capacity_report(owner, capacity)
+        unsettled = self._unsettled(owner)
+        owner.reported_unsettled = bool(unsettled)
+        report = _capacity_report(owner, capacity, unsettled)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
     def _run(self):
@@ -168,7 +181,7 @@
     return capacity.accepting and not owner.released
 
 
-def _capacity_report(owner, capacity):
+def _capacity_report(owner, capacity, unsettled):
     peer_runs, peer_ratio = owner.take_peer_ratio()
     return ttypes.RoomReport(
         owner.last_batch,
@@ -180,4 +193,6 @@
         peer_runs,
         peer_ratio,
         owner.reported_isolated,
+        unsettled or None,
+        capacity.taken_over,
     )
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -18,7 +18,7 @@
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
-from .leased_runs import Run, isolated_jobs, may_isolate
+from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_owners import RunOwners
 from .upstream_crashes import crash_of_loss
 from .upstream_requests import Delivery
@@ -71,7 +71,10 @@
         self._close_limit = 0.0
         self._was_accepting = False
         self._reports = CapacityReports(
-            self._owners.by_member, self._capacity, self._isolated_peer_jobs
+            self._owners.by_member,
+            self._capacity,
+            self._isolated_peer_jobs,
+            lambda owner: unsettled_tasks(self._runs.values(), owner),
         )
         gevent.spawn(repeat, self._tick)
 
@@ -311,6 +314,7 @@
         if result == "started":
             run.running = True
             run.started_at = clock.now()
+            self._reports.on_run_settled(run.owner)
             if run.stopping:
                 session.stop(run.task, run.run, lambda: not run.ended)
             return
@@ -498,11 +502,13 @@
     def _capacity(self):
         """Returns the `Capacity` that the entries are told."""
         if self.state is None:
-            return Capacity(Resources(), Resources(), False, (), "")
+            return Capacity(Resources(), Resources(), False, (), "", False)
+        session = self._current.session
         return Capacity(
             self._free(),
             self.state.capacity,
             not self.refusal_reason,
             self.state.labels,
             self.state.key,
+            session is not None and session.taken_over,
         )
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -12,7 +12,7 @@
 from ..state.crash_records import job_id_of
 from .upstream_requests import Delivery
 
-__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate"]
+__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -82,6 +82,14 @@
         """Whether the run is to be stopped."""
         return self.stop_requested_at is not None
 
+    @property
+    def is_unsettled(self):
+        """Whether a request to start the run may still be executed.
+
+        That includes a request that is not sent yet.
+        """
+        return not self.running or self.over_by is not None
+
     @property
     def last_wanted_at(self):
         """Time at which the run's entry was last known to want it, seconds."""
@@ -146,6 +154,8 @@
     peer_log_ratios: float = 0.0
     reported_free: Resources = Resources()
     reported_isolated: int = 0
+    # Whether the last report listed unsettled runs.
+    reported_unsettled: bool = False
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
@@ -188,6 +198,18 @@
     }
 
 
+def unsettled_tasks(runs, owner):
+    """Returns the names of an entry's tasks whose start may still be executed.
+
+    Args:
+        runs: `Run` of each run.
+        owner: `Owner` of the entry.
+    """
+    if not owner.runs:
+        return []
+    return [run.task for run in runs if run.owner is owner and run.is_unsettled]
+
+
 def may_isolate(runs, job_id, limit):
     """Returns whether an isolated job may start beside some runs.
 
--- a/papayaward/coordination/run_owners.py
+++ b/papayaward/coordination/run_owners.py
@@ -51,6 +51,8 @@
         owner.link, owner.disconnected_at = link, None
         owner.released = False
         owner.capacity_changed = True
+        # The entry numbers the batches of each link from 1.
+        owner.last_batch = 0
         owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
         return owner, replaced
 
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -18,6 +18,7 @@
 from ..protocol.jobs import Resources
 
 __all__ = [
+    "MAX_START_DELAY_S",
     "ConnectionBroken",
     "Delivery",
     "InstanceLoss",
@@ -31,6 +32,10 @@
     "UpstreamState",
 ]
 
+# Time after which a start without a reply has no effect any more: an upstream may
+# execute it up to 12 s later, and the lease of its run lasts for another second.
+MAX_START_DELAY_S = 15.0
+
 
 class NoReply(Exception):
     """The upstream did not reply; it may still execute the request at any time."""
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -739,6 +739,8 @@
      - peer_runs
      - peer_ratio
      - isolated_peer_jobs
+     - unsettled
+     - taken_over
 
     """
 
@@ -752,10 +754,12 @@
         'peer_runs',
         'peer_ratio',
         'isolated_peer_jobs',
+        'unsettled',
+        'taken_over',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -765,6 +769,8 @@
         self.peer_runs = peer_runs
         self.peer_ratio = peer_ratio
         self.isolated_peer_jobs = isolated_peer_jobs
+        self.unsettled = unsettled
+        self.taken_over = taken_over
 
 
 class SlowRun(TBase):
@@ -1152,6 +1158,8 @@
     (7, TType.I32, 'peer_runs', None, None, ),  # 7
     (8, TType.DOUBLE, 'peer_ratio', None, None, ),  # 8
     (9, TType.I32, 'isolated_peer_jobs', None, None, ),  # 9
+    (10, TType.LIST, 'unsettled', (TType.STRING, 'UTF8', False), None, ),  # 10
+    (11, TType.BOOL, 'taken_over', None, None, ),  # 11
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -217,6 +217,9 @@
 // account. peer_runs is the number of runs for other entries that were done since the
 // last report; peer_ratio is the geometric mean of their actual over their declared run
 // time. isolated_peer_jobs is the number of isolated jobs of other entries that run there.
+// unsettled lists the receiver's tasks up to last_batch whose start may still be executed;
+// missing if there are none. taken_over tells whether the starts of earlier processes of
+// the executor take no effect any more and their runs have ended.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -227,6 +230,8 @@
   7: i32 peer_runs
   8: double peer_ratio
   9: i32 isolated_peer_jobs
+  10: optional list<string> unsettled
+  11: optional bool taken_over
 }
 
 // A run that takes far longer than expected.
--- /dev/null
+++ b/tests/test_unsettled_runs.py
@@ -0,0 +1,181 @@
+"""
+tests.test_unsettled_runs
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What an executor tells the entries of starts that may still be executed.
+"""
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.coordination.capacity_reports import (
+    Capacity,
+    CapacityReports,
+    report_due_at,
+)
+from papayaward.coordination.leased_executor import LeasedExecutor
+from papayaward.coordination.leased_runs import Owner
+from papayaward.coordination.upstream_requests import NoReply
+from papayaward.protocol.gen.ttypes import EndBatch, RunningTasks, StartBatch
+from papayaward.protocol.jobs import Resources
+from standins.leased_upstream import LeasedUpstream
+from tests.leased_case import FakeLink, start_group, upstream_state
+from tests.replaced_upstream_case import ReplacedUpstreamCase
+
+_TASK = "j.0.0.0"
+_NOW = 100.0
+# Interval of reports that are not urgent.
+_REPORT_INTERVAL_S = 0.1
+
+
+def _last_report(link):
+    return link.of_type(EndBatch)[-1].room
+
+
+class UnsettledRunsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstream = LeasedUpstream()
+        self.executor = LeasedExecutor(self.upstream, lambda domain: False)
+        self.executor.on_upstream_report(upstream_state(), clock.now())
+        self.wait_for(lambda: not self.executor.refusal_reason)
+        self.link = self.connect("e1")
+
+    def wait_for(self, condition, seconds=2.0):
+        until = clock.now() + seconds
+        while not condition():
+            self.assertLess(clock.now(), until, "the condition was not met in time")
+            gevent.sleep(0.005)
+
+    def connect(self, member, link_number=1):
+        link = FakeLink(member, link_number=link_number)
+        self.executor.on_link_up(link, clock.now())
+        heartbeats = gevent.spawn(self.send_heartbeats, link)
+        self.addCleanup(heartbeats.kill)
+        return link
+
+    def send_heartbeats(self, link):
+        while True:
+            link.mark_alive()
+            self.executor.on_heartbeat(link, 0, clock.now())
+            gevent.sleep(0.05)
+
+    def start(self, number=1):
+        batch = StartBatch(number, [start_group(_TASK, work_ms=9000)])
+        self.executor.on_message(self.link, batch, clock.now())
+
+    def start_without_replies(self):
+        """Sends a start to an upstream that no longer replies to starts."""
+
+        def start(instance, request, timeout_s, may_send):
+            if may_send():
+                gevent.sleep(timeout_s)
+            raise NoReply("no reply")
+
+        self.upstream.start = start
+        self.start()
+        self.wait_for(lambda: _last_report(self.link).last_batch == 1)
+
+    def test_start_without_a_reply_is_listed_until_it_is_settled(self):
+        """Guards against a second run of a task whose start is executed later.
+
+        An entry that loses its executor must know the starts that nobody confirmed,
+        and it must learn without another event that they are confirmed.
+        """
+        other = self.connect("e2")
+        answer = self.upstream.start
+        self.start_without_replies()
+        self.assertEqual([_TASK], _last_report(self.link).unsettled)
+        self.wait_for(lambda: len(other.of_type(EndBatch)) > 1)
+        self.assertIsNone(_last_report(other).unsettled)
+        self.upstream.start = answer
+        self.wait_for(lambda: self.upstream.running)
+        self.wait_for(lambda: _last_report(self.link).unsettled is None, seconds=0.5)
+        self.assertEqual(1, _last_report(self.link).last_batch)
+
+    def test_start_that_was_not_sent_yet_is_listed(self):
+        """Guards against a start that is sent after a report has confirmed it."""
+        self.start()
+        owner = self.executor._owners.of_link(self.link)
+        self.executor._reports.send(owner, clock.now())
+        report = _last_report(self.link)
+        self.assertEqual((1, [_TASK]), (report.last_batch, report.unsettled))
+
+    def test_reconnected_entry_gets_the_list_before_the_running_tasks(self):
+        """Guards against a task that counts as confirmed since its link broke."""
+        self.start_without_replies()
+        self.executor.on_link_down(self.link, clock.now())
+        link = self.connect("e1", link_number=2)
+        report, running = link.sent[0].room, link.sent[1]
+        self.assertEqual(RunningTasks([_TASK]), running)
+        self.assertEqual([_TASK], report.unsettled)
+
+    def test_batches_of_an_earlier_link_are_not_acknowledged(self):
+        """Guards against a start that counts as received before it arrives.
+
+        The entry numbers the batches of each link from 1.
+        """
+        self.start(number=7)
+        gevent.sleep(0.05)
+        self.executor.on_link_down(self.link, clock.now())
+        link = self.connect("e1", link_number=2)
+        self.assertEqual(0, _last_report(link).last_batch)
+
+
+class ReportOfSettledRunsTest(TestCase):
+    def test_confirmed_run_is_reported_only_to_an_entry_that_was_told_of_it(self):
+        """Guards against a message for each start that is confirmed."""
+        unsettled = []
+        owner = Owner("e1", 1, FakeLink("e1"), 0.0, runs=1)
+        capacity = Capacity(Resources(), Resources(), True, (), "i-1@1", True)
+        reports = CapacityReports(
+            {}, lambda: capacity, lambda owner: 0, lambda owner: list(unsettled)
+        )
+        reports.send(owner, _NOW)
+        reports.on_run_settled(owner)
+        self.assertIsNone(report_due_at(owner, capacity, (), 0, _NOW))
+        unsettled.append(_TASK)
+        reports.send(owner, _NOW)
+        self.assertIsNone(report_due_at(owner, capacity, (), 0, _NOW))
+        reports.on_run_settled(owner)
+        due_at = report_due_at(owner, capacity, (), 0, _NOW)
+        self.assertAlmostEqual(_NOW + _REPORT_INTERVAL_S, due_at)
+
+
+class TakenOverTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.upstream = LeasedUpstream()
+        self.executor = LeasedExecutor(self.upstream, lambda domain: False)
+        self.link = FakeLink("e1")
+
+    def test_take_over_is_reported_before_tasks_may_start(self):
+        """Guards against tasks that wait although their runs are stopped for good."""
+        self.executor.recall_upstream(upstream_state())
+        self.executor.on_link_up(self.link, clock.now())
+        self.assertFalse(_last_report(self.link).taken_over)
+        gevent.sleep(0.5)
+        report = _last_report(self.link)
+        self.assertEqual((True, False), (report.taken_over, report.accepting))
+
+    def test_upstream_that_does_not_answer_is_not_taken_over(self):
+        """Guards against a second run beside one that nobody has stopped."""
+        self.upstream.poll = self.no_reply
+        self.executor.on_upstream_report(upstream_state(), clock.now())
+        gevent.sleep(0.3)
+        self.executor.on_link_up(self.link, clock.now())
+        self.assertFalse(_last_report(self.link).taken_over)
+
+    def no_reply(self, instance, request, timeout_s):
+        gevent.sleep(timeout_s)
+        raise NoReply("no reply")
+
+
+class UndecidedRunTest(ReplacedUpstreamCase):
+    def test_undecided_run_is_listed(self):
+        """Guards against a second run beside the one at the next lifetime."""
+        self.start_at_the_second_lifetime()
+        gevent.sleep(0.1)
+        self.assertEqual([], self.link.ends())
+        self.assertEqual([_TASK], _last_report(self.link).unsettled)
