Hold back lost tasks whose start nobody has confirmed

A start that the executor had sent without a reply before it was killed or cut off may be executed later than that, also by the next lifetime of the upstream, for whose clock the lease of the start bounds nothing.

Only a task whose start is confirmed is now released after 1.05 s: a report has acknowledged its batch and does not list it as unsettled. A take-over of the same instance releases confirmed tasks too, since it has stopped their runs; one of another instance leaves the 1.05 s, as the replaced instance may not have ended.

Three tests lost an executor right after a start and expected the repetition after 1.05 s; they now let a report confirm the start first, as the executor does.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -200,7 +200,7 @@
         self._views[view.name] = view
 
     def on_link_down(self, link, now):
-        """Holds back the tasks of a disconnected executor until their lease expires."""
+        """Holds back the tasks of a disconnected executor; see `LostTasks`."""
         view = self._views.get(link.peer.member)
         if view is None or view.link is not link:
             return
@@ -209,9 +209,6 @@
         if tasks:
             self._lost.add(view, tasks, now)
             self._lost_upstreams.remember(view, tasks, now)
-            log.warning(
-                "tasks_out_of_reach", extra={"executor": view.name, "tasks": len(tasks)}
-            )
 
     def on_message(self, link, message, now):
         """Handles a message from an executor; returns whether it was handled."""
@@ -221,6 +218,7 @@
         if isinstance(message, ttypes.EndBatch):
             if message.room is not None:
                 view.on_capacity_report(message.room)
+                self._lost.on_capacity_report(view, now)
                 self._learn_from_peers(view, message.room, now)
                 crash = self._lost_upstreams.crash_of_previous(view, now)
                 if crash is not None:
@@ -507,10 +505,10 @@
         return now + _CLOSING_SHARE * remaining_s > self._closing_at
 
     def _on_executor_lost(self, task, now):
-        """Handles a task whose executor did not return before its lease ended."""
+        """Handles a task that runs no more at an executor that did not return."""
         task.state = WAITING
         task.lost_upstreams.add(task.executor.upstream)
         if task.job.outcome is None and self._isolation.has_lost_too_many(task):
             self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
         else:
-            self._requeue(task, "the lease at the lost executor ended", now)
+            self._requeue(task, "its run at the lost executor is over", now)
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         "avoided_executors",
+        "batch",
         "executor",
         "failures",
         "isolation_limit",
@@ -51,6 +52,9 @@
         self.lost_upstreams = set()
         self.executor = None
         self.sent_at = 0.0
+        # Number of the batch of starts that contained it, on its executor's link; 0 if
+        # the link has not taken the batch.
+        self.batch = 0
 
     @property
     def phase(self):
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -30,12 +30,18 @@
         self.capacity = Resources()
         self.labels = ()
         self.upstream = ""
+        # Whether the starts of earlier processes of the executor take no effect any
+        # more and their runs have ended.
+        self.taken_over = False
         # Number of isolated jobs of other entries.
         self.isolated_peer_jobs = 0
         self.tasks = {}
         self.slow_until = 0.0
         self._free = Resources()
         self._last_batch = 0
+        self._acknowledged_batch = 0
+        # Names of the tasks that the executor reported as unsettled.
+        self._unsettled = frozenset()
         self._unacknowledged = deque()
 
     @property
@@ -81,6 +87,17 @@
         ]
         return self.isolated_jobs_beside(job) < min([limit, *limits])
 
+    def is_confirmed(self, task):
+        """Returns whether no request to start a task will be executed any more.
+
+        The executor has received the start, and the upstream has confirmed the run.
+
+        Args:
+            task: `Task` that was sent there.
+        """
+        is_acknowledged = task.batch <= self._acknowledged_batch
+        return is_acknowledged and task.name not in self._unsettled
+
     def next_batch(self):
         """Returns the number of the next batch of starts."""
         self._last_batch += 1
@@ -114,3 +131,7 @@
         self.labels = tuple(report.labels or ())
         self.upstream = report.upstream
         self.isolated_peer_jobs = report.isolated_peer_jobs or 0
+        # An executor accepts no tasks before it has taken over its upstream.
+        self.taken_over = self.accepting or bool(report.taken_over)
+        self._acknowledged_batch = report.last_batch or 0
+        self._unsettled = frozenset(report.unsettled or ())
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -90,13 +90,18 @@
     value that no message can hold does not hold up the others.
     """
     try:
-        view.link.try_send(ttypes.StartBatch(view.next_batch(), groups))
+        batch = ttypes.StartBatch(view.next_batch(), groups)
+        number = batch.number if view.link.try_send(batch) else 0
     except Exception as error:
         if len(groups) > 1:
             for group in groups:
                 yield from _send(view, [group])
         else:
             yield _withdraw(view, groups[0]), error
+    else:
+        for group in groups:
+            for start in group.starts:
+                view.tasks[start.task].batch = number
 
 
 def _withdraw(view, group):
--- a/tests/test_ended_jobs.py
+++ b/tests/test_ended_jobs.py
@@ -43,11 +43,18 @@
         self.scheduler.on_message(link, ttypes.EndBatch([end], None), clock.now())
         gevent.sleep(0.01)
 
+    def break_link(self, link):
+        """Breaks the link to an executor after its starts were confirmed."""
+        report = capacity_report(last_batch=1)
+        report.room.upstream = "u-" + link.peer.member
+        self.scheduler.on_message(link, report, clock.now())
+        self.scheduler.on_link_down(link, clock.now())
+
     def leave_and_break_link(self):
         """Ends a job with a run, breaks the link, and returns the name of its task."""
         link = self.connect()
         self.scheduler.remove_caller(self.submit(), clock.now())
-        self.scheduler.on_link_down(link, clock.now())
+        self.break_link(link)
         return link.starts()[0].task
 
     def stopped_tasks(self, link):
@@ -116,7 +123,7 @@
             job = job or self.submit()
             if job.outcome is not None:
                 break
-            self.scheduler.on_link_down(link, clock.now())
+            self.break_link(link)
             self.scheduler.check(clock.now() + _LOST_RUN_S)
         self.assertEqual("unknown", job.outcome.kind)
         self.assertTrue(self.submit().started)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -300,6 +300,7 @@
         """Guards against a second run while the first may still be active."""
         link = self.executor()
         self.submit(timeout_s=5.0, expected_s=1.0)
+        self.scheduler.on_message(link, capacity_report(last_batch=1), clock.now())
         self.scheduler.on_link_down(link, clock.now())
         other = self.executor("r2")
         gevent.sleep(0.9)
