--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -12,7 +12,7 @@
 from ..state.crash_records import job_id_of
 from .upstream_requests import Delivery
 
-__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate"]
+__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -87,8 +87,11 @@
 
     @property
     def is_unsettled(self):
-        """Whether a request to start the run may still be executed."""
-        return self.unanswered > 0 or self.undecided
+        """Whether a request to start the run may still be executed.
+
+        That includes a request that is not sent yet.
+        """
+        return not self.running or self.undecided
 
     @property
     def last_wanted_at(self):
@@ -154,6 +157,8 @@
     peer_log_ratios: float = 0.0
     reported_free: Resources = Resources()
     reported_isolated: int = 0
+    # Whether the last report listed unsettled runs.
+    reported_unsettled: bool = False
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
@@ -196,6 +201,30 @@
     }
 
 
+def unsettled_tasks(runs, owner):
+    """Returns the tasks whose start may still be executed, as far as an entry asks.
+
+    Of other entries only starts that are no longer wanted, or that the next lifetime
+    of the upstream may execute, concern it: their jobs may be submitted to it.
+
+    Args:
+        runs: `Run` of each run.
+        owner: `Owner` of the entry.
+
+    Returns:
+        tuple: Names of the entry's own tasks, and of those of other entries.
+    """
+    own, of_peers = [], []
+    for run in runs:
+        if not run.is_unsettled:
+            continue
+        if run.owner is owner:
+            own.append(run.task)
+        elif run.stopping or run.undecided:
+            of_peers.append(run.task)
+    return own, of_peers
+
+
 def may_isolate(runs, job_id, limit):
     """Returns whether an isolated job may start beside some runs.
 
--- a/papayaward/coordination/undecided_runs.py
+++ b/papayaward/coordination/undecided_runs.py
@@ -18,9 +18,6 @@
 # The run may be active, or begin, at the next lifetime of the upstream.
 UNDECIDED = "undecided"
 _NOT_DELIVERED = "not_run:unreachable"
-# Longest time for which a run continues at a lifetime of the upstream that was not
-# taken over: the longest lease, on a slow clock, and the time to kill the run.
-_UNLEASED_RUN_S = 1.1
 
 
 def outcome_at_loss(run, evidence, may_have_reached_other):
@@ -55,4 +52,4 @@
         run: `Run`.
         now: Time, seconds.
     """
-    return now >= run.sent_at + MAX_START_DELAY_S + _UNLEASED_RUN_S
+    return now >= run.sent_at + MAX_START_DELAY_S
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -18,11 +18,11 @@
 from ..protocol.jobs import Resources
 
 __all__ = [
+    "MAX_START_DELAY_S",
     "ConnectionBroken",
     "Delivery",
     "InstanceLoss",
     "LossEvidence",
-    "MAX_START_DELAY_S",
     "NoReply",
     "PollRequest",
     "Refused",
@@ -33,9 +33,8 @@
     "UpstreamState",
 ]
 
-
-# A start without a reply may still be executed up to this time after it was sent,
-# seconds.
+# Time after which a start without a reply has no effect any more: an upstream may
+# execute it up to 12 s later, and the lease of its run lasts for another second.
 MAX_START_DELAY_S = 15.0
 
 
