Let upstreams of the soak return while starts are unanswered

The soak had no such fault: restart_silently refused connections for a moment, and dropped late orders.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -5,10 +5,12 @@
 Randomised soak test of the platform's processes under injected faults.
 
 Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]
-[--upstream-faults]`. The last line is `soak: ok` or `soak: failed`. It is preceded by
-the events in order of time (if the run failed), the violations, the answers by status
-and the command that repeats the run. The seed determines the faults and the jobs, but
-not how the operating system interleaves the processes.
+[--upstream-faults] [--only FAULT]`. With `--only`, one fault of `RESTART_FAULTS` is
+injected again and again, and only its jobs are submitted. The last line is `soak: ok`
+or `soak: failed`. It is preceded by the events in order of time (if the run failed or
+its logs are kept), the violations, the answers by status and the command that repeats
+the run. The seed determines the faults and the jobs, but not how the operating system
+interleaves the processes.
 """
 
 import argparse
@@ -26,6 +28,7 @@
 
 from standins.platform_fleet import PlatformFleet
 
+from .restart_faults import RESTART_FAULTS
 from .upstream_faults import UPSTREAM_FAULTS, WORK_MS
 
 __all__ = ["FAULTS", "LOAD_FAULTS", "main", "run_soak"]
@@ -34,6 +37,8 @@
 _ENTRIES = 2
 _CALLERS = 6
 _CORES = 4
+# Capacity if there is only one fault, so that lost tasks start again at once.
+_AMPLE_CORES = 16
 _RETRY_DELAY_S = 1.3
 _ATTEMPTS = 3
 _REFUSED_PAUSE_S = 0.5
@@ -75,6 +80,7 @@
         # Apart, so that the faults and jobs of earlier seeds stay the same.
         self.load_rng = random.Random(-seed - 1)
         self.upstream_rng = random.Random(seed + 10**6)
+        self.restart_rng = random.Random(seed + 2 * 10**6)
         self.with_upstream_faults = with_upstream_faults
         self._work_ms = WORK_MS if with_upstream_faults else WORK_MS[:-1]
         self._requests = {}
@@ -83,6 +89,7 @@
         self.started_at = time.monotonic()
         self.events = []
         self.attempts = []
+        self.callers = []
         self.fault_spans = defaultdict(list)
         self.domains_out = {}
         self.domain_spans = []
@@ -152,6 +159,35 @@
             attempt.status = reply[0]
             attempt.state = json.loads(reply[1] or b"{}").get("state", "")
 
+    def submit_burst(self, rng, jobs, seconds, tasks, work_ms, deadline_s):
+        """Submits jobs evenly over some time, without waiting for their answers.
+
+        Args:
+            rng: Random generator for the jobs.
+            jobs: Number of jobs.
+            seconds: Time over which they are submitted, seconds.
+            tasks: Number of tasks of each.
+            work_ms: Run time of the tasks, milliseconds.
+            deadline_s: Time after which their callers leave, seconds.
+        """
+        for i in range(jobs):
+            attempt = _Attempt(
+                f"{rng.getrandbits(64):016x}",
+                tasks,
+                rng.choice(self.entries),
+                0.0,
+                deadline_s,
+            )
+            delay_s = i * seconds / jobs
+            self.callers.append(
+                gevent.spawn_later(delay_s, self._submit_once, attempt, work_ms)
+            )
+
+    def _submit_once(self, attempt, work_ms):
+        attempt.sent_at = time.monotonic()
+        self.attempts.append(attempt)
+        self._send(attempt, str(work_ms), work_ms)
+
     def disconnect_callers(self, entry):
         """Has the callers of an entry close their connections."""
         for patience, (caller, attempt) in list(self._requests.items()):
@@ -160,11 +196,23 @@
 
     def restart_at_once(self, name):
         """Kills a process and starts it again, unless another fault has ended it."""
+        self.restart_after(name, 0.0)
+
+    def restart_after(self, name, downtime_s):
+        """Kills a process and starts it again later, unless another fault has ended it.
+
+        Args:
+            name: Name of the process.
+            downtime_s: Time until it is started again, seconds.
+        """
         if self.fleet.processes[name].poll() is not None:
             return
-        self.note(f"kill {name}, which returns at once")
-        self.record_fault(name, 1.0)
+        returns = f"after {downtime_s:.1f} s" if downtime_s else "at once"
+        self.note(f"kill {name}, which returns {returns}")
+        self.record_fault(name, downtime_s + 1.0)
         self.fleet.kill(name)
+        if downtime_s:
+            gevent.sleep(downtime_s)
         _start_process(self, name)
 
 
@@ -366,14 +414,25 @@
         LOAD_FAULTS[soak.load_rng.choice(sorted(LOAD_FAULTS))](soak)
 
 
-def _inject_upstream_faults(soak):
-    """Starts random faults of `UPSTREAM_FAULTS`, which overlap, until the run stops."""
-    faults = []
-    while not soak.stopped and soak.with_upstream_faults:
-        gevent.sleep(soak.upstream_rng.expovariate(0.7))
-        name = soak.upstream_rng.choice(sorted(UPSTREAM_FAULTS))
-        faults.append(gevent.spawn(UPSTREAM_FAULTS[name], soak))
-    gevent.joinall(faults)
+def _inject_from(soak, faults, rng, rate):
+    """Starts random faults, which overlap, until the run stops.
+
+    Args:
+        soak: `_Soak`.
+        faults: Function by name.
+        rng: Random generator for their choice and times.
+        rate: Mean number of faults per second.
+    """
+    active = []
+    while not soak.stopped:
+        gevent.sleep(rng.expovariate(rate))
+        active.append(gevent.spawn(faults[rng.choice(sorted(faults))], soak))
+    gevent.joinall(active)
+
+
+def _repeat_fault(soak, fault):
+    while not soak.stopped:
+        fault(soak)
 
 
 # Checks.
@@ -496,7 +555,9 @@
     return found
 
 
-def run_soak(seed, seconds, runners=3, keep=None, with_upstream_faults=False):
+def run_soak(
+    seed, seconds, runners=3, keep=None, with_upstream_faults=False, only=None
+):
     """Runs the processes under faults and checks the guarantees.
 
     Args:
@@ -504,7 +565,10 @@
         seconds: Duration of the faults, in seconds.
         runners: Number of runners.
         keep: Directory for settings and logs; None to discard them.
-        with_upstream_faults: Whether to inject the faults of `UPSTREAM_FAULTS` as well.
+        with_upstream_faults: Whether to inject the faults of `UPSTREAM_FAULTS` and
+            `RESTART_FAULTS` as well.
+        only: Name of the fault of `RESTART_FAULTS` that is injected again and again,
+            without any other fault or load; None for all faults.
 
     Returns:
         tuple: Findings (list of str), events (list of str) and the number of answers by
@@ -516,15 +580,18 @@
         fleet = PlatformFleet(keep or folder, proxied=True)
         soak = _Soak(fleet, seed, runners, with_upstream_faults)
         try:
-            _start_fleet(soak)
-            callers = [gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)]
-            faults = gevent.spawn(_inject_faults, soak)
-            load_faults = gevent.spawn(_inject_load_faults, soak)
-            upstream_faults = gevent.spawn(_inject_upstream_faults, soak)
+            _start_fleet(soak, _AMPLE_CORES if only else _CORES)
+            if only:
+                faults = [gevent.spawn(_repeat_fault, soak, RESTART_FAULTS[only])]
+            else:
+                soak.callers += [
+                    gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)
+                ]
+                faults = _spawn_faults(soak)
             gevent.sleep(seconds)
             soak.stopped = True
-            gevent.joinall([faults, load_faults, upstream_faults], timeout=20.0)
-            gevent.joinall(callers, timeout=20.0)
+            gevent.joinall(faults, timeout=20.0)
+            gevent.joinall(soak.callers, timeout=20.0)
             recovered = [fleet.wait_ready(entry) for entry in soak.entries]
             findings = _check_run(soak)
             if not all(recovered):
@@ -535,12 +602,25 @@
     return findings, soak.events, answers
 
 
-def _start_fleet(soak):
+def _spawn_faults(soak):
+    faults = [
+        gevent.spawn(_inject_faults, soak),
+        gevent.spawn(_inject_load_faults, soak),
+    ]
+    if soak.with_upstream_faults:
+        faults += [
+            gevent.spawn(_inject_from, soak, UPSTREAM_FAULTS, soak.upstream_rng, 0.7),
+            gevent.spawn(_inject_from, soak, RESTART_FAULTS, soak.restart_rng, 0.2),
+        ]
+    return faults
+
+
+def _start_fleet(soak, cores=_CORES):
     for i, name in enumerate(soak.entries):
         soak.fleet.start(name, "entry", _DOMAINS[i % len(_DOMAINS)])
     for i, name in enumerate(soak.runners):
         soak.fleet.start(name, "runner", _DOMAINS[i % len(_DOMAINS)])
-        soak.fleet.start_upstream(name, _CORES)
+        soak.fleet.start_upstream(name, cores)
     for entry in soak.entries:
         soak.fleet.wait_ready(entry)
 
@@ -553,6 +633,7 @@
     parser.add_argument("--runners", type=int, default=3)
     parser.add_argument("--keep", help="directory for settings and logs")
     parser.add_argument("--upstream-faults", action="store_true")
+    parser.add_argument("--only", choices=sorted(RESTART_FAULTS))
     options = parser.parse_args(args)
     seed = options.seed
     if seed is None:
@@ -563,8 +644,9 @@
         options.runners,
         options.keep,
         options.upstream_faults,
+        options.only,
     )
-    if findings:
+    if findings or options.keep:
         print("\n".join(events))
     for finding in findings:
         print(f"finding: {finding}")
@@ -572,8 +654,8 @@
     print(
         f"repeat: python -m benchmarks.platform_soak --seed {seed} "
         f"--seconds {options.seconds:g} --runners {options.runners}"
-        + " --upstream-faults"
-        * options.upstream_faults
+        + " --upstream-faults" * options.upstream_faults
+        + (f" --only {options.only}" if options.only else "")
     )
     print("soak: failed" if findings else "soak: ok")
     return 1 if findings else 0
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -76,6 +76,8 @@
             don't.
         names_lifetime_in_lists_only: Whether only replies to polls tell `born_ms`.
         first_clock_ms: Clock at the start of the lifetime, milliseconds.
+        next_lifetime: `LeasedUpstream` that executes the delayed requests once this
+            instance has crashed; None if they are lost.
     """
 
     instance: str = "i-1"
@@ -96,6 +98,7 @@
     born_ms: int = 0
     names_lifetime_in_lists_only: bool = False
     first_clock_ms: int = 1000
+    next_lifetime: object = None
 
     def __post_init__(self):
         self._started = time.monotonic()
@@ -118,6 +121,18 @@
         """
         self.faults.append(_Fault(name, delay_s, times))
 
+    def mute(self, seconds, refuses_stops=False):
+        """Executes requests without a reply for some time.
+
+        Args:
+            seconds: Duration, seconds.
+            refuses_stops: Whether to refuse stops instead of executing them.
+        """
+        until = time.monotonic() + seconds
+        self.loss = lambda: 0.0 if time.monotonic() < until else None
+        if refuses_stops:
+            self.is_unhealthy = lambda name: name == "stop" and time.monotonic() < until
+
     def crash(self):
         """Ends every run at once, without reporting the ends, and refuses requests."""
         for record in self.running.values():
@@ -139,17 +154,21 @@
 
     def start(self, instance, request, timeout_s=0.0, may_send=lambda: True):
         return self._handle_request(
-            "start", lambda: self._start(request), timeout_s, may_send
+            "start", lambda upstream: upstream._start(request), timeout_s, may_send
         )
 
     def stop(self, instance, task, run, fencing_token, timeout_s=0.0):
         return self._handle_request(
-            "stop", lambda: self._stop(task, run, fencing_token), timeout_s
+            "stop",
+            lambda upstream: upstream._stop(task, run, fencing_token),
+            timeout_s,
         )
 
     def poll(self, instance, request, timeout_s=0.0):
         times_out_at = time.monotonic() + timeout_s
-        reply = self._handle_request("poll", lambda: self._poll(request), timeout_s)
+        reply = self._handle_request(
+            "poll", lambda upstream: upstream._poll(request), timeout_s
+        )
         if reply.outcome != "ok":
             return reply
         until = time.monotonic() + request.wait_ms / 1000.0
@@ -185,12 +204,13 @@
                 if fault.delay_s is not None:
                     gevent.spawn_later(fault.delay_s, self._handle_delayed, handle)
                 raise NoReply(f"no reply to {name}")
-        return handle()
+        return handle(self)
 
     def _handle_delayed(self, handle):
-        if self.crashed:
-            return
-        self.delayed_outcomes.append(handle().outcome)
+        if not self.crashed:
+            self.delayed_outcomes.append(handle(self).outcome)
+        elif self.next_lifetime is not None:
+            self.next_lifetime._handle_delayed(handle)
 
     def _reply(self, outcome, **lists):
         tells_lifetime = lists or not self.names_lifetime_in_lists_only
@@ -284,7 +304,7 @@
 
     Args:
         upstream: `LeasedUpstream`.
-        address: (host, port).
+        address: (host, port), or a listening socket.
 
     Returns:
         WSGIServer: The running server.
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 import gevent
+from gevent import socket
 
 from papayaward.transport.upstream_http import (
     NotSent,
@@ -85,13 +86,20 @@
         self.draining = False
         self._begin(f"i-{self.name}-{len(self.instances)}")
 
-    def restart_silently(self, downtime_s, first_report_s):
+    def restart_silently(
+        self, downtime_s, first_report_s, mute_s=0.0, inherits_orders=False
+    ):
         """Crashes the instance without a sign and starts a lifetime of its identifier.
 
         Args:
             downtime_s: Time for which nothing replies, seconds.
             first_report_s: Time from the start of the new lifetime to its first report,
                 seconds.
+            mute_s: Time from the start of the new lifetime for which it executes
+                requests without a reply, seconds. Unless it is 0, no connection is
+                refused either.
+            inherits_orders: Whether it executes the delayed requests to the lifetime
+                before, as they name the same identifier.
         """
         if self._reporter is None or self.current.silent:
             return
@@ -101,10 +109,17 @@
         crashed.crash()
         gevent.sleep(downtime_s)
         if crashed is self.current and self._reporter is not None:
+            listener = None
+            if mute_s:
+                # A copy of the listening socket keeps accepting while servers change.
+                listener = socket.socket(fileno=os.dup(self._server.socket.fileno()))
             self._server.stop(timeout=0)
-            self._begin(crashed.instance, first_report_s)
+            self._begin(crashed.instance, first_report_s, listener)
+            self.current.mute(mute_s)
+            if inherits_orders:
+                crashed.next_lifetime = self.current
 
-    def _begin(self, instance, first_report_s=0.0):
+    def _begin(self, instance, first_report_s=0.0, listener=None):
         is_first = not self.instances
         upstream = LeasedUpstream(
             instance,
@@ -115,7 +130,7 @@
         )
         self.instances.append(upstream)
         host, port = self._settings["app"].split(":")
-        self._server = serve(upstream, (host, int(port)))
+        self._server = serve(upstream, listener or (host, int(port)))
         self._reporter = gevent.spawn(self._report, upstream, first_report_s)
 
     def _on_task_crash(self):
