Count the wait for slots when a queued job may miss its deadline

After upstreams had stalled, jobs failed at their deadline although a part of their tasks had started just before: will_miss_deadline assumed that all tasks of a job start at once, so a job of ten tasks of 0.2 s was still started 0.25 s before its deadline on one free slot of a busy cell.

The estimate now counts the rounds in which the tasks beyond the free slots wait: slots in use become free evenly over one run time, the free ones again at its end. A job that cannot end in time is refused before it starts, and its slots serve others.

--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -243,16 +243,20 @@
             heap = [min(heap)]
         else:
             heapq.heapify(heap)
+        free = sum(view.free for _, view in heap)
         while queue and heap:
             view = heap[0][1]
             if self._hold.holds(view, len(queue), now):
                 return
             queued, index = queue.pop()
-            if not queued.job.attempts and self._load.will_miss_deadline(queued, now):
+            if not queued.job.attempts and self._load.will_miss_deadline(
+                queued, free, now
+            ):
                 queue.release_slot(queued.tenant)
                 self.on_deadline_infeasible(queued.job, now)
                 continue
             self._grant(batches, view, queued.job, index, now)
+            free -= 1
             if view.free > 0:
                 heapq.heapreplace(heap, _order_and_view(view))
             else:
--- a/papayaward/coordination/queue_load.py
+++ b/papayaward/coordination/queue_load.py
@@ -93,12 +93,17 @@
         job_class = self._node.config.config.classes.get(name)
         return _DEFAULT_PRIORITY if job_class is None else job_class.priority
 
-    def will_miss_deadline(self, queued, now):
+    def will_miss_deadline(self, queued, free, now):
         """Returns whether the estimates show that a job will miss its deadline.
 
         Tasks that take longer than earlier ones make the queue longer than
         admission assumed. A job that cannot be completed in time is rejected
         before it uses any slots.
+
+        Args:
+            queued: `QueuedJob` of a job none of whose tasks was granted.
+            free: Number of slots that are free.
+            now: Monotonic time, seconds.
         """
         spec = queued.job.spec
         remaining_s = spec.deadline - now
@@ -106,8 +111,10 @@
         needed_s = self._speeds.fastest_s(spec.job_class)
         if tasks > 1 and self._speeds.knows(spec.job_class):
             task_s = self._speeds.expected_s(spec.job_class)
+            last_task_s = task_s * self._speeds.min_slowness()
             slots = max(1.0, self._share(spec.tenant, now))
-            needed_s = max(task_s * self._speeds.min_slowness(), tasks * task_s / slots)
+            wait_s = _last_start_s(tasks, free, slots, task_s)
+            needed_s = max(wait_s + last_task_s, tasks * task_s / slots)
         return needed_s > remaining_s
 
     def _quota_and_weight(self, name):
@@ -124,3 +131,19 @@
             share = fair_share(self._slots, name, quota, weight, demands)
             self._shares[name] = (share, now + _SHARE_TTL_S)
         return share
+
+
+def _last_start_s(tasks, free, slots, task_s):
+    """Returns the time until the last of several tasks starts, seconds.
+
+    Args:
+        tasks: Number of tasks; the first ones start at once on the free slots.
+        free: Number of free slots.
+        slots: Number of slots that the tasks may use, free or not.
+        task_s: Run time of a task, seconds. The slots that are not free become free
+            evenly spread over this time, the free ones again at its end.
+    """
+    rounds, rest = divmod(max(0, tasks - free), slots)
+    if rest:
+        rounds += min(1.0, rest / max(rest, slots - free))
+    return rounds * task_s
