Serve the soak's callers while a killed process exits

PlatformFleet.kill waited for the exit of a killed process without yielding, and with it the callers and the stand-ins of the upstreams and of the store, which run in the same process; answers of the other entry were seen late, and no fault of that entry is on record. It now yields until the process has exited.

test_callers_run_while_a_killed_process_exits failed before.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -34,6 +34,7 @@
 # Time from a crash by a task to the next start of the upstream.
 _RESTART_S = 1.0
 _READY_TIMEOUT_S = 10.0
+_EXIT_POLL_S = 0.01
 # Clock of the first instance of an upstream, which is older than the runner.
 _FIRST_CLOCK_MS = 480_000
 _FIRST_BORN_MS = 5
@@ -230,16 +231,22 @@
         return upstream
 
     def kill(self, name):
-        """Kills a process and waits until it has exited."""
+        """Kills a process and waits until it has exited.
+
+        Other greenlets run meanwhile. On a busy machine a killed process can take more
+        than a second to exit, and the stand-ins and callers share this process.
+        """
         process = self.processes[name]
-        if process.poll() is None:
-            process.kill()
-        process.wait()
+        process.kill()
+        while process.poll() is None:
+            gevent.sleep(_EXIT_POLL_S)
 
     def stop(self):
         """Stops everything that this fleet started."""
-        for name in self.processes:
-            self.kill(name)
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
         for upstream in self.upstreams.values():
             upstream.crash()
         for proxy in [*self.link_proxies.values(), self.store_proxy]:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,8 +7,9 @@
 
 import socket
 from tempfile import TemporaryDirectory
-from unittest.mock import patch
+from unittest.mock import Mock, patch
 
+import gevent
 from testtools import TestCase
 
 from benchmarks.platform_soak import run_soak
@@ -86,6 +87,20 @@
                 ports = [platform_fleet.free_port() for _ in range(2)]
         self.assertEqual([first, second], ports)
 
+    def test_callers_run_while_a_killed_process_exits(self):
+        """Guards against answers that the soak itself receives late.
+
+        It waited for the exit of a killed entry without serving its callers, and
+        reported that the other entry had not answered within a job's deadline.
+        """
+        with TemporaryDirectory() as directory:
+            fleet = platform_fleet.PlatformFleet(directory)
+            self.addCleanup(fleet.stop)
+            fleet.processes["e0"] = Mock(**{"poll.side_effect": [None, None, -9]})
+            caller = gevent.spawn(lambda: None)
+            fleet.kill("e0")
+        self.assertTrue(caller.dead)
+
     def test_seed_2003_with_upstream_faults(self):
         """Guards against overlapping runs beside uncertain upstreams.
 
