Say in a finding of the soak what the entry logged, and record own pauses

The finding of a missing answer did not tell a late entry from a soak that could not run. The finding now lists the ends of the job in the entry's log with their reasons and times, and the events name pauses of the soak's own process of more than 0.2 s. Bound and check are unchanged.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -20,6 +20,7 @@
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass
+from datetime import datetime
 from pathlib import Path
 
 import gevent
@@ -42,6 +43,9 @@
 # An entry may answer late for this long after the end of a fault.
 _FAULT_EFFECT_S = 4.0
 _STARTUP_S = 0.5
+# Pauses of this process that are recorded as events.
+_OWN_PAUSE_S = 0.2
+_OWN_PAUSE_POLL_S = 0.05
 _ERROR_MARKERS = ("request_failed", "step_failed", "message_failed", "Traceback")
 # A smaller capacity counts after this time.
 _SHRINK_BOUND_S = 3.3
@@ -81,6 +85,8 @@
         self.entries = [f"e{i}" for i in range(_ENTRIES)]
         self.runners = [f"r{i}" for i in range(runners)]
         self.started_at = time.monotonic()
+        # The same in seconds since 1970, as in the logs of the processes.
+        self.started_at_s = time.time()
         self.events = []
         self.attempts = []
         self.fault_spans = defaultdict(list)
@@ -366,6 +372,16 @@
         LOAD_FAULTS[soak.load_rng.choice(sorted(LOAD_FAULTS))](soak)
 
 
+def _record_own_pauses(soak):
+    """Records when this process could not run, and so saw answers late."""
+    while True:
+        due_at = time.monotonic() + _OWN_PAUSE_POLL_S
+        gevent.sleep(_OWN_PAUSE_POLL_S)
+        pause_s = time.monotonic() - due_at
+        if pause_s > _OWN_PAUSE_S:
+            soak.note(f"the soak itself could not run for {pause_s:.2f} s")
+
+
 def _inject_upstream_faults(soak):
     """Starts random faults of `UPSTREAM_FAULTS`, which overlap, until the run stops."""
     faults = []
@@ -478,11 +494,28 @@
                 f"job {attempt.job_id} had no answer within its deadline of "
                 f"{attempt.deadline_s:.2f} s: sent to {attempt.entry} at "
                 f"{attempt.sent_at - soak.started_at:.2f} s, status {attempt.status} "
-                f"after {attempt.ended_at - attempt.sent_at:.2f} s"
+                f"after {attempt.ended_at - attempt.sent_at:.2f} s; the entry "
+                f"logged: {_logged_ends(soak, attempt) or 'nothing'}"
             )
     return found
 
 
+def _logged_ends(soak, attempt):
+    """Returns when and why an entry ended a job, according to its log."""
+    ends = []
+    for line in soak.fleet.log(attempt.entry).splitlines():
+        if "job_ended" not in line or attempt.job_id not in line:
+            continue
+        try:
+            end = json.loads(line)
+        except ValueError:
+            # A process that is killed may leave an incomplete line.
+            continue
+        at = datetime.fromisoformat(end["time"]).timestamp() - soak.started_at_s
+        ends.append(f"{end['reason']!r} at {at:.2f} s after {end['seconds']} s")
+    return ", ".join(ends)
+
+
 def _check_domains_out(soak, by_task):
     found = []
     for domain, out_at, in_at in soak.domain_spans:
@@ -515,6 +548,7 @@
             Path(keep).mkdir(parents=True, exist_ok=True)
         fleet = PlatformFleet(keep or folder, proxied=True)
         soak = _Soak(fleet, seed, runners, with_upstream_faults)
+        pauses = gevent.spawn(_record_own_pauses, soak)
         try:
             _start_fleet(soak)
             callers = [gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)]
@@ -530,6 +564,7 @@
             if not all(recovered):
                 findings.append("an entry completes no job after the faults")
         finally:
+            pauses.kill()
             fleet.stop()
     answers = Counter(str(attempt.status) for attempt in soak.attempts)
     return findings, soak.events, answers
