--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,6 +9,7 @@
 import json
 import sys
 from pathlib import Path
+from unittest.mock import Mock, patch
 
 import gevent
 from gevent.pywsgi import WSGIServer
@@ -204,12 +205,18 @@
 
 
 class StartTest(TestCase):
+    _ROUTE = {"name": "q", "host": "h", "prefix": "/q/", "service": "s"}
+
     def setUp(self):
         super().setUp()
         settings = NodeSettings("e1", "entry", "r", "a", "", ("h", 1), (), 3.0)
         self.entry = LeasedEntry(settings, parse_routing, None, None)
         self.api = CallerApi(self.entry)
 
+    def configure(self):
+        text = json.dumps({"version": 1, "routes": [self._ROUTE]}).encode()
+        self.entry.config.offer(1, text, clock.now())
+
     def status(self):
         """Returns the HTTP status of a request for the number of waiting jobs."""
         environ = {
@@ -226,11 +233,34 @@
         """Guards against refusals by an entry that has just started."""
         request = gevent.spawn(self.status)
         gevent.sleep(0.05)
-        route = {"name": "q", "host": "h", "prefix": "/q/", "service": "s"}
-        text = json.dumps({"version": 1, "routes": [route]}).encode()
-        self.entry.config.offer(1, text, clock.now())
+        self.configure()
         self.assertEqual("200", request.get(timeout=1.0))
 
+    def test_wait_for_the_first_configuration_counts_towards_the_deadline(self):
+        """Guards against answers that are late by the wait for the configuration.
+
+        The deadline began only after the wait of up to 0.3 s.
+        """
+        body = json.dumps({"best_effort": True, "phases": [{"cpu": 1}]}).encode()
+        environ = {
+            "wsgi.input": io.BytesIO(body),
+            "CONTENT_LENGTH": str(len(body)),
+            "HTTP_HOST": "h:1",
+            "HTTP_DEADLINE": "2000",
+            "PATH_INFO": f"/q/{_JOB_ID}",
+            "REQUEST_METHOD": "POST",
+            "papayaward.connection": None,
+        }
+        job = Mock(**{"outcome.kind": "completed"})
+        with patch.object(self.entry.scheduler, "submit", return_value=job) as submit:
+            caller = gevent.spawn(self.api, environ, lambda status, headers: None)
+            gevent.sleep(0.05)
+            configured_at = clock.now()
+            self.configure()
+            caller.get(timeout=1.0)
+        request, _, now = submit.call_args.args
+        self.assertLess(now + request.timeout_s, configured_at + 2.0)
+
     def test_wait_for_the_first_configuration_is_bounded(self):
         """Guards against requests that block while the store is unavailable."""
         request = gevent.spawn(self.status)
