Call a tenant a client account inside the code

Names outside the code stay: the configuration key, the fields of a submission and of the wire, the option, the header, the metric label and messages to callers and operators. config_diff and config_text translate the configuration key, job_requests the field of a submission.

--- a/papayaward/caller_api.py
+++ b/papayaward/caller_api.py
@@ -148,7 +148,7 @@
     def _map_key(self, job, key, fingerprint):
         """Returns the mapping of a key; creates it if there is none."""
         self._check_capacity()
-        mapping = self._keys.find(job.tenant, key)
+        mapping = self._keys.find(job.account, key)
         if mapping is not None:
             return mapping
         return self._create_mapping(job, key, fingerprint, 0)
@@ -158,7 +158,7 @@
         if not self._key_write_limiter.take(now):
             raise RequestError(Reason.OVERLOADED, "too many new keys", 1000)
         job_id = self._new_ids(self._service(job.service), 1)[0]
-        return self._keys.create(job.tenant, key, job_id, fingerprint, now, revision)
+        return self._keys.create(job.account, key, job_id, fingerprint, now, revision)
 
     def _resubmit_with_new_id(self, job, key, mapping, request):
         """Submits a job whose mapped identifier was permanently refused."""
@@ -264,7 +264,7 @@
                 number,
                 str(job_id),
                 job.service,
-                job.tenant,
+                job.account,
                 job.job_class,
                 remaining_ms,
                 job.idempotent,
--- a/papayaward/coordination/admission.py
+++ b/papayaward/coordination/admission.py
@@ -45,20 +45,20 @@
     Attributes:
         queued_tasks: Number of queued tasks.
         queued_bytes: Bytes of the open jobs.
-        tenant_tasks: Number of queued tasks of the job's tenant.
-        tenant_bytes: Bytes of the tenant's open jobs.
+        account_tasks: Number of queued tasks of the job's client account.
+        account_bytes: Bytes of the client account's open jobs.
         slots: Slots that are usable now.
         all_slots: Slots of all executors of the cell.
-        share_slots: Fair share of the job's tenant in slots, given the tenants that
-            have work now.
-        queued_work_us: The tenant's queued work in microseconds by (priority,
+        share_slots: Fair share of the job's client account in slots, given the accounts
+            that have work now.
+        queued_work_us: The client account's queued work in microseconds by (priority,
             deadline bucket).
     """
 
     queued_tasks: int
     queued_bytes: int
-    tenant_tasks: int
-    tenant_bytes: int
+    account_tasks: int
+    account_bytes: int
     slots: int
     all_slots: int
     share_slots: float
@@ -108,19 +108,19 @@
 
 
 def fair_share(slots, name, quota, weight, demands):
-    """Returns the fair share in slots of a tenant with unlimited demand.
+    """Returns the fair share in slots of a client account with unlimited demand.
 
-    This is weighted max-min fairness: each tenant gets slots up to a common level of
-    slots per weight, found by bisection. Quotas are guaranteed, and slots that a
-    tenant does not need go to the others.
+    This is weighted max-min fairness: each client account gets slots up to a
+    common level of slots per weight, found by bisection. Quotas are guaranteed, and
+    slots that an account does not need go to the others.
 
     Args:
         slots: Number of usable slots.
-        name: Name of the tenant.
+        name: Name of the client account.
         quota: Its quota in slots.
         weight: Its weight.
-        demands: Tuples (name, tasks, quota in slots, weight) of the tenants with
-            work; the tenant's own entry is ignored.
+        demands: Tuples (name, tasks, quota in slots, weight) of the accounts with
+            work; the account's own entry is ignored.
     """
     others = [demand for demand in demands if demand[0] != name]
     if not others:
@@ -158,13 +158,13 @@
         return refusal
     queued_work_us = sum(load.queued_work_us.values())
     drain_s = queued_work_us / _US_PER_S / max(1.0, load.share_slots)
-    # A tenant may use at most as much of the queue as remains free, so that a tenant
-    # that floods it leaves capacity for the others.
+    # A client account may use at most as much of the queue as remains free, so that an
+    # account that floods it leaves capacity for the others.
     free_tasks = settings.max_queued_tasks - load.queued_tasks
-    if load.tenant_tasks + demand.tasks > free_tasks:
+    if load.account_tasks + demand.tasks > free_tasks:
         return _overloaded("too many queued tasks", drain_s / 2)
     free_bytes = _open_bytes_limit(settings) - load.queued_bytes
-    if load.tenant_bytes + demand.size > free_bytes:
+    if load.account_bytes + demand.size > free_bytes:
         return _overloaded("too many queued bytes", drain_s / 2)
     if not load.slots:
         # No executor has reported yet, or all are temporarily unreachable; the
--- a/papayaward/coordination/ejection.py
+++ b/papayaward/coordination/ejection.py
@@ -42,7 +42,7 @@
 
 @dataclass
 class _Kind:
-    """Recent outcomes of the tasks of one tenant and class."""
+    """Recent outcomes of the tasks of one client account and class."""
 
     samples: int = 0
     failures: int = 0
@@ -53,7 +53,7 @@
     """Failure rates and load limits of the executors of one coordinator or entry.
 
     A failure is weighted by the success rate of the same kind of task on other
-    executors: a tenant whose tasks fail everywhere causes no ejection.
+    executors: a client account whose tasks fail everywhere causes no ejection.
 
     Args:
         max_share: Largest fraction of the executors that may be ejected at once.
@@ -106,7 +106,7 @@
 
         Args:
             executor: Name of the executor.
-            kind: Key of similar tasks, such as the tenant and class.
+            kind: Key of similar tasks, such as the client account and class.
             succeeded: Whether the task succeeded.
             slots: Slots of the executor.
             executors: Number of executors in the cell.
--- a/papayaward/coordination/fair_queue.py
+++ b/papayaward/coordination/fair_queue.py
@@ -2,7 +2,7 @@
 papayaward.coordination.fair_queue
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Fair queue of tasks, which shares the slots among tenants.
+Fair queue of tasks, which shares the slots among client accounts.
 """
 
 import heapq
@@ -26,7 +26,7 @@
 
     Args:
         job: The job's record, opaque to the queue.
-        tenant: Name of the tenant.
+        tenant: Name of the client account.
         priority: Class priority; lower values go first.
         deadline: Monotonic time, seconds.
         work_us: Expected service time of one task, whole microseconds.
@@ -66,7 +66,7 @@
         return sum(map(self.sizes.__getitem__, indices))
 
 
-class _Tenant:
+class _Account:
     __slots__ = (
         "name",
         "jobs",
@@ -90,17 +90,17 @@
 
 
 class FairQueue:
-    """Queued tasks by tenant.
+    """Queued tasks by client account.
 
-    Tenants below their quota go first, then the tenant with the fewest slots in
-    use relative to its weight. Within a tenant the order is class priority, then
-    deadline, then arrival. Each job is a single heap entry, so that a task costs a
-    few microseconds regardless of the queue's length.
+    Client accounts below their quota go first, then the client account with the
+    fewest slots in use relative to its weight. Within a client account the order is
+    class priority, then deadline, then arrival. Each job is a single heap entry, so
+    that a task costs a few microseconds regardless of the queue's length.
     """
 
     def __init__(self):
-        self._tenants = {}
-        self._tenant_heap = []
+        self._accounts = {}
+        self._account_heap = []
         self._sequence = count(1)
         self._shares = lambda name: (0.0, 1.0)
         self._size = 0
@@ -121,100 +121,105 @@
         return self._work_us
 
     def set_shares(self, shares):
-        """Sets the function that maps a tenant's name to (quota in slots, weight)."""
+        """Sets the function from an account's name to (quota in slots, weight)."""
         self._shares = shares
-        self._tenant_heap = []
-        for tenant in self._tenants.values():
-            tenant.quota, tenant.weight = shares(tenant.name)
-            self._schedule(tenant)
+        self._account_heap = []
+        for account in self._accounts.values():
+            account.quota, account.weight = shares(account.name)
+            self._schedule(account)
 
     def in_use(self, name):
-        """Returns the number of slots that a tenant uses."""
-        tenant = self._tenants.get(name)
-        return 0 if tenant is None else tenant.in_use
+        """Returns the number of slots that a client account uses."""
+        account = self._accounts.get(name)
+        return 0 if account is None else account.in_use
 
     def demands(self):
-        """Returns the demands of the tenants for `fair_share`.
+        """Returns the demands of the client accounts for `fair_share`.
 
         Returns:
             list: Tuples (name, slots in use plus queued tasks, quota in slots,
                 weight).
         """
         return [
-            (tenant.name, tenant.in_use + tenant.tasks, tenant.quota, tenant.weight)
-            for tenant in self._tenants.values()
+            (
+                account.name,
+                account.in_use + account.tasks,
+                account.quota,
+                account.weight,
+            )
+            for account in self._accounts.values()
         ]
 
     def queued_tasks(self, name):
-        """Returns the number of a tenant's queued tasks."""
-        tenant = self._tenants.get(name)
-        return 0 if tenant is None else tenant.tasks
+        """Returns the number of a client account's queued tasks."""
+        account = self._accounts.get(name)
+        return 0 if account is None else account.tasks
 
     def queued_work(self, name):
-        """Returns a tenant's queued work in microseconds by `QueuedJob.bucket`."""
-        tenant = self._tenants.get(name)
-        return {} if tenant is None else tenant.work
+        """Returns an account's queued work in microseconds by `QueuedJob.bucket`."""
+        account = self._accounts.get(name)
+        return {} if account is None else account.work
 
     def add(self, queued, indices):
         """Adds tasks of a job; a job that was added before keeps its position."""
-        tenant = self._tenant(queued.tenant)
+        account = self._account(queued.tenant)
         if not queued.arrival_number:
             queued.arrival_number = next(self._sequence)
         queued.pending.extend(indices)
         self._update_totals(
-            tenant, queued, len(indices), sum(map(queued.sizes.__getitem__, indices))
+            account, queued, len(indices), sum(map(queued.sizes.__getitem__, indices))
         )
-        self._push_job(tenant, queued)
+        self._push_job(account, queued)
 
     def requeue(self, queued, index):
         """Returns a removed task to the queue, ahead of its job's other tasks."""
-        tenant = self._tenant(queued.tenant)
+        account = self._account(queued.tenant)
         queued.pending.appendleft(index)
-        self._update_totals(tenant, queued, 1, queued.sizes[index])
-        self._push_job(tenant, queued)
+        self._update_totals(account, queued, 1, queued.sizes[index])
+        self._push_job(account, queued)
 
     def pop(self):
-        """Removes the next task and counts a slot as used by its tenant.
+        """Removes the next task and counts a slot as used by its client account.
 
         Returns:
             tuple: `QueuedJob` and index of the task, or None if the queue is empty.
         """
-        tenant = self._next_tenant()
-        if tenant is None:
+        account = self._next_account()
+        if account is None:
             return None
-        queued = tenant.jobs[0][-1]
+        queued = account.jobs[0][-1]
         index = queued.pending.popleft()
-        self._update_totals(tenant, queued, -1, -queued.sizes[index])
-        tenant.in_use += 1
+        self._update_totals(account, queued, -1, -queued.sizes[index])
+        account.in_use += 1
         if not queued.pending:
-            heapq.heappop(tenant.jobs)
+            heapq.heappop(account.jobs)
             queued.in_heap = False
-        self._schedule(tenant)
+        self._schedule(account)
         return queued, index
 
     def acquire_slot(self, name):
-        """Counts a slot as used by a tenant for a task that was not queued."""
-        tenant = self._tenant(name)
-        tenant.in_use += 1
-        self._schedule(tenant)
+        """Counts a slot as used by a client account for a task that was not queued."""
+        account = self._account(name)
+        account.in_use += 1
+        self._schedule(account)
 
     def release_slot(self, name):
-        """Counts a slot as no longer used by a tenant."""
-        tenant = self._tenants[name]
-        tenant.in_use -= 1
-        if tenant.tasks:
-            self._schedule(tenant)
+        """Counts a slot as no longer used by a client account."""
+        account = self._accounts[name]
+        account.in_use -= 1
+        if account.tasks:
+            self._schedule(account)
         else:
-            self._remove_if_unused(tenant)
+            self._remove_if_unused(account)
 
     def remove(self, queued):
         """Removes all queued tasks of a job and returns their number."""
         removed = len(queued.pending)
         if not removed:
             return 0
-        tenant = self._tenants[queued.tenant]
+        account = self._accounts[queued.tenant]
         self._update_totals(
-            tenant,
+            account,
             queued,
             -removed,
             -sum(map(queued.sizes.__getitem__, queued.pending)),
@@ -222,75 +227,75 @@
         queued.pending.clear()
         # The heap entry is removed when it reaches the top, or when the heap is
         # rebuilt because most entries are empty.
-        self._prune_empty_jobs(tenant)
-        self._schedule(tenant)
-        self._remove_if_unused(tenant)
+        self._prune_empty_jobs(account)
+        self._schedule(account)
+        self._remove_if_unused(account)
         return removed
 
-    def _tenant(self, name):
-        tenant = self._tenants.get(name)
-        if tenant is None:
-            tenant = self._tenants[name] = _Tenant(name, *self._shares(name))
-        return tenant
+    def _account(self, name):
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = _Account(name, *self._shares(name))
+        return account
 
-    def _remove_if_unused(self, tenant):
-        if not tenant.in_use and not tenant.tasks:
-            for entry in tenant.jobs:
+    def _remove_if_unused(self, account):
+        if not account.in_use and not account.tasks:
+            for entry in account.jobs:
                 entry[-1].in_heap = False
-            del self._tenants[tenant.name]
-            # Invalidates the tenant's entry in the heap of tenants.
-            tenant.entry_id = -1
+            del self._accounts[account.name]
+            # Invalidates the client account's entry in the heap of client accounts.
+            account.entry_id = -1
 
-    def _update_totals(self, tenant, queued, tasks, size):
+    def _update_totals(self, account, queued, tasks, size):
         work_us = tasks * queued.work_us
         self._size += tasks
         self._bytes += size
         self._work_us += work_us
-        tenant.tasks += tasks
+        account.tasks += tasks
         bucket = queued.bucket
-        remaining = tenant.work.get(bucket, 0) + work_us
+        remaining = account.work.get(bucket, 0) + work_us
         if remaining:
-            tenant.work[bucket] = remaining
+            account.work[bucket] = remaining
         else:
-            tenant.work.pop(bucket, None)
+            account.work.pop(bucket, None)
 
-    def _push_job(self, tenant, queued):
+    def _push_job(self, account, queued):
         if not queued.in_heap:
             queued.in_heap = True
             order = (queued.priority, queued.deadline, queued.arrival_number)
-            heapq.heappush(tenant.jobs, (*order, queued))
-        self._schedule(tenant)
+            heapq.heappush(account.jobs, (*order, queued))
+        self._schedule(account)
 
-    def _prune_empty_jobs(self, tenant):
-        jobs = tenant.jobs
+    def _prune_empty_jobs(self, account):
+        jobs = account.jobs
         while jobs and not jobs[0][-1].pending:
             heapq.heappop(jobs)[-1].in_heap = False
-        if len(jobs) > tenant.tasks + _MAX_STALE_ENTRIES:
+        if len(jobs) > account.tasks + _MAX_STALE_ENTRIES:
             for entry in jobs:
                 entry[-1].in_heap = bool(entry[-1].pending)
-            tenant.jobs = [entry for entry in jobs if entry[-1].in_heap]
-            heapq.heapify(tenant.jobs)
-
-    def _schedule(self, tenant):
-        """Replaces a tenant's entry in the heap of tenants after its rank changed."""
-        self._prune_empty_jobs(tenant)
-        if not tenant.jobs:
-            tenant.entry_id = -1
+            account.jobs = [entry for entry in jobs if entry[-1].in_heap]
+            heapq.heapify(account.jobs)
+
+    def _schedule(self, account):
+        """Replaces an account's entry in the heap after its rank changed."""
+        self._prune_empty_jobs(account)
+        if not account.jobs:
+            account.entry_id = -1
             return
-        tenant.entry_id = entry_id = next(self._sequence)
-        used = tenant.in_use
-        rank = (used >= tenant.quota, used / tenant.weight, tenant.jobs[0][:3])
-        heapq.heappush(self._tenant_heap, (*rank, entry_id, tenant))
-        if len(self._tenant_heap) > 2 * len(self._tenants) + _MAX_STALE_ENTRIES:
-            self._tenant_heap = [
-                entry for entry in self._tenant_heap if entry[-1].entry_id == entry[-2]
+        account.entry_id = entry_id = next(self._sequence)
+        used = account.in_use
+        rank = (used >= account.quota, used / account.weight, account.jobs[0][:3])
+        heapq.heappush(self._account_heap, (*rank, entry_id, account))
+        if len(self._account_heap) > 2 * len(self._accounts) + _MAX_STALE_ENTRIES:
+            self._account_heap = [
+                entry for entry in self._account_heap if entry[-1].entry_id == entry[-2]
             ]
-            heapq.heapify(self._tenant_heap)
-
-    def _next_tenant(self):
-        while self._tenant_heap:
-            entry_id, tenant = self._tenant_heap[0][-2:]
-            if tenant.entry_id == entry_id:
-                return tenant
-            heapq.heappop(self._tenant_heap)
+            heapq.heapify(self._account_heap)
+
+    def _next_account(self):
+        while self._account_heap:
+            entry_id, account = self._account_heap[0][-2:]
+            if account.entry_id == entry_id:
+                return account
+            heapq.heappop(self._account_heap)
         return None
--- a/papayaward/coordination/grants.py
+++ b/papayaward/coordination/grants.py
@@ -28,7 +28,7 @@
 
 
 class Grants:
-    """Outstanding grants of one coordinator; each holds a slot of its tenant.
+    """Outstanding grants of one coordinator; each holds a slot of its client account.
 
     Args:
         executors: `CellExecutors`.
--- a/papayaward/coordination/idempotency_keys.py
+++ b/papayaward/coordination/idempotency_keys.py
@@ -77,20 +77,20 @@
         self._lease_id = 0
         self._lease_granted_at = 0.0
 
-    def find(self, tenant, key):
+    def find(self, account, key):
         """Returns the `KeyMapping` of a key, or None.
 
         Raises:
             StoreError: The store did not answer.
         """
-        found = self._store.get(_store_key(tenant, key))
+        found = self._store.get(_store_key(account, key))
         return None if found is None else _parse(found)
 
-    def create(self, tenant, key, job_id, fingerprint, now, revision=0):
+    def create(self, account, key, job_id, fingerprint, now, revision=0):
         """Maps a key to an identifier unless another entry has already mapped it.
 
         Args:
-            tenant: Name of the tenant.
+            account: Name of the client account.
             key: The caller's key.
             job_id: `JobId` to map the key to.
             fingerprint: Hash of the request body.
@@ -104,7 +104,7 @@
             StoreError: The mapping in the store could not be determined.
         """
         value = json.dumps({"id": str(job_id), "fingerprint": fingerprint}).encode()
-        store_key = _store_key(tenant, key)
+        store_key = _store_key(account, key)
         try:
             lease = self._current_lease(now)
             written, other = self._store.compare_and_swap(
@@ -129,9 +129,9 @@
         return self._lease_id
 
 
-def _store_key(tenant, key):
+def _store_key(account, key):
     digest = blake2b(key.encode(), digest_size=16).hexdigest()
-    return f"{_PREFIX}/{tenant}/{digest}"
+    return f"{_PREFIX}/{account}/{digest}"
 
 
 def _parse(found):
--- a/papayaward/coordination/queue_load.py
+++ b/papayaward/coordination/queue_load.py
@@ -14,7 +14,7 @@
 
 
 class QueueLoad:
-    """Shares of the tenants in the slots, and estimates for admission.
+    """Shares of the client accounts in the slots, and estimates for admission.
 
     Args:
         node: The runner.
@@ -68,11 +68,11 @@
             spec.deadline,
         )
 
-    def load(self, tenant, queued, known_slots, now):
-        """Returns the `Load` of this coordinator for a job of a tenant.
+    def load(self, account, queued, known_slots, now):
+        """Returns the `Load` of this coordinator for a job of a client account.
 
         Args:
-            tenant: Name of the tenant.
+            account: Name of the client account.
             queued: Number of tasks waiting for a slot.
             known_slots: Total slots of all executors, usable or not.
             now: Monotonic time, seconds.
@@ -80,12 +80,12 @@
         return Load(
             queued,
             self._records.open_bytes,
-            self._queue.queued_tasks(tenant),
-            self._records.tenant_bytes(tenant),
+            self._queue.queued_tasks(account),
+            self._records.account_bytes(account),
             self._slots,
             known_slots,
-            self._share(tenant, now),
-            self._queue.queued_work(tenant),
+            self._share(account, now),
+            self._queue.queued_work(account),
         )
 
     def priority(self, name):
@@ -111,10 +111,10 @@
         return needed_s > remaining_s
 
     def _quota_and_weight(self, name):
-        tenant = self._node.config.config.tenants.get(name)
-        if tenant is None:
+        account = self._node.config.config.accounts.get(name)
+        if account is None:
             return 0.0, 1.0
-        return tenant.quota * self._slots, tenant.weight
+        return account.quota * self._slots, account.weight
 
     def _share(self, name, now):
         share, until = self._shares.get(name, (0.0, 0.0))
--- a/papayaward/coordination/request_handler.py
+++ b/papayaward/coordination/request_handler.py
@@ -231,7 +231,7 @@
 
 
 def _digest(message):
-    """Returns a hash of the service, tenant, class and tasks of a submission."""
+    """Returns a hash of a submission: service, client account, class and tasks."""
     head = (message.service_name, message.tenant, message.job_class)
     digest = blake2b("\0".join(head).encode(), digest_size=16)
     for task in message.tasks:
--- a/papayaward/job_requests.py
+++ b/papayaward/job_requests.py
@@ -23,7 +23,7 @@
 
     Attributes:
         service: Name of the service.
-        tenant: Name of the tenant.
+        account: Name of the client account.
         job_class: Name of the class.
         deadline_ms: Time until the answer is due, milliseconds.
         idempotent: Whether a task may be started again after its run was lost.
@@ -32,7 +32,7 @@
     """
 
     service: str
-    tenant: str
+    account: str
     job_class: str
     deadline_ms: int
     idempotent: bool
@@ -75,10 +75,10 @@
         RequestError: The submission is refused.
         OptionError: A value is missing or of another type.
     """
-    tenant = get_string(document, "tenant")
+    account = get_string(document, "tenant")
     job_class = get_string(document, "class")
-    if config.tenants and tenant not in config.tenants:
-        raise RequestError(Reason.BAD_REQUEST, f"unknown tenant {tenant!r}")
+    if config.accounts and account not in config.accounts:
+        raise RequestError(Reason.BAD_REQUEST, f"unknown tenant {account!r}")
     if config.classes and job_class not in config.classes:
         raise RequestError(Reason.BAD_REQUEST, f"unknown class {job_class!r}")
     class_config = config.classes.get(job_class)
@@ -90,7 +90,7 @@
         raise RequestError(Reason.DEADLINE, "the deadline has passed")
     return JobRequest(
         find_service(get_string(document, "service")).name,
-        tenant,
+        account,
         job_class,
         deadline_ms,
         get_bool(document, "idempotent", False) if single else False,
--- a/papayaward/protocol/config_diff.py
+++ b/papayaward/protocol/config_diff.py
@@ -11,7 +11,12 @@
 
 __all__ = ["ConfigChange", "diff_texts", "summarise"]
 
-_SECTIONS = ("services", "tenants", "classes")
+# Keys of the configuration text and attributes of `FleetConfig`.
+_SECTIONS = (
+    ("services", "services"),
+    ("tenants", "accounts"),
+    ("classes", "classes"),
+)
 _MAX_SUMMARY_CHARACTERS = 300
 
 
@@ -65,8 +70,8 @@
 def _added(config):
     yield from (
         ConfigChange(f"{section}.{name}", None, _fields(item))
-        for section in _SECTIONS
-        for name, item in getattr(config, section).items()
+        for section, attribute in _SECTIONS
+        for name, item in getattr(config, attribute).items()
     )
     yield ConfigChange("limits", None, asdict(config.limits))
     for section in ("domains", "domains_out"):
@@ -77,8 +82,8 @@
 
 
 def _changes(before, after):
-    for section in _SECTIONS:
-        old, new = getattr(before, section), getattr(after, section)
+    for section, attribute in _SECTIONS:
+        old, new = getattr(before, attribute), getattr(after, attribute)
         # Names in the order of the new text, then the removed ones.
         for name in {**new, **old}:
             place = f"{section}.{name}"
--- a/papayaward/protocol/config_model.py
+++ b/papayaward/protocol/config_model.py
@@ -14,7 +14,7 @@
     "JobClass",
     "Limits",
     "Service",
-    "Tenant",
+    "Account",
 ]
 
 
@@ -69,12 +69,12 @@
 
 
 @dataclass(frozen=True)
-class Tenant:
-    """A tenant.
+class Account:
+    """A client account.
 
     Attributes:
         name: Name used by callers.
-        weight: Share of the slots beyond all quotas, relative to other tenants.
+        weight: Share of the slots beyond all quotas, relative to other client accounts.
         quota: Guaranteed share of a service's slots, 0 to 1.
     """
 
@@ -117,7 +117,7 @@
 
     Attributes:
         services: `Service` by name.
-        tenants: `Tenant` by name.
+        accounts: `Account` by name.
         classes: `JobClass` by name.
         limits: `Limits`.
         domains: Known failure domains.
@@ -125,7 +125,7 @@
     """
 
     services: dict = field(default_factory=dict)
-    tenants: dict = field(default_factory=dict)
+    accounts: dict = field(default_factory=dict)
     classes: dict = field(default_factory=dict)
     limits: Limits = Limits()
     domains: tuple = ()
--- a/papayaward/protocol/config_rules.py
+++ b/papayaward/protocol/config_rules.py
@@ -86,8 +86,8 @@
     return "the cycle " + " -> ".join(names)
 
 
-def _check_quotas(tenants, findings):
-    quotas = [0.0 if tenant is None else tenant.quota for tenant in tenants]
+def _check_quotas(accounts, findings):
+    quotas = [0.0 if account is None else account.quota for account in accounts]
     total = fsum(quotas)
     if total <= 1.0 + _SUM_TOLERANCE:
         return
--- a/papayaward/protocol/config_schema.py
+++ b/papayaward/protocol/config_schema.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from .config_findings import MISSING, describe
-from .config_model import JobClass, Limits, Service, Tenant
+from .config_model import Account, JobClass, Limits, Service
 
 __all__ = ["Key", "check_document", "config_reference"]
 
@@ -16,7 +16,7 @@
 _NAME = f"a name of 1 to {_NAME_CHARACTERS} printable characters without blanks"
 
 _MAX_SERVICES = 1000
-_MAX_TENANTS = 1000
+_MAX_ACCOUNTS = 1000
 _MAX_CLASSES = 100
 _MAX_DOMAINS = 100
 
@@ -149,7 +149,7 @@
         "Groups of runners, each with one queue.",
     ),
 )
-_TENANT = (
+_ACCOUNT = (
     Key("name", _name, None, "Name used by callers."),
     Key(
         "weight",
@@ -189,7 +189,7 @@
     ),
     Key(
         "tenants",
-        _object_list(Tenant, _TENANT, 0, _MAX_TENANTS),
+        _object_list(Account, _ACCOUNT, 0, _MAX_ACCOUNTS),
         (),
         "Tenants; an empty list allows any name.",
     ),
@@ -215,7 +215,7 @@
 _OBJECTS = (
     ("", _CONFIG),
     ("services[].", _SERVICE),
-    ("tenants[].", _TENANT),
+    ("tenants[].", _ACCOUNT),
     ("classes[].", _CLASS),
     ("limits.", _LIMITS),
 )
--- a/papayaward/protocol/config_text.py
+++ b/papayaward/protocol/config_text.py
@@ -4,20 +4,20 @@
 
 Parser of the configuration text that operators write.
 
-The text defines services, tenants, job classes, limits and failure domains.
+The text defines services, client accounts, job classes, limits and failure domains.
 """
 
 import json
 
 from .config_findings import Findings
 from .config_model import (
+    Account,
     ConfigError,
     Finding,
     FleetConfig,
     JobClass,
     Limits,
     Service,
-    Tenant,
 )
 from .config_rules import check_rules
 from .config_schema import check_document
@@ -29,7 +29,7 @@
     "JobClass",
     "Limits",
     "Service",
-    "Tenant",
+    "Account",
     "parse_config",
 ]
 
@@ -61,7 +61,7 @@
         raise ConfigError(findings.export(text, duplicate_keys))
     return FleetConfig(
         services={service.name: service for service in sections["services"]},
-        tenants={tenant.name: tenant for tenant in sections["tenants"]},
+        accounts={account.name: account for account in sections["tenants"]},
         classes={job_class.name: job_class for job_class in sections["classes"]},
         limits=sections["limits"],
         domains=sections["domains"],
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -31,7 +31,7 @@
     Attributes:
         job_id: Identifier, text.
         service: Service that runs the tasks.
-        tenant: Tenant to which the job is charged.
+        tenant: Client account to which the job is charged.
         job_class: Class of the job.
         deadline: Monotonic time by which the answer is due, seconds.
         idempotent: Whether a task may be started again after its run was lost.
@@ -145,7 +145,7 @@
         self._refused = deque()
         self._kept_bytes = 0
         self._open_bytes = 0
-        self._tenant_bytes = {}
+        self._account_bytes = {}
         self._open_count = 0
         self._deadlines = []
         self._sequence = count()
@@ -189,18 +189,18 @@
         record.size += size
         self._add_open_bytes(record, size)
 
-    def tenant_bytes(self, tenant):
-        """Returns the open bytes of one tenant."""
-        return self._tenant_bytes.get(tenant, 0)
+    def account_bytes(self, account):
+        """Returns the open bytes of one client account."""
+        return self._account_bytes.get(account, 0)
 
     def _add_open_bytes(self, record, size):
         self._open_bytes += size
-        tenant = record.spec.tenant
-        total = self._tenant_bytes.get(tenant, 0) + size
+        account = record.spec.tenant
+        total = self._account_bytes.get(account, 0) + size
         if total:
-            self._tenant_bytes[tenant] = total
+            self._account_bytes[account] = total
         else:
-            self._tenant_bytes.pop(tenant, None)
+            self._account_bytes.pop(account, None)
 
     @property
     def kept_bytes(self):
--- a/papayaward/transport/upstream_http.py
+++ b/papayaward/transport/upstream_http.py
@@ -126,8 +126,8 @@
             **headers,
         }
         lines = [f"{method} {path} HTTP/1.1"]
-        # Names of tenants and classes come from callers; an unescaped line break in
-        # a name would allow request smuggling.
+        # Names of client accounts and classes come from callers; an unescaped line
+        # break in a name would allow request smuggling.
         lines += [
             f"{name}: {quote(str(value), safe=_HEADER_SAFE)}"
             for name, value in headers.items()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -38,8 +38,8 @@
     values = {
         "queued_tasks": 0,
         "queued_bytes": 0,
-        "tenant_tasks": 0,
-        "tenant_bytes": 0,
+        "account_tasks": 0,
+        "account_bytes": 0,
         "slots": 10,
         "all_slots": 10,
         "share_slots": 10.0,
@@ -103,10 +103,10 @@
 
     def test_queue_limits_leave_capacity_to_other_tenants(self):
         """Guards against one tenant that uses up the limits of the queue."""
-        flood = {"queued_tasks": 500, "tenant_tasks": 500}
+        flood = {"queued_tasks": 500, "account_tasks": 500}
         self._assert_reason(Reason.OVERLOADED, _check(deadline_s=600.0, **flood))
         self._assert_reason(Reason.NONE, _check(queued_tasks=500))
-        flood = {"queued_bytes": 5000, "tenant_bytes": 5000}
+        flood = {"queued_bytes": 5000, "account_bytes": 5000}
         self._assert_reason(Reason.OVERLOADED, _check(deadline_s=600.0, **flood))
         self._assert_reason(Reason.NONE, _check(queued_bytes=5000))
 
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -134,5 +134,5 @@
         for job in jobs[1:]:
             queue.remove(job)
         self.assertEqual(1, len(queue))
-        self.assertTrue(len(queue._tenants["a"].jobs) < 100)
-        self.assertTrue(len(queue._tenant_heap) < 200)
+        self.assertTrue(len(queue._accounts["a"].jobs) < 100)
+        self.assertTrue(len(queue._account_heap) < 200)
