--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -89,9 +89,10 @@
     def is_unsettled(self):
         """Whether a request to start the run may still be executed.
 
-        That includes a request that is not sent yet.
+        That includes a request that is not sent yet, and an earlier request of a
+        confirmed start: the next lifetime may execute it.
         """
-        return not self.running or self.undecided
+        return not self.running or self.unanswered > 0 or self.undecided
 
     @property
     def last_wanted_at(self):
