Begin fencing tokens with the time of day

The record of its order of events was not kept; this fault was found by reading for it. Cause: a token began with the upstream's clock. Change: a session begins with the time of day, which is above the tokens of earlier processes of the VM. If it was set back, rejections raise it as before. Measured: test_late_start_of_an_earlier_process_is_rejected_by_the_next_lifetime failed before.

--- a/papayaward/clock.py
+++ b/papayaward/clock.py
@@ -2,12 +2,12 @@
 papayaward.clock
 ~~~~~~~~~~~~~~~~
 
-Clock for the leases and time-outs that other processes depend on.
+Clocks for the leases, time-outs and fencing tokens that other processes depend on.
 """
 
 import time
 
-__all__ = ["now"]
+__all__ = ["now", "unix_ms"]
 
 
 def now():
@@ -17,3 +17,8 @@
     the end of a lease would still treat the lease as valid.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def unix_ms():
+    """Returns the time of day, milliseconds since 1970. It may be set back."""
+    return time.time_ns() // 1_000_000
--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -146,8 +146,11 @@
         self._open()
 
     def _open(self, is_up=True):
+        # Above the tokens of earlier processes of this VM, which late requests carry
+        # that the upstream's lifetime has not received yet.
+        lowest_token = max(self._lowest_token, clock.unix_ms())
         self.session = self._open_session(
-            self.state, self._on_session_lost, self._lowest_token, is_up
+            self.state, self._on_session_lost, lowest_token, is_up
         )
 
     def _close(self, evidence, reason):
--- a/papayaward/coordination/fencing_token.py
+++ b/papayaward/coordination/fencing_token.py
@@ -5,9 +5,9 @@
 Chooses the fencing token of a session without a store.
 
 An upstream does not tell the highest token that it has received. A session begins with
-a reading of the upstream's clock, which is above the tokens that earlier sessions took
-from the same clock. A late request for an earlier lifetime of the upstream may have
-left a token behind that is far above the clock; it is exceeded in steps that double.
+the time of day, which is above the tokens of earlier processes of the VM even if they
+were in touch with an earlier lifetime of the upstream. If the time of day was set back,
+a higher token may have been received; it is exceeded in steps that double.
 """
 
 __all__ = ["FencingToken"]
@@ -33,7 +33,10 @@
         return self._value
 
     def raise_to(self, clock_ms):
-        """Raises the token to a reading of the upstream's clock, milliseconds."""
+        """Raises the token to a reading of the upstream's clock, milliseconds.
+
+        The clock may be ahead of the time of day.
+        """
         self._value = max(self._value, clock_ms)
 
     def on_fenced(self, rejected):
--- a/tests/test_fencing_token.py
+++ b/tests/test_fencing_token.py
@@ -64,6 +64,25 @@
         self.assertEqual("fenced", self.second.start("i-1", late).outcome)
 
 
+class SuccessorTokenTest(ReplacedUpstreamCase):
+    first_clock_ms = _OLD_CLOCK_MS
+
+    def test_late_start_of_an_earlier_process_is_rejected_by_the_next_lifetime(self):
+        """Guards against a run that no process counts after a take-over.
+
+        The clock of the next lifetime is far below that of the lifetime before.
+        """
+        session = self.executor._current.session
+        token = session.next_token - 1
+        session.close()
+        self.first.crash()
+        self.address.lifetime = self.second
+        self.open_executor(born_ms=2)
+        lease_ms = self.second.clock_ms + 900
+        late = StartRequest("j.0.0.0", 1, "50", lease_ms, token)
+        self.assertEqual("fenced", self.second.start("i-1", late).outcome)
+
+
 class FencingTokenTest(TestCase):
     def test_token_of_months_is_exceeded_after_few_rejections(self):
         """Guards against an upstream that is out of use while its token is raised."""
