Wait for a start for another entry that may still be executed

A caller whose entry died submits its job again to another one after 1.3 s.

A report also lists the unsettled tasks of other entries that are to be stopped or are undecided. An entry starts no task of a listed job. It is normally missing; a stop of a run that is not settled schedules the usual report.

An entry without a link to the executor, or that loses it with the other entry, still knows nothing.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -94,7 +94,7 @@
         isolated_peer_jobs: Function that takes an `Owner` and returns the number of
             isolated jobs of other entries.
         unsettled: Function that takes an `Owner` and returns the names of its tasks
-            whose start may still be executed.
+            whose start may still be executed, and of such tasks of other entries.
     """
 
     def __init__(self, owners, capacity, isolated_peer_jobs, unsettled):
@@ -139,9 +139,9 @@
         owner.reported_accepting = _accepts_from(owner, capacity)
         owner.reported_free = capacity.free
         owner.reported_isolated = self._isolated_peer_jobs(owner)
-        unsettled = self._unsettled(owner)
+        unsettled, of_peers = self._unsettled(owner)
         owner.reported_unsettled = bool(unsettled)
-        report = _capacity_report(owner, capacity, unsettled)
+        report = _capacity_report(owner, capacity, unsettled, of_peers)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
     def _run(self):
@@ -181,7 +181,7 @@
     return capacity.accepting and not owner.released
 
 
-def _capacity_report(owner, capacity, unsettled):
+def _capacity_report(owner, capacity, unsettled, unsettled_of_peers):
     peer_runs, peer_ratio = owner.take_peer_ratio()
     return ttypes.RoomReport(
         owner.last_batch,
@@ -195,4 +195,5 @@
         owner.reported_isolated,
         unsettled or None,
         capacity.taken_over,
+        unsettled_of_peers or None,
     )
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -206,8 +206,8 @@
             return
         del self._views[view.name]
         tasks = [task for task in view.tasks.values() if task.executor is view]
+        self._lost.on_link_down(view, tasks, now)
         if tasks:
-            self._lost.add(view, tasks, now)
             self._lost_upstreams.remember(view, tasks, now)
 
     def on_message(self, link, message, now):
@@ -450,7 +450,8 @@
         jobs = [
             job
             for job_id, job in self._waiting.items()
-            if job_id not in self._ending and placement_round.may_place(job)
+            if not (job_id in self._ending or self._lost.holds_back(job_id))
+            and placement_round.may_place(job)
         ]
         for job in self._placement.order(jobs, now):
             for number in job.ready_phases():
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -378,6 +378,9 @@
                 "reason": reason,
             },
         )
+        if run.is_unsettled:
+            # The other entries are told of it; the caller may submit the job to them.
+            self._on_capacity_changed()
         session = self._current.session
         if run.running and session is not None:
             gevent.spawn(session.stop, run.task, run.run, lambda: not run.ended)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -199,15 +199,27 @@
 
 
 def unsettled_tasks(runs, owner):
-    """Returns the names of an entry's tasks whose start may still be executed.
+    """Returns the tasks whose start may still be executed, as far as an entry asks.
+
+    Of other entries only starts that are no longer wanted, or that the next lifetime
+    of the upstream may execute, concern it: their jobs may be submitted to it.
 
     Args:
         runs: `Run` of each run.
         owner: `Owner` of the entry.
+
+    Returns:
+        tuple: Names of the entry's own tasks, and of those of other entries.
     """
-    if not owner.runs:
-        return []
-    return [run.task for run in runs if run.owner is owner and run.is_unsettled]
+    own, of_peers = [], []
+    for run in runs:
+        if not run.is_unsettled:
+            continue
+        if run.owner is owner:
+            own.append(run.task)
+        elif run.stopping or run.over_by is not None:
+            of_peers.append(run.task)
+    return own, of_peers
 
 
 def may_isolate(runs, job_id, limit):
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -33,6 +33,8 @@
         # Whether the starts of earlier processes of the executor take no effect any
         # more and their runs have ended.
         self.taken_over = False
+        # Names of the tasks of other entries whose start may still be executed.
+        self.unsettled_peer_tasks = ()
         # Number of isolated jobs of other entries.
         self.isolated_peer_jobs = 0
         self.tasks = {}
@@ -44,6 +46,23 @@
         self._unsettled = frozenset()
         self._unacknowledged = deque()
 
+    @property
+    def process(self):
+        """Name of the executor and incarnation of its process."""
+        return self.name, self.link.peer.incarnation
+
+    def earlier_processes(self, processes):
+        """Returns those of some processes that preceded this one of the executor.
+
+        Args:
+            processes: Values of `process`.
+        """
+        return [
+            process
+            for process in processes
+            if process[0] == self.name and process != self.process
+        ]
+
     @property
     def free(self):
         """`Resources` that are free after subtracting all starts sent so far."""
@@ -135,3 +154,4 @@
         self.taken_over = self.accepting or bool(report.taken_over)
         self._acknowledged_batch = report.last_batch or 0
         self._unsettled = frozenset(report.unsettled or ())
+        self.unsettled_peer_tasks = report.unsettled_peer_tasks or ()
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -2,13 +2,14 @@
 papayaward.coordination.lost_tasks
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Tasks of an entry at executors that are out of reach.
+Tasks that may still run at executors that are out of reach.
 """
 
 import logging
 from dataclasses import dataclass
 
 from .job_state import LOST
+from .peer_starts import PeerStarts
 from .upstream_requests import MAX_START_DELAY_S
 
 __all__ = ["LostTasks"]
@@ -39,7 +40,7 @@
 
 
 class LostTasks:
-    """Tasks that may still run at an executor whose link broke.
+    """Tasks that may still run at an executor whose link broke, or for another entry.
 
     A confirmed run ends with its lease. A start that nobody has confirmed may be
     executed later, also by the next lifetime of the upstream. So its task is held back
@@ -50,8 +51,13 @@
     def __init__(self):
         # `_Group` list by the executor's name and the incarnation of its process.
         self._groups = {}
+        self._peer_starts = PeerStarts()
 
-    def add(self, view, tasks, now):
+    def holds_back(self, job_id):
+        """Returns whether tasks of a job may still be started for another entry."""
+        return job_id in self._peer_starts
+
+    def on_link_down(self, view, tasks, now):
         """Marks the tasks of a disconnected executor as lost.
 
         Args:
@@ -59,12 +65,15 @@
             tasks: `Task` of each of them.
             now: Time, seconds.
         """
+        self._peer_starts.on_link_down(view, now)
+        if not tasks:
+            return
         for task in tasks:
             task.state = LOST
             task.job.may_have_run = True
         confirmed = [task for task in tasks if view.is_confirmed(task)]
         unconfirmed = [task for task in tasks if not view.is_confirmed(task)]
-        groups = self._groups.setdefault(_process_of(view), [])
+        groups = self._groups.setdefault(view.process, [])
         runs_end_at = now + _LOST_RUN_S
         for members, until in (
             (confirmed, runs_end_at),
@@ -92,12 +101,11 @@
             view: `LeasedView` of an executor that has sent a report.
             now: Time, seconds.
         """
+        self._peer_starts.on_capacity_report(view)
         if not self._groups or not view.taken_over:
             return
-        for process, groups in self._groups.items():
-            if process[0] != view.name or process == _process_of(view):
-                continue
-            for group in groups:
+        for process in view.earlier_processes(self._groups):
+            for group in self._groups[process]:
                 is_stopped = group.upstream == view.upstream
                 over_at = now if is_stopped else group.runs_end_at
                 group.until = min(group.until, over_at)
@@ -108,7 +116,7 @@
         The runs of an earlier process of the executor are not returned: the new one
         doesn't know when they end.
         """
-        groups = self._groups.pop(_process_of(view), ())
+        groups = self._groups.pop(view.process, ())
         tasks = [task for group in groups for task in group.tasks if task.state is LOST]
         for task in tasks:
             # The batches of the new link are numbered from 1.
@@ -117,6 +125,7 @@
 
     def take_expired(self, now):
         """Removes and returns the tasks that run nowhere any more."""
+        self._peer_starts.forget_expired(now)
         over = []
         for process, groups in list(self._groups.items()):
             over += [
@@ -128,7 +137,3 @@
             else:
                 del self._groups[process]
         return [task for task in over if task.state is LOST]
-
-
-def _process_of(view):
-    return view.name, view.link.peer.incarnation
--- /dev/null
+++ b/papayaward/coordination/peer_starts.py
@@ -0,0 +1,71 @@
+"""
+papayaward.coordination.peer_starts
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Starts for other entries that executors report as unsettled.
+"""
+
+from dataclasses import dataclass
+
+from ..state.crash_records import job_id_of
+from .upstream_requests import MAX_START_DELAY_S
+
+__all__ = ["PeerStarts"]
+
+
+@dataclass
+class _Listed:
+    """Jobs that one process of an executor has listed.
+
+    Attributes:
+        job_ids: Identifiers of the jobs.
+        until: Time at which their starts have no effect any more, seconds; None while
+            the executor is linked.
+    """
+
+    job_ids: frozenset
+    until: float | None = None
+
+
+class PeerStarts:
+    """Jobs with tasks that may still be started for another entry.
+
+    A caller whose entry died submits its job again to another one. Its tasks must not
+    start there while a request to start them for the dead entry may be executed.
+    """
+
+    def __init__(self):
+        # `_Listed` by the executor's name and the incarnation of its process.
+        self._listed = {}
+
+    def __contains__(self, job_id):
+        return any(job_id in listed.job_ids for listed in self._listed.values())
+
+    def on_capacity_report(self, view):
+        """Takes over the list of a report.
+
+        After a take-over, the starts of earlier processes of the executor are rejected.
+
+        Args:
+            view: `LeasedView` of the executor.
+        """
+        if view.unsettled_peer_tasks:
+            job_ids = frozenset(map(job_id_of, view.unsettled_peer_tasks))
+            self._listed[view.process] = _Listed(job_ids)
+        else:
+            self._listed.pop(view.process, None)
+        if self._listed and view.taken_over:
+            for process in view.earlier_processes(self._listed):
+                del self._listed[process]
+
+    def on_link_down(self, view, now):
+        """Keeps the list of a lost executor for the longest delay of a start."""
+        listed = self._listed.get(view.process)
+        if listed is not None:
+            listed.until = now + MAX_START_DELAY_S
+
+    def forget_expired(self, now):
+        """Removes the lists whose starts have no effect any more."""
+        for process, listed in list(self._listed.items()):
+            if listed.until is not None and listed.until <= now:
+                del self._listed[process]
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -741,6 +741,7 @@
      - isolated_peer_jobs
      - unsettled
      - taken_over
+     - unsettled_peer_tasks
 
     """
 
@@ -756,10 +757,11 @@
         'isolated_peer_jobs',
         'unsettled',
         'taken_over',
+        'unsettled_peer_tasks',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -771,6 +773,7 @@
         self.isolated_peer_jobs = isolated_peer_jobs
         self.unsettled = unsettled
         self.taken_over = taken_over
+        self.unsettled_peer_tasks = unsettled_peer_tasks
 
 
 class SlowRun(TBase):
@@ -1160,6 +1163,7 @@
     (9, TType.I32, 'isolated_peer_jobs', None, None, ),  # 9
     (10, TType.LIST, 'unsettled', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'taken_over', None, None, ),  # 11
+    (12, TType.LIST, 'unsettled_peer_tasks', (TType.STRING, 'UTF8', False), None, ),  # 12
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -219,7 +219,9 @@
 // time. isolated_peer_jobs is the number of isolated jobs of other entries that run there.
 // unsettled lists the receiver's tasks up to last_batch whose start may still be executed;
 // missing if there are none. taken_over tells whether the starts of earlier processes of
-// the executor take no effect any more and their runs have ended.
+// the executor take no effect any more and their runs have ended. unsettled_peer_tasks
+// lists tasks of other entries whose start may still be executed although they are to be
+// stopped or are undecided; missing if there are none.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -232,6 +234,7 @@
   9: i32 isolated_peer_jobs
   10: optional list<string> unsettled
   11: optional bool taken_over
+  12: optional list<string> unsettled_peer_tasks
 }
 
 // A run that takes far longer than expected.
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -51,8 +51,8 @@
     def connect(self, member, link_number=1):
         link = FakeLink(member, link_number=link_number)
         self.executor.on_link_up(link, clock.now())
-        heartbeats = gevent.spawn(self.send_heartbeats, link)
-        self.addCleanup(heartbeats.kill)
+        link.heartbeats = gevent.spawn(self.send_heartbeats, link)
+        self.addCleanup(link.heartbeats.kill)
         return link
 
     def send_heartbeats(self, link):
@@ -94,6 +94,23 @@
         self.wait_for(lambda: _last_report(self.link).unsettled is None, seconds=0.5)
         self.assertEqual(1, _last_report(self.link).last_batch)
 
+    def test_start_for_a_dead_entry_is_told_to_the_others(self):
+        """Guards against a second run when the caller submits its job elsewhere.
+
+        A caller whose entry died comes back after 1.3 s.
+        """
+        other = self.connect("e2")
+        # The upstream would reject the start after the stop.
+        self.upstream.fail_request("stop", times=10_000)
+        self.start_without_replies()
+        self.assertIsNone(_last_report(other).unsettled_peer_tasks)
+        self.link.heartbeats.kill()
+        self.executor.on_link_down(self.link, clock.now())
+        self.wait_for(lambda: _last_report(other).unsettled_peer_tasks, seconds=1.2)
+        self.assertEqual([_TASK], _last_report(other).unsettled_peer_tasks)
+        self.wait_for(lambda: not self.executor.running, seconds=5.0)
+        self.wait_for(lambda: not _last_report(other).unsettled_peer_tasks)
+
     def test_start_that_was_not_sent_yet_is_listed(self):
         """Guards against a start that is sent after a report has confirmed it."""
         self.start()
@@ -130,7 +147,7 @@
         owner = Owner("e1", 1, FakeLink("e1"), 0.0, runs=1)
         capacity = Capacity(Resources(), Resources(), True, (), "i-1@1", True)
         reports = CapacityReports(
-            {}, lambda: capacity, lambda owner: 0, lambda owner: list(unsettled)
+            {}, lambda: capacity, lambda owner: 0, lambda owner: (list(unsettled), [])
         )
         reports.send(owner, _NOW)
         reports.on_run_settled(owner)
