--- a/tests/test_peer_starts.py
+++ b/tests/test_peer_starts.py
@@ -79,9 +79,9 @@
         self.report(self.first, [_TASK])
         self.scheduler.on_link_down(self.first, self.now)
         self.submit()
-        self.connect("r1", incarnation=2, accepting=False)
+        link = self.connect("r1", incarnation=2, accepting=False)
         self.assertEqual(0, self.starts_after(0.1))
-        self.connect("r1", incarnation=2, taken_over=True)
+        self.report(link, accepting=False, taken_over=True)
         self.assertEqual(1, self.starts_after(0.02))
 
     def test_same_process_that_is_back_tells_the_present_list(self):
