Show the reply and the runner's log when a change is not accepted in time

test_invalid_text_of_another_program_is_no_evidence failed once with (200, 3, False); nothing told a runner that had ended from one that was slow to return. The check is unchanged.

--- a/tests/test_config_writes.py
+++ b/tests/test_config_writes.py
@@ -377,7 +377,11 @@
         self.assertEqual(1, status["config_version"])
         self.assertGreater(status["evidence_age_ms"], 1500)
         status, reply = fleet.apply(small_config(), 2)
-        self.assertEqual((200, 3, True), (status, reply["version"], reply["accepted"]))
+        # Tells a runner that has ended from one that is slow to return.
+        details = (reply, fleet.processes["r1"].poll(), fleet.log("r1")[-2000:])
+        self.assertEqual(
+            (200, 3, True), (status, reply["version"], reply["accepted"]), details
+        )
 
     def test_versions_are_in_force_everywhere_within_the_target(self):
         """Guards against versions that take effect too slowly at any process."""
