Count one move of a slow run until it has stopped

An entry that handled several reports of a slow run before the run had stopped counted each as a move and stopped the run again. That used up both moves that a task may make, so the task stayed on the next slow executor. The run that was stopped for a move is now remembered with its executor's link: the stop is repeated if it was lost with the link.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -340,6 +340,7 @@
                 continue
             task = slow_task.task
             task.moves += 1
+            task.moved_run = (view, task.run)
             task.avoided_executors.add(view.name)
             stops.append(task.name)
             log.info(
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -29,6 +29,7 @@
         "isolation_limit",
         "job",
         "lost_upstreams",
+        "moved_run",
         "moves",
         "name",
         "phase_number",
@@ -45,6 +46,8 @@
         self.run = 0
         self.failures = 0
         self.moves = 0
+        # Executor's view and number of the run that was last stopped to be moved.
+        self.moved_run = None
         self.isolation_limit = 0
         self.avoided_executors = set()
         # Keys of the upstreams whose executors did not return in time.
--- a/papayaward/coordination/slow_runs.py
+++ b/papayaward/coordination/slow_runs.py
@@ -58,6 +58,9 @@
     task = slow_task.task
     if task.job.outcome is not None or task.moves >= _MAX_MOVES:
         return None
+    if task.moved_run == (view, task.run):
+        # Reported again before the stop took effect, which is not another move.
+        return None
     if now + slow_task.remaining_s <= task.job.objective_at:
         return None
     elsewhere_s = _run_elsewhere_s(slow_task, view, placement, placement_round, now)
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -409,6 +409,40 @@
         self.end(link, start, "stopped")
         self.assertEqual([start.task], [start.task for start in other.starts()])
 
+    def test_run_that_is_reported_again_before_it_has_stopped_moves_once(self):
+        """Guards against two reports of a slow run that use up both of its moves.
+
+        An entry that was paused handles several reports at once.
+        """
+        link = self.executor()
+        self.submit()
+        other = self.executor("r2")
+        start = link.starts()[0]
+        slow = ttypes.EndBatch([], None, [ttypes.SlowRun(start.task, 20_000, 200)])
+        for _ in range(2):
+            self.scheduler.on_message(link, slow, clock.now())
+        self.assertEqual(1, len(link.of_type(ttypes.StopBatch)))
+        self.end(link, start, "stopped")
+        self.executor("r3")
+        self.scheduler.on_message(other, slow, clock.now())
+        self.assertEqual(1, len(other.of_type(ttypes.StopBatch)))
+
+    def test_stop_of_a_slow_run_that_was_lost_with_the_link_is_repeated(self):
+        """Guards against a slow run that stays where it is after a lost stop."""
+        link = self.executor()
+        self.submit()
+        self.executor("r2")
+        start = link.starts()[0]
+        slow = ttypes.EndBatch([], None, [ttypes.SlowRun(start.task, 20_000, 200)])
+        self.scheduler.on_message(link, slow, clock.now())
+        self.scheduler.on_link_down(link, clock.now())
+        newer = FakeLink("r1", "runner")
+        self.scheduler.on_link_up(newer, clock.now())
+        running = ttypes.RunningTasks([start.task])
+        for message in (running, capacity_report(), slow):
+            self.scheduler.on_message(newer, message, clock.now())
+        self.assertEqual([start.task], newer.of_type(ttypes.StopBatch)[0].tasks)
+
     def test_messages_trigger_no_placement_round_while_no_job_waits(self):
         """Guards against a check of every executor for each message."""
         rounds = []
