--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -338,6 +338,7 @@
                 continue
             task = slow_task.task
             task.moves += 1
+            task.moved_run = (view, task.run)
             task.avoided_executors.add(view.name)
             stops.append(task.name)
             log.info(
