Split benchmarks.crash_model by job

The simulation passed itself to every part. It is a package now, whose parts know only what they use.

--- /dev/null
+++ b/benchmarks/crash_model/executor.py
@@ -0,0 +1,230 @@
+"""
+benchmarks.crash_model.executor
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Simulated executors and upstreams.
+"""
+
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+from papayaward.coordination.leased_runs import Run, isolated_jobs, may_isolate
+from papayaward.coordination.upstream_crashes import crash_of
+from papayaward.coordination.upstream_requests import Delivery
+from papayaward.protocol.gen import ttypes
+from papayaward.protocol.jobs import Resources, resources_from_wire, resources_to_wire
+
+__all__ = ["CORE", "Executor", "ROUND_S", "SERVICE"]
+
+SERVICE = "dispatch"
+# Millicores of a core.
+CORE = 1000
+ROUND_S = 0.002
+
+_EXECUTOR_CORES = 32
+_RESTART_S = 3.3
+# Time until a connection to an upstream that is gone is refused.
+_REFUSAL_S = 0.001
+# Time until a start without a reply is confirmed by its repetition.
+_REPEATED_START_S = 0.05
+# Share of the declared run time that a run really takes, least and most.
+_RUN_SHARES = (0.7, 1.2)
+
+
+class _Link:
+    """One direction of a link in simulated time."""
+
+    def __init__(self, member, handle):
+        self.peer = SimpleNamespace(
+            member=member, incarnation=1, service_name=SERVICE, domain="a"
+        )
+        self.relaxed = False
+        self.try_send = handle
+
+
+class Executor:
+    """An executor and its upstream, linked to every entry.
+
+    Attributes:
+        name: Name of the executor.
+        instance: Number of the upstream's instance.
+        up: Whether the upstream runs as far as the executor knows.
+
+    Args:
+        name: Name of the executor.
+        load: `Load`.
+        entries: Schedulers of the entries.
+        events: `EventQueue`.
+        tally: `Tally`.
+        notices: `CrashNotices`.
+    """
+
+    def __init__(self, name, load, entries, events, tally, notices):
+        self._load = load
+        self._entries = entries
+        self._events = events
+        self._tally = tally
+        self._notices = notices
+        self.name = name
+        self.instance = 1
+        self.up = True
+        # Whether the upstream runs in fact.
+        self._alive = True
+        self._has_refused = False
+        self._runs = {}
+        self._capacity = Resources(_EXECUTOR_CORES * CORE, 1 << 20, 0)
+        self._free = self._capacity
+        self._last_batch = Counter()
+        self._links = [
+            _Link(name, lambda message, e=entry: self._on_message(e, message))
+            for entry in entries
+        ]
+        for entry, link in zip(entries, self._links, strict=True):
+            entry.on_link_up(link, events.now)
+
+    def report(self, entry=None, end=None):
+        """Sends the free capacity to all entries, and the end of a run to its own."""
+        for other, link in zip(self._entries, self._links, strict=True):
+            runs = self._runs.values()
+            room = ttypes.RoomReport(
+                self._last_batch[other],
+                resources_to_wire(self._free),
+                resources_to_wire(self._capacity),
+                self.up,
+                [],
+                f"{self.name}@{self.instance}",
+                0,
+                1.0,
+                len(isolated_jobs(runs, other)),
+            )
+            ends = [end] if end and other is entry else []
+            batch = ttypes.EndBatch(ends, room, None)
+            other.on_message(link, batch, self._events.now)
+
+    def _on_message(self, entry, message):
+        if isinstance(message, ttypes.StopBatch):
+            for task in message.tasks:
+                self._end(self._runs.get(task), "stopped")
+        else:
+            self._last_batch[entry] = message.number
+            for group in message.groups:
+                for start in group.starts:
+                    self._start(entry, group, start)
+
+    def _start(self, entry, group, start):
+        need = resources_from_wire(group.need)
+        reason = self._refusal(group, start, need)
+        if reason:
+            end = ttypes.TaskEnd(start.task, start.run, "not_run:" + reason, 0)
+            self._events.after(ROUND_S, lambda: self.report(entry, end))
+            return
+        now = self._events.now
+        run = Run.of_start(group, start, need, entry, now)
+        run.running = True
+        self._runs[run.task] = run
+        self._free = self._free - need
+        if self._alive:
+            self._run(run)
+        else:
+            self._send_in_vain(run)
+
+    def _run(self, run):
+        load = self._load
+        run.delivery = Delivery.UNANSWERED
+        is_lost = random.random() < load.lost_replies if load.lost_replies else False
+        confirm_s = _REPEATED_START_S if is_lost else load.confirm_s
+        if confirm_s:
+            self._events.after(confirm_s, lambda: self._confirm(run))
+        else:
+            run.delivery = Delivery.STARTED
+        run_s = run.declared_s * random.uniform(*_RUN_SHARES)
+        if self._tally.on_start(run):
+            crash_s = run_s * load.crash_at
+            self._events.after(crash_s, lambda: self._crash(run))
+        self._events.after(run_s, lambda: self._end(run, "done"))
+
+    def _confirm(self, run):
+        if self._alive and self._runs.get(run.task) is run:
+            run.delivery = Delivery.STARTED
+
+    def _send_in_vain(self, run):
+        """Handles a start that is sent to an upstream that is gone."""
+        load = self._load
+        if load.blames_undelivered:
+            # The start that finds the connection refused is left out.
+            first, self._has_refused = not self._has_refused, True
+            run.delivery = Delivery.NOT_DELIVERED if first else Delivery.STARTED
+        elif load.unanswered_share and random.random() < load.unanswered_share:
+            run.delivery = Delivery.UNANSWERED
+        self._events.after(_REFUSAL_S, self._notice_crash_of(self.instance))
+
+    def _refusal(self, group, start, need):
+        if not self.up:
+            return "upstream_silent"
+        if self._notices.is_exhausted(start.task.partition(".")[0]):
+            return "crashing"
+        if not self._free.covers(need):
+            return "busy"
+        job_id, limit = start.task.partition(".")[0], group.isolation_limit
+        if limit and not may_isolate(self._runs.values(), job_id, limit):
+            return "not_isolated"
+        return ""
+
+    def _end(self, run, outcome):
+        is_present = run is not None and self._runs.get(run.task) is run
+        if is_present and self._alive:
+            self._finish(run, outcome, ROUND_S)
+
+    def _finish(self, run, outcome, delay_s):
+        del self._runs[run.task]
+        self._free = self._free + run.need
+        service_us = int((self._events.now - run.started_at) * 1e6)
+        end = ttypes.TaskEnd(run.task, run.run, outcome, service_us)
+        self._events.after(delay_s, lambda: self.report(run.owner, end))
+
+    def _crash(self, run):
+        if self._runs.get(run.task) is run:
+            self.crash()
+
+    def crash(self):
+        """Ends the upstream without notice."""
+        if not self._alive:
+            return
+        self._alive = False
+        self._has_refused = False
+        self._tally.on_crash(self._runs.values())
+        load = self._load
+        notice_s = load.notice_s if self._runs else load.idle_notice_s
+        notice = self._notice_crash_of(self.instance)
+        if notice_s:
+            self._events.after(min(notice_s, _RESTART_S), notice)
+        else:
+            notice()
+        self._events.after(_RESTART_S, self._restart)
+
+    def _notice_crash_of(self, instance):
+        def notice():
+            if self.up and not self._alive and self.instance == instance:
+                self._on_crash_noticed()
+
+        return notice
+
+    def _on_crash_noticed(self):
+        lost = list(self._runs.values())
+        received = [run for run in lost if run.delivery is not Delivery.NOT_DELIVERED]
+        now = self._events.now
+        key = f"{self.name}@{self.instance}"
+        crash = crash_of(key, SERVICE, received, now, witnessed=True)
+        self._notices.publish(crash)
+        self.up = False
+        for run in lost:
+            # The notice precedes the end on the link to the entry.
+            delay_s = ROUND_S + self._notices.delay_s(run.owner)
+            self._finish(run, "lost", delay_s)
+
+    def _restart(self):
+        self._notice_crash_of(self.instance)()
+        self.up = self._alive = True
+        self.instance += 1
+        self.report()
