Take the next lifetime over at once if starts of ended runs had no reply

Callers: a start that was given up and settled at one lifetime of an upstream may be executed by the next one, beside the run that has taken its place. Cause: the next lifetime was polled only if runs were undecided; otherwise it was taken over at its first report. What remains is a start that is executed between the start of the lifetime and the first poll, 0.1 s at most while it replies. Measured: test_lifetime_that_does_not_report_rejects_starts_of_runs_that_are_over failed before.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -26,8 +26,8 @@
         on_crash: Function that takes an `InstanceLoss` and the current time, called
             before a session is closed because its instance has crashed.
         on_closed: Function that takes the `UpstreamSession` that was closed, or None,
-            the `LossEvidence` and the reason for the log, and returns whether runs are
-            undecided (see `undecided_runs`).
+            the `LossEvidence` and the reason for the log, and returns whether the next
+            lifetime may execute starts.
 
     Attributes:
         state: `UpstreamState`, None before the first report.
@@ -154,7 +154,7 @@
         )
 
     def _close(self, evidence, reason):
-        """Closes the session; returns whether runs are undecided."""
+        """Closes the session; returns as `on_closed`."""
         session, self.session = self.session, None
         if session is not None:
             session.close()
@@ -168,11 +168,10 @@
             self.state = replace(self.state, born_ms=session.born_ms, sequence=0)
         if session.is_up and not self.state.draining:
             self._on_crash(loss, clock.now())
-        has_undecided = self._close(loss.evidence, loss.reason)
-        if has_undecided:
-            # The next lifetime is taken over as soon as it replies, so that the starts
-            # which it may have received are settled. Otherwise the upstream's next
-            # report opens a new session.
+        may_start_late = self._close(loss.evidence, loss.reason)
+        if may_start_late and loss.evidence is not LossEvidence.OTHER_INSTANCE:
+            # The next lifetime is taken over as soon as it replies, so that it rejects
+            # late starts. Otherwise the upstream's next report opens a new session.
             self._is_reported = False
             self._open(is_up=False)
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -20,7 +20,7 @@
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_owners import RunOwners
-from .undecided_runs import LOST, UNDECIDED, is_expired, outcome_at_loss
+from .undecided_runs import LOST, UndecidedRuns
 from .upstream_crashes import crash_of_loss
 from .upstream_session import UpstreamSession
 
@@ -62,6 +62,7 @@
         )
         self._owners = RunOwners()
         self._runs = {}
+        self._undecided = UndecidedRuns(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
         self._closing = False
@@ -155,7 +156,7 @@
         """Notifies the entries when tasks may start or may no longer start."""
         session = self._current.session
         if session is not None and session.taken_over:
-            self._lose_undecided("the next lifetime was taken over", lambda run: True)
+            self._undecided.on_taken_over(clock.now())
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -360,6 +361,7 @@
         service_us = int((now - run.started_at) * 1e6) if run.running else 0
         if outcome == "done" and service_us > 0 and run.declared_s:
             self._add_peer_run(run, service_us / 1e6 / run.declared_s)
+        self._undecided.on_run_over(run)
         self._queue_end(run.owner, run.task, run.run, outcome, service_us)
         self._on_capacity_changed()
 
@@ -431,71 +433,11 @@
         )
 
     def _on_session_closed(self, session, evidence, reason):
-        """Ends the runs on an upstream whose session was closed.
-
-        Returns:
-            bool: Whether some of them are undecided (see `undecided_runs`).
-        """
-        now = clock.now()
-        undecided = 0
-        for run in list(self._runs.values()):
-            outcome = outcome_at_loss(
-                run,
-                evidence,
-                lambda sent_at: (
-                    session is None or session.may_have_reached_other(sent_at)
-                ),
-            )
-            if outcome == UNDECIDED:
-                undecided += 1
-                self._mark_undecided(run)
-            elif outcome == LOST:
-                self._lose(run, evidence.value, now)
-            else:
-                self._finish(run, outcome, now)
-        log.info("session_closed", extra={"reason": reason, "undecided": undecided})
-        self.check_accepting()
-        return undecided > 0
-
-    def _mark_undecided(self, run):
-        if run.undecided:
-            return
-        run.undecided = True
-        extra = {"task": run.task, "run": run.run, "request_id": run.request_id}
-        log.info("start_undecided", extra=extra)
-
-    def _lose_undecided(self, reason, is_over):
-        """Reports undecided runs as lost.
-
-        Args:
-            reason: What shows that they have ended, for the log.
-            is_over: Function that takes a `Run` and returns whether it is known to
-                have ended.
-        """
-        for run in list(self._runs.values()):
-            if run.undecided and is_over(run):
-                self._lose(run, reason, clock.now())
-
-    def _lose(self, run, reason, now):
-        """Reports a run as lost.
-
-        Args:
-            run: `Run`.
-            reason: What shows that it has ended, for the log.
-            now: Time, seconds.
-        """
-        log.info(
-            "run_lost",
-            extra={
-                "task": run.task,
-                "run": run.run,
-                "request_id": run.request_id,
-                "delivery": run.delivery.value,
-                "unanswered": run.unanswered,
-                "reason": reason,
-            },
+        may_start_late = self._undecided.on_session_closed(
+            session, evidence, reason, clock.now()
         )
-        self._finish(run, LOST, now)
+        self.check_accepting()
+        return may_start_late
 
     def _publish_crash(self, loss, now):
         """Tells all processes what the upstream may have been running.
@@ -513,9 +455,7 @@
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
-        self._lose_undecided(
-            "a late start is no longer possible", lambda run: is_expired(run, now)
-        )
+        self._undecided.expire(now)
         self._forget_deregistered()
         for owner in self._owners.silent(now):
             self._stop_runs_of(owner, "the entry is silent", now)
--- a/papayaward/coordination/undecided_runs.py
+++ b/papayaward/coordination/undecided_runs.py
@@ -10,9 +10,13 @@
 shows it, or another instance in its place.
 """
 
+import logging
+
 from .upstream_requests import MAX_START_DELAY_S, Delivery, LossEvidence
 
-__all__ = ["LOST", "UNDECIDED", "is_expired", "outcome_at_loss"]
+__all__ = ["LOST", "UNDECIDED", "UndecidedRuns", "is_expired", "outcome_at_loss"]
+
+log = logging.getLogger(__name__)
 
 LOST = "lost"
 # The run may be active, or begin, at the next lifetime of the upstream.
@@ -20,6 +24,90 @@
 _NOT_DELIVERED = "not_run:unreachable"
 
 
+class UndecidedRuns:
+    """Ends the runs of one executor when its upstream is lost.
+
+    Args:
+        runs: `Run` of each task; the executor changes this dict.
+        finish: Function that takes a `Run`, its outcome and the current time.
+    """
+
+    def __init__(self, runs, finish):
+        self._runs = runs
+        self._finish = finish
+        # Time until which the next lifetime of the upstream may execute a start of a
+        # run that is over, seconds.
+        self._late_start_until = 0.0
+
+    def on_session_closed(self, session, evidence, reason, now):
+        """Ends the runs on an upstream whose session was closed.
+
+        Args:
+            session: `UpstreamSession`, or None if there was none.
+            evidence: `LossEvidence`.
+            reason: How the loss was noticed, for the log.
+            now: Time, seconds.
+
+        Returns:
+            bool: Whether the next lifetime may execute starts: those of undecided runs,
+                or of runs that were over here.
+        """
+
+        def may_have_reached_other(sent_at):
+            return session is None or session.may_have_reached_other(sent_at)
+
+        undecided = 0
+        for run in list(self._runs.values()):
+            outcome = outcome_at_loss(run, evidence, may_have_reached_other)
+            if outcome == UNDECIDED:
+                undecided += 1
+                _mark_undecided(run)
+            elif outcome == LOST:
+                self._lose(run, evidence.value, now)
+            else:
+                self._finish(run, outcome, now)
+        log.info("session_closed", extra={"reason": reason, "undecided": undecided})
+        return undecided > 0 or now < self._late_start_until
+
+    def on_run_over(self, run):
+        """Remembers a run that is over if a request to start it had no reply."""
+        if run.unanswered:
+            self._late_start_until = run.sent_at + MAX_START_DELAY_S
+
+    def on_taken_over(self, now):
+        """Ends the undecided runs: the lifetime that is there has been taken over."""
+        for run in self._undecided():
+            self._lose(run, "the next lifetime was taken over", now)
+
+    def expire(self, now):
+        """Ends the undecided runs whose start is not executed any more."""
+        for run in self._undecided():
+            if is_expired(run, now):
+                self._lose(run, "a late start is no longer possible", now)
+
+    def _undecided(self):
+        return [run for run in self._runs.values() if run.undecided]
+
+    def _lose(self, run, reason, now):
+        """Reports a run as lost.
+
+        Args:
+            run: `Run`.
+            reason: What shows that it has ended, for the log.
+            now: Time, seconds.
+        """
+        extra = {
+            "task": run.task,
+            "run": run.run,
+            "request_id": run.request_id,
+            "delivery": run.delivery.value,
+            "unanswered": run.unanswered,
+            "reason": reason,
+        }
+        log.info("run_lost", extra=extra)
+        self._finish(run, LOST, now)
+
+
 def outcome_at_loss(run, evidence, may_have_reached_other):
     """Returns the outcome of a run whose upstream instance was lost.
 
@@ -53,3 +141,11 @@
         now: Time, seconds.
     """
     return now >= run.sent_at + MAX_START_DELAY_S
+
+
+def _mark_undecided(run):
+    if run.undecided:
+        return
+    run.undecided = True
+    extra = {"task": run.task, "run": run.run, "request_id": run.request_id}
+    log.info("start_undecided", extra=extra)
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -8,6 +8,7 @@
 import gevent
 
 from papayaward import clock
+from papayaward.coordination.upstream_requests import StartRequest
 from papayaward.protocol.gen.ttypes import StartBatch
 from tests.leased_case import start_group, upstream_state
 from tests.replaced_upstream_case import ReplacedUpstreamCase
@@ -92,6 +93,21 @@
         self.executor.on_upstream_report(other, clock.now())
         self.assertIn(("j.0.0.0", "lost"), self.link.ends() or self.sent_ends())
 
+    def test_lifetime_that_does_not_report_rejects_starts_of_runs_that_are_over(self):
+        """Guards against a late start beside the run that has taken its place."""
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=1)
+        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=1)])
+        self.executor.on_message(self.link, batch, clock.now())
+        self.wait_for(self.link.ends)
+        token = self.executor._current.session.next_token - 1
+        self.first.crash()
+        gevent.sleep(0.05)
+        self.address.lifetime = self.second
+        gevent.sleep(0.3)
+        late = StartRequest("j.0.0.0", 1, "50", self.second.clock_ms + 900, token)
+        self.assertEqual("fenced", self.second.start("i-1", late).outcome)
+
     def sent_ends(self):
         gevent.sleep(0.05)
         return self.link.ends()
