Report confirmed starts to their entry after 20 ms

Change: a report is due 20 ms after a start or after an unsettled one of the entry was settled. Other entries get no further reports.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -30,6 +30,9 @@
 # not urgent: a start that is refused costs less than a report to every entry.
 _URGENT_REPORT_INTERVAL_S = 0.02
 _REPORT_INTERVAL_S = 0.1
+# The same after a start, which is usually confirmed by then. Until a report says so,
+# the entry has to hold the task back if it loses this executor.
+_CONFIRMATION_DELAY_S = 0.02
 # The same for entries that are not likely to send tasks here soon.
 _IDLE_REPORT_INTERVAL_S = 0.3
 # Number of recent kinds of tasks for which a change of free capacity is checked.
@@ -82,7 +85,11 @@
     )
     if has_become_sufficient or isolated < owner.reported_isolated:
         return owner.capacity_sent_at + _URGENT_REPORT_INTERVAL_S
-    return owner.capacity_sent_at + _REPORT_INTERVAL_S
+    latest = owner.capacity_sent_at + _REPORT_INTERVAL_S
+    if owner.has_settled or owner.reported_batch != owner.last_batch:
+        latest_event_at = max(owner.capacity_sent_at, owner.last_start_at)
+        return min(latest, latest_event_at + _CONFIRMATION_DELAY_S)
+    return latest
 
 
 class CapacityReports:
@@ -120,6 +127,7 @@
     def on_run_settled(self, owner):
         """Schedules a report to an entry that was told of unsettled runs."""
         if owner.reported_unsettled:
+            owner.has_settled = True
             self.on_capacity_changed([owner])
 
     def record_need(self, need):
@@ -140,7 +148,8 @@
         owner.reported_free = capacity.free
         owner.reported_isolated = self._isolated_peer_jobs(owner)
         unsettled, of_peers = self._unsettled(owner)
-        owner.reported_unsettled = bool(unsettled)
+        owner.reported_unsettled, owner.has_settled = bool(unsettled), False
+        owner.reported_batch = owner.last_batch
         report = _capacity_report(owner, capacity, unsettled, of_peers)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -158,8 +158,11 @@
     peer_log_ratios: float = 0.0
     reported_free: Resources = Resources()
     reported_isolated: int = 0
-    # Whether the last report listed unsettled runs.
+    # Whether the last report listed unsettled runs, whether one of them has settled
+    # since, and the batch that the report acknowledged.
     reported_unsettled: bool = False
+    has_settled: bool = False
+    reported_batch: int = 0
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
