Fence off a start without a reply when its run is over

Cause: a settled start is rejected only by the lifetime that was asked. The next one accepts its token until the session has noticed the crash, which takes a second if the lifetime executes requests without replies. Change: the session raises its token when a run is over whose start had no reply, unless it is done. So the first request that reaches the next lifetime, answered or not, fences such starts off. Starts on their way are repeated. Measured: test_silent_lifetime_rejects_starts_that_were_settled_before failed before.

--- a/papayaward/coordination/fencing_token.py
+++ b/papayaward/coordination/fencing_token.py
@@ -49,6 +49,10 @@
             self._value += self._step_ms
             self._step_ms *= 2
 
+    def raise_above_sent(self):
+        """Raises the token above those of all requests that were sent."""
+        self._value += 1
+
     def raise_above_accepted(self):
         """Raises the token above an accepted one.
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -361,10 +361,18 @@
         service_us = int((now - run.started_at) * 1e6) if run.running else 0
         if outcome == "done" and service_us > 0 and run.declared_s:
             self._add_peer_run(run, service_us / 1e6 / run.declared_s)
-        self._undecided.on_run_over(run)
+        if run.unanswered:
+            self._on_unanswered_run_over(run, outcome)
         self._queue_end(run.owner, run.task, run.run, outcome, service_us)
         self._on_capacity_changed()
 
+    def _on_unanswered_run_over(self, run, outcome):
+        """Handles the end of a run whose start the next lifetime may still execute."""
+        self._undecided.on_unanswered_run_over(run)
+        session = self._current.session
+        if outcome != "done" and session is not None:
+            session.fence_off_sent()
+
     def _add_peer_run(self, run, ratio):
         for owner in self._owners:
             if owner is not run.owner:
--- a/papayaward/coordination/undecided_runs.py
+++ b/papayaward/coordination/undecided_runs.py
@@ -69,10 +69,9 @@
         log.info("session_closed", extra={"reason": reason, "undecided": undecided})
         return undecided > 0 or now < self._late_start_until
 
-    def on_run_over(self, run):
-        """Remembers a run that is over if a request to start it had no reply."""
-        if run.unanswered:
-            self._late_start_until = run.sent_at + MAX_START_DELAY_S
+    def on_unanswered_run_over(self, run):
+        """Remembers a run that is over while a request to start it had no reply."""
+        self._late_start_until = run.sent_at + MAX_START_DELAY_S
 
     def on_taken_over(self, now):
         """Ends the undecided runs: the lifetime that is there has been taken over."""
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -185,6 +185,10 @@
         while is_needed() and not self._calls.stop(task, run, attempt):
             attempt += 1
 
+    def fence_off_sent(self):
+        """Has each lifetime reject what was sent so far once it receives a request."""
+        self._calls.token.raise_above_sent()
+
     def _lease_end(self, now):
         """Returns the time at which a lease that is sent now has to end, seconds.
 
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -108,6 +108,21 @@
         late = StartRequest("j.0.0.0", 1, "50", self.second.clock_ms + 900, token)
         self.assertEqual("fenced", self.second.start("i-1", late).outcome)
 
+    def test_silent_lifetime_rejects_starts_that_were_settled_before(self):
+        """Guards against a late start while the session has not noticed the crash."""
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=6)
+        token = self.executor._current.session.next_token - 1
+        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
+        self.executor.on_message(self.link, batch, clock.now())
+        self.wait_for(self.link.ends)
+        gevent.sleep(0.3)
+        self.second.mute(60.0)
+        self.address.lifetime = self.second
+        gevent.sleep(0.3)
+        late = StartRequest("j.0.0.0", 1, "50", self.second.clock_ms + 900, token)
+        self.assertEqual("fenced", self.second._start(late).outcome)
+
     def sent_ends(self):
         gevent.sleep(0.05)
         return self.link.ends()
