Forget the stored report of an upstream that has deregistered

UpstreamStateStore.save(None) left the stored report unchanged, and the runner did not call it: after a restart, the runner recalled an upstream that had ended as planned. With runs left, the draining report is stored. A deregistration before any report keeps the stored one, whose runs a successor has to stop.

--- a/papayaward/coordination/upstream_state_store.py
+++ b/papayaward/coordination/upstream_state_store.py
@@ -38,6 +38,8 @@
 
 _PREFIX = "papayaward/upstreams/"
 _RETRY_S = 1.0
+# Stored instead of a report, since the store's client deletes no keys.
+_NO_UPSTREAM = b"{}"
 
 
 class UpstreamStateStore:
@@ -62,9 +64,7 @@
         """Returns the stored `UpstreamState`, or None."""
         try:
             value = self._store.read(self._key).values.get(self._key)
-            if value is None:
-                return None
-            return _parse_state(value)
+            return None if value in (None, _NO_UPSTREAM) else _parse_state(value)
         except (StoreError, OptionError) as error:
             # Not fatal: the upstream's next report is used instead, only later.
             log.info("upstream_state_not_loaded", extra={"error": str(error)})
@@ -74,8 +74,8 @@
         """Schedules a write of the latest report.
 
         Args:
-            state: `UpstreamState`; None if the upstream has deregistered, which leaves
-                the stored report unchanged.
+            state: `UpstreamState`; None if the upstream has deregistered and runs
+                nothing, so that a restarted runner does not recall it.
         """
         self._state = state
         self._changed.set()
@@ -83,10 +83,10 @@
     def _run(self):
         self._changed.wait()
         self._changed.clear()
-        content = None if self._state is None else _without_sequence(self._state)
-        if content == self._saved or self._state is None:
+        content = _without_sequence(self._state)
+        if content == self._saved:
             return
-        value = json.dumps(asdict(self._state)).encode()
+        value = _encode_state(self._state)
         # Without a reply, the write may have taken effect.
         self._saved = None
         try:
@@ -109,6 +109,10 @@
             self._revision = self._store.put(self._key, value, 0, conflict.revision)
 
 
+def _encode_state(state):
+    return _NO_UPSTREAM if state is None else json.dumps(asdict(state)).encode()
+
+
 def _parse_state(value):
     """Decodes a stored report.
 
@@ -134,5 +138,5 @@
 
 
 def _without_sequence(state):
-    """Returns a report without its sequence number, which changes every time."""
-    return {**asdict(state), "sequence": 0}
+    """Returns a report, or nothing, without the number that changes every time."""
+    return {} if state is None else {**asdict(state), "sequence": 0}
--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -74,7 +74,12 @@
 
     def on_upstream_deregistered(self, instance, now):
         """Handles the deregistration of an upstream instance."""
+        if self.executor.state is None:
+            # The stored report may tell which upstream has runs of a predecessor.
+            return
         self.executor.on_upstream_deregistered(instance, now)
+        # None without runs; else a draining report, so that a successor stops them.
+        self._state_store.save(self.executor.state)
 
     def add_entries(self, addresses):
         """Adds seed entries, given as (host, port)."""
