--- a/benchmarks/upstream_faults.py
+++ b/benchmarks/upstream_faults.py
@@ -5,6 +5,8 @@
 Faults of the soak that make an upstream's state uncertain, and callers that return.
 """
 
+import random
+
 import gevent
 
 __all__ = ["UPSTREAM_FAULTS", "WORK_MS"]
@@ -19,16 +21,21 @@
     return [upstream.current for upstream in soak.fleet.upstreams.values()]
 
 
+def _request_rng(soak):
+    """Returns a stream for requests, whose number must not decide later faults."""
+    return random.Random(soak.upstream_rng.random())
+
+
 def _refuse_requests(soak):
     """Upstreams refuse a share of all requests and execute orders without a reply."""
-    rng = soak.upstream_rng
+    rng, request_rng = soak.upstream_rng, _request_rng(soak)
     refused, lost = rng.uniform(0.1, 0.5), rng.uniform(0.1, 0.3)
     seconds = rng.uniform(1.0, 6.0)
     soak.note(f"upstreams refuse {refused:.2f} and lose {lost:.2f} for {seconds:.1f} s")
     instances = _each_instance(soak)
     for instance in instances:
-        instance.is_unhealthy = lambda name: rng.random() < refused
-        instance.order_loss = lambda: 0.0 if rng.random() < lost else None
+        instance.is_unhealthy = lambda name: request_rng.random() < refused
+        instance.order_loss = lambda: 0.0 if request_rng.random() < lost else None
     gevent.sleep(seconds)
     for instance in instances:
         instance.is_unhealthy = lambda name: False
@@ -37,13 +44,13 @@
 
 def _execute_late(soak):
     """Half of the orders are executed late, while an entry is killed and returns."""
-    rng = soak.upstream_rng
+    rng, request_rng = soak.upstream_rng, _request_rng(soak)
     seconds = rng.uniform(1.0, 3.0)
     soak.note(f"orders are executed late for {seconds:.1f} s")
     instances = _each_instance(soak)
     for instance in instances:
         instance.order_loss = lambda: (
-            rng.uniform(*_LATE_ORDER_S) if rng.random() < 0.5 else None
+            request_rng.uniform(*_LATE_ORDER_S) if request_rng.random() < 0.5 else None
         )
     if rng.random() < 0.5:
         soak.restart_at_once(rng.choice(soak.entries))
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,13 +7,14 @@
 
 import socket
 from tempfile import TemporaryDirectory
-from unittest.mock import Mock, patch
+from unittest.mock import MagicMock, Mock, patch
 
 import gevent
 from testtools import TestCase
 
 from benchmarks import platform_soak
 from benchmarks.platform_soak import run_soak
+from benchmarks.upstream_faults import UPSTREAM_FAULTS
 from standins import platform_fleet
 
 __all__ = []
@@ -105,7 +106,7 @@
     def test_jobs_do_not_change_the_faults_of_a_seed(self):
         """Guards against runs of a seed that have different faults.
 
-        Seed 18 crashed upstreams by tasks in none to three periods of its 15 s.
+        Tasks crashed upstreams in none to two periods of the 15 s of seed 18.
         """
         fleet = Mock(**{"submit.return_value": (200, b"{}")})
         soak = platform_soak._Soak(fleet, 18, 3)
@@ -116,6 +117,21 @@
         caller.kill()
         self.assertEqual(before, soak.load_rng.getstate())
 
+    def test_requests_do_not_change_the_upstream_faults_of_a_seed(self):
+        """Guards against runs of a seed that have different faults."""
+        upstream = Mock()
+        fleet = MagicMock(upstreams={"r0": upstream})
+        soak = platform_soak._Soak(fleet, 2003, 1, with_upstream_faults=True)
+        for name in ("refuse", "late"):
+            fault = gevent.spawn(UPSTREAM_FAULTS[name], soak)
+            gevent.sleep(0.01)
+            before = soak.upstream_rng.getstate()
+            upstream.current.order_loss()
+            if name == "refuse":
+                upstream.current.is_unhealthy("poll")
+            self.assertEqual(before, soak.upstream_rng.getstate(), name)
+            fault.kill()
+
     def test_seed_2003_with_upstream_faults(self):
         """Guards against overlapping runs beside uncertain upstreams.
 
