--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -7,12 +7,14 @@
 
 import socket
 from tempfile import TemporaryDirectory
-from unittest.mock import Mock, patch
+from unittest.mock import MagicMock, Mock, patch
 
 import gevent
 from testtools import TestCase
 
+from benchmarks import platform_soak
 from benchmarks.platform_soak import run_soak
+from benchmarks.upstream_faults import UPSTREAM_FAULTS
 from standins import platform_fleet
 
 __all__ = []
@@ -101,6 +103,35 @@
             fleet.kill("e0")
         self.assertTrue(caller.dead)
 
+    def test_jobs_do_not_change_the_faults_of_a_seed(self):
+        """Guards against runs of a seed that have different faults.
+
+        Tasks crashed upstreams in none to two periods of the 15 s of seed 18.
+        """
+        fleet = Mock(**{"submit.return_value": (200, b"{}")})
+        soak = platform_soak._Soak(fleet, 18, 3)
+        before = soak.load_rng.getstate()
+        caller = gevent.spawn(soak.run_caller, 0)
+        while fleet.submit.call_count < 3:
+            gevent.sleep(0.01)
+        caller.kill()
+        self.assertEqual(before, soak.load_rng.getstate())
+
+    def test_requests_do_not_change_the_upstream_faults_of_a_seed(self):
+        """Guards against runs of a seed that have different faults."""
+        upstream = Mock()
+        fleet = MagicMock(upstreams={"r0": upstream})
+        soak = platform_soak._Soak(fleet, 2003, 1, with_upstream_faults=True)
+        for name in ("refuse", "late"):
+            fault = gevent.spawn(UPSTREAM_FAULTS[name], soak)
+            gevent.sleep(0.01)
+            before = soak.upstream_rng.getstate()
+            upstream.current.order_loss()
+            if name == "refuse":
+                upstream.current.is_unhealthy("poll")
+            self.assertEqual(before, soak.upstream_rng.getstate(), name)
+            fault.kill()
+
     def test_seed_2003_with_upstream_faults(self):
         """Guards against overlapping runs beside uncertain upstreams.
 
