--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -24,11 +24,13 @@
 
     __slots__ = (
         "avoided_executors",
+        "batch",
         "executor",
         "failures",
         "isolation_limit",
         "job",
         "lost_upstreams",
+        "moved_run",
         "moves",
         "name",
         "phase_number",
@@ -45,12 +47,17 @@
         self.run = 0
         self.failures = 0
         self.moves = 0
+        # Executor's view and number of the run that was last stopped to be moved.
+        self.moved_run = None
         self.isolation_limit = 0
         self.avoided_executors = set()
         # Keys of the upstreams whose executors did not return in time.
         self.lost_upstreams = set()
         self.executor = None
         self.sent_at = 0.0
+        # Number of the batch of starts that contained it, on its executor's link; 0 if
+        # the link has not taken the batch.
+        self.batch = 0
 
     @property
     def phase(self):
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -18,10 +18,10 @@
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
-from .leased_runs import Run, isolated_jobs, may_isolate
+from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_owners import RunOwners
+from .undecided_runs import LOST, UndecidedRuns
 from .upstream_crashes import crash_of_loss
-from .upstream_requests import Delivery
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -35,9 +35,6 @@
 # A start is refused if its entry was last known to be alive longer ago: after a pause
 # of this process the entry may have sent the task to another executor.
 _MAX_START_STALENESS_S = 0.45
-# Longest time for which a run continues at a lifetime of the upstream that was not
-# taken over: the longest lease, on a slow clock, and the time to kill the run.
-_UNLEASED_RUN_S = 1.1
 # While the closing process waits for a run, other tasks may still start if they are
 # expected to end within this fraction of the run's expected time.
 _CLOSING_RUN_SHARE = 0.9
@@ -65,13 +62,17 @@
         )
         self._owners = RunOwners()
         self._runs = {}
+        self._undecided = UndecidedRuns(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
         self._closing = False
         self._close_limit = 0.0
         self._was_accepting = False
         self._reports = CapacityReports(
-            self._owners.by_member, self._capacity, self._isolated_peer_jobs
+            self._owners.by_member,
+            self._capacity,
+            self._isolated_peer_jobs,
+            lambda owner: unsettled_tasks(self._runs.values(), owner),
         )
         gevent.spawn(repeat, self._tick)
 
@@ -155,7 +156,7 @@
         """Notifies the entries when tasks may start or may no longer start."""
         session = self._current.session
         if session is not None and session.taken_over:
-            self._finish_undecided(lambda run: True)
+            self._undecided.on_taken_over(clock.now())
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -299,18 +300,22 @@
 
         def on_delivery(delivery):
             run.delivery = delivery
-            if delivery is Delivery.UNANSWERED:
+
+        def on_unanswered(count):
+            if count > run.unanswered:
                 run.sent_at = clock.now()
+            run.unanswered = count
 
         result, number = session.start(
-            run.task, run.run, run.spec, is_wanted, on_delivery
+            run.task, run.run, run.spec, is_wanted, on_delivery, on_unanswered
         )
         run.run = number
-        if run.ended or run.over_by is not None:
+        if run.ended or run.undecided:
             return
         if result == "started":
             run.running = True
             run.started_at = clock.now()
+            self._reports.on_run_settled(run.owner)
             if run.stopping:
                 session.stop(run.task, run.run, lambda: not run.ended)
             return
@@ -321,7 +326,7 @@
         # An end that did not end this run is that of an earlier submission's run with
         # the same number, so the upstream rejected the start.
         if result == "unreachable":
-            self._finish(run, "lost", clock.now())
+            self._finish(run, LOST, clock.now())
         else:
             self._finish(run, "not_run:" + result, clock.now())
 
@@ -335,7 +340,10 @@
         """Reports runs that take far longer than expected to their entries."""
         for (task, _), percent in running.items():
             run = self._runs.get(task)
-            if run is None or not run.is_slow(percent, now):
+            if run is None:
+                continue
+            run.listed = True
+            if not run.is_slow(percent, now):
                 continue
             remaining_ms = int(run.remaining_s(percent, now) * 1000)
             elapsed_ms = int((now - run.started_at) * 1000)
@@ -353,6 +361,7 @@
         service_us = int((now - run.started_at) * 1e6) if run.running else 0
         if outcome == "done" and service_us > 0 and run.declared_s:
             self._add_peer_run(run, service_us / 1e6 / run.declared_s)
+        self._undecided.on_run_over(run)
         self._queue_end(run.owner, run.task, run.run, outcome, service_us)
         self._on_capacity_changed()
 
@@ -374,8 +383,11 @@
                 "reason": reason,
             },
         )
+        if run.is_unsettled:
+            # The other entries are told of it; the caller may submit the job to them.
+            self._on_capacity_changed()
         session = self._current.session
-        if run.running and session is not None:
+        if run.running and session is not None and not run.undecided:
             gevent.spawn(session.stop, run.task, run.run, lambda: not run.ended)
 
     def stop_all(self, reason, now):
@@ -406,7 +418,7 @@
         wanted_at = [run.last_wanted_at for run in self._runs.values()]
         return min(wanted_at, default=now) + _LEASE_S
 
-    def _open_session(self, state, on_lost, lowest_token):
+    def _open_session(self, state, on_lost, lowest_token, is_up):
         return UpstreamSession(
             self._upstream,
             state,
@@ -417,42 +429,15 @@
             self.check_accepting,
             on_lost,
             lowest_token,
+            is_up,
         )
 
-    def _on_session_closed(self, session, reason, replaced):
-        """Ends the runs on an upstream whose session was closed.
-
-        A start that has not been sent by now never is, so its task has not run. One
-        that another lifetime with the same identifier may have received is undecided:
-        its run is lost when that lifetime is taken over or the run's lease has ended.
-        """
-        now = clock.now()
-        undecided = 0
-        for run in list(self._runs.values()):
-            if run.delivery is Delivery.NOT_DELIVERED:
-                self._finish(run, "not_run:unreachable", now)
-            elif replaced and (
-                session is None or session.may_have_reached_other(run.sent_at)
-            ):
-                run.over_by = run.over_by or now + _UNLEASED_RUN_S
-                undecided += 1
-                extra = {"task": run.task, "request_id": run.request_id}
-                log.info("start_undecided", extra=extra)
-            else:
-                self._finish(run, "lost", now)
-        log.info("session_closed", extra={"reason": reason, "undecided": undecided})
+    def _on_session_closed(self, session, evidence, reason):
+        may_start_late = self._undecided.on_session_closed(
+            session, evidence, reason, clock.now()
+        )
         self.check_accepting()
-
-    def _finish_undecided(self, is_over):
-        """Reports undecided runs as lost.
-
-        Args:
-            is_over: Function that takes a `Run` and returns whether it is known to
-                have ended.
-        """
-        for run in list(self._runs.values()):
-            if run.over_by is not None and is_over(run):
-                self._finish(run, "lost", clock.now())
+        return may_start_late
 
     def _publish_crash(self, loss, now):
         """Tells all processes what the upstream may have been running.
@@ -470,7 +455,7 @@
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
-        self._finish_undecided(lambda run: now >= run.over_by)
+        self._undecided.expire(now)
         self._forget_deregistered()
         for owner in self._owners.silent(now):
             self._stop_runs_of(owner, "the entry is silent", now)
@@ -498,11 +483,13 @@
     def _capacity(self):
         """Returns the `Capacity` that the entries are told."""
         if self.state is None:
-            return Capacity(Resources(), Resources(), False, (), "")
+            return Capacity(Resources(), Resources(), False, (), "", False)
+        session = self._current.session
         return Capacity(
             self._free(),
             self.state.capacity,
             not self.refusal_reason,
             self.state.labels,
             self.state.key,
+            session is not None and session.taken_over,
         )
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -12,7 +12,7 @@
 from ..state.crash_records import job_id_of
 from .upstream_requests import Delivery
 
-__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate"]
+__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -43,9 +43,12 @@
     delivery: Delivery = Delivery.NOT_DELIVERED
     # Time at which the start was last sent.
     sent_at: float = 0.0
-    # If the next lifetime of the upstream may have received the start: time by which
-    # the run has ended there.
-    over_by: float | None = None
+    # Number of requests to start it that had no reply.
+    unanswered: int = 0
+    # Whether a list of the upstream's runs has shown it.
+    listed: bool = False
+    # Whether it may be active, or begin, at the next lifetime of the upstream.
+    undecided: bool = False
     # Time at which the run was to be stopped, None if it is wanted.
     stop_requested_at: float | None = None
     ended: bool = False
@@ -82,6 +85,15 @@
         """Whether the run is to be stopped."""
         return self.stop_requested_at is not None
 
+    @property
+    def is_unsettled(self):
+        """Whether a request to start the run may still be executed.
+
+        That includes a request that is not sent yet, and an earlier request of a
+        confirmed start: the next lifetime may execute it.
+        """
+        return not self.running or self.unanswered > 0 or self.undecided
+
     @property
     def last_wanted_at(self):
         """Time at which the run's entry was last known to want it, seconds."""
@@ -146,6 +158,8 @@
     peer_log_ratios: float = 0.0
     reported_free: Resources = Resources()
     reported_isolated: int = 0
+    # Whether the last report listed unsettled runs.
+    reported_unsettled: bool = False
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
@@ -188,6 +202,30 @@
     }
 
 
+def unsettled_tasks(runs, owner):
+    """Returns the tasks whose start may still be executed, as far as an entry asks.
+
+    Of other entries only starts that are no longer wanted, or that the next lifetime
+    of the upstream may execute, concern it: their jobs may be submitted to it.
+
+    Args:
+        runs: `Run` of each run.
+        owner: `Owner` of the entry.
+
+    Returns:
+        tuple: Names of the entry's own tasks, and of those of other entries.
+    """
+    own, of_peers = [], []
+    for run in runs:
+        if not run.is_unsettled:
+            continue
+        if run.owner is owner:
+            own.append(run.task)
+        elif run.stopping or run.undecided:
+            of_peers.append(run.task)
+    return own, of_peers
+
+
 def may_isolate(runs, job_id, limit):
     """Returns whether an isolated job may start beside some runs.
 
--- a/papayaward/coordination/queue_load.py
+++ b/papayaward/coordination/queue_load.py
@@ -14,7 +14,7 @@
 
 
 class QueueLoad:
-    """Shares of the tenants in the slots, and estimates for admission.
+    """Shares of the client accounts in the slots, and estimates for admission.
 
     Args:
         node: The runner.
@@ -68,11 +68,11 @@
             spec.deadline,
         )
 
-    def load(self, tenant, queued, known_slots, now):
-        """Returns the `Load` of this coordinator for a job of a tenant.
+    def load(self, account, queued, known_slots, now):
+        """Returns the `Load` of this coordinator for a job of a client account.
 
         Args:
-            tenant: Name of the tenant.
+            account: Name of the client account.
             queued: Number of tasks waiting for a slot.
             known_slots: Total slots of all executors, usable or not.
             now: Monotonic time, seconds.
@@ -80,12 +80,12 @@
         return Load(
             queued,
             self._records.open_bytes,
-            self._queue.queued_tasks(tenant),
-            self._records.tenant_bytes(tenant),
+            self._queue.queued_tasks(account),
+            self._records.account_bytes(account),
             self._slots,
             known_slots,
-            self._share(tenant, now),
-            self._queue.queued_work(tenant),
+            self._share(account, now),
+            self._queue.queued_work(account),
         )
 
     def priority(self, name):
@@ -93,12 +93,17 @@
         job_class = self._node.config.config.classes.get(name)
         return _DEFAULT_PRIORITY if job_class is None else job_class.priority
 
-    def will_miss_deadline(self, queued, now):
+    def will_miss_deadline(self, queued, free, now):
         """Returns whether the estimates show that a job will miss its deadline.
 
         Tasks that take longer than earlier ones make the queue longer than
         admission assumed. A job that cannot be completed in time is rejected
         before it uses any slots.
+
+        Args:
+            queued: `QueuedJob` of a job none of whose tasks was granted.
+            free: Number of slots that are free.
+            now: Monotonic time, seconds.
         """
         spec = queued.job.spec
         remaining_s = spec.deadline - now
@@ -106,15 +111,17 @@
         needed_s = self._speeds.fastest_s(spec.job_class)
         if tasks > 1 and self._speeds.knows(spec.job_class):
             task_s = self._speeds.expected_s(spec.job_class)
+            last_task_s = task_s * self._speeds.min_slowness()
             slots = max(1.0, self._share(spec.tenant, now))
-            needed_s = max(task_s * self._speeds.min_slowness(), tasks * task_s / slots)
+            wait_s = _last_start_s(tasks, free, slots, task_s)
+            needed_s = max(wait_s + last_task_s, tasks * task_s / slots)
         return needed_s > remaining_s
 
     def _quota_and_weight(self, name):
-        tenant = self._node.config.config.tenants.get(name)
-        if tenant is None:
+        account = self._node.config.config.accounts.get(name)
+        if account is None:
             return 0.0, 1.0
-        return tenant.quota * self._slots, tenant.weight
+        return account.quota * self._slots, account.weight
 
     def _share(self, name, now):
         share, until = self._shares.get(name, (0.0, 0.0))
@@ -124,3 +131,19 @@
             share = fair_share(self._slots, name, quota, weight, demands)
             self._shares[name] = (share, now + _SHARE_TTL_S)
         return share
+
+
+def _last_start_s(tasks, free, slots, task_s):
+    """Returns the time until the last of several tasks starts, seconds.
+
+    Args:
+        tasks: Number of tasks; the first ones start at once on the free slots.
+        free: Number of free slots.
+        slots: Number of slots that the tasks may use, free or not.
+        task_s: Run time of a task, seconds. The slots that are not free become free
+            evenly spread over this time, the free ones again at its end.
+    """
+    rounds, rest = divmod(max(0, tasks - free), slots)
+    if rest:
+        rounds += min(1.0, rest / max(rest, slots - free))
+    return rounds * task_s
