--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -54,7 +54,7 @@
             return "no_upstream"
         if self.state.draining:
             return "draining"
-        if not self._is_reported:
+        if not self._is_reported or not self._is_session_reported:
             return "not_reported"
         if self.session is None or not self.session.ready:
             return "upstream_silent"
@@ -106,6 +106,11 @@
         self.is_deregistered = False
         self.state = None
 
+    def stop_awaiting(self):
+        """Closes a session that polls for an upstream which has not returned."""
+        if self.session is not None and not self.session.is_up:
+            self._close(LossEvidence.SILENT, "the upstream has not returned")
+
     def _is_outdated(self, state):
         """Returns whether a report is older than what is known of the upstream."""
         last = self.state
@@ -126,6 +131,12 @@
         replied_born_ms = self._replied_born_ms if state.born_ms else 0
         return state.born_ms == (replied_born_ms or last.born_ms)
 
+    @property
+    def _is_session_reported(self):
+        """Whether the state may be a report of the lifetime that replies."""
+        replied_born_ms, born_ms = self._replied_born_ms, self.state.born_ms
+        return not replied_born_ms or not born_ms or replied_born_ms == born_ms
+
     @property
     def _replied_born_ms(self):
         """Start of the lifetime that replies, milliseconds; 0 if it is not known."""
@@ -163,7 +174,7 @@
 
     def _on_session_lost(self, loss):
         session = self.session
-        if session.born_ms not in (0, self.state.born_ms):
+        if not self._is_session_reported:
             # The lifetime has replied, but never reported.
             self.state = replace(self.state, born_ms=session.born_ms, sequence=0)
         if session.is_up and not self.state.draining:
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -21,6 +21,7 @@
 from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_owners import RunOwners
 from .undecided_runs import LOST, UndecidedRuns
+from .unknown_runs import UnknownRuns
 from .upstream_crashes import crash_of_loss
 from .upstream_session import UpstreamSession
 
@@ -65,6 +66,7 @@
         self._undecided = UndecidedRuns(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
+        self._unknown = UnknownRuns()
         self._closing = False
         self._close_limit = 0.0
         self._was_accepting = False
@@ -338,9 +340,10 @@
 
     def _on_progress(self, running, now):
         """Reports runs that take far longer than expected to their entries."""
-        for (task, _), percent in running.items():
+        for (task, number), percent in running.items():
             run = self._runs.get(task)
-            if run is None:
+            if run is None or number < run.run:
+                self._unknown.stop(self._current.session, task, number)
                 continue
             run.listed = True
             if not run.is_slow(percent, now):
@@ -464,6 +467,8 @@
         gevent.sleep(_TICK_S)
         now = clock.now()
         self._undecided.expire(now)
+        if not self._undecided.may_start_late(now):
+            self._current.stop_awaiting()
         self._forget_deregistered()
         for owner in self._owners.silent(now):
             self._stop_runs_of(owner, "the entry is silent", now)
--- a/papayaward/coordination/undecided_runs.py
+++ b/papayaward/coordination/undecided_runs.py
@@ -67,7 +67,15 @@
             else:
                 self._finish(run, outcome, now)
         log.info("session_closed", extra={"reason": reason, "undecided": undecided})
-        return undecided > 0 or now < self._late_start_until
+        return self.may_start_late(now)
+
+    def may_start_late(self, now):
+        """Returns whether the next lifetime may execute starts.
+
+        Args:
+            now: Time, seconds.
+        """
+        return bool(self._undecided()) or now < self._late_start_until
 
     def on_unanswered_run_over(self, run):
         """Remembers a run that is over while a request to start it had no reply."""
@@ -116,7 +124,7 @@
         run: `Run`.
         evidence: `LossEvidence`.
         may_have_reached_other: Function that takes the time at which a request was
-            sent and returns whether another lifetime may have executed it.
+            sent or answered and returns whether another lifetime may have executed it.
 
     Returns:
         str: Outcome of the run, or `UNDECIDED`.
@@ -129,7 +137,8 @@
         return UNDECIDED
     if evidence is LossEvidence.REFUSED or run.listed:
         return LOST
-    return UNDECIDED if may_have_reached_other(run.sent_at) else LOST
+    confirmed_at = max(run.sent_at, run.started_at)
+    return UNDECIDED if may_have_reached_other(confirmed_at) else LOST
 
 
 def is_expired(run, now):
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -66,6 +66,7 @@
         started_at: Time of the start, seconds.
         delivery: `Delivery` of the start.
         stopping: Whether a stop of the run has been requested.
+        undecided: Whether it was on an earlier lifetime of the upstream.
     """
 
     task: str
@@ -74,6 +75,7 @@
     started_at: float
     delivery: Delivery = Delivery.UNANSWERED
     stopping: bool = False
+    undecided: bool = False
 
 
 def crash_of(upstream, service, runs, at, uncertainty_s=0.0, witnessed=False):
@@ -121,8 +123,12 @@
 
 
 def _was_running(run):
-    """Returns whether a run is known to have begun and was not being stopped."""
-    return run.delivery is Delivery.STARTED and not run.stopping
+    """Returns whether a run is known to have begun and was not being stopped.
+
+    An undecided one has begun at an earlier lifetime of the upstream.
+    """
+    has_begun = run.delivery is Delivery.STARTED and not run.undecided
+    return has_begun and not run.stopping
 
 
 def _weight(run, at):
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -8,7 +8,7 @@
 import gevent
 
 from papayaward import clock
-from papayaward.coordination.upstream_requests import StartRequest
+from papayaward.coordination.upstream_requests import MAX_START_DELAY_S, StartRequest
 from papayaward.protocol.gen.ttypes import StartBatch
 from tests.leased_case import start_group, upstream_state
 from tests.replaced_upstream_case import ReplacedUpstreamCase
@@ -91,7 +91,8 @@
         self.address.lifetime = None
         other = upstream_state("i-2", born_ms=3)
         self.executor.on_upstream_report(other, clock.now())
-        self.assertIn(("j.0.0.0", "lost"), self.link.ends() or self.sent_ends())
+        self.wait_for(self.link.ends)
+        self.assertEqual([("j.0.0.0", "lost")], self.link.ends())
 
     def test_lifetime_that_does_not_report_rejects_starts_of_runs_that_are_over(self):
         """Guards against a late start beside the run that has taken its place."""
@@ -123,6 +124,17 @@
         late = StartRequest("j.0.0.0", 1, "50", self.second.clock_ms + 900, token)
         self.assertEqual("fenced", self.second._start(late).outcome)
 
-    def sent_ends(self):
+    def test_upstream_that_does_not_return_is_not_polled_for_ever(self):
+        """Guards against requests without end to an upstream that is gone."""
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=9)
+        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
+        self.executor.on_message(self.link, batch, clock.now())
         gevent.sleep(0.05)
-        return self.link.ends()
+        self.first.crash()
+        self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
+        (run,) = self.executor._runs.values()
+        run.sent_at -= MAX_START_DELAY_S
+        self.wait_for(self.link.ends)
+        self.assertEqual([("j.0.0.0", "lost")], self.link.ends())
+        self.wait_for(lambda: self.executor._current.session is None)
--- a/tests/test_undecided_runs.py
+++ b/tests/test_undecided_runs.py
@@ -26,7 +26,11 @@
 
 def _run(delivery=Delivery.STARTED, unanswered=0, listed=False, sent_at=9.0):
     return SimpleNamespace(
-        delivery=delivery, unanswered=unanswered, listed=listed, sent_at=sent_at
+        delivery=delivery,
+        unanswered=unanswered,
+        listed=listed,
+        sent_at=sent_at,
+        started_at=sent_at,
     )
 
 
@@ -63,6 +67,15 @@
             self.assertEqual(LOST, _outcome(evidence, sent_at=later, listed=True))
             self.assertEqual(LOST, _outcome(evidence, sent_at=IDENTIFIED_AT - 1.0))
 
+    def test_start_that_was_answered_after_the_lifetime_was_seen_is_undecided(self):
+        """Guards against a late start that the next lifetime has confirmed."""
+        run = _run(sent_at=IDENTIFIED_AT - 1.0)
+        run.started_at = IDENTIFIED_AT + 0.1
+        outcome = outcome_at_loss(
+            run, LossEvidence.SILENT, lambda at: at >= IDENTIFIED_AT
+        )
+        self.assertEqual(UNDECIDED, outcome)
+
     def test_no_run_is_undecided_when_another_instance_is_there(self):
         """Guards against tasks that wait for an upstream that never returns."""
         start = {"delivery": Delivery.UNANSWERED, "unanswered": 2}
