--- a/tests/replaced_upstream_case.py
+++ b/tests/replaced_upstream_case.py
@@ -85,6 +85,19 @@
             self.assertLess(clock.now(), until, "the condition was not met in time")
             gevent.sleep(0.002)
 
+    def send_start(self, work_ms=5000):
+        """Sends the executor a start of the task `j.0.0.0`."""
+        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=work_ms)])
+        self.executor.on_message(self.link, batch, clock.now())
+
+    def crash_with_a_start_without_a_reply(self):
+        """Crashes the first lifetime while no start has a reply."""
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=9)
+        self.send_start()
+        gevent.sleep(0.05)
+        self.first.crash()
+
     def start_at_the_second_lifetime(self, reached_by_starts_only=False):
         """Sends a start while nothing is reachable; the second lifetime executes it.
 
@@ -93,8 +106,7 @@
         """
         gevent.sleep(0.3)
         self.address.lifetime = None
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         gevent.sleep(0.1)
         self.first.crash()
         # The reply to another request would end the session before the start arrives.
--- a/tests/test_next_lifetime.py
+++ b/tests/test_next_lifetime.py
@@ -11,9 +11,8 @@
 from papayaward import clock
 from papayaward.coordination.leased_executor import LeasedExecutor
 from papayaward.coordination.upstream_requests import StartRequest
-from papayaward.protocol.gen.ttypes import StartBatch
 from standins.leased_upstream import LeasedUpstream
-from tests.leased_case import start_group, upstream_state
+from tests.leased_case import upstream_state
 from tests.replaced_upstream_case import ReplacedUpstreamCase
 
 _TASK = "j.0.0.0"
@@ -22,12 +21,7 @@
 
 class UnreportedLifetimeTest(ReplacedUpstreamCase):
     def lose_with_a_start_without_a_reply(self):
-        gevent.sleep(0.3)
-        self.first.fail_request("start", times=9)
-        batch = StartBatch(1, [start_group(_TASK, work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
-        gevent.sleep(0.05)
-        self.first.crash()
+        self.crash_with_a_start_without_a_reply()
         self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
 
     def test_late_report_does_not_stand_for_that_of_the_next_lifetime(self):
@@ -98,8 +92,7 @@
         """
         gevent.sleep(0.3)
         self.first.fail_request("start", times=9)
-        batch = StartBatch(1, [start_group(_TASK, work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         gevent.sleep(0.05)
         late = StartRequest(_TASK, 1, "5000", 481_000, self.first.token)
         self.first.crash()
@@ -121,8 +114,7 @@
         self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
         gevent.sleep(0.3)
         self.first.fail_request("start")
-        batch = StartBatch(1, [start_group(_TASK, work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         self.wait_for(lambda: self.first.records)
         gevent.sleep(0.05)
         self.first.crash()
@@ -149,8 +141,7 @@
 
         A late start of an earlier process may carry a higher token than this one.
         """
-        batch = StartBatch(1, [start_group(_TASK, work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         self.wait_for(lambda: self.first.records)
         lease_ms = self.first.clock_ms + 1000
         late = StartRequest("late.0.0.0", 1, "5000", lease_ms, self.first.token + 500)
@@ -176,8 +167,7 @@
         self.first.is_unhealthy = lambda name: (
             name == "start" and not any(fault.times for fault in self.first.faults)
         )
-        batch = StartBatch(1, [start_group(_TASK, work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         self.wait_for(self.link.ends)
         self.assertEqual([(_TASK, "not_run:unhealthy")], self.link.ends())
         self.first.crash()
--- a/tests/test_replaced_upstream.py
+++ b/tests/test_replaced_upstream.py
@@ -7,9 +7,6 @@
 
 import gevent
 
-from papayaward import clock
-from papayaward.protocol.gen.ttypes import StartBatch
-from tests.leased_case import start_group
 from tests.replaced_upstream_case import ReplacedUpstreamCase
 
 
@@ -56,8 +53,7 @@
 
     def test_confirmed_run_of_the_crashed_lifetime_is_lost_at_once(self):
         """Guards against a task that waits although its upstream is gone."""
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         gevent.sleep(0.5)
         self.first.crash()
         self.address.lifetime = self.second
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -9,8 +9,7 @@
 
 from papayaward import clock
 from papayaward.coordination.upstream_requests import MAX_START_DELAY_S, StartRequest
-from papayaward.protocol.gen.ttypes import StartBatch
-from tests.leased_case import start_group, upstream_state
+from tests.leased_case import upstream_state
 from tests.replaced_upstream_case import ReplacedUpstreamCase
 
 
@@ -22,8 +21,7 @@
         """Has the second lifetime execute a start without a reply and refuse stops."""
         gevent.sleep(0.3)
         self.address.lifetime = None
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         gevent.sleep(0.3)
         self.first.crash()
         self.second.mute(60.0)
@@ -42,8 +40,7 @@
         """Guards against a second run beside one that was started seconds later."""
         gevent.sleep(0.3)
         self.address.lifetime = None
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         gevent.sleep(0.1)
         self.first.crash()
         gevent.sleep(2.5)
@@ -60,12 +57,7 @@
 
     def test_start_that_the_connection_broke_is_kept_after_a_refusal(self):
         """Guards against a second run if the next lifetime executes a late start."""
-        gevent.sleep(0.3)
-        self.first.fail_request("start", times=9)
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
-        gevent.sleep(0.05)
-        self.first.crash()
+        self.crash_with_a_start_without_a_reply()
         gevent.sleep(0.5)
         self.assertEqual([], self.link.ends())
         self.address.lifetime = self.second
@@ -76,12 +68,7 @@
         """Guards against jobs that are condemned for one crash counted many times."""
         crashes = []
         self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
-        gevent.sleep(0.3)
-        self.first.fail_request("start", times=9)
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
-        gevent.sleep(0.05)
-        self.first.crash()
+        self.crash_with_a_start_without_a_reply()
         gevent.sleep(1.5)
         self.assertEqual(1, len(crashes))
 
@@ -98,8 +85,7 @@
         """Guards against a late start beside the run that has taken its place."""
         gevent.sleep(0.3)
         self.first.fail_request("start", times=1)
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=1)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start(work_ms=1)
         self.wait_for(self.link.ends)
         token = self.executor._current.session.next_token - 1
         self.first.crash()
@@ -114,8 +100,7 @@
         gevent.sleep(0.3)
         self.first.fail_request("start", times=6)
         token = self.executor._current.session.next_token - 1
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
+        self.send_start()
         self.wait_for(self.link.ends)
         gevent.sleep(0.3)
         self.second.mute(60.0)
@@ -126,12 +111,7 @@
 
     def test_upstream_that_does_not_return_is_not_polled_for_ever(self):
         """Guards against requests without end to an upstream that is gone."""
-        gevent.sleep(0.3)
-        self.first.fail_request("start", times=9)
-        batch = StartBatch(1, [start_group("j.0.0.0", work_ms=5000)])
-        self.executor.on_message(self.link, batch, clock.now())
-        gevent.sleep(0.05)
-        self.first.crash()
+        self.crash_with_a_start_without_a_reply()
         self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
         (run,) = self.executor._runs.values()
         run.sent_at -= MAX_START_DELAY_S
