--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -79,7 +79,7 @@
     # Another lifetime with the same identifier has replied or reported.
     OTHER_LIFETIME = "another lifetime is there"
     # An instance with another identifier is in its place, or it has deregistered and
-    # run everything. Starts that name it are executed by nobody any more.
+    # runs nothing any more. Starts that name it are executed by nobody.
     OTHER_INSTANCE = "another instance is there"
 
 
