Call the account of a job specification account

Change: the fields are named account; wire, settings, metrics, log fields and the header keep their names.

--- a/papayaward/coordination/answers.py
+++ b/papayaward/coordination/answers.py
@@ -73,9 +73,9 @@
         self._dispatcher.discard(record)
         self._records.finish(record, outcome, now)
         record.timeline.add(now, "finished", outcome.outcome, outcome.reason)
-        metrics.ANSWERS.labels(spec.tenant, outcome.outcome, outcome.reason).inc()
+        metrics.ANSWERS.labels(spec.account, outcome.outcome, outcome.reason).inc()
         if outcome.outcome is Outcome.COMPLETE:
-            labels = (spec.tenant, spec.job_class)
+            labels = (spec.account, spec.job_class)
             response_s = now - record.arrived
             metrics.RESPONSE_SECONDS.labels(*labels).observe(response_s)
             if record.service_s:
--- a/papayaward/coordination/coordinator.py
+++ b/papayaward/coordination/coordinator.py
@@ -117,7 +117,7 @@
         return {
             "job_id": job_id,
             "found": True,
-            "tenant": record.spec.tenant,
+            "tenant": record.spec.account,
             "class": record.spec.job_class,
             "tasks": record.tasks,
             "missing": record.missing_results,
--- a/papayaward/coordination/dispatch.py
+++ b/papayaward/coordination/dispatch.py
@@ -78,17 +78,17 @@
         """Returns the `Demand` of a job; see `QueueLoad.demand`."""
         return self._load.demand(spec, size)
 
-    def load(self, tenant, now):
-        """Returns the `Load` of this coordinator for a job of a tenant."""
+    def load(self, account, now):
+        """Returns the `Load` of this coordinator for a job of a client account."""
         known_slots = sum(view.slots for view in self.executors.values())
-        return self._load.load(tenant, self.queued, known_slots, now)
+        return self._load.load(account, self.queued, known_slots, now)
 
     def enqueue(self, record):
         """Queues every task of a job."""
         spec = record.spec
         record.queued_job = QueuedJob(
             record,
-            spec.tenant,
+            spec.account,
             self._load.priority(spec.job_class),
             spec.deadline,
             int(self.speeds.expected_s(spec.job_class) * 1e6),
@@ -130,7 +130,7 @@
         view = self._cell.best_untried(record)
         if view is None:
             return False
-        self._queue.acquire_slot(record.spec.tenant)
+        self._queue.acquire_slot(record.spec.account)
         grant = self._grants.record(view, record, index, now)
         if self._grants.send(view, [grant], now):
             return True
@@ -252,7 +252,7 @@
             if not queued.job.attempts and self._load.will_miss_deadline(
                 queued, free, now
             ):
-                queue.release_slot(queued.tenant)
+                queue.release_slot(queued.account)
                 self.on_deadline_infeasible(queued.job, now)
                 continue
             self._grant(batches, view, queued.job, index, now)
@@ -271,7 +271,7 @@
             if view is None:
                 self._queued_retries.append((record, index))
                 continue
-            self._queue.acquire_slot(record.spec.tenant)
+            self._queue.acquire_slot(record.spec.account)
             self._grant(batches, view, record, index, now)
 
     def _place_bound(self, batches, now):
--- a/papayaward/coordination/early_binding.py
+++ b/papayaward/coordination/early_binding.py
@@ -55,7 +55,7 @@
             self._bound -= 1
             if not queued.job.done:
                 return queued.job, index
-            self._queue.release_slot(queued.tenant)
+            self._queue.release_slot(queued.account)
         return None
 
     def unbind(self, view):
@@ -63,6 +63,6 @@
         self._bound -= len(view.backlog)
         while view.backlog:
             queued, index = view.backlog.pop()
-            self._queue.release_slot(queued.tenant)
+            self._queue.release_slot(queued.account)
             if not queued.job.done:
                 self._queue.requeue(queued, index)
--- a/papayaward/coordination/fair_queue.py
+++ b/papayaward/coordination/fair_queue.py
@@ -26,7 +26,7 @@
 
     Args:
         job: The job's record, opaque to the queue.
-        tenant: Name of the client account.
+        account: Name of the client account.
         priority: Class priority; lower values go first.
         deadline: Monotonic time, seconds.
         work_us: Expected service time of one task, whole microseconds.
@@ -35,7 +35,7 @@
 
     __slots__ = (
         "job",
-        "tenant",
+        "account",
         "priority",
         "deadline",
         "work_us",
@@ -45,9 +45,9 @@
         "in_heap",
     )
 
-    def __init__(self, job, tenant, priority, deadline, work_us, sizes):
+    def __init__(self, job, account, priority, deadline, work_us, sizes):
         self.job = job
-        self.tenant = tenant
+        self.account = account
         self.priority = priority
         self.deadline = deadline
         self.work_us = work_us
@@ -162,7 +162,7 @@
 
     def add(self, queued, indices):
         """Adds tasks of a job; a job that was added before keeps its position."""
-        account = self._account(queued.tenant)
+        account = self._account(queued.account)
         if not queued.arrival_number:
             queued.arrival_number = next(self._sequence)
         queued.pending.extend(indices)
@@ -173,7 +173,7 @@
 
     def requeue(self, queued, index):
         """Returns a removed task to the queue, ahead of its job's other tasks."""
-        account = self._account(queued.tenant)
+        account = self._account(queued.account)
         queued.pending.appendleft(index)
         self._update_totals(account, queued, 1, queued.sizes[index])
         self._push_job(account, queued)
@@ -217,7 +217,7 @@
         removed = len(queued.pending)
         if not removed:
             return 0
-        account = self._accounts[queued.tenant]
+        account = self._accounts[queued.account]
         self._update_totals(
             account,
             queued,
--- a/papayaward/coordination/grants.py
+++ b/papayaward/coordination/grants.py
@@ -65,7 +65,7 @@
         record.timeline.add(now, "granted", index, "to", view.member)
         waited_s = now - record.arrived
         record.queue_s = max(record.queue_s, waited_s)
-        _queue_seconds(spec.tenant, spec.job_class).observe(waited_s)
+        _queue_seconds(spec.account, spec.job_class).observe(waited_s)
         return grant
 
     def take_hedgeable(self):
@@ -88,7 +88,7 @@
                 grant.attempt,
                 grant.record.spec.tasks[grant.index],
                 max(0, int((grant.record.spec.deadline - now) * 1000)),
-                grant.record.spec.tenant,
+                grant.record.spec.account,
                 grant.record.spec.job_class,
             )
             for grant in outstanding
@@ -107,7 +107,7 @@
         if grant is None or grant.attempt != attempt:
             return None
         del view.outstanding[key]
-        self._queue.release_slot(grant.record.spec.tenant)
+        self._queue.release_slot(grant.record.spec.account)
         return grant
 
     def release_all(self, view):
@@ -115,7 +115,7 @@
         grants = list(view.outstanding.values())
         view.outstanding = {}
         for grant in grants:
-            self._queue.release_slot(grant.record.spec.tenant)
+            self._queue.release_slot(grant.record.spec.account)
         return grants
 
     def withdraw(self, view, grant):
@@ -130,7 +130,7 @@
         for key, grant in list(view.outstanding.items()):
             if grant.record.done:
                 del view.outstanding[key]
-                self._queue.release_slot(grant.record.spec.tenant)
+                self._queue.release_slot(grant.record.spec.account)
                 finished.add(grant.record.spec.job_id)
         if finished:
             view.link.try_send(CancelTasks(sorted(finished)))
--- a/papayaward/coordination/queue_load.py
+++ b/papayaward/coordination/queue_load.py
@@ -112,7 +112,7 @@
         if tasks > 1 and self._speeds.knows(spec.job_class):
             task_s = self._speeds.expected_s(spec.job_class)
             last_task_s = task_s * self._speeds.min_slowness()
-            slots = max(1.0, self._share(spec.tenant, now))
+            slots = max(1.0, self._share(spec.account, now))
             wait_s = _last_start_s(tasks, free, slots, task_s)
             needed_s = max(wait_s + last_task_s, tasks * task_s / slots)
         return needed_s > remaining_s
--- a/papayaward/coordination/request_handler.py
+++ b/papayaward/coordination/request_handler.py
@@ -84,7 +84,7 @@
         spec = JobSpec(
             job_id=message.job_id,
             service=message.service_name,
-            tenant=message.tenant,
+            account=message.tenant,
             job_class=message.job_class,
             deadline=now + message.deadline_ms / 1000,
             # Tasks of jobs with several tasks are never started a second time.
@@ -159,7 +159,7 @@
             self._refuse(record, Reason.DRAINING, "the home is stopping", 100, now)
             return
         refusal = check_admission(
-            self._dispatcher.load(spec.tenant, now),
+            self._dispatcher.load(spec.account, now),
             self._settings,
             self._dispatcher.demand(spec, record.size),
             now,
--- a/papayaward/coordination/results.py
+++ b/papayaward/coordination/results.py
@@ -137,7 +137,7 @@
             return
         service_s = result.service_us / 1e6
         spec = record.spec
-        _service_seconds(spec.tenant, spec.job_class).observe(service_s)
+        _service_seconds(spec.account, spec.job_class).observe(service_s)
         self._update_health(view, spec, result.status, service_s, now)
 
     def _add_cancelled_sample(self, view, spec, result, now):
@@ -157,7 +157,7 @@
         if succeeded:
             dispatcher.speeds.add(view.member, spec.job_class, service_s, now)
             self._budget.on_success(now)
-        kind = (spec.tenant, spec.job_class)
+        kind = (spec.account, spec.job_class)
         executors = len(dispatcher.executors)
         if self._ejects and dispatcher.ejection.add(
             view.member, kind, succeeded, view.slots, executors, now
--- a/papayaward/state/job_records.py
+++ b/papayaward/state/job_records.py
@@ -31,7 +31,7 @@
     Attributes:
         job_id: Identifier, text.
         service: Service that runs the tasks.
-        tenant: Client account to which the job is charged.
+        account: Client account to which the job is charged.
         job_class: Class of the job.
         deadline: Monotonic time by which the answer is due, seconds.
         idempotent: Whether a task may be started again after its run was lost.
@@ -40,7 +40,7 @@
 
     job_id: str
     service: str
-    tenant: str
+    account: str
     job_class: str
     deadline: float
     idempotent: bool
@@ -195,7 +195,7 @@
 
     def _add_open_bytes(self, record, size):
         self._open_bytes += size
-        account = record.spec.tenant
+        account = record.spec.account
         total = self._account_bytes.get(account, 0) + size
         if total:
             self._account_bytes[account] = total
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -28,7 +28,7 @@
 
 
 def _pop_tenants(queue, number):
-    return [queue.pop()[0].tenant for _ in range(number)]
+    return [queue.pop()[0].account for _ in range(number)]
 
 
 class OrderTest(TestCase):
@@ -108,7 +108,7 @@
                 granted.append(queue.pop())
             elif step < 0.9 and granted:
                 job, index = granted.pop(rng.randrange(len(granted)))
-                queue.release_slot(job.tenant)
+                queue.release_slot(job.account)
                 # Tasks of a finished job are not requeued.
                 if job in jobs and rng.random() < 0.5:
                     queue.requeue(job, index)
@@ -121,7 +121,7 @@
         while queue:
             granted.append(queue.pop())
         for job, _ in granted:
-            queue.release_slot(job.tenant)
+            queue.release_slot(job.account)
         self.assertEqual((0, 0, 0), (len(queue), queue.bytes, queue.work_us))
         self.assertEqual([], queue.demands())
 
