--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -374,7 +374,7 @@
         self._undecided.on_unanswered_run_over(run)
         session = self._current.session
         if outcome != "done" and session is not None:
-            session.fence_off_sent()
+            session.fence_off_sent_requests()
 
     def _add_peer_run(self, run, ratio):
         for owner in self._owners:
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -185,7 +185,7 @@
         while is_needed() and not self._calls.stop(task, run, attempt):
             attempt += 1
 
-    def fence_off_sent(self):
+    def fence_off_sent_requests(self):
         """Has each lifetime reject what was sent so far once it receives a request."""
         self._calls.token.raise_above_sent()
 
