--- a/tests/replaced_upstream_case.py
+++ b/tests/replaced_upstream_case.py
@@ -10,13 +10,15 @@
 
 from papayaward import clock
 from papayaward.coordination.leased_executor import LeasedExecutor
-from papayaward.coordination.upstream_requests import NoReply
+from papayaward.coordination.upstream_requests import NoReply, Unreachable
 from papayaward.protocol.gen.ttypes import StartBatch
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import FakeLink, start_group, upstream_state
 
 __all__ = ["ReplacedUpstreamCase"]
 
+_REFUSAL_DELAY_S = 0.001
+
 
 class _Address:
     """Client of whichever lifetime is reachable at the address of an upstream.
@@ -24,26 +26,36 @@
     Attributes:
         lifetime: The reachable `LeasedUpstream`, or None.
         reached_by_starts_only: Whether other requests get no reply yet.
+        refuses: Whether connections are refused, whatever the lifetime does.
     """
 
     def __init__(self, lifetime):
         self.lifetime = lifetime
         self.reached_by_starts_only = False
+        self.refuses = False
 
     def start(self, instance, request, timeout_s, may_send=lambda: True):
+        self._connect()
         if self.lifetime is None and not may_send():
             raise NoReply("not sent")
         self._wait(timeout_s)
         return self.lifetime.start(instance, request, timeout_s, may_send)
 
     def stop(self, instance, task, run, fencing_token, timeout_s):
+        self._connect()
         self._wait(timeout_s, self.reached_by_starts_only)
         return self.lifetime.stop(instance, task, run, fencing_token, timeout_s)
 
     def poll(self, instance, request, timeout_s):
+        self._connect()
         self._wait(timeout_s, self.reached_by_starts_only)
         return self.lifetime.poll(instance, request, timeout_s)
 
+    def _connect(self):
+        if self.refuses:
+            gevent.sleep(_REFUSAL_DELAY_S)
+            raise Unreachable("connection refused")
+
     def _wait(self, timeout_s, is_unreachable=False):
         if self.lifetime is None or is_unreachable:
             gevent.sleep(timeout_s)
@@ -59,7 +71,8 @@
     def setUp(self):
         super().setUp()
         self.first = LeasedUpstream(born_ms=1, first_clock_ms=self.first_clock_ms)
-        self.second = LeasedUpstream(born_ms=2)
+        # The clock of a lifetime starts anew.
+        self.second = LeasedUpstream(born_ms=2, first_clock_ms=0)
         self.address = _Address(self.first)
         self.executor = self.open_executor()
         self.link = FakeLink("e1")
