Wait for the lease when connections to an upstream are refused

Change: run_activity is the only owner of 'may this run still be active, or begin' at an executor; it ends a run only with one of six proofs. LossEvidence.REFUSED is gone; a refusal is a request without a reply, closes the upstream to new starts at once and is retried. A stop tells executed, not executed or closed; a report of another lifetime or instance closes the session but proves nothing until something has replied. A reply without a start time is related to its lifetime by the upstream's clock. A lost upstream is polled until it replies, so that it is used again without a report.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -9,7 +9,7 @@
 from dataclasses import asdict, replace
 
 from .. import clock
-from .upstream_requests import LossEvidence
+from .upstream_requests import MAX_START_DELAY_S, LossEvidence
 
 __all__ = ["CurrentUpstream", "log_capacity_change"]
 
@@ -26,8 +26,7 @@
         on_crash: Function that takes an `InstanceLoss` and the current time, called
             before a session is closed because its instance has crashed.
         on_closed: Function that takes the `UpstreamSession` that was closed, or None,
-            the `LossEvidence` and the reason for the log, and returns whether the next
-            lifetime may execute starts.
+            the `LossEvidence` and the reason for the log.
 
     Attributes:
         state: `UpstreamState`, None before the first report.
@@ -46,6 +45,10 @@
         self._lowest_token = 1
         # Whether the state is a report of the upstream to this process.
         self._is_reported = False
+        # Whether the session is with the lifetime that replies first, whichever it is.
+        self._is_awaiting = False
+        # Time until which an upstream without replies is expected back, seconds.
+        self._awaited_until = 0.0
 
     @property
     def refusal_reason(self):
@@ -85,6 +88,7 @@
         if self._is_current_lifetime(state):
             self.is_deregistered = False
             self.state = state
+            self._is_awaiting = False
             if self.session is None:
                 self._open()
         else:
@@ -102,14 +106,28 @@
 
     def forget(self):
         """Closes the session of a deregistered upstream that runs nothing any more."""
-        self._close(LossEvidence.OTHER_INSTANCE, "the upstream deregistered")
+        self._close(LossEvidence.UNUSED, "the upstream deregistered")
         self.is_deregistered = False
         self.state = None
 
-    def stop_awaiting(self):
-        """Closes a session that polls for an upstream which has not returned."""
-        if self.session is not None and not self.session.is_up:
-            self._close(LossEvidence.SILENT, "the upstream has not returned")
+    def check(self, now):
+        """Notices that the lease of an upstream without replies has ended.
+
+        Args:
+            now: Time, seconds.
+        """
+        if self.session is not None:
+            self.session.check(now)
+
+    def stop_awaiting(self, now):
+        """Closes a session that polls in vain for an upstream to return.
+
+        Args:
+            now: Time, seconds.
+        """
+        if self.session is None or self.session.is_up or now < self._awaited_until:
+            return
+        self._close(LossEvidence.UNUSED, "the upstream has not returned")
 
     def _is_outdated(self, state):
         """Returns whether a report is older than what is known of the upstream."""
@@ -135,7 +153,9 @@
     def _is_session_reported(self):
         """Whether the state may be a report of the lifetime that replies."""
         replied_born_ms, born_ms = self._replied_born_ms, self.state.born_ms
-        return not replied_born_ms or not born_ms or replied_born_ms == born_ms
+        if not replied_born_ms or not born_ms:
+            return not self._is_awaiting
+        return replied_born_ms == born_ms
 
     @property
     def _replied_born_ms(self):
@@ -144,11 +164,7 @@
 
     def _replace(self, state, now):
         last, session = self.state, self.session
-        is_same = last is not None and last.instance == state.instance
-        evidence = (
-            LossEvidence.OTHER_LIFETIME if is_same else LossEvidence.OTHER_INSTANCE
-        )
-        reason = "the upstream restarted"
+        evidence, reason = LossEvidence.REPORTED, "the upstream restarted"
         if session is not None and session.is_up and not last.draining:
             self._on_crash(session.loss(evidence, reason, now), now)
         self._close(evidence, reason)
@@ -157,6 +173,7 @@
         self._open()
 
     def _open(self, is_up=True):
+        self._is_awaiting = not is_up
         # Above the tokens of earlier processes of this VM, which late requests carry
         # that the upstream's lifetime has not received yet.
         lowest_token = max(self._lowest_token, clock.unix_ms())
@@ -165,25 +182,25 @@
         )
 
     def _close(self, evidence, reason):
-        """Closes the session; returns as `on_closed`."""
         session, self.session = self.session, None
         if session is not None:
             session.close()
             self._lowest_token = session.next_token
-        return self._on_closed(session, evidence, reason)
+        self._on_closed(session, evidence, reason)
 
     def _on_session_lost(self, loss):
         session = self.session
         if not self._is_session_reported:
             # The lifetime has replied, but never reported.
             self.state = replace(self.state, born_ms=session.born_ms, sequence=0)
+        now = clock.now()
         if session.is_up and not self.state.draining:
-            self._on_crash(loss, clock.now())
-        may_start_late = self._close(loss.evidence, loss.reason)
-        if may_start_late and loss.evidence is not LossEvidence.OTHER_INSTANCE:
-            # The next lifetime is taken over as soon as it replies, so that it rejects
-            # late starts. Otherwise the upstream's next report opens a new session.
-            self._is_reported = False
+            self._on_crash(loss, now)
+        self._close(loss.evidence, loss.reason)
+        if loss.evidence is not LossEvidence.OTHER_INSTANCE:
+            # Whichever lifetime replies first is taken over, so that it rejects late
+            # starts, and is used again at once if it is the one that was lost.
+            self._awaited_until = now + MAX_START_DELAY_S
             self._open(is_up=False)
 
 
--- a/papayaward/coordination/delivery_tracker.py
+++ b/papayaward/coordination/delivery_tracker.py
@@ -17,13 +17,16 @@
         on_delivery: Function that takes each new `Delivery`.
         on_unanswered: Function that takes the number of requests without a reply
             whenever it changes.
+        on_identified: Function called when the lifetime of the session is known to have
+            begun the run.
         is_open: Function that returns whether the session is open. Once it is closed,
             the executor has reported what was not sent as not run.
     """
 
-    def __init__(self, on_delivery, on_unanswered, is_open):
+    def __init__(self, on_delivery, on_unanswered, on_identified, is_open):
         self._on_delivery = on_delivery
         self._on_unanswered = on_unanswered
+        self._on_identified = on_identified
         self._is_open = is_open
         self._unanswered = 0
 
@@ -35,11 +38,18 @@
         self._on_delivery(Delivery.UNANSWERED)
         return True
 
-    def on_reply(self, started):
-        """Records the reply to an attempt; earlier ones may remain unanswered."""
+    def on_reply(self, started, is_identified=False):
+        """Records the reply to an attempt; earlier ones may remain unanswered.
+
+        Args:
+            started: Whether the run has begun.
+            is_identified: Whether the lifetime of the session is known to have replied.
+        """
         self._add_unanswered(-1)
         if started:
             self._on_delivery(Delivery.STARTED)
+            if is_identified:
+                self._on_identified()
         elif not self._unanswered:
             self._on_delivery(Delivery.NOT_DELIVERED)
 
--- a/papayaward/coordination/lease_clock.py
+++ b/papayaward/coordination/lease_clock.py
@@ -30,6 +30,20 @@
         """Local time by which every lease that was sent has expired, seconds."""
         return self._until
 
+    def continues(self, clock_ms, sent_at):
+        """Returns whether a reading is of the same clock as the earlier ones.
+
+        The clock of another lifetime starts anew, so that it is behind.
+
+        Args:
+            clock_ms: Reading in a reply, milliseconds; 0 if not given.
+            sent_at: Time at which the request was sent, seconds.
+        """
+        if not clock_ms or self._clock_ms is None:
+            return False
+        elapsed_ms = (sent_at - self._read_at) * 1000.0 * _SLOWEST_CLOCK
+        return clock_ms >= int(self._clock_ms + elapsed_ms)
+
     def on_reply(self, clock_ms, now):
         """Updates the clock from a reply that arrived now.
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -19,8 +19,8 @@
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
+from .run_activity import RunActivity
 from .run_owners import RunOwners
-from .undecided_runs import LOST, UndecidedRuns
 from .unknown_runs import UnknownRuns
 from .upstream_crashes import crash_of_loss
 from .upstream_session import UpstreamSession
@@ -63,7 +63,7 @@
         )
         self._owners = RunOwners()
         self._runs = {}
-        self._undecided = UndecidedRuns(self._runs, self._finish)
+        self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
         self._unknown = UnknownRuns()
@@ -158,7 +158,7 @@
         """Notifies the entries when tasks may start or may no longer start."""
         session = self._current.session
         if session is not None and session.taken_over:
-            self._undecided.on_taken_over(clock.now())
+            self._activity.on_taken_over(session, clock.now())
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -281,11 +281,12 @@
         if limit and not may_isolate(self._runs.values(), job_id, limit):
             return "not_isolated"
         run = Run.of_start(group, start, need, owner, now)
+        run.session = self._current.session
         self._runs[start.task] = run
         self._used = self._used + need
         self._isolated_runs += run.isolated
         owner.runs += 1
-        gevent.spawn(self._start, run, self._current.session)
+        gevent.spawn(self._start, run)
         return ""
 
     def _latest_end(self, now):
@@ -296,7 +297,9 @@
         )
         return min(max(ends, default=now), self._close_limit)
 
-    def _start(self, run, session):
+    def _start(self, run):
+        session = run.session
+
         def is_wanted():
             return not run.stopping and not run.ended
 
@@ -308,11 +311,20 @@
                 run.sent_at = clock.now()
             run.unanswered = count
 
+        def on_identified():
+            run.identified = True
+
         result, number = session.start(
-            run.task, run.run, run.spec, is_wanted, on_delivery, on_unanswered
+            run.task,
+            run.run,
+            run.spec,
+            is_wanted,
+            on_delivery,
+            on_unanswered,
+            on_identified,
         )
         run.run = number
-        if run.ended or run.undecided:
+        if run.ended or run.session_closed:
             return
         if result == "started":
             run.running = True
@@ -327,16 +339,13 @@
         )
         # An end that did not end this run is that of an earlier submission's run with
         # the same number, so the upstream rejected the start.
-        if result == "unreachable":
-            self._finish(run, LOST, clock.now())
-        else:
-            self._finish(run, "not_run:" + result, clock.now())
+        self._activity.on_not_started(run, result, clock.now())
 
     def _on_ends(self, ends, now):
         for end in ends:
             run = self._runs.get(end.task)
             if run is not None and end.run >= run.run:
-                self._finish(run, end.outcome, now)
+                self._activity.on_listed_end(run, end.outcome, now)
 
     def _on_progress(self, running, now):
         """Reports runs that take far longer than expected to their entries."""
@@ -345,7 +354,7 @@
             if run is None or number < run.run:
                 self._unknown.stop(self._current.session, task, number)
                 continue
-            run.listed = True
+            run.identified = True
             if not run.is_slow(percent, now):
                 continue
             remaining_ms = int(run.remaining_s(percent, now) * 1000)
@@ -354,9 +363,6 @@
             self._reports.wake()
 
     def _finish(self, run, outcome, now):
-        if run.ended:
-            return
-        run.ended = True
         del self._runs[run.task]
         self._used = self._used - run.need
         self._isolated_runs -= run.isolated
@@ -371,7 +377,7 @@
 
     def _on_unanswered_run_over(self, run, outcome):
         """Handles the end of a run whose start the next lifetime may still execute."""
-        self._undecided.on_unanswered_run_over(run)
+        self._activity.on_unanswered_run_over(run)
         session = self._current.session
         if outcome != "done" and session is not None:
             session.fence_off_sent_requests()
@@ -397,9 +403,8 @@
         if run.is_unsettled:
             # The other entries are told of it; the caller may submit the job to them.
             self._on_capacity_changed()
-        session = self._current.session
-        if run.running and session is not None and not run.undecided:
-            gevent.spawn(session.stop, run.task, run.run, lambda: not run.ended)
+        if run.running and not run.session_closed:
+            gevent.spawn(run.session.stop, run.task, run.run, lambda: not run.ended)
 
     def stop_all(self, reason, now):
         """Stops all runs.
@@ -444,11 +449,8 @@
         )
 
     def _on_session_closed(self, session, evidence, reason):
-        may_start_late = self._undecided.on_session_closed(
-            session, evidence, reason, clock.now()
-        )
+        self._activity.on_session_closed(session, evidence, reason, clock.now())
         self.check_accepting()
-        return may_start_late
 
     def _publish_crash(self, loss, now):
         """Tells all processes what the upstream may have been running.
@@ -466,9 +468,10 @@
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
-        self._undecided.expire(now)
-        if not self._undecided.may_start_late(now):
-            self._current.stop_awaiting()
+        self._current.check(now)
+        self._activity.check(now)
+        if not self._activity.may_start_late(now):
+            self._current.stop_awaiting(now)
         self._forget_deregistered()
         for owner in self._owners.silent(now):
             self._stop_runs_of(owner, "the entry is silent", now)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -45,13 +45,20 @@
     sent_at: float = 0.0
     # Number of requests to start it that had no reply.
     unanswered: int = 0
-    # Whether a list of the upstream's runs has shown it.
-    listed: bool = False
-    # Whether it may be active, or begin, at the next lifetime of the upstream.
+    # Whether the lifetime of its session is known to have begun it, from the reply to
+    # its start or from a list of the runs.
+    identified: bool = False
+    # `UpstreamSession` that starts it, and whether that has been closed.
+    session: object = None
+    session_closed: bool = False
+    # Once the session has been closed: whether a request to start the run may still be
+    # executed, and the time by which its lease has ended, seconds.
     undecided: bool = False
+    leased_until: float = 0.0
+    # `Proof` that it is over, None while it may be active or begin.
+    proof: object = None
     # Time at which the run was to be stopped, None if it is wanted.
     stop_requested_at: float | None = None
-    ended: bool = False
     percent: int = -1
     progress_at: float = 0.0
 
@@ -80,6 +87,11 @@
             now,
         )
 
+    @property
+    def ended(self):
+        """Whether the run is known to be over."""
+        return self.proof is not None
+
     @property
     def stopping(self):
         """Whether the run is to be stopped."""
--- a/papayaward/coordination/reply_tracker.py
+++ b/papayaward/coordination/reply_tracker.py
@@ -24,6 +24,10 @@
 _SILENT_S = 0.3
 # Time after a request without a reply in which further ones are expected.
 _LOSSY_S = 3.0
+# Longest time from the first connection that breaks to the first that is refused for
+# which both are taken for the same crash. Connections that break for longer show an
+# upstream that is alive, and whose runs may end unnoticed.
+_MAX_BREAK_S = 0.3
 
 
 class ReplyTracker:
@@ -37,11 +41,8 @@
         self._last_failure = None
         self._last_reply = None
         self._timed_out = False
-
-    @property
-    def timed_out(self):
-        """Whether a request has timed out since the last reply."""
-        return self._timed_out
+        # Time of the first of the refused connections since any other event, or None.
+        self._refused_since = None
 
     def on_reply(self, elapsed_s, now):
         """Records a reply.
@@ -60,16 +61,22 @@
         self._failures = 0
         self._last_reply = now
         self._timed_out = False
+        self._refused_since = None
 
-    def on_no_reply(self, now, timed_out=True):
+    def on_no_reply(self, now, timed_out=True, is_refused=False):
         """Records a request without a reply.
 
         Args:
             now: Time, seconds.
             timed_out: Whether there was no sign of the upstream, as opposed to a
-                connection that broke.
+                connection that broke or was refused.
+            is_refused: Whether the connection was refused.
         """
         self._timed_out = self._timed_out or timed_out
+        if not is_refused:
+            self._refused_since = None
+        elif self._refused_since is None:
+            self._refused_since = now
         if not self._failures:
             self._failing_since = now
         self._failures += 1
@@ -92,6 +99,18 @@
             and now - self._failing_since >= _SILENT_S
         )
 
+    def was_in_touch(self, now):
+        """Returns whether the upstream replied until it stopped replying at all.
+
+        Connections broke shortly before now, or were refused since shortly after. An
+        upstream that crashes is seen like that, but also one that runs on behind a path
+        that refuses connections.
+        """
+        if self._timed_out:
+            return False
+        since = now if self._refused_since is None else self._refused_since
+        return since - self.failed_at(since) < _MAX_BREAK_S
+
     def is_failing(self):
         """Returns whether the latest request had no reply."""
         return self._failures > 0
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -11,6 +11,7 @@
 
 from .. import clock
 from .delivery_tracker import DeliveryTracker
+from .upstream_calls import StopResult
 from .upstream_requests import NoReply, PollRequest, StartRequest
 
 __all__ = ["RunStarter"]
@@ -39,13 +40,15 @@
         self._lease_end = lease_end
         self._last_end = last_end
 
-    def start(self, task, run, spec, is_wanted, on_delivery, on_unanswered):
+    def start(
+        self, task, run, spec, is_wanted, on_delivery, on_unanswered, on_identified
+    ):
         """Starts a run; see `UpstreamSession.start`."""
         unanswered = 0
         expires_ms = 0
         result = "rejected"
         delivery = DeliveryTracker(
-            on_delivery, on_unanswered, lambda: not self._calls.closed
+            on_delivery, on_unanswered, on_identified, lambda: not self._calls.closed
         )
         for _ in range(_START_ATTEMPTS):
             if self._calls.closed or not is_wanted():
@@ -65,7 +68,7 @@
                     extra={"task": task, "run": run, "error": str(error)},
                 )
                 continue
-            if outcome in ("started", "unreachable"):
+            if outcome == "started":
                 return outcome, run
             if outcome == "old_run":
                 state = self._state_of(task, run) if unanswered else "never"
@@ -99,14 +102,17 @@
         state that the next poll reports is final.
 
         Returns:
-            str: `started` if the run is active or being stopped, `ended` or `never`.
+            str: `started` if the run is active or being stopped, `ended`, `never`, or
+                `closed` if no more requests are sent, so that its state is not known.
         """
         state = "never"
         attempt = 0
         is_final = False
         while state == "never" and not is_final:
-            is_final = self._calls.stop(task, run, attempt)
-            is_final = is_final or self._calls.lease.clock_ms > expires_ms
+            result = self._calls.stop(task, run, attempt)
+            is_final = (
+                result is StopResult.EXECUTED or self._calls.lease.clock_ms > expires_ms
+            )
             state = self._state_of(task, run)
             attempt += 1
         return state
@@ -115,7 +121,7 @@
         """Polls until the upstream replies and returns the state of a run.
 
         Returns:
-            str: `started`, `ended`, also if no more requests may be sent, or `never`.
+            str: `started`, `ended`, `never`, or `closed` if no more requests are sent.
         """
         while not self._calls.closed:
             token = self._calls.token.value
@@ -127,4 +133,4 @@
                     return "started"
                 ended = any((end.task, end.run) == (task, run) for end in reply.ends)
                 return "ended" if ended else "never"
-        return "ended"
+        return "closed"
--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -5,10 +5,12 @@
 Single requests to one upstream instance, and what their replies show of it.
 
 A reply counts only if it says that the request was executed, that its fencing token was
-too low, or that another instance is there. Any other one is treated as no reply.
+too low, or that another instance is there. Any other one is treated as no reply, and so
+is a refused connection: the upstream may be running behind a path that refuses.
 """
 
 import logging
+from enum import Enum
 
 import gevent
 
@@ -25,17 +27,23 @@
     Unreachable,
 )
 
-__all__ = ["UpstreamCalls"]
+__all__ = ["StopResult", "UpstreamCalls"]
 
 log = logging.getLogger(__name__)
 
 # Outcomes of replies to stops and polls that tell the upstream's state, or that it is
 # another one. Any other reply means that nothing was done.
 _TELLING_OUTCOMES = ("ok", "fenced", "other_instance")
-# Longest time from the first connection that breaks to the refusal of another one for
-# which both are taken for the same crash. Connections that break for longer show an
-# upstream that is alive, and whose runs may end unnoticed.
-_MAX_WITNESSED_S = 0.3
+
+
+class StopResult(Enum):
+    """What became of a request to stop a run."""
+
+    # The upstream has executed it, and rejects later requests to start the run.
+    EXECUTED = "executed"
+    NOT_EXECUTED = "not executed"
+    # No more requests are sent to the instance.
+    CLOSED = "closed"
 
 
 class UpstreamCalls:
@@ -48,8 +56,8 @@
         on_lost: Function that takes an `InstanceLoss`, called once when the instance is
             found to be lost.
         lowest_token: Lowest fencing token that may be used.
-        is_up: Whether the instance is known to be up. If it is not, a refused
-            connection is no loss, and the lifetime is the first that replies.
+        is_up: Whether the instance is known to be up. If it is not, the lifetime is
+            the first that replies.
 
     Attributes:
         state: `UpstreamState` of the instance.
@@ -96,12 +104,13 @@
             delivery: `DeliveryTracker` of the start.
 
         Returns:
-            str: `started`, `unreachable` or the outcome of the upstream's reply.
+            str: `started`, `unreachable` if this request was not sent, `lost` if the
+                reply shows that the instance is gone, or the outcome of the reply.
 
         Raises:
             NoReply: The upstream did not reply; the start may take effect later.
         """
-        instance = self.state.instance
+        instance, sent_at = self.state.instance, clock.now()
         try:
             reply = self._call(
                 lambda timeout_s: self._upstream.start(
@@ -111,13 +120,14 @@
                 may_refuse=True,
             )
         except Unreachable:
-            self._on_refused()
             return "unreachable"
         # Another lifetime may have executed the start, another instance has not.
         if not self._is_other_lifetime(reply) or reply.outcome == "other_instance":
-            delivery.on_reply(reply.outcome == "ok")
+            delivery.on_reply(
+                reply.outcome == "ok", self._is_same_lifetime(reply, sent_at)
+            )
         if self._is_lost(reply):
-            return "unreachable"
+            return "lost"
         if reply.outcome == "fenced":
             self.token.on_fenced(request.fencing_token)
         return "started" if reply.outcome == "ok" else reply.outcome
@@ -131,11 +141,10 @@
             attempt: Number of earlier attempts without a reply.
 
         Returns:
-            bool: Whether the upstream has executed it, or no request may be sent any
-                more.
+            StopResult: What became of it.
         """
         if self.closed:
-            return True
+            return StopResult.CLOSED
         token = self.token.value
         try:
             reply = self._call(
@@ -144,19 +153,16 @@
                 ),
                 attempt,
             )
-        except NoReply as error:
+        except (NoReply, Unreachable) as error:
             extra = {"task": task, "run": run, "error": str(error)}
             log.info("stop_unanswered", extra=extra)
-            return False
-        except Unreachable:
-            self._on_refused()
-            return True
+            return StopResult.NOT_EXECUTED
         if self._is_lost(reply):
-            return True
+            return StopResult.CLOSED
         if reply.outcome == "fenced":
             self.token.on_fenced(token)
-            return False
-        return True
+            return StopResult.NOT_EXECUTED
+        return StopResult.EXECUTED
 
     def poll(self, request, attempt=0):
         """Sends one request to list the runs.
@@ -177,10 +183,7 @@
                 attempt,
                 request.wait_ms / 1000.0,
             )
-        except NoReply:
-            return None
-        except Unreachable:
-            self._on_refused()
+        except (NoReply, Unreachable):
             return None
         if self._is_lost(reply):
             return None
@@ -196,9 +199,7 @@
             reason: How it was noticed, for the log.
             now: Time, seconds.
         """
-        is_gone = evidence is not LossEvidence.SILENT
-        in_touch = self.replies.failing_s(now) < _MAX_WITNESSED_S
-        witnessed = is_gone and in_touch and not self.replies.timed_out
+        witnessed = self.replies.was_in_touch(now)
         at = self.replies.failed_at(now) if witnessed else now
         uncertainty_s = 0.0 if witnessed else self.replies.silence_s(at)
         return InstanceLoss(evidence, reason, at, uncertainty_s, witnessed)
@@ -225,10 +226,6 @@
         )
         self._on_lost(loss)
 
-    def _on_refused(self):
-        if self.is_up:
-            self.lose(LossEvidence.REFUSED, "connection refused")
-
     def _call(self, send, attempt=0, wait_s=0.0, may_refuse=False):
         """Sends a request and records whether and when it was answered.
 
@@ -249,10 +246,10 @@
             reply = send(timeout_s + wait_s)
             if reply.outcome not in _TELLING_OUTCOMES and not may_refuse:
                 raise Refused(f"the reply was {reply.outcome}")
-        except NoReply as error:
+        except (NoReply, Unreachable) as error:
             self._on_no_reply(error, clock.now())
             # A connection that fails at once would else be retried in a tight loop. The
-            # first retry is not delayed: it shows whether the upstream has crashed.
+            # first retry is not delayed: it shows whether connections are refused.
             if attempt:
                 gevent.sleep(max(0.0, sent_at + timeout_s - clock.now()))
             raise
@@ -261,21 +258,23 @@
         return reply
 
     def _on_no_reply(self, error, now):
-        timed_out = not isinstance(error, (ConnectionBroken, Refused))
-        self.replies.on_no_reply(now, timed_out)
-        self._set_silent(self.replies.is_silent(now))
+        is_refused = isinstance(error, Unreachable)
+        timed_out = not isinstance(error, (ConnectionBroken, Refused, Unreachable))
+        self.replies.on_no_reply(now, timed_out, is_refused)
+        # What is started while connections are refused could not be stopped.
+        self._set_silent(is_refused or self.replies.is_silent(now))
 
     def _on_reply(self, reply, sent_at, wait_s, now):
+        self.is_up = True
+        if self._is_other_lifetime(reply):
+            return
         if wait_s:
             self.replies.on_delayed_reply(now)
         else:
             self.replies.on_reply(now - sent_at, now)
         self._set_silent(False)
-        self.is_up = True
-        if self._is_other_lifetime(reply):
-            return
         self.born_ms = self.born_ms or reply.born_ms
-        if reply.born_ms:
+        if self._is_same_lifetime(reply, sent_at):
             self._identified_at = max(self._identified_at, sent_at)
         self.lease.on_reply(reply.clock_ms, now)
 
@@ -302,5 +301,18 @@
             return True
         return False
 
+    def _is_same_lifetime(self, reply, sent_at):
+        """Returns whether a reply shows that the session's lifetime has sent it.
+
+        Args:
+            reply: `UpstreamReply`.
+            sent_at: Time at which its request was sent, seconds.
+        """
+        if not self.born_ms:
+            return False
+        if reply.born_ms:
+            return reply.born_ms == self.born_ms
+        return self.lease.continues(reply.clock_ms, sent_at)
+
     def _is_other_lifetime(self, reply):
         return self.born_ms and reply.born_ms and reply.born_ms != self.born_ms
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -66,7 +66,7 @@
         started_at: Time of the start, seconds.
         delivery: `Delivery` of the start.
         stopping: Whether a stop of the run has been requested.
-        undecided: Whether it was on an earlier lifetime of the upstream.
+        session_closed: Whether it was on an earlier lifetime of the upstream.
     """
 
     task: str
@@ -75,7 +75,7 @@
     started_at: float
     delivery: Delivery = Delivery.UNANSWERED
     stopping: bool = False
-    undecided: bool = False
+    session_closed: bool = False
 
 
 def crash_of(upstream, service, runs, at, uncertainty_s=0.0, witnessed=False):
@@ -125,9 +125,9 @@
 def _was_running(run):
     """Returns whether a run is known to have begun and was not being stopped.
 
-    An undecided one has begun at an earlier lifetime of the upstream.
+    One whose session was closed before has begun at an earlier lifetime.
     """
-    has_begun = run.delivery is Delivery.STARTED and not run.undecided
+    has_begun = run.delivery is Delivery.STARTED and not run.session_closed
     return has_begun and not run.stopping
 
 
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -51,7 +51,11 @@
 
 
 class Unreachable(Exception):
-    """No connection was made, so the upstream has not received the request."""
+    """No connection was made, so the upstream has not received this request.
+
+    It tells nothing of the upstream's runs: the path may refuse connections while the
+    upstream is running.
+    """
 
 
 class Delivery(Enum):
@@ -69,18 +73,19 @@
 
 
 class LossEvidence(Enum):
-    """How the end of an upstream instance was noticed."""
+    """Why a session with an upstream instance was closed."""
 
-    # No process accepts connections, so that no run is active. A start that is still
-    # under way may be executed by the next lifetime.
-    REFUSED = "connections are refused"
-    # The lease has ended, and with it the runs of the lifetime that granted it.
-    SILENT = "no reply until the lease expired"
-    # Another lifetime with the same identifier has replied or reported.
-    OTHER_LIFETIME = "another lifetime is there"
-    # An instance with another identifier is in its place, or it has deregistered and
-    # runs nothing any more. Starts that name it are executed by nobody.
-    OTHER_INSTANCE = "another instance is there"
+    # No request was answered, and the lease has ended.
+    SILENT = "no reply until the lease ended"
+    # A reply came from another lifetime with the same identifier.
+    OTHER_LIFETIME = "another lifetime replied"
+    # A reply came from an instance with another identifier. Requests that name this
+    # one are executed by nobody.
+    OTHER_INSTANCE = "another instance replied"
+    # A report names another lifetime or instance, which has not replied yet.
+    REPORTED = "another lifetime or instance has reported"
+    # The upstream has no runs any more and is not used.
+    UNUSED = "the upstream is not used any more"
 
 
 @dataclass(frozen=True)
@@ -123,8 +128,9 @@
         reason: How it was noticed, for the log.
         at: Latest time of the end, seconds.
         uncertainty_s: Time before `at` in which it may have ended as well.
-        witnessed: Whether the instance was in touch until it ended: connections to it
-            broke and were refused, and no request timed out.
+        witnessed: Whether the instance was in touch until it seemed to end:
+            connections to it broke and were refused from then on, and no request timed
+            out.
     """
 
     evidence: LossEvidence
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -11,7 +11,7 @@
 
 from .. import clock
 from .run_starter import RunStarter
-from .upstream_calls import UpstreamCalls
+from .upstream_calls import StopResult, UpstreamCalls
 from .upstream_requests import LossEvidence, PollRequest
 
 __all__ = ["UpstreamSession"]
@@ -26,6 +26,8 @@
 _RETRY_S = 0.05
 # Time between two polls of an upstream that is expected back.
 _RETURN_POLL_S = 0.1
+# Time without a reply after which an upstream that has no lease is lost.
+_UNLEASED_LOSS_S = 1.0
 # Time that an upstream needs to kill its runs when the lease expires, with a margin.
 _KILL_DELAY_S = 0.1
 
@@ -43,8 +45,8 @@
         on_progress: Function that takes the progress in percent by (task, run) and
             the current time.
         on_change: Function called when `ready` may have changed.
-        on_lost: Function that takes an `InstanceLoss`, called when no run can be active
-            on the instance any more.
+        on_lost: Function that takes an `InstanceLoss`, called when the lease has ended
+            without replies, or another lifetime or instance has replied.
         lowest_token: Lowest fencing token that the session may use.
         is_up: Whether the instance is known to be up, as opposed to expected back; the
             lifetime is then the first that replies.
@@ -146,6 +148,7 @@
         is_wanted,
         on_delivery=lambda delivery: None,
         on_unanswered=lambda count: None,
+        on_identified=lambda: None,
     ):
         """Starts a run.
 
@@ -161,6 +164,8 @@
                 changes.
             on_unanswered: Function that takes the number of its requests without a
                 reply whenever it changes.
+            on_identified: Function called when the lifetime of this session is known to
+                have begun the run.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
@@ -168,7 +173,7 @@
                 the same or a higher number for the task.
         """
         return self._starter.start(
-            task, run, spec, is_wanted, on_delivery, on_unanswered
+            task, run, spec, is_wanted, on_delivery, on_unanswered, on_identified
         )
 
     def stop(self, task, run, is_needed=lambda: True):
@@ -182,9 +187,26 @@
             is_needed: Function that returns whether the run may still be active.
         """
         attempt = 0
-        while is_needed() and not self._calls.stop(task, run, attempt):
+        while is_needed():
+            result = self._calls.stop(task, run, attempt)
+            if result is not StopResult.NOT_EXECUTED:
+                return
             attempt += 1
 
+    def check(self, now):
+        """Reports the instance as lost if it does not reply and its lease has ended.
+
+        Args:
+            now: Time, seconds.
+        """
+        replies = self._calls.replies
+        if not self.is_up or not replies.is_failing() or now <= self.all_ended_at:
+            return
+        # A lease that ended long ago shows that nothing runs, not that it is lost.
+        if self._has_runs() or replies.failing_s(now) > _UNLEASED_LOSS_S:
+            reason = "no reply until the lease expired"
+            self._calls.lose(LossEvidence.SILENT, reason)
+
     def fence_off_sent_requests(self):
         """Has each lifetime reject what was sent so far once it receives a request."""
         self._calls.token.raise_above_sent()
@@ -235,6 +257,7 @@
             if reply is not None:
                 return reply
             gevent.sleep(_RETRY_S if self._calls.is_up else _RETURN_POLL_S)
+            self.check(clock.now())
 
     def _poll_once(self, request, attempt=0):
         reply = self._calls.poll(request, attempt)
@@ -256,21 +279,17 @@
         while not self._calls.closed:
             gevent.sleep(self._renew_delay_s(clock.now()))
             now = clock.now()
-            if not self._has_runs():
-                continue
             until = self._lease_end(now)
-            if until > now:
+            has_lease = self._has_runs() and until > now
+            if has_lease or self._calls.replies.is_failing():
                 # The lease of a silent upstream is not renewed: the state of its runs
                 # is unknown, and a restart elsewhere must wait for the lease to expire.
-                lease_ms = (
-                    None if self._calls.silent else self._calls.lease.lease_ms(until)
-                )
+                is_renewed = has_lease and not self._calls.silent
+                lease_ms = self._calls.lease.lease_ms(until) if is_renewed else None
                 request = PollRequest(self._calls.token.value, self._last_end, lease_ms)
                 reply = self._poll_once(request, attempt)
                 attempt = attempt + 1 if reply is None else 0
-            if self._calls.replies.is_failing() and clock.now() > self.all_ended_at:
-                reason = "no reply until the lease expired"
-                self._calls.lose(LossEvidence.SILENT, reason)
+            self.check(clock.now())
 
     def _renew_delay_s(self, now):
         """Returns the time until the next renewal, seconds.
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -133,6 +133,7 @@
         crashed_at = clock.now()
         self.upstream.crash()
         self.wait_for(lambda: self.executor.refusal_reason, seconds=0.2)
+        self.wait_for(lambda: crashes, seconds=1.5)
         self.assertEqual([()], [crash.jobs for crash in crashes])
         self.assertLess(abs(crashes[0].at - crashed_at), 0.02)
 
@@ -301,8 +302,13 @@
         self.send_heartbeats(link)
         self.send(link, start_group(work_ms=5000))
         gevent.sleep(0.05)
+        self.upstream.crash()
         self.executor.on_upstream_report(upstream_state("i-2", born_ms=5), clock.now())
         gevent.sleep(0.05)
+        self.assertEqual([], link.ends())
+        self.upstream.crashed = False
+        self.upstream.instance, self.upstream.born_ms = "i-2", 5
+        self.wait_for(link.ends, seconds=0.3)
         self.assertEqual([("j.0.0.0", "lost")], link.ends())
 
     def test_closing_executor_accepts_only_tasks_that_do_not_delay_it(self):
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -112,7 +112,12 @@
         crashed_at = clock.now()
         upstream.crash()
         gevent.sleep(0.1)
+        self.assertFalse(session.ready)
+        self.assertEqual([], self.losses)
+        while not self.losses and clock.now() < session.all_ended_at + 0.2:
+            gevent.sleep(0.01)
         (loss,) = self.losses
+        self.assertGreater(clock.now(), session.leased_until)
         self.assertTrue(loss.witnessed)
         self.assertLess(abs(loss.at - crashed_at), 0.02)
         self.assertEqual(0.0, loss.uncertainty_s)
