Count a handshake as no sign of life of an entry that has runs

Callers could see two runs of a task at once: an executor took an entry for alive as soon as it had the entry's Hello, at the time when it opened the connection. The entry sends its Hello before it has that of the executor, so a handshake that only this side completes, or a link that is silent towards the entry, renewed the leases of runs whose tasks the entry starts elsewhere 1.05 s after the last link that it knew of.

Now an entry with runs is alive only by what it has answered on a link. Messages of a link arrive in order, so that it has the list of running tasks by then. An entry without runs counts as before: tasks can only arrive once it has registered the link.

--- a/papayaward/coordination/run_owners.py
+++ b/papayaward/coordination/run_owners.py
@@ -3,6 +3,10 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The entries that an executor runs tasks for, and when they were last known to be alive.
+
+An entry releases a task when the lease has ended that counts from its last link. So an
+entry that has runs here is alive only by what it has answered on a link: a handshake
+may be complete on this side only.
 """
 
 from .leased_runs import Owner
@@ -53,7 +57,9 @@
         owner.capacity_changed = True
         # The entry numbers the batches of each link from 1.
         owner.last_batch = 0
-        owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
+        if not owner.runs:
+            # Tasks can arrive only after the entry has registered the link as well.
+            owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
         return owner, replaced
 
     def disconnect(self, link, now):
