Count the wait for a lost executor's runs from its last link

A task of a lost executor was released 1.05 s (or 15 s, without a confirmation) after the first link broke. If the same process was linked again and that link broke before the list of running tasks had arrived, the time went on, although the executor renewed its leases since. Its runs could be active beside those that took their place.

While a link with the same process is up, its tasks wait; when it breaks, the time counts from then. `LostTasks` now is the one place that answers whether a task may still run or start: `Release` lists all that ends the wait, and jobs that have ended and starts for other entries are asked for there as well. The reason of `task_requeued` tells a take-over from the end of a lease or of a late start.

tests.test_lost_tasks.BrokenAgainTest.test_lease_counts_from_the_last_break and UnconfirmedBrokenAgainTest.test_longest_delay_counts_from_the_last_break failed before.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -21,13 +21,12 @@
 from ..state import metrics
 from .crash_relay import CrashRelay
 from .ejection import Ejection
-from .ending_jobs import EndingJobs
 from .isolation import Isolation, Verdict
 from .job_placement import Placement
 from .job_report import job_fields, report_end
 from .job_state import SENT, WAITING, Job
 from .leased_views import LeasedView
-from .lost_tasks import LostTasks
+from .lost_tasks import LostTasks, Release
 from .lost_upstreams import LostUpstreams
 from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
 from .speeds import SpeedEstimates
@@ -81,7 +80,6 @@
         self._jobs = {}
         # Jobs that may have tasks without an executor, by identifier.
         self._waiting = {}
-        self._ending = EndingJobs()
         self._views = {}
         self._lost = LostTasks()
         self._lost_upstreams = LostUpstreams()
@@ -171,7 +169,7 @@
         for task in job.tasks:
             if task.state is SENT:
                 stops.setdefault(task.executor, []).append(task)
-        self._ending.add(job)
+        self._lost.on_job_ended(job)
         for view, tasks in stops.items():
             view.link.try_send(ttypes.StopBatch([task.name for task in tasks]))
         report_end(job, now)
@@ -198,6 +196,7 @@
         """Adds an executor whose link was established."""
         view = LeasedView(link, now)
         self._views[view.name] = view
+        self._lost.on_link_up(view)
 
     def on_link_down(self, link, now):
         """Holds back the tasks of a disconnected executor; see `LostTasks`."""
@@ -218,7 +217,7 @@
         if isinstance(message, ttypes.EndBatch):
             if message.room is not None:
                 view.on_capacity_report(message.room)
-                self._lost.on_capacity_report(view, now)
+                self._lost.on_capacity_report(view)
                 self._learn_from_peers(view, message.room, now)
                 crash = self._lost_upstreams.crash_of_previous(view, now)
                 if crash is not None:
@@ -250,14 +249,10 @@
         The runs of jobs that have ended meanwhile are stopped, or stopped again: the
         request to stop them may have been lost with the link.
         """
-        for task in self._lost.take_back(view):
-            if task.name not in names:
-                self._requeue(task, "not running after the link broke", now)
-                continue
-            task.state, task.executor = SENT, view
-            view.tasks[task.name] = task
-            if task.job.outcome is None:
-                names.discard(task.name)
+        returned, not_running = self._lost.on_running_tasks(view, names)
+        for task in not_running:
+            self._requeue(task, Release.NOT_RUNNING.value, now)
+        names -= {task.name for task in returned if task.job.outcome is None}
         if names:
             view.link.try_send(ttypes.StopBatch(sorted(names)))
 
@@ -274,7 +269,7 @@
         if task.state is not SENT:
             return
         if task.job.outcome is not None:
-            self._ending.on_run_over(task)
+            self._lost.on_run_over(task)
             return
         task.state = WAITING
         if end.outcome == "failed":
@@ -408,7 +403,7 @@
 
     def _requeue(self, task, reason, now):
         if task.job.outcome is not None:
-            self._ending.on_run_over(task)
+            self._lost.on_run_over(task)
             return
         executor = task.executor
         task.state = WAITING
@@ -451,8 +446,7 @@
         jobs = [
             job
             for job_id, job in self._waiting.items()
-            if not (job_id in self._ending or self._lost.holds_back(job_id))
-            and placement_round.may_place(job)
+            if not self._lost.holds_back(job_id) and placement_round.may_place(job)
         ]
         for job in self._placement.order(jobs, now):
             for number in job.ready_phases():
@@ -473,8 +467,8 @@
         Args:
             now: Time, seconds.
         """
-        for task in self._lost.take_expired(now):
-            self._on_executor_lost(task, now)
+        for task, release in self._lost.take_expired(now):
+            self._on_executor_lost(task, release, now)
         placement_round = self._isolation.begin_round(self._views.values(), now)
         for view in self._views.values():
             view.link.relaxed = not view.tasks
@@ -506,11 +500,11 @@
         remaining_s = self._placement.remaining_s(job, now)
         return now + _CLOSING_SHARE * remaining_s > self._closing_at
 
-    def _on_executor_lost(self, task, now):
+    def _on_executor_lost(self, task, release, now):
         """Handles a task that runs no more at an executor that did not return."""
         task.state = WAITING
         task.lost_upstreams.add(task.executor.upstream)
         if task.job.outcome is None and self._isolation.has_lost_too_many(task):
             self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
         else:
-            self._requeue(task, "its run at the lost executor is over", now)
+            self._requeue(task, release.value, now)
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -2,17 +2,22 @@
 papayaward.coordination.lost_tasks
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Tasks that may still run at executors that are out of reach.
+Whether a task that an entry has sent may still run, or start, at its executor.
+
+This module answers that question for the entry. `Release` is the whole list of what
+ends the wait for a task; a broken link, a refusal, a silence or an error is not in it.
 """
 
 import logging
 from dataclasses import dataclass
+from enum import Enum
 
-from .job_state import LOST
+from .ending_jobs import EndingJobs
+from .job_state import LOST, SENT
 from .peer_starts import PeerStarts
 from .upstream_requests import MAX_START_DELAY_S
 
-__all__ = ["LostTasks"]
+__all__ = ["LostTasks", "Release"]
 
 log = logging.getLogger(__name__)
 
@@ -21,6 +26,31 @@
 _LOST_RUN_S = 1.05
 
 
+class Release(Enum):
+    """What shows that a task neither runs nor will start at its executor."""
+
+    # Its executor has reported the end of its latest run.
+    ENDED = "ended"
+    # The same process of the executor is linked again, and does not list it.
+    NOT_RUNNING = "not running after the link broke"
+    # A later process of the executor has taken over the same upstream instance: it has
+    # stopped all runs there, and later starts of earlier processes are rejected.
+    TAKEN_OVER = "a later process has taken over its upstream"
+    # The lease of a confirmed run has ended, counted from the last moment at which the
+    # executor can have heard of this entry.
+    LEASE_ENDED = "its run at the lost executor is over"
+    # The longest delay of a start that nobody has confirmed is over, counted likewise.
+    START_EXPIRED = "its start is not executed any more"
+
+
+# Time from the break of the latest link to a process until the release of its tasks.
+_HOLD_S = {
+    Release.TAKEN_OVER: 0.0,
+    Release.LEASE_ENDED: _LOST_RUN_S,
+    Release.START_EXPIRED: MAX_START_DELAY_S,
+}
+
+
 @dataclass
 class _Group:
     """Tasks whose link broke at the same time.
@@ -28,34 +58,69 @@
     Attributes:
         tasks: `Task` of each of them.
         upstream: Key of the upstream instance that they were sent to.
-        runs_end_at: Time by which the runs that the instance has begun are over unless
-            they were begun by a late request, seconds.
-        until: Time at which the tasks may start elsewhere, seconds.
+        awaited: `Release` that ends the wait for them unless another one comes first.
     """
 
     tasks: list
     upstream: str
-    runs_end_at: float
-    until: float
+    awaited: Release
+
+
+@dataclass
+class _LostProcess:
+    """A process of an executor that may run tasks although its link broke.
+
+    Attributes:
+        groups: `_Group` list.
+        lost_at: Time at which its latest link broke, seconds; None while it is linked,
+            since it renews the leases of its runs then.
+    """
+
+    groups: list
+    lost_at: float | None
 
 
 class LostTasks:
-    """Tasks that may still run at an executor whose link broke, or for another entry.
+    """Tasks that may still run, or start, at an executor although nobody wants that.
+
+    These are the tasks of executors whose link broke, those of jobs that have ended,
+    and those that executors may still start for another entry.
 
     A confirmed run ends with its lease. A start that nobody has confirmed may be
-    executed later, also by the next lifetime of the upstream. So its task is held back
-    until a process of the executor tells what became of it, or for the longest delay
-    of a request.
+    executed later, also by the next lifetime of the upstream.
+
+    An executor takes an entry for alive only from what the entry has answered on a link
+    that `on_link_up` has announced here, so that the break of the last such link is the
+    last moment at which it can have heard of the entry.
     """
 
     def __init__(self):
-        # `_Group` list by the executor's name and the incarnation of its process.
-        self._groups = {}
+        # `_LostProcess` by the executor's name and the incarnation of its process.
+        self._processes = {}
         self._peer_starts = PeerStarts()
+        self._ending = EndingJobs()
 
     def holds_back(self, job_id):
-        """Returns whether tasks of a job may still be started for another entry."""
-        return job_id in self._peer_starts
+        """Returns whether earlier or other runs of a job's tasks may be active."""
+        return job_id in self._ending or job_id in self._peer_starts
+
+    def on_job_ended(self, job):
+        """Adds the tasks of an ended job that may be running."""
+        self._ending.add(job)
+
+    def on_run_over(self, task):
+        """Removes a task of an ended job for which there is a `Release`."""
+        self._ending.on_run_over(task)
+
+    def on_link_up(self, view):
+        """Has the tasks of a process wait while it is linked.
+
+        Args:
+            view: `LeasedView` of the executor.
+        """
+        lost = self._processes.get(view.process)
+        if lost is not None:
+            lost.lost_at = None
 
     def on_link_down(self, view, tasks, now):
         """Marks the tasks of a disconnected executor as lost.
@@ -66,21 +131,24 @@
             now: Time, seconds.
         """
         self._peer_starts.on_link_down(view, now)
+        lost = self._processes.get(view.process)
+        if lost is not None:
+            lost.lost_at = now
         if not tasks:
             return
         for task in tasks:
             task.state = LOST
             task.job.may_have_run = True
+        if lost is None:
+            lost = self._processes[view.process] = _LostProcess([], now)
         confirmed = [task for task in tasks if view.is_confirmed(task)]
         unconfirmed = [task for task in tasks if not view.is_confirmed(task)]
-        groups = self._groups.setdefault(view.process, [])
-        runs_end_at = now + _LOST_RUN_S
-        for members, until in (
-            (confirmed, runs_end_at),
-            (unconfirmed, now + MAX_START_DELAY_S),
+        for members, awaited in (
+            (confirmed, Release.LEASE_ENDED),
+            (unconfirmed, Release.START_EXPIRED),
         ):
             if members:
-                groups.append(_Group(members, view.upstream, runs_end_at, until))
+                lost.groups.append(_Group(members, view.upstream, awaited))
         log.warning(
             "tasks_out_of_reach",
             extra={
@@ -90,50 +158,73 @@
             },
         )
 
-    def on_capacity_report(self, view, now):
+    def on_capacity_report(self, view):
         """Releases the tasks of earlier processes of an executor after a take-over.
 
-        The take-over has stopped all runs of the instance, and later starts of the
-        earlier processes are rejected. If another instance is there, the runs of the
-        one before may last until their lease ends.
+        If another instance is there, the runs of the one before may last until their
+        lease ends; it is the only one that would have executed late starts.
 
         Args:
             view: `LeasedView` of an executor that has sent a report.
-            now: Time, seconds.
         """
         self._peer_starts.on_capacity_report(view)
-        if not self._groups or not view.taken_over:
+        if not self._processes or not view.taken_over:
             return
-        for process in view.earlier_processes(self._groups):
-            for group in self._groups[process]:
-                is_stopped = group.upstream == view.upstream
-                over_at = now if is_stopped else group.runs_end_at
-                group.until = min(group.until, over_at)
+        for process in view.earlier_processes(self._processes):
+            for group in self._processes[process].groups:
+                if group.upstream == view.upstream:
+                    group.awaited = Release.TAKEN_OVER
+                elif group.awaited is Release.START_EXPIRED:
+                    group.awaited = Release.LEASE_ENDED
+
+    def on_running_tasks(self, view, names):
+        """Returns lost tasks to the view of an executor that has reconnected.
+
+        The runs of an earlier process of the executor stay lost: the new one doesn't
+        know when they end.
 
-    def take_back(self, view):
-        """Removes and returns the tasks of an executor that has reconnected.
+        Args:
+            view: `LeasedView` of the executor.
+            names: Names of the tasks that it lists.
 
-        The runs of an earlier process of the executor are not returned: the new one
-        doesn't know when they end.
+        Returns:
+            tuple: `Task` list of those returned, and of those that it does not list.
         """
-        groups = self._groups.pop(view.process, ())
+        lost = self._processes.pop(view.process, None)
+        groups = lost.groups if lost is not None else ()
         tasks = [task for group in groups for task in group.tasks if task.state is LOST]
-        for task in tasks:
-            # The batches of the new link are numbered from 1.
-            task.batch = 0
-        return tasks
+        returned = [task for task in tasks if task.name in names]
+        for task in returned:
+            _return_to(view, task)
+        return returned, [task for task in tasks if task.state is LOST]
 
     def take_expired(self, now):
-        """Removes and returns the tasks that run nowhere any more."""
+        """Removes the tasks that run nowhere any more.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            list: (`Task`, `Release`) of each of them.
+        """
         self._peer_starts.forget_expired(now)
         over = []
-        for process, groups in list(self._groups.items()):
-            over += [
-                task for group in groups if group.until <= now for task in group.tasks
-            ]
-            remaining = [group for group in groups if group.until > now]
-            if remaining:
-                self._groups[process] = remaining
-            else:
-                del self._groups[process]
-        return [task for task in over if task.state is LOST]
+        for process, lost in list(self._processes.items()):
+            if lost.lost_at is None:
+                continue
+            age_s = now - lost.lost_at
+            for group in lost.groups:
+                if age_s >= _HOLD_S[group.awaited]:
+                    over += [(task, group.awaited) for task in group.tasks]
+            lost.groups = [g for g in lost.groups if age_s < _HOLD_S[g.awaited]]
+            if not lost.groups:
+                del self._processes[process]
+        return [(task, release) for task, release in over if task.state is LOST]
+
+
+def _return_to(view, task):
+    """Counts a lost task as sent on the present link of its executor."""
+    task.state, task.executor = SENT, view
+    # The batches of the new link are numbered from 1.
+    task.batch = 0
+    view.tasks[task.name] = task
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -276,6 +276,69 @@
         self.assertEqual([], self.starts_after(_LOST_RUN_S, other))
 
 
+class BrokenAgainTest(LostTasksCase):
+    """The same process is back, but its list of running tasks never arrives."""
+
+    def setUp(self):
+        super().setUp()
+        first = self.connect()
+        self.submit()
+        self.report(first, 1)
+        self.lose(first)
+        self.other = self.connect("r2")
+
+    def link_up(self, incarnation=1):
+        link = FakeLink("r1", "runner", incarnation)
+        self.scheduler.on_link_up(link, self.now)
+        return link
+
+    def test_lease_counts_from_the_last_break(self):
+        """Guards against a second run while the executor renews the lease of the first.
+
+        The executor has known since the second link that this entry is alive.
+        """
+        self.assertEqual([], self.starts_after(0.8, self.other))
+        again = self.link_up()
+        self.assertEqual([], self.starts_after(0.2, self.other))
+        self.lose(again)
+        self.assertEqual([], self.starts_after(1.0, self.other))
+        self.assertEqual([_TASK], self.starts_after(0.1, self.other))
+
+    def test_task_waits_while_the_process_is_linked(self):
+        """Guards against a second run beside one of a linked executor."""
+        self.assertEqual([], self.starts_after(0.8, self.other))
+        again = self.link_up()
+        self.report(again)
+        self.assertEqual([], self.starts_after(_LOST_RUN_S, self.other))
+        running = ttypes.RunningTasks([_TASK])
+        self.scheduler.on_message(again, running, self.now)
+        self.assertEqual([], self.starts_after(_LOST_RUN_S, self.other))
+
+    def test_link_of_another_process_extends_nothing(self):
+        """Guards against a task that waits for a process that has ended."""
+        self.assertEqual([], self.starts_after(0.8, self.other))
+        self.link_up(incarnation=2)
+        self.assertEqual([_TASK], self.starts_after(0.3, self.other))
+
+
+class UnconfirmedBrokenAgainTest(LostTasksCase):
+    def test_longest_delay_counts_from_the_last_break(self):
+        """Guards against a second run beside a start that was sent again later."""
+        self.submit_to_lost()
+        other = self.connect("r2")
+        self.now += 10.0
+        again = FakeLink("r1", "runner")
+        self.scheduler.on_link_up(again, self.now)
+        self.lose(again)
+        self.assertEqual([], self.starts_after(MAX_START_DELAY_S - 0.1, other))
+        self.assertEqual([_TASK], self.starts_after(0.2, other))
+
+    def submit_to_lost(self):
+        first = self.connect()
+        self.submit()
+        self.lose(first)
+
+
 class JobOfUnconfirmedStartTest(LostTasksCase):
     def test_job_ends_at_its_deadline_as_unknown(self):
         """Guards against an answer that says nothing has run, or that comes late."""
