Release the tasks of earlier processes of an executor only

A process that was paused may connect after its successor. Its report then counted as a take-over by a later process, and released the tasks of the successor although nobody had stopped their runs. Incarnations are compared now.

tests.test_lost_tasks.BrokenAgainTest.test_late_process_releases_nothing_of_its_successor failed before.

--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -54,13 +54,15 @@
     def earlier_processes(self, processes):
         """Returns those of some processes that preceded this one of the executor.
 
+        A process that was paused may connect after its successor.
+
         Args:
             processes: Values of `process`.
         """
         return [
             process
             for process in processes
-            if process[0] == self.name and process != self.process
+            if process[0] == self.name and process[1] < self.process[1]
         ]
 
     @property
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -320,6 +320,14 @@
         self.link_up(incarnation=2)
         self.assertEqual([_TASK], self.starts_after(0.3, self.other))
 
+    def test_late_process_releases_nothing_of_its_successor(self):
+        """Guards against a take-over that is told by the process before."""
+        self.scheduler.on_link_down(self.link_up(incarnation=2), self.now)
+        late = self.link_up(incarnation=0)
+        self.report(late, accepting=False, taken_over=True)
+        self.assertEqual([], self.starts_after(1.0, self.other))
+        self.assertEqual([_TASK], self.starts_after(0.1, self.other))
+
 
 class UnconfirmedBrokenAgainTest(LostTasksCase):
     def test_longest_delay_counts_from_the_last_break(self):
