Take note of ends that a reconnected executor reports

An executor keeps the ends of the time without a link and sends them before its list of running tasks. The entry ignored them, because its tasks were not in the view of the new link yet, and then started each of them again as not running: work that was done was repeated, and failures were not counted.

Lost tasks return to the view of their process before its ends are handled.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -222,6 +222,7 @@
                 crash = self._lost_upstreams.crash_of_previous(view, now)
                 if crash is not None:
                     self._crashes.publish(crash, now)
+            self._lost.on_ends(view, message.ends)
             for end in message.ends:
                 self._on_end(view, end, now)
             if message.slow:
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -177,6 +177,22 @@
                 elif group.awaited is Release.START_EXPIRED:
                     group.awaited = Release.LEASE_ENDED
 
+    def on_ends(self, view, ends):
+        """Returns lost tasks to their executor's view before it handles their ends.
+
+        Args:
+            view: `LeasedView` of the executor.
+            ends: `TaskEnd` of each task that it reports as ended.
+        """
+        if view.process not in self._processes:
+            return
+        runs = {end.task: end.run for end in ends}
+        for group in self._processes[view.process].groups:
+            for task in list(group.tasks):
+                if task.state is LOST and runs.get(task.name, 0) >= task.run:
+                    group.tasks.remove(task)
+                    _return_to(view, task)
+
     def on_running_tasks(self, view, names):
         """Returns lost tasks to the view of an executor that has reconnected.
 
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -346,6 +346,26 @@
         self.submit()
         self.lose(first)
 
+    def test_end_that_a_reconnected_executor_reports_counts(self):
+        """Guards against a run that is repeated though it was done.
+
+        The executor sends the ends of the time without a link before its list.
+        """
+        first = self.connect()
+        job = self.submit()
+        (start,) = first.starts()
+        self.report(first, 1)
+        self.lose(first)
+        again = FakeLink("r1", "runner")
+        self.scheduler.on_link_up(again, self.now)
+        end = ttypes.TaskEnd(start.task, start.run, "done", 50_000)
+        batch = capacity_report()
+        batch.ends = [end]
+        self.scheduler.on_message(again, batch, self.now)
+        self.assertEqual("completed", job.outcome.kind)
+        self.scheduler.on_message(again, ttypes.RunningTasks([]), self.now)
+        self.assertEqual([], self.starts_after(_LOST_RUN_S, again))
+
 
 class JobOfUnconfirmedStartTest(LostTasksCase):
     def test_job_ends_at_its_deadline_as_unknown(self):
