Keep the ends for a disconnected entry until it has started the tasks elsewhere

An executor forgot an entry without runs 0.2 s after its link broke, with the ends that it had not been told. If the link was back before the entry released the tasks (1.05 s), they were not listed as running and started again, although they were done.

tests.test_unsettled_runs.UnsettledRunsTest.test_reconnected_entry_gets_the_ends_of_the_time_without_a_link failed before.

--- a/papayaward/coordination/run_owners.py
+++ b/papayaward/coordination/run_owners.py
@@ -18,6 +18,9 @@
 _SILENT_S = 0.6
 # Time for an entry to reconnect after its connection broke.
 _RECONNECT_GRACE_S = 0.2
+# Time after which a disconnected entry has started the tasks elsewhere whose ends it
+# was not told.
+_KEPT_ENDS_S = 1.1
 
 
 class RunOwners:
@@ -83,7 +86,8 @@
     def silent(self, now):
         """Returns each `Owner` whose runs are to be stopped.
 
-        Disconnected entries without runs are forgotten.
+        Disconnected entries without runs are forgotten, later if they have to be told
+        of ends.
         """
         found = []
         for owner in self:
@@ -95,6 +99,10 @@
                 continue
             if owner.runs:
                 found.append(owner)
-            elif disconnected:
+            elif disconnected and not _may_report_ends(owner, now):
                 del self.by_member[owner.member]
         return found
+
+
+def _may_report_ends(owner, now):
+    return bool(owner.ends) and now - owner.disconnected_at <= _KEPT_ENDS_S
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -148,6 +148,16 @@
         self.assertEqual(RunningTasks([_TASK]), running)
         self.assertEqual([_TASK], report.unsettled)
 
+    def test_reconnected_entry_gets_the_ends_of_the_time_without_a_link(self):
+        """Guards against a run that is repeated because its end was forgotten."""
+        self.start()
+        self.wait_for(lambda: self.upstream.running)
+        self.executor.on_link_down(self.link, clock.now())
+        self.upstream.end_run(_TASK, "done")
+        gevent.sleep(0.4)
+        link = self.connect("e1", link_number=2)
+        self.assertEqual([(_TASK, "done")], link.ends())
+
     def test_batches_of_an_earlier_link_are_not_acknowledged(self):
         """Guards against a start that counts as received before it arrives.
 
