--- a/papayaward/coordination/run_owners.py
+++ b/papayaward/coordination/run_owners.py
@@ -3,6 +3,10 @@
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The entries that an executor runs tasks for, and when they were last known to be alive.
+
+An entry releases a task when the lease has ended that counts from its last link. So an
+entry that has runs here is alive only by what it has answered on a link: a handshake
+may be complete on this side only.
 """
 
 from .leased_runs import Owner
@@ -14,6 +18,9 @@
 _SILENT_S = 0.6
 # Time for an entry to reconnect after its connection broke.
 _RECONNECT_GRACE_S = 0.2
+# Time after which a disconnected entry has started the tasks elsewhere whose ends it
+# was not told.
+_KEPT_ENDS_S = 1.1
 
 
 class RunOwners:
@@ -53,7 +60,9 @@
         owner.capacity_changed = True
         # The entry numbers the batches of each link from 1.
         owner.last_batch = 0
-        owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
+        if not owner.runs:
+            # Tasks can arrive only after the entry has registered the link as well.
+            owner.last_alive_at = max(owner.last_alive_at, link.echoed_us / 1e6)
         return owner, replaced
 
     def disconnect(self, link, now):
@@ -77,7 +86,8 @@
     def silent(self, now):
         """Returns each `Owner` whose runs are to be stopped.
 
-        Disconnected entries without runs are forgotten.
+        Disconnected entries without runs are forgotten, later if they have to be told
+        of ends.
         """
         found = []
         for owner in self:
@@ -89,6 +99,10 @@
                 continue
             if owner.runs:
                 found.append(owner)
-            elif disconnected:
+            elif disconnected and not _may_report_ends(owner, now):
                 del self.by_member[owner.member]
         return found
+
+
+def _may_report_ends(owner, now):
+    return bool(owner.ends) and now - owner.disconnected_at <= _KEPT_ENDS_S
