Put a proxy that can refuse on the path from runners to upstreams

Cause: the fleet of stand-ins could cut links and the store, but not the path from a runner to its upstream, and TcpProxy could not refuse: with `refuse` it accepted a connection and closed it, which a client sees as a broken connection.

Change: TcpProxy.close_listener closes the listening socket, so that the kernel refuses connections (ECONNREFUSED), and open_listener listens on the same port again; several faults may hold it closed at a time. TcpProxy.reset sends RST (SO_LINGER of 0 s) on the open connections. A proxied PlatformFleet has a TcpProxy between each runner and its upstream: the runner's setting `app` names the proxy. The proxy refuses connections while the upstream does, so that a crash looks as before.

--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -39,18 +39,29 @@
 # Clock of the first instance of an upstream, which is older than the runner.
 _FIRST_CLOCK_MS = 480_000
 _FIRST_BORN_MS = 5
+# Who keeps the path to an upstream closed while the upstream itself is down.
+_UPSTREAM_DOWN = "upstream"
 
 
 class _RestartableUpstream:
     """The upstream of a runner; each start creates a new lifetime.
 
+    Args:
+        name: Name of the runner.
+        settings: Settings of the runner.
+        domain: Failure domain.
+        cores: Capacity.
+        listen: (host, port) to listen on.
+        path: `TcpProxy` on the runner's path to the upstream, or None. It refuses
+            connections while the upstream does.
+
     Attributes:
         capacities: Time and number of cores of each change of its capacity.
         draining: Whether it reports that it is draining.
         reporting: Whether it sends reports.
     """
 
-    def __init__(self, name, settings, domain, cores):
+    def __init__(self, name, settings, domain, cores, listen, path=None):
         self.name = name
         self.domain = domain
         self.capacities = [(time.monotonic(), cores)]
@@ -58,6 +69,8 @@
         self.draining = False
         self.reporting = True
         self._settings = settings
+        self._listen = listen
+        self._path = path
         self._server = None
         self._reporter = None
 
@@ -114,6 +127,8 @@
             if mute_s:
                 # A copy of the listening socket keeps accepting while servers change.
                 listener = socket.socket(fileno=os.dup(self._server.socket.fileno()))
+            else:
+                self._close_path()
             self._server.stop(timeout=0)
             self._begin(crashed.instance, first_report_s, listener)
             self.current.mute(mute_s)
@@ -130,8 +145,9 @@
             first_clock_ms=_FIRST_CLOCK_MS if is_first else 0,
         )
         self.instances.append(upstream)
-        host, port = self._settings["app"].split(":")
-        self._server = serve(upstream, listener or (host, int(port)))
+        self._server = serve(upstream, listener or self._listen)
+        if self._path is not None:
+            self._path.open_listener(_UPSTREAM_DOWN)
         self._reporter = gevent.spawn(self._report, upstream, first_report_s)
 
     def _on_task_crash(self):
@@ -142,10 +158,15 @@
         """Crashes the current instance."""
         if self._reporter is not None:
             self._reporter.kill()
+            self._close_path()
             self._server.stop(timeout=0)
             self.current.crash()
             self._reporter = None
 
+    def _close_path(self):
+        if self._path is not None:
+            self._path.close_listener(_UPSTREAM_DOWN)
+
     def _report(self, upstream, first_report_s):
         host, port = self._settings["listen_addrs"]["control"].split(":")
         client = UpstreamClient(host, int(port))
@@ -181,8 +202,8 @@
 
     Args:
         folder: Folder for settings and logs.
-        proxied: Whether runners connect to entries, and both to the store, through
-            fault-injecting proxies.
+        proxied: Whether runners connect to entries and to their upstreams, and both
+            roles to the store, through fault-injecting proxies.
 
     Attributes:
         folder: `Path` of the folder.
@@ -190,6 +211,8 @@
         processes: Running process by name.
         upstreams: Upstream of each runner by the runner's name.
         link_proxies: `TcpProxy` in front of the link port of each entry by name.
+        upstream_proxies: `TcpProxy` in front of the upstream of each runner by the
+            runner's name.
         store_proxy: `TcpProxy` in front of the store, or None.
     """
 
@@ -201,6 +224,8 @@
         self.processes = {}
         self.upstreams = {}
         self.link_proxies = {}
+        self.upstream_proxies = {}
+        self._upstream_addresses = {}
         address = (HOST, free_port())
         self.store = PlatformStoreStandIn(address)
         self.store_proxy = TcpProxy(address) if proxied else None
@@ -240,7 +265,14 @@
     def start_upstream(self, name, cores=4):
         """Starts the upstream of a runner."""
         settings = self.settings[name]
-        upstream = _RestartableUpstream(name, settings, settings["zone"], cores)
+        upstream = _RestartableUpstream(
+            name,
+            settings,
+            settings["zone"],
+            cores,
+            self._upstream_addresses[name],
+            self.upstream_proxies.get(name),
+        )
         self.upstreams[name] = upstream
         upstream.start()
         return upstream
@@ -264,7 +296,8 @@
             process.wait()
         for upstream in self.upstreams.values():
             upstream.crash()
-        for proxy in [*self.link_proxies.values(), self.store_proxy]:
+        proxies = [*self.link_proxies.values(), *self.upstream_proxies.values()]
+        for proxy in [*proxies, self.store_proxy]:
             if proxy is not None:
                 proxy.close()
         self.store.stop()
@@ -333,6 +366,13 @@
         if role == "entry" and self._proxied:
             proxy = self.link_proxies[name] = TcpProxy((HOST, link))
             self.store.address_map[f"{HOST}:{link}"] = "%s:%d" % proxy.address
+        app = self._upstream_addresses[name] = (HOST, free_port())
+        if role == "runner" and self._proxied:
+            # A port of its own, which nobody else takes while the listener is closed.
+            proxy = TcpProxy(app, listen=(HOST, free_port()))
+            proxy.close_listener(_UPSTREAM_DOWN)
+            self.upstream_proxies[name] = proxy
+            app = proxy.address
         return {
             "node_name": name,
             "ip": HOST,
@@ -342,7 +382,7 @@
             "listen_addrs": addresses,
             "seeds": [],
             "service": "dispatch" if role == "runner" else None,
-            "app": f"{HOST}:{free_port()}",
+            "app": "%s:%d" % app,
             "bounds": {"grace_s": 3},
             "platform": {"address": "%s:%d" % self._store_address},
         }
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -2,14 +2,15 @@
 standins.proxy
 ~~~~~~~~~~~~~~
 
-Fault-injecting TCP proxy: delays data, holds it back in one or both directions, or
-closes connections.
+Fault-injecting TCP proxy: delays data, holds it back in one or both directions, closes
+or resets connections, or has the kernel refuse new ones.
 
 `python -m standins.proxy --delay-ms 1 --route LISTEN=TARGET` runs one or
 several delaying proxies as a separate process.
 """
 
 import argparse
+import struct
 import sys
 
 import gevent
@@ -21,6 +22,8 @@
 
 _CHUNK_BYTES = 65536
 _QUEUED_CHUNKS = 1024
+# Enabled, with a linger time of 0 s: a close sends RST and discards unsent data.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class TcpProxy:
@@ -30,6 +33,10 @@
         target: (host, port) to forward to.
         delay_s: One-way delay in each direction, in seconds.
         listen: (host, port) to listen on; port 0 picks a free one.
+
+    Attributes:
+        refuse: Whether new connections are accepted and closed at once. With
+            `close_listener`, the kernel refuses them instead.
     """
 
     def __init__(self, target, delay_s=0.0, listen=("127.0.0.1", 0)):
@@ -42,13 +49,15 @@
         self._pairs = set()
         # Silenced directions by connection: True is to the target, False to the client.
         self._silenced = {}
+        self._closers = set()
         self._server = StreamServer(listen, self._accept)
         self._server.start()
+        self._address = self._server.server_host, self._server.server_port
 
     @property
     def address(self):
         """The proxy's (host, port)."""
-        return self._server.server_host, self._server.server_port
+        return self._address
 
     @property
     def open_connections(self):
@@ -60,6 +69,37 @@
         for pair in list(self._pairs):
             _close(pair)
 
+    def reset(self):
+        """Resets every open connection, without an orderly shutdown."""
+        for pair in list(self._pairs):
+            for sock in pair:
+                _reset(sock)
+
+    def close_listener(self, closer):
+        """Closes the listening socket, so that the kernel refuses connections.
+
+        Open connections are not affected.
+
+        Args:
+            closer: Who closes it; it stays closed until each has called
+                `open_listener`.
+        """
+        self._closers.add(closer)
+        self._server.stop()
+
+    def open_listener(self, closer):
+        """Listens on the same port again, unless somebody else keeps it closed.
+
+        Args:
+            closer: As for `close_listener`; nothing is done if it didn't close it.
+        """
+        if closer not in self._closers:
+            return
+        self._closers.discard(closer)
+        if not self._closers:
+            self._server = StreamServer(self._address, self._accept)
+            self._server.start()
+
     def silence_open(self, to_target=True, to_client=True):
         """Silences the open connections; those opened later are not affected.
 
@@ -77,7 +117,7 @@
 
     def close(self):
         """Stops listening and closes every connection."""
-        self._server.stop()
+        self.close_listener(self)
         self.cut()
 
     def _accept(self, client, _):
@@ -151,6 +191,15 @@
         sock.close()
 
 
+def _reset(sock):
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+    except OSError:
+        # The connection is closed already.
+        return
+    sock.close()
+
+
 def main(args):
     """Runs delaying proxies until the process is killed."""
     parser = argparse.ArgumentParser(prog="standins.proxy")
--- /dev/null
+++ b/tests/test_path_faults.py
@@ -0,0 +1,78 @@
+"""
+tests.test_path_faults
+~~~~~~~~~~~~~~~~~~~~~~
+
+The proxy that refuses and resets connections.
+"""
+
+import errno
+
+from gevent import socket
+from gevent.queue import Queue
+from gevent.server import StreamServer
+from testtools import TestCase
+
+from standins.fleet import free_port
+from standins.platform_fleet import HOST
+from standins.proxy import TcpProxy
+
+__all__ = []
+
+_TIMEOUT_S = 5.0
+
+
+class ProxyTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.server_errors = Queue()
+        server = StreamServer((HOST, 0), self._echo)
+        server.start()
+        self.addCleanup(server.stop)
+        target = HOST, server.server_port
+        self.proxy = TcpProxy(target, listen=(HOST, free_port()))
+        self.addCleanup(self.proxy.close)
+
+    def test_closed_listener_refuses_until_all_have_opened_it(self):
+        """Guards against a refusal that is a closed connection, or ends too early."""
+        address = self.proxy.address
+        self.proxy.close_listener("first")
+        self.proxy.close_listener("second")
+        self.proxy.open_listener("first")
+        error = self.assertRaises(ConnectionRefusedError, self._connect)
+        self.assertEqual(errno.ECONNREFUSED, error.errno)
+        self.proxy.open_listener("second")
+        self.assertEqual(address, self.proxy.address)
+        self._check_echo(self._connect())
+
+    def test_closed_listener_keeps_open_connections(self):
+        """Guards against a refusal that breaks the requests under way."""
+        client = self._connect()
+        self._check_echo(client)
+        self.proxy.close_listener("fault")
+        self._check_echo(client)
+
+    def test_reset_sends_rst(self):
+        """Guards against a reset that looks to one side like an end of the stream."""
+        client = self._connect()
+        self._check_echo(client)
+        self.proxy.reset()
+        error = self.assertRaises(OSError, client.recv, 1)
+        self.assertEqual(errno.ECONNRESET, error.errno)
+        error = self.server_errors.get(timeout=_TIMEOUT_S)
+        self.assertEqual(errno.ECONNRESET, error.errno)
+
+    def _connect(self):
+        client = socket.create_connection(self.proxy.address, _TIMEOUT_S)
+        self.addCleanup(client.close)
+        return client
+
+    def _check_echo(self, client):
+        client.sendall(b"x")
+        self.assertEqual(b"x", client.recv(1))
+
+    def _echo(self, sock, address):
+        try:
+            while data := sock.recv(1024):
+                sock.sendall(data)
+        except OSError as error:
+            self.server_errors.put(error)
