--- /dev/null
+++ b/benchmarks/path_faults.py
@@ -0,0 +1,205 @@
+"""
+benchmarks.path_faults
+~~~~~~~~~~~~~~~~~~~~~~
+
+Faults of the soak on the path from a runner to its upstream, which itself runs on.
+
+A path that refuses connections shows nothing about the runs behind it. Each fault draws
+its parameters before it waits, so that overlapping faults of a seed stay the same.
+"""
+
+import random
+
+import gevent
+
+__all__ = ["PATH_FAULTS", "submit_path_load"]
+
+_WORK_MS = (200, 1000, 2200)
+_TASKS = 2
+_DEADLINE_S = 5.0
+_REFUSED_S = (0.02, 1.5)
+_RESET_SHARE = 0.5
+_FLAPS = (3, 8)
+_FLAP_REFUSED_S = (0.01, 0.15)
+_FLAP_OPEN_S = (0.01, 0.3)
+_SILENT_S = (0.1, 1.5)
+_ERROR_SHARE = 0.2
+_LOST_SHARE = 0.2
+_LATE_ORDER_S = (0.0, 1.5)
+# A second event begins at most this long after the refusals begin.
+_SECOND_EVENT_S = 0.3
+_DOWNTIME_S = (0.05, 1.0)
+_UPSTREAM_DOWNTIME_S = (0.05, 0.5)
+_FIRST_REPORT_S = (0.0, 1.0)
+_LINKS_CUT_S = (0.1, 1.5)
+
+
+def submit_path_load(soak, rate, seconds):
+    """Submits jobs whose tasks keep all upstreams busy, without waiting for answers.
+
+    Args:
+        soak: `_Soak`.
+        rate: Jobs per second.
+        seconds: Duration, seconds.
+    """
+    for work_ms in _WORK_MS:
+        jobs = round(rate * seconds / len(_WORK_MS))
+        soak.submit_burst(soak.path_rng, jobs, seconds, _TASKS, work_ms, _DEADLINE_S)
+
+
+def _choose_runners(soak):
+    return soak.path_rng.sample(soak.runners, soak.path_rng.randint(1, 2))
+
+
+def _draw_refusal(soak):
+    """Draws for how long a path refuses, and whether open connections are reset."""
+    rng = soak.path_rng
+    return rng.uniform(*_REFUSED_S), rng.random() < _RESET_SHARE
+
+
+def _refuse(soak, names, seconds, resets, reason=""):
+    """The kernel refuses connections to the upstreams of runners for some time."""
+    soak.note(
+        f"path of {', '.join(names)} to the upstream refuses for {seconds:.2f} s"
+        + ", open connections are reset" * resets
+        + reason
+    )
+    closer = object()
+    proxies = [soak.fleet.upstream_proxies[name] for name in names]
+    for proxy in proxies:
+        proxy.close_listener(closer)
+        if resets:
+            proxy.reset()
+    gevent.sleep(seconds)
+    for proxy in proxies:
+        proxy.open_listener(closer)
+
+
+def _refuse_connections(soak):
+    """Paths refuse connections."""
+    names = _choose_runners(soak)
+    _refuse(soak, names, *_draw_refusal(soak))
+
+
+def _flap(soak):
+    """A path refuses connections for short times in a row."""
+    rng = soak.path_rng
+    name = rng.choice(soak.runners)
+    phases = [
+        (
+            rng.uniform(*_FLAP_REFUSED_S),
+            rng.random() < _RESET_SHARE,
+            rng.uniform(*_FLAP_OPEN_S),
+        )
+        for _ in range(rng.randint(*_FLAPS))
+    ]
+    for refused_s, resets, open_s in phases:
+        _refuse(soak, [name], refused_s, resets)
+        gevent.sleep(open_s)
+
+
+def _silence(soak):
+    """A path is silent in one or both directions, and may be reset after that."""
+    rng = soak.path_rng
+    name = rng.choice(soak.runners)
+    seconds, resets = rng.uniform(*_SILENT_S), rng.random() < _RESET_SHARE
+    direction = rng.choice(("both", "to_upstream", "to_runner"))
+    soak.note(
+        f"path of {name} to the upstream is silent ({direction}) for {seconds:.2f} s"
+        + ", then reset" * resets
+    )
+    proxy = soak.fleet.upstream_proxies[name]
+    proxy.silent_to_target = direction != "to_runner"
+    proxy.silent_to_client = direction != "to_upstream"
+    gevent.sleep(seconds)
+    if resets:
+        proxy.reset()
+    proxy.silent_to_target = proxy.silent_to_client = False
+
+
+def _refuse_and_lose_replies(soak):
+    """Paths refuse while their upstreams answer with errors and lose replies."""
+    names = _choose_runners(soak)
+    seconds, resets = _draw_refusal(soak)
+    rng = random.Random(soak.path_rng.random())
+    instances = [soak.fleet.upstreams[name].current for name in names]
+    for instance in instances:
+        instance.is_unhealthy = lambda name: rng.random() < _ERROR_SHARE
+        instance.order_loss = lambda: (
+            rng.uniform(*_LATE_ORDER_S) if rng.random() < _LOST_SHARE else None
+        )
+    gevent.sleep(_SECOND_EVENT_S)
+    _refuse(soak, names, seconds, resets, "; replies are lost and errors")
+    gevent.sleep(_SECOND_EVENT_S)
+    for instance in instances:
+        instance.is_unhealthy = lambda name: False
+        instance.order_loss = lambda: None
+
+
+def _refuse_and_restart(soak):
+    """A path refuses while the runner is killed, paused or terminated."""
+    rng = soak.path_rng
+    name = rng.choice(soak.runners)
+    seconds, resets = _draw_refusal(soak)
+    delay_s, downtime_s = rng.uniform(0.0, _SECOND_EVENT_S), rng.uniform(*_DOWNTIME_S)
+    stop = rng.choice(
+        (
+            lambda: soak.restart_after(name, downtime_s),
+            lambda: soak.pause(name, downtime_s),
+            lambda: soak.terminate(name),
+        )
+    )
+    event = gevent.spawn_later(delay_s, stop)
+    _refuse(soak, [name], seconds, resets)
+    event.join()
+
+
+def _refuse_and_crash(soak):
+    """A path refuses while its upstream returns under its identifier."""
+    rng = soak.path_rng
+    name = rng.choice(soak.runners)
+    seconds, resets = _draw_refusal(soak)
+    delay_s = rng.uniform(0.0, _SECOND_EVENT_S)
+    downtime_s = rng.uniform(*_UPSTREAM_DOWNTIME_S)
+    first_report_s = rng.uniform(*_FIRST_REPORT_S)
+    upstream = soak.fleet.upstreams[name]
+    event = gevent.spawn_later(
+        delay_s, upstream.restart_silently, downtime_s, first_report_s
+    )
+    reason = f"; the upstream crashes for {downtime_s:.2f} s after {delay_s:.2f} s"
+    _refuse(soak, [name], seconds, resets, reason)
+    event.join()
+
+
+def _refuse_and_cut_links(soak):
+    """Paths refuse while the links of an entry are cut."""
+    rng = soak.path_rng
+    names = _choose_runners(soak)
+    seconds, resets = _draw_refusal(soak)
+    entry, cut_s = rng.choice(soak.entries), rng.uniform(*_LINKS_CUT_S)
+    delay_s = rng.uniform(0.0, _SECOND_EVENT_S)
+    event = gevent.spawn_later(delay_s, _cut_links, soak, entry, cut_s)
+    _refuse(soak, names, seconds, resets)
+    event.join()
+
+
+def _cut_links(soak, entry, seconds):
+    soak.note(f"links of {entry} are cut for {seconds:.2f} s")
+    soak.record_fault(entry, seconds)
+    proxy = soak.fleet.link_proxies[entry]
+    closer = object()
+    proxy.close_listener(closer)
+    proxy.cut()
+    gevent.sleep(seconds)
+    proxy.open_listener(closer)
+
+
+PATH_FAULTS = {
+    "path_crash": _refuse_and_crash,
+    "path_flap": _flap,
+    "path_links": _refuse_and_cut_links,
+    "path_lossy": _refuse_and_lose_replies,
+    "path_process": _refuse_and_restart,
+    "path_refuse": _refuse_connections,
+    "path_silent": _silence,
+}
--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -5,12 +5,13 @@
 Randomised soak test of the platform's processes under injected faults.
 
 Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]
-[--upstream-faults] [--only FAULT]`. With `--only`, one fault of `RESTART_FAULTS` is
-injected again and again, and only its jobs are submitted. The last line is `soak: ok`
-or `soak: failed`. It is preceded by the events in order of time (if the run failed or
-its logs are kept), the violations, the answers by status and the command that repeats
-the run. The seed determines the faults and the jobs, but not how the operating system
-interleaves the processes.
+[--entries E] [--upstream-faults] [--path-faults] [--only FAULT]`. With `--only`, one
+fault of `RESTART_FAULTS` or `PATH_FAULTS` is injected again and again, or with
+`path_all` all of the latter, and only their jobs are submitted. The last line is
+`soak: ok` or `soak: failed`. It is preceded by the events in order of time (if the run
+failed or its logs are kept), the violations, the answers by status and the command that
+repeats the run. The seed determines the faults and the jobs, but not how the operating
+system interleaves the processes.
 """
 
 import argparse
@@ -29,6 +30,7 @@
 
 from standins.platform_fleet import PlatformFleet
 
+from .path_faults import PATH_FAULTS, submit_path_load
 from .restart_faults import RESTART_FAULTS
 from .upstream_faults import UPSTREAM_FAULTS, WORK_MS
 
@@ -59,6 +61,13 @@
 _MAX_LATE_STARTS = 2
 _DEADLY_SHARE = 0.15
 _DEADLY_PREFIX = "dead"
+# Name for `--only` that selects all of `PATH_FAULTS`.
+_ALL_PATH_FAULTS = "path_all"
+# Path faults per second, alone and beside all others, and their jobs per second.
+_PATH_RATE = 0.8
+_MIXED_PATH_RATE = 0.5
+_PATH_JOBS_RATE = 25
+_MIXED_PATH_JOBS_RATE = 5
 
 
 @dataclass
@@ -78,7 +87,9 @@
 class _Soak:
     """State of a run: the fleet, the faults and the callers' submissions."""
 
-    def __init__(self, fleet, seed, runners, with_upstream_faults=False):
+    def __init__(
+        self, fleet, seed, runners, with_upstream_faults=False, entries=_ENTRIES
+    ):
         self.fleet = fleet
         self._seed = seed
         self.rng = random.Random(seed)
@@ -86,10 +97,11 @@
         self.load_rng = random.Random(-seed - 1)
         self.upstream_rng = random.Random(seed + 10**6)
         self.restart_rng = random.Random(seed + 2 * 10**6)
+        self.path_rng = random.Random(seed + 3 * 10**6)
         self.with_upstream_faults = with_upstream_faults
         self._work_ms = WORK_MS if with_upstream_faults else WORK_MS[:-1]
         self._requests = {}
-        self.entries = [f"e{i}" for i in range(_ENTRIES)]
+        self.entries = [f"e{i}" for i in range(entries)]
         self.runners = [f"r{i}" for i in range(runners)]
         self.started_at = time.monotonic()
         # The same in seconds since 1970, as in the logs of the processes.
@@ -225,6 +237,34 @@
             gevent.sleep(downtime_s)
         _start_process(self, name)
 
+    def terminate(self, name):
+        """Terminates a process and starts it again once it has exited.
+
+        Args:
+            name: Name of the process.
+        """
+        process = self.fleet.processes[name]
+        self.note(f"SIGTERM {name}")
+        self.record_fault(name, 5.0)
+        process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
+            gevent.sleep(0.05)
+        _start_process(self, name)
+
+    def pause(self, name, seconds):
+        """Stops a process for some time.
+
+        Args:
+            name: Name of the process.
+            seconds: Duration, seconds.
+        """
+        self.note(f"pause {name} for {seconds:.1f} s")
+        self.record_fault(name, seconds)
+        process = self.fleet.processes[name]
+        process.send_signal(signal.SIGSTOP)
+        gevent.sleep(seconds)
+        process.send_signal(signal.SIGCONT)
+
 
 # Faults: each function injects one and returns when it has ended.
 
@@ -240,25 +280,12 @@
 
 
 def _terminate_process(soak):
-    name = soak.rng.choice(soak.entries + soak.runners)
-    process = soak.fleet.processes[name]
-    soak.note(f"SIGTERM {name}")
-    soak.record_fault(name, 5.0)
-    process.send_signal(signal.SIGTERM)
-    while process.poll() is None:
-        gevent.sleep(0.05)
-    _start_process(soak, name)
+    soak.terminate(soak.rng.choice(soak.entries + soak.runners))
 
 
 def _pause_process(soak):
     name = soak.rng.choice(soak.entries + soak.runners)
-    seconds = soak.rng.uniform(0.2, 3.0)
-    soak.note(f"pause {name} for {seconds:.1f} s")
-    soak.record_fault(name, seconds)
-    process = soak.fleet.processes[name]
-    process.send_signal(signal.SIGSTOP)
-    gevent.sleep(seconds)
-    process.send_signal(signal.SIGCONT)
+    soak.pause(name, soak.rng.uniform(0.2, 3.0))
 
 
 def _reload_process(soak):
@@ -487,6 +514,7 @@
         for task, runs in by_task.items()
         if _late_starts(runs) > _MAX_LATE_STARTS
     ]
+    soak.note(_count_starts(by_task))
     found += _check_answers(soak, by_task)
     found += _check_domains_out(soak, by_task)
     for name in soak.fleet.processes:
@@ -495,6 +523,23 @@
     return found
 
 
+def _count_starts(by_task):
+    """Describes how often tasks were started, also after they were done.
+
+    Args:
+        by_task: (`StartRecord`, upstream) of each run by task.
+    """
+    starts = after_done = 0
+    for runs in by_task.values():
+        starts += len(runs)
+        done_at = min((r.ended_at for r, _ in runs if r.outcome == "done"), default=0.0)
+        after_done += sum(r.started_at > done_at > 0.0 for r, _ in runs)
+    return (
+        f"{len(by_task)} tasks were started {starts} times, {after_done} of them after "
+        "the task was done"
+    )
+
+
 def _late_starts(runs):
     """Returns how often a task was started after too many upstreams crashed under it.
 
@@ -593,7 +638,14 @@
 
 
 def run_soak(
-    seed, seconds, runners=3, keep=None, with_upstream_faults=False, only=None
+    seed,
+    seconds,
+    runners=3,
+    keep=None,
+    with_upstream_faults=False,
+    only=None,
+    with_path_faults=False,
+    entries=_ENTRIES,
 ):
     """Runs the processes under faults and checks the guarantees.
 
@@ -604,8 +656,11 @@
         keep: Directory for settings and logs; None to discard them.
         with_upstream_faults: Whether to inject the faults of `UPSTREAM_FAULTS` and
             `RESTART_FAULTS` as well.
-        only: Name of the fault of `RESTART_FAULTS` that is injected again and again,
-            without any other fault or load; None for all faults.
+        only: Name of the fault of `RESTART_FAULTS` or `PATH_FAULTS` that is injected
+            again and again, or `path_all`, without any other fault or load; None for
+            all faults.
+        with_path_faults: Whether to inject the faults of `PATH_FAULTS` as well.
+        entries: Number of entries.
 
     Returns:
         tuple: Findings (list of str), events (list of str) and the number of answers by
@@ -615,17 +670,20 @@
         if keep:
             Path(keep).mkdir(parents=True, exist_ok=True)
         fleet = PlatformFleet(keep or folder, proxied=True)
-        soak = _Soak(fleet, seed, runners, with_upstream_faults)
+        soak = _Soak(fleet, seed, runners, with_upstream_faults, entries)
         pauses = gevent.spawn(_record_own_pauses, soak)
         try:
             _start_fleet(soak, _AMPLE_CORES if only else _CORES)
             if only:
-                faults = [gevent.spawn(_repeat_fault, soak, RESTART_FAULTS[only])]
+                faults = _spawn_only(soak, only, seconds)
             else:
                 soak.callers += [
                     gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)
                 ]
                 faults = _spawn_faults(soak)
+            if with_path_faults:
+                submit_path_load(soak, _MIXED_PATH_JOBS_RATE, seconds)
+                faults.append(_spawn_path_faults(soak, PATH_FAULTS, _MIXED_PATH_RATE))
             gevent.sleep(seconds)
             soak.stopped = True
             gevent.joinall(faults, timeout=20.0)
@@ -641,6 +699,20 @@
     return findings, soak.events, answers
 
 
+def _spawn_only(soak, only, seconds):
+    if only in RESTART_FAULTS:
+        return [gevent.spawn(_repeat_fault, soak, RESTART_FAULTS[only])]
+    faults = PATH_FAULTS
+    if only != _ALL_PATH_FAULTS:
+        faults = {only: PATH_FAULTS[only]}
+    submit_path_load(soak, _PATH_JOBS_RATE, seconds)
+    return [_spawn_path_faults(soak, faults, _PATH_RATE)]
+
+
+def _spawn_path_faults(soak, faults, rate):
+    return gevent.spawn(_inject_from, soak, faults, soak.path_rng, rate)
+
+
 def _spawn_faults(soak):
     faults = [
         gevent.spawn(_inject_faults, soak),
@@ -670,9 +742,12 @@
     parser.add_argument("--seed", type=int, default=None)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--runners", type=int, default=3)
+    parser.add_argument("--entries", type=int, default=_ENTRIES)
     parser.add_argument("--keep", help="directory for settings and logs")
     parser.add_argument("--upstream-faults", action="store_true")
-    parser.add_argument("--only", choices=sorted(RESTART_FAULTS))
+    parser.add_argument("--path-faults", action="store_true")
+    names = [*RESTART_FAULTS, *PATH_FAULTS, _ALL_PATH_FAULTS]
+    parser.add_argument("--only", choices=sorted(names))
     options = parser.parse_args(args)
     seed = options.seed
     if seed is None:
@@ -684,6 +759,8 @@
         options.keep,
         options.upstream_faults,
         options.only,
+        options.path_faults,
+        options.entries,
     )
     if findings or options.keep:
         print("\n".join(events))
@@ -693,7 +770,9 @@
     print(
         f"repeat: python -m benchmarks.platform_soak --seed {seed} "
         f"--seconds {options.seconds:g} --runners {options.runners}"
+        + f" --entries {options.entries}" * (options.entries != _ENTRIES)
         + " --upstream-faults" * options.upstream_faults
+        + " --path-faults" * options.path_faults
         + (f" --only {options.only}" if options.only else "")
     )
     print("soak: failed" if findings else "soak: ok")
--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -2,7 +2,8 @@
 tests.test_path_faults
 ~~~~~~~~~~~~~~~~~~~~~~
 
-The proxy that refuses and resets connections.
+Runs of the soak whose paths between runners and upstreams refuse connections, and the
+proxy that refuses them.
 """
 
 import errno
@@ -12,15 +13,30 @@
 from gevent.server import StreamServer
 from testtools import TestCase
 
+from benchmarks.platform_soak import run_soak
 from standins.fleet import free_port
 from standins.platform_fleet import HOST
 from standins.proxy import TcpProxy
 
 __all__ = []
 
+_SECONDS = 10.0
 _TIMEOUT_S = 5.0
 
 
+class RefusedConnectionsTest(TestCase):
+    def test_refused_connection_does_not_end_runs(self):
+        """Guards against a second run after a path refused beside an active upstream.
+
+        A path that refused connections stood for the end of all runs behind it.
+        """
+        findings, events, answers = run_soak(
+            7102, _SECONDS, runners=4, only="path_refuse"
+        )
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], 0, answers)
+
+
 class ProxyTest(TestCase):
     def setUp(self):
         super().setUp()
