Note when a soak started, so that its events can be matched with logs

Cause: the events of the soak are in seconds since its start, the logs of its processes in UTC, and nothing printed related the two.

Change: the first event tells the time of the start in UTC.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -23,7 +23,7 @@
 import time
 from collections import Counter, defaultdict
 from dataclasses import dataclass
-from datetime import datetime
+from datetime import UTC, datetime
 from pathlib import Path
 
 import gevent
@@ -107,6 +107,8 @@
         # The same in seconds since 1970, as in the logs of the processes.
         self.started_at_s = time.time()
         self.events = []
+        started_at = datetime.fromtimestamp(self.started_at_s, UTC)
+        self.note(f"started at {started_at.isoformat()}")
         self.attempts = []
         self.callers = []
         self.fault_spans = defaultdict(list)
