Let upstreams return without replies or be replaced behind a refusing path

Cause: the path fault with a crash had only one kind of return, so that neither late orders at the next lifetime nor another instance occurred behind a path that refuses.

Change: path_crash draws one of three kinds: the upstream returns under its identifier, returns so without replies at first and inherits delayed orders, or another instance replaces it.

--- a/benchmarks/path_faults.py
+++ b/benchmarks/path_faults.py
@@ -31,6 +31,7 @@
 _DOWNTIME_S = (0.05, 1.0)
 _UPSTREAM_DOWNTIME_S = (0.05, 0.5)
 _FIRST_REPORT_S = (0.0, 1.0)
+_MUTE_S = (0.2, 1.5)
 _LINKS_CUT_S = (0.1, 1.5)
 
 
@@ -155,19 +156,31 @@
 
 
 def _refuse_and_crash(soak):
-    """A path refuses while its upstream returns under its identifier."""
+    """A path refuses while its upstream returns, or another instance replaces it."""
     rng = soak.path_rng
     name = rng.choice(soak.runners)
     seconds, resets = _draw_refusal(soak)
     delay_s = rng.uniform(0.0, _SECOND_EVENT_S)
+    kind = rng.choice(("returns", "returns without replies", "is replaced"))
     downtime_s = rng.uniform(*_UPSTREAM_DOWNTIME_S)
-    first_report_s = rng.uniform(*_FIRST_REPORT_S)
+    first_report_s, mute_s = rng.uniform(*_FIRST_REPORT_S), rng.uniform(*_MUTE_S)
     upstream = soak.fleet.upstreams[name]
-    event = gevent.spawn_later(
-        delay_s, upstream.restart_silently, downtime_s, first_report_s
-    )
-    reason = f"; the upstream crashes for {downtime_s:.2f} s after {delay_s:.2f} s"
-    _refuse(soak, [name], seconds, resets, reason)
+
+    def crash():
+        if kind == "is replaced":
+            upstream.crash()
+            gevent.sleep(downtime_s)
+            upstream.start()
+        elif kind == "returns":
+            upstream.restart_silently(downtime_s, first_report_s)
+        else:
+            upstream.restart_silently(
+                downtime_s, first_report_s, mute_s, inherits_orders=True
+            )
+
+    event = gevent.spawn_later(delay_s, crash)
+    reason = f"; after {delay_s:.2f} s the upstream crashes for {downtime_s:.2f} s and "
+    _refuse(soak, [name], seconds, resets, reason + kind)
     event.join()
 
 
