Split the soak of the platform by job

Change: the checks are in soak_checks, the faults of processes, links, store and load in process_faults, and the choice of faults and times in fault_injection. platform_soak keeps the callers, the run and the command line. No change of behaviour.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -30,44 +30,31 @@
 
 from standins.platform_fleet import PlatformFleet
 
-from .path_faults import PATH_FAULTS, submit_path_load
-from .restart_faults import RESTART_FAULTS
-from .upstream_faults import UPSTREAM_FAULTS, WORK_MS
+from .fault_injection import (
+    ONLY_NAMES,
+    spawn_faults,
+    spawn_only,
+    spawn_path_faults,
+)
+from .process_faults import CORES, DOMAINS
+from .soak_checks import ANSWER_SLACK_S, check_run
+from .upstream_faults import WORK_MS
+
+__all__ = ["main", "run_soak"]
 
-__all__ = ["FAULTS", "LOAD_FAULTS", "main", "run_soak"]
-
-_DOMAINS = ("a", "b", "c")
 _ENTRIES = 2
 _CALLERS = 6
-_CORES = 4
 # Capacity if there is only one fault, so that lost tasks start again at once.
 _AMPLE_CORES = 16
 _RETRY_DELAY_S = 1.3
 _ATTEMPTS = 3
 _REFUSED_PAUSE_S = 0.5
-_DOMAIN_OUT_BOUND_S = 5.0
-_ANSWER_SLACK_S = 0.7
 # An entry may answer late for this long after the end of a fault.
 _FAULT_EFFECT_S = 4.0
-_STARTUP_S = 0.5
 # Pauses of this process that are recorded as events.
 _OWN_PAUSE_S = 0.2
 _OWN_PAUSE_POLL_S = 0.05
-_ERROR_MARKERS = ("request_failed", "step_failed", "message_failed", "Traceback")
-# A smaller capacity counts after this time.
-_SHRINK_BOUND_S = 3.3
-# Upstreams that may crash under a task, and starts of it after that.
-_MAX_CRASHES = 3
-_MAX_LATE_STARTS = 2
-_DEADLY_SHARE = 0.15
 _DEADLY_PREFIX = "dead"
-# Name for `--only` that selects all of `PATH_FAULTS`.
-_ALL_PATH_FAULTS = "path_all"
-# Path faults per second, alone and beside all others, and their jobs per second.
-_PATH_RATE = 0.8
-_MIXED_PATH_RATE = 0.5
-_PATH_JOBS_RATE = 25
-_MIXED_PATH_JOBS_RATE = 5
 
 
 @dataclass
@@ -161,7 +148,7 @@
 
     def _send(self, attempt, spec, work_ms):
         reply = None
-        patience = gevent.Timeout(attempt.deadline_s + 2 * _ANSWER_SLACK_S)
+        patience = gevent.Timeout(attempt.deadline_s + 2 * ANSWER_SLACK_S)
         self._requests[patience] = gevent.getcurrent(), attempt
         try:
             with patience:
@@ -218,6 +205,17 @@
             if attempt.entry == entry:
                 caller.kill(patience, block=False)
 
+    def start_process(self, name):
+        """Starts a process again, unless another fault has already done so.
+
+        Args:
+            name: Name of the process.
+        """
+        if self.fleet.processes[name].poll() is None:
+            return
+        role = "entry" if name in self.entries else "runner"
+        self.fleet.start(name, role, self.fleet.settings[name]["zone"])
+
     def restart_at_once(self, name):
         """Kills a process and starts it again, unless another fault has ended it."""
         self.restart_after(name, 0.0)
@@ -237,7 +235,7 @@
         self.fleet.kill(name)
         if downtime_s:
             gevent.sleep(downtime_s)
-        _start_process(self, name)
+        self.start_process(name)
 
     def terminate(self, name):
         """Terminates a process and starts it again once it has exited.
@@ -251,7 +249,7 @@
         process.send_signal(signal.SIGTERM)
         while process.poll() is None:
             gevent.sleep(0.05)
-        _start_process(self, name)
+        self.start_process(name)
 
     def pause(self, name, seconds):
         """Stops a process for some time.
@@ -268,212 +266,6 @@
         process.send_signal(signal.SIGCONT)
 
 
-# Faults: each function injects one and returns when it has ended.
-
-
-def _kill_process(soak):
-    name = soak.rng.choice(soak.entries + soak.runners)
-    soak.note(f"kill {name}")
-    downtime_s = soak.rng.uniform(0.1, 2.0)
-    soak.record_fault(name, downtime_s + 1.0)
-    soak.fleet.kill(name)
-    gevent.sleep(downtime_s)
-    _start_process(soak, name)
-
-
-def _terminate_process(soak):
-    soak.terminate(soak.rng.choice(soak.entries + soak.runners))
-
-
-def _pause_process(soak):
-    name = soak.rng.choice(soak.entries + soak.runners)
-    soak.pause(name, soak.rng.uniform(0.2, 3.0))
-
-
-def _reload_process(soak):
-    name = soak.rng.choice(soak.entries + soak.runners)
-    soak.note(f"SIGHUP {name}")
-    process = soak.fleet.processes[name]
-    process.send_signal(signal.SIGHUP)
-    gevent.sleep(_STARTUP_S)
-    # Before a process has set its handlers, the signal ends it; the platform would
-    # start it again.
-    if process.poll() == -signal.SIGHUP and soak.fleet.processes[name] is process:
-        soak.note(f"{name} was still starting and is started again")
-        _start_process(soak, name)
-
-
-def _link_fault(soak):
-    name = soak.rng.choice(soak.entries)
-    proxy = soak.fleet.link_proxies[name]
-    mode = soak.rng.choice(("cut", "silent", "to_entry", "to_runners", "delay"))
-    seconds = soak.rng.uniform(0.3, 3.0)
-    soak.note(f"links of {name}: {mode} for {seconds:.1f} s")
-    soak.record_fault(name, seconds)
-    if mode == "cut":
-        proxy.cut()
-    elif mode == "silent":
-        proxy.silence_open()
-    elif mode == "delay":
-        proxy.delay_s = soak.rng.uniform(0.005, 0.2)
-    else:
-        proxy.silent_to_target = mode == "to_entry"
-        proxy.silent_to_client = mode == "to_runners"
-    gevent.sleep(seconds)
-    proxy.silent_to_target = proxy.silent_to_client = False
-    proxy.delay_s = 0.0
-
-
-def _store_fault(soak):
-    mode = soak.rng.choice(("busy", "silent", "lossy", "leases", "history", "cut"))
-    seconds = soak.rng.uniform(0.5, 4.0)
-    soak.note(f"store: {mode} for {seconds:.1f} s")
-    soak.record_fault("store", seconds)
-    if mode == "leases":
-        soak.fleet.store.revoke_leases()
-    elif mode == "history":
-        soak.fleet.store.compacted_revision = 10**9
-    elif mode == "cut":
-        soak.fleet.store_proxy.silence_open()
-    else:
-        soak.fleet.store.mode = mode
-    gevent.sleep(seconds)
-    soak.fleet.store.mode = "ok"
-    soak.fleet.store.compacted_revision = 0
-
-
-def _upstream_fault(soak):
-    name = soak.rng.choice(soak.runners)
-    upstream = soak.fleet.upstreams[name]
-    mode = soak.rng.choice(("crash", "late", "unanswered", "drain"))
-    soak.note(f"upstream of {name}: {mode}")
-    if mode == "late":
-        for _ in range(4):
-            upstream.current.fail_request("start", delay_s=soak.rng.uniform(0.1, 3.0))
-    elif mode == "unanswered":
-        upstream.current.fail_request("poll", times=soak.rng.randint(1, 8))
-        upstream.current.fail_request("stop", times=1)
-    else:
-        if mode == "drain":
-            upstream.draining = True
-            gevent.sleep(2.0)
-        upstream.crash()
-        gevent.sleep(soak.rng.uniform(0.1, 1.5))
-        upstream.start()
-
-
-def _resize_upstream(soak):
-    name = soak.load_rng.choice(soak.runners)
-    cores = soak.load_rng.randint(1, 2 * _CORES)
-    soak.note(f"upstream of {name} has {cores} cores")
-    soak.fleet.upstreams[name].resize(cores)
-    gevent.sleep(soak.load_rng.uniform(0.5, 8.0))
-    soak.fleet.upstreams[name].resize(_CORES)
-
-
-def _crash_with_tasks(soak):
-    seconds = soak.load_rng.uniform(0.5, 3.0)
-    soak.note(f"tasks crash upstreams for {seconds:.1f} s")
-    soak.deadly_share = _DEADLY_SHARE
-    gevent.sleep(seconds)
-    soak.deadly_share = 0.0
-
-
-def _change_config(soak):
-    soak.version += soak.rng.randint(1, 3)
-    soak.note(f"configuration version {soak.version}")
-    soak.fleet.configure(soak.version, timeout_ms=soak.rng.randint(1000, 2000))
-
-
-def _cycle_domain(soak):
-    domain = soak.rng.choice(_DOMAINS)
-    if domain in soak.domains_out:
-        return
-    soak.note(f"domain {domain} out")
-    out_at = soak.domains_out[domain] = time.monotonic()
-    soak.fleet.store.put(f"op/evacuate/{domain}", {})
-    gevent.sleep(soak.rng.uniform(1.0, 9.0))
-    soak.fleet.store.delete(f"op/evacuate/{domain}")
-    soak.domain_spans.append((domain, out_at, time.monotonic()))
-    del soak.domains_out[domain]
-
-
-FAULTS = {
-    "kill": _kill_process,
-    "terminate": _terminate_process,
-    "pause": _pause_process,
-    "reload": _reload_process,
-    "links": _link_fault,
-    "store": _store_fault,
-    "upstream": _upstream_fault,
-    "configure": _change_config,
-    "domain": _cycle_domain,
-}
-
-# Changes of what the upstreams can and have to run.
-LOAD_FAULTS = {"deadly": _crash_with_tasks, "resize": _resize_upstream}
-
-
-def _start_process(soak, name):
-    """Starts a process again, unless another fault has already done so."""
-    if soak.fleet.processes[name].poll() is None:
-        return
-    role = "entry" if name in soak.entries else "runner"
-    soak.fleet.start(name, role, soak.fleet.settings[name]["zone"])
-
-
-def _inject_faults(soak):
-    """Starts random faults, which may overlap, until the run stops."""
-    active = set()
-
-    def run(name):
-        try:
-            FAULTS[name](soak)
-        finally:
-            active.discard(name)
-
-    while not soak.stopped:
-        name = soak.rng.choice(sorted(FAULTS))
-        if name not in active:
-            active.add(name)
-            # Process faults run one at a time, so that each hits a running process.
-            if name in ("kill", "terminate", "pause"):
-                active.update(("kill", "terminate", "pause"))
-                run(name)
-                active.difference_update(("kill", "terminate", "pause"))
-            else:
-                gevent.spawn(run, name)
-        gevent.sleep(soak.rng.expovariate(1.5))
-
-
-def _inject_load_faults(soak):
-    """Starts random changes of the load, one after the other, until the run stops."""
-    while not soak.stopped:
-        gevent.sleep(soak.load_rng.expovariate(0.5))
-        LOAD_FAULTS[soak.load_rng.choice(sorted(LOAD_FAULTS))](soak)
-
-
-def _inject_from(soak, faults, rng, rate):
-    """Starts random faults, which overlap, until the run stops.
-
-    Args:
-        soak: `_Soak`.
-        faults: Function by name.
-        rng: Random generator for their choice and times.
-        rate: Mean number of faults per second.
-    """
-    active = []
-    while not soak.stopped:
-        gevent.sleep(rng.expovariate(rate))
-        active.append(gevent.spawn(faults[rng.choice(sorted(faults))], soak))
-    gevent.joinall(active)
-
-
-def _repeat_fault(soak, fault):
-    while not soak.stopped:
-        fault(soak)
-
-
 def _record_own_pauses(soak):
     """Records when this process could not run, and so saw answers late."""
     while True:
@@ -484,161 +276,6 @@
             soak.note(f"the soak itself could not run for {pause_s:.2f} s")
 
 
-# Checks.
-
-
-def _check_run(soak):
-    found = []
-    by_task = defaultdict(list)
-    for upstream in soak.fleet.upstreams.values():
-        for instance in upstream.instances:
-            found += _check_capacity(soak, upstream, instance)
-            for record in instance.records:
-                by_task[record.task].append((record, upstream))
-    now = time.monotonic()
-    for task, runs in by_task.items():
-        spans = sorted((r.started_at, r.ended_at or now) for r, _ in runs)
-        for (_, end), (start, _) in zip(spans, spans[1:]):
-            if start < end:
-                at = start - soak.started_at
-                found.append(
-                    f"two runs of task {task} overlapped from {at:.2f} s for "
-                    f"{end - start:.3f} s: "
-                    + "; ".join(
-                        f"{upstream.name} run {r.run} "
-                        f"{r.started_at - soak.started_at:.2f} to "
-                        f"{(r.ended_at or now) - soak.started_at:.2f} {r.outcome}"
-                        for r, upstream in runs
-                    )
-                )
-    found += [
-        f"task {task} was started {_late_starts(runs)} times after its third crash"
-        for task, runs in by_task.items()
-        if _late_starts(runs) > _MAX_LATE_STARTS
-    ]
-    soak.note(_count_starts(by_task))
-    found += _check_answers(soak, by_task)
-    found += _check_domains_out(soak, by_task)
-    for name in soak.fleet.processes:
-        log = soak.fleet.log(name)
-        found += [f"{name} logged {error}" for error in _ERROR_MARKERS if error in log]
-    return found
-
-
-def _count_starts(by_task):
-    """Describes how often tasks were started, also after they were done.
-
-    Args:
-        by_task: (`StartRecord`, upstream) of each run by task.
-    """
-    starts = after_done = 0
-    for runs in by_task.values():
-        starts += len(runs)
-        done_at = min((r.ended_at for r, _ in runs if r.outcome == "done"), default=0.0)
-        after_done += sum(r.started_at > done_at > 0.0 for r, _ in runs)
-    return (
-        f"{len(by_task)} tasks were started {starts} times, {after_done} of them after "
-        "the task was done"
-    )
-
-
-def _late_starts(runs):
-    """Returns how often a task was started after too many upstreams crashed under it.
-
-    Args:
-        runs: (`StartRecord`, upstream) of each run of the task.
-    """
-    crashes = sorted(r.ended_at for r, _ in runs if r.outcome == "crashed")
-    if len(crashes) < _MAX_CRASHES:
-        return 0
-    return sum(r.started_at > crashes[_MAX_CRASHES - 1] for r, _ in runs)
-
-
-def _check_capacity(soak, upstream, instance):
-    changes = []
-    for record in instance.records:
-        changes.append((record.started_at, 1))
-        changes.append((record.ended_at or time.monotonic(), -1))
-    running = 0
-    for at, change in sorted(changes):
-        running += change
-        capacity = _capacity_at(upstream, at)
-        if change > 0 and running > capacity:
-            return [
-                f"upstream of {upstream.name} ran {running} tasks of {capacity} at "
-                f"{at - soak.started_at:.2f} s"
-            ]
-    return []
-
-
-def _capacity_at(upstream, at):
-    """Returns the number of cores that the runs on an upstream may use at a time."""
-    times = [changed_at for changed_at, _ in upstream.capacities[1:]]
-    return max(
-        cores
-        for (_, cores), until in zip(upstream.capacities, [*times, at + 1.0])
-        if until > at - _SHRINK_BOUND_S
-    )
-
-
-def _check_answers(soak, by_task):
-    found = []
-    for attempt in soak.attempts:
-        runs = [
-            by_task.get(f"{attempt.job_id}.0.0.{i}", ()) for i in range(attempt.tasks)
-        ]
-        if attempt.state == "completed":
-            if not all(any(r.outcome == "done" for r, _ in task) for task in runs):
-                found.append(f"job {attempt.job_id} completed although a task did not")
-        if attempt.status == 503 and any(
-            attempt.sent_at <= r.started_at <= attempt.ended_at
-            for task in runs
-            for r, _ in task
-        ):
-            found.append(f"job {attempt.job_id} was refused although a task started")
-        late_s = attempt.ended_at - attempt.sent_at - attempt.deadline_s
-        if late_s > _ANSWER_SLACK_S and not soak.had_fault(
-            attempt.entry, attempt.sent_at, attempt.ended_at
-        ):
-            found.append(
-                f"job {attempt.job_id} had no answer within its deadline of "
-                f"{attempt.deadline_s:.2f} s: sent to {attempt.entry} at "
-                f"{attempt.sent_at - soak.started_at:.2f} s, status {attempt.status} "
-                f"after {attempt.ended_at - attempt.sent_at:.2f} s; the entry "
-                f"logged: {_logged_ends(soak, attempt) or 'nothing'}"
-            )
-    return found
-
-
-def _logged_ends(soak, attempt):
-    """Returns when and why an entry ended a job, according to its log."""
-    ends = []
-    for line in soak.fleet.log(attempt.entry).splitlines():
-        if "job_ended" not in line or attempt.job_id not in line:
-            continue
-        try:
-            end = json.loads(line)
-        except ValueError:
-            # A process that is killed may leave an incomplete line.
-            continue
-        at = datetime.fromisoformat(end["time"]).timestamp() - soak.started_at_s
-        ends.append(f"{end['reason']!r} at {at:.2f} s after {end['seconds']} s")
-    return ", ".join(ends)
-
-
-def _check_domains_out(soak, by_task):
-    found = []
-    for domain, out_at, in_at in soak.domain_spans:
-        if soak.had_fault("store", out_at, out_at + _DOMAIN_OUT_BOUND_S):
-            continue
-        for task, runs in by_task.items():
-            for record, upstream in runs:
-                late = out_at + _DOMAIN_OUT_BOUND_S < record.started_at < in_at
-                if upstream.domain == domain and late:
-                    found.append(f"task {task} started in domain {domain} while out")
-    return found
-
-
 def run_soak(
     seed,
     seconds,
@@ -675,23 +312,22 @@
         soak = _Soak(fleet, seed, runners, with_upstream_faults, entries)
         pauses = gevent.spawn(_record_own_pauses, soak)
         try:
-            _start_fleet(soak, _AMPLE_CORES if only else _CORES)
+            _start_fleet(soak, _AMPLE_CORES if only else CORES)
             if only:
-                faults = _spawn_only(soak, only, seconds)
+                faults = spawn_only(soak, only, seconds)
             else:
                 soak.callers += [
                     gevent.spawn(soak.run_caller, i) for i in range(_CALLERS)
                 ]
-                faults = _spawn_faults(soak)
+                faults = spawn_faults(soak)
             if with_path_faults:
-                submit_path_load(soak, _MIXED_PATH_JOBS_RATE, seconds)
-                faults.append(_spawn_path_faults(soak, PATH_FAULTS, _MIXED_PATH_RATE))
+                faults.append(spawn_path_faults(soak, seconds))
             gevent.sleep(seconds)
             soak.stopped = True
             gevent.joinall(faults, timeout=20.0)
             gevent.joinall(soak.callers, timeout=20.0)
             recovered = [fleet.wait_ready(entry) for entry in soak.entries]
-            findings = _check_run(soak)
+            findings = check_run(soak)
             if not all(recovered):
                 findings.append("an entry completes no job after the faults")
         finally:
@@ -701,38 +337,11 @@
     return findings, soak.events, answers
 
 
-def _spawn_only(soak, only, seconds):
-    if only in RESTART_FAULTS:
-        return [gevent.spawn(_repeat_fault, soak, RESTART_FAULTS[only])]
-    faults = PATH_FAULTS
-    if only != _ALL_PATH_FAULTS:
-        faults = {only: PATH_FAULTS[only]}
-    submit_path_load(soak, _PATH_JOBS_RATE, seconds)
-    return [_spawn_path_faults(soak, faults, _PATH_RATE)]
-
-
-def _spawn_path_faults(soak, faults, rate):
-    return gevent.spawn(_inject_from, soak, faults, soak.path_rng, rate)
-
-
-def _spawn_faults(soak):
-    faults = [
-        gevent.spawn(_inject_faults, soak),
-        gevent.spawn(_inject_load_faults, soak),
-    ]
-    if soak.with_upstream_faults:
-        faults += [
-            gevent.spawn(_inject_from, soak, UPSTREAM_FAULTS, soak.upstream_rng, 0.7),
-            gevent.spawn(_inject_from, soak, RESTART_FAULTS, soak.restart_rng, 0.2),
-        ]
-    return faults
-
-
-def _start_fleet(soak, cores=_CORES):
+def _start_fleet(soak, cores=CORES):
     for i, name in enumerate(soak.entries):
-        soak.fleet.start(name, "entry", _DOMAINS[i % len(_DOMAINS)])
+        soak.fleet.start(name, "entry", DOMAINS[i % len(DOMAINS)])
     for i, name in enumerate(soak.runners):
-        soak.fleet.start(name, "runner", _DOMAINS[i % len(_DOMAINS)])
+        soak.fleet.start(name, "runner", DOMAINS[i % len(DOMAINS)])
         soak.fleet.start_upstream(name, cores)
     for entry in soak.entries:
         soak.fleet.wait_ready(entry)
@@ -748,8 +357,7 @@
     parser.add_argument("--keep", help="directory for settings and logs")
     parser.add_argument("--upstream-faults", action="store_true")
     parser.add_argument("--path-faults", action="store_true")
-    names = [*RESTART_FAULTS, *PATH_FAULTS, _ALL_PATH_FAULTS]
-    parser.add_argument("--only", choices=sorted(names))
+    parser.add_argument("--only", choices=ONLY_NAMES)
     options = parser.parse_args(args)
     seed = options.seed
     if seed is None:
