Run half of the upstreams of path faults with slow clocks

Cause: the clock of an upstream may be 2 percent slow, and its lease then lasts longer than the runner's clock tells. The stand-in's clock was exact, so that a wait for a lease that is too short by this much could not show.

Change: LeasedUpstream has a clock rate; in the soak with path faults every other upstream's clock runs at 0.98.

--- a/benchmarks/fault_injection.py
+++ b/benchmarks/fault_injection.py
@@ -12,11 +12,18 @@
 from .restart_faults import RESTART_FAULTS
 from .upstream_faults import UPSTREAM_FAULTS
 
-__all__ = ["ONLY_NAMES", "spawn_faults", "spawn_only", "spawn_path_faults"]
+__all__ = [
+    "ONLY_NAMES",
+    "PATH_NAMES",
+    "spawn_faults",
+    "spawn_only",
+    "spawn_path_faults",
+]
 
 # Selects all of `PATH_FAULTS`.
 _ALL_PATH_FAULTS = "path_all"
-ONLY_NAMES = tuple(sorted([*RESTART_FAULTS, *PATH_FAULTS, _ALL_PATH_FAULTS]))
+PATH_NAMES = (*PATH_FAULTS, _ALL_PATH_FAULTS)
+ONLY_NAMES = tuple(sorted([*RESTART_FAULTS, *PATH_NAMES]))
 # Path faults per second, alone and beside all others, and their jobs per second.
 _PATH_RATE = 0.8
 _MIXED_PATH_RATE = 0.5
--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -32,6 +32,7 @@
 
 from .fault_injection import (
     ONLY_NAMES,
+    PATH_NAMES,
     spawn_faults,
     spawn_only,
     spawn_path_faults,
@@ -51,6 +52,8 @@
 _REFUSED_PAUSE_S = 0.5
 # An entry may answer late for this long after the end of a fault.
 _FAULT_EFFECT_S = 4.0
+# Slowest clock that an upstream may have, relative to real time.
+_SLOW_CLOCK_RATE = 0.98
 # Pauses of this process that are recorded as events.
 _OWN_PAUSE_S = 0.2
 _OWN_PAUSE_POLL_S = 0.05
@@ -312,7 +315,8 @@
         soak = _Soak(fleet, seed, runners, with_upstream_faults, entries)
         pauses = gevent.spawn(_record_own_pauses, soak)
         try:
-            _start_fleet(soak, _AMPLE_CORES if only else CORES)
+            with_slow_clocks = with_path_faults or only in PATH_NAMES
+            _start_fleet(soak, _AMPLE_CORES if only else CORES, with_slow_clocks)
             if only:
                 faults = spawn_only(soak, only, seconds)
             else:
@@ -337,12 +341,13 @@
     return findings, soak.events, answers
 
 
-def _start_fleet(soak, cores=CORES):
+def _start_fleet(soak, cores=CORES, with_slow_clocks=False):
     for i, name in enumerate(soak.entries):
         soak.fleet.start(name, "entry", DOMAINS[i % len(DOMAINS)])
     for i, name in enumerate(soak.runners):
         soak.fleet.start(name, "runner", DOMAINS[i % len(DOMAINS)])
-        soak.fleet.start_upstream(name, cores)
+        is_slow = with_slow_clocks and i % 2 == 0
+        soak.fleet.start_upstream(name, cores, _SLOW_CLOCK_RATE if is_slow else 1.0)
     for entry in soak.entries:
         soak.fleet.wait_ready(entry)
 
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -76,6 +76,7 @@
             don't.
         names_lifetime_in_lists_only: Whether only replies to polls tell `born_ms`.
         first_clock_ms: Clock at the start of the lifetime, milliseconds.
+        clock_rate: Speed of the clock, relative to real time.
         next_lifetime: `LeasedUpstream` that executes the delayed requests once this
             instance has crashed; None if they are lost.
     """
@@ -98,6 +99,7 @@
     born_ms: int = 0
     names_lifetime_in_lists_only: bool = False
     first_clock_ms: int = 1000
+    clock_rate: float = 1.0
     next_lifetime: object = None
 
     def __post_init__(self):
@@ -109,7 +111,8 @@
     @property
     def clock_ms(self):
         """The monotonic clock of this instance, in milliseconds."""
-        return int((time.monotonic() - self._started) * 1000) + self.first_clock_ms
+        elapsed_ms = (time.monotonic() - self._started) * 1000 * self.clock_rate
+        return int(elapsed_ms) + self.first_clock_ms
 
     def fail_request(self, name, delay_s=None, times=1):
         """Leaves the next requests of one type without a reply.
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -59,6 +59,7 @@
         capacities: Time and number of cores of each change of its capacity.
         draining: Whether it reports that it is draining.
         reporting: Whether it sends reports.
+        clock_rate: Speed of the clock of the instances that start from now on.
     """
 
     def __init__(self, name, settings, domain, cores, listen, path=None):
@@ -68,6 +69,7 @@
         self.instances = []
         self.draining = False
         self.reporting = True
+        self.clock_rate = 1.0
         self._settings = settings
         self._listen = listen
         self._path = path
@@ -143,6 +145,7 @@
             born_ms=_FIRST_BORN_MS + len(self.instances),
             names_lifetime_in_lists_only=len(self.instances) % 2 == 1,
             first_clock_ms=_FIRST_CLOCK_MS if is_first else 0,
+            clock_rate=self.clock_rate,
         )
         self.instances.append(upstream)
         self._server = serve(upstream, listener or self._listen)
@@ -262,8 +265,8 @@
             env={"PAPAYAWARD_SETTINGS": str(path), "PATH": os.environ["PATH"]},
         )
 
-    def start_upstream(self, name, cores=4):
-        """Starts the upstream of a runner."""
+    def start_upstream(self, name, cores=4, clock_rate=1.0):
+        """Starts the upstream of a runner, with a clock of a relative speed."""
         settings = self.settings[name]
         upstream = _RestartableUpstream(
             name,
@@ -273,6 +276,7 @@
             self._upstream_addresses[name],
             self.upstream_proxies.get(name),
         )
+        upstream.clock_rate = clock_rate
         self.upstreams[name] = upstream
         upstream.start()
         return upstream
