Deliver reports of upstreams late behind a refusing path

Cause: a report may arrive after its sender has crashed and a new lifetime has registered. No fault of the soak delayed reports, so that an outdated report of a lifetime or instance was never read while its runs were in doubt.

Change: the fault path_reports delays the reports of an upstream while its path refuses, and then lets it return, be replaced or run on.

--- a/benchmarks/path_faults.py
+++ b/benchmarks/path_faults.py
@@ -31,6 +31,7 @@
 _DOWNTIME_S = (0.05, 1.0)
 _UPSTREAM_DOWNTIME_S = (0.05, 0.5)
 _FIRST_REPORT_S = (0.0, 1.0)
+_REPORT_DELAY_S = (0.3, 2.0)
 _MUTE_S = (0.2, 1.5)
 _LINKS_CUT_S = (0.1, 1.5)
 
@@ -184,6 +185,29 @@
     event.join()
 
 
+def _refuse_and_delay_reports(soak):
+    """A path refuses while reports arrive late, also once the upstream has returned."""
+    rng = soak.path_rng
+    name = rng.choice(soak.runners)
+    seconds, resets = _draw_refusal(soak)
+    delay_s, downtime_s = rng.uniform(*_REPORT_DELAY_S), rng.uniform(*_DOWNTIME_S)
+    returns, replaced = rng.random() < 0.7, rng.random() < 0.5
+    upstream = soak.fleet.upstreams[name]
+    upstream.report_delay_s = delay_s
+    gevent.sleep(_SECOND_EVENT_S)
+    reason = f"; its reports arrive after {delay_s:.2f} s"
+    if returns:
+        reason += f"; after that it {'is replaced' if replaced else 'returns'}"
+    _refuse(soak, [name], seconds, resets, reason)
+    upstream.report_delay_s = 0.0
+    if returns and replaced:
+        upstream.crash()
+        gevent.sleep(downtime_s)
+        upstream.start()
+    elif returns:
+        upstream.restart_silently(downtime_s, 0.0)
+
+
 def _refuse_and_cut_links(soak):
     """Paths refuse while the links of an entry are cut."""
     rng = soak.path_rng
@@ -213,6 +237,7 @@
     "path_links": _refuse_and_cut_links,
     "path_lossy": _refuse_and_lose_replies,
     "path_process": _refuse_and_restart,
+    "path_reports": _refuse_and_delay_reports,
     "path_refuse": _refuse_connections,
     "path_silent": _silence,
 }
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -59,6 +59,7 @@
         capacities: Time and number of cores of each change of its capacity.
         draining: Whether it reports that it is draining.
         reporting: Whether it sends reports.
+        report_delay_s: Time after which its reports arrive, seconds.
         clock_rate: Speed of the clock of the instances that start from now on.
     """
 
@@ -69,6 +70,7 @@
         self.instances = []
         self.draining = False
         self.reporting = True
+        self.report_delay_s = 0.0
         self.clock_rate = 1.0
         self._settings = settings
         self._listen = listen
@@ -178,11 +180,22 @@
         while True:
             if self.reporting:
                 sequence += 1
-                self._send_report(client, upstream, sequence)
+                document = self._report_document(upstream, sequence)
+                if self.report_delay_s:
+                    late_client = UpstreamClient(host, int(port))
+                    gevent.spawn_later(
+                        self.report_delay_s,
+                        self._send_report_and_close,
+                        late_client,
+                        upstream,
+                        document,
+                    )
+                else:
+                    self._send_report(client, upstream, document)
             gevent.sleep(_REPORT_INTERVAL_S)
 
-    def _send_report(self, client, upstream, sequence):
-        document = {
+    def _report_document(self, upstream, sequence):
+        return {
             "service": "dispatch",
             "address": self._settings["app"],
             "zone": self.domain,
@@ -192,6 +205,12 @@
             "seq_no": sequence,
             "born": upstream.born_ms,
         }
+
+    def _send_report_and_close(self, client, upstream, document):
+        self._send_report(client, upstream, document)
+        client.close()
+
+    def _send_report(self, client, upstream, document):
         path = f"/papayaward/instances/{upstream.instance}"
         try:
             client.request("PUT", path, json.dumps(document).encode(), {})
