--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -39,25 +39,42 @@
 # Clock of the first instance of an upstream, which is older than the runner.
 _FIRST_CLOCK_MS = 480_000
 _FIRST_BORN_MS = 5
+# Who keeps the path to an upstream closed while the upstream itself is down.
+_UPSTREAM_DOWN = "upstream"
 
 
 class _RestartableUpstream:
     """The upstream of a runner; each start creates a new lifetime.
 
+    Args:
+        name: Name of the runner.
+        settings: Settings of the runner.
+        domain: Failure domain.
+        cores: Capacity.
+        listen: (host, port) to listen on.
+        path: `TcpProxy` on the runner's path to the upstream, or None. It refuses
+            connections while the upstream does.
+
     Attributes:
         capacities: Time and number of cores of each change of its capacity.
         draining: Whether it reports that it is draining.
         reporting: Whether it sends reports.
+        report_delay_s: Time after which its reports arrive, seconds.
+        clock_rate: Speed of the clock of the instances that start from now on.
     """
 
-    def __init__(self, name, settings, domain, cores):
+    def __init__(self, name, settings, domain, cores, listen, path=None):
         self.name = name
         self.domain = domain
         self.capacities = [(time.monotonic(), cores)]
         self.instances = []
         self.draining = False
         self.reporting = True
+        self.report_delay_s = 0.0
+        self.clock_rate = 1.0
         self._settings = settings
+        self._listen = listen
+        self._path = path
         self._server = None
         self._reporter = None
 
@@ -114,6 +131,8 @@
             if mute_s:
                 # A copy of the listening socket keeps accepting while servers change.
                 listener = socket.socket(fileno=os.dup(self._server.socket.fileno()))
+            else:
+                self._close_path()
             self._server.stop(timeout=0)
             self._begin(crashed.instance, first_report_s, listener)
             self.current.mute(mute_s)
@@ -128,10 +147,12 @@
             born_ms=_FIRST_BORN_MS + len(self.instances),
             names_lifetime_in_lists_only=len(self.instances) % 2 == 1,
             first_clock_ms=_FIRST_CLOCK_MS if is_first else 0,
+            clock_rate=self.clock_rate,
         )
         self.instances.append(upstream)
-        host, port = self._settings["app"].split(":")
-        self._server = serve(upstream, listener or (host, int(port)))
+        self._server = serve(upstream, listener or self._listen)
+        if self._path is not None:
+            self._path.open_listener(_UPSTREAM_DOWN)
         self._reporter = gevent.spawn(self._report, upstream, first_report_s)
 
     def _on_task_crash(self):
@@ -142,10 +163,15 @@
         """Crashes the current instance."""
         if self._reporter is not None:
             self._reporter.kill()
+            self._close_path()
             self._server.stop(timeout=0)
             self.current.crash()
             self._reporter = None
 
+    def _close_path(self):
+        if self._path is not None:
+            self._path.close_listener(_UPSTREAM_DOWN)
+
     def _report(self, upstream, first_report_s):
         host, port = self._settings["listen_addrs"]["control"].split(":")
         client = UpstreamClient(host, int(port))
@@ -154,11 +180,22 @@
         while True:
             if self.reporting:
                 sequence += 1
-                self._send_report(client, upstream, sequence)
+                document = self._report_document(upstream, sequence)
+                if self.report_delay_s:
+                    late_client = UpstreamClient(host, int(port))
+                    gevent.spawn_later(
+                        self.report_delay_s,
+                        self._send_report_and_close,
+                        late_client,
+                        upstream,
+                        document,
+                    )
+                else:
+                    self._send_report(client, upstream, document)
             gevent.sleep(_REPORT_INTERVAL_S)
 
-    def _send_report(self, client, upstream, sequence):
-        document = {
+    def _report_document(self, upstream, sequence):
+        return {
             "service": "dispatch",
             "address": self._settings["app"],
             "zone": self.domain,
@@ -168,6 +205,12 @@
             "seq_no": sequence,
             "born": upstream.born_ms,
         }
+
+    def _send_report_and_close(self, client, upstream, document):
+        self._send_report(client, upstream, document)
+        client.close()
+
+    def _send_report(self, client, upstream, document):
         path = f"/papayaward/instances/{upstream.instance}"
         try:
             client.request("PUT", path, json.dumps(document).encode(), {})
@@ -181,8 +224,8 @@
 
     Args:
         folder: Folder for settings and logs.
-        proxied: Whether runners connect to entries, and both to the store, through
-            fault-injecting proxies.
+        proxied: Whether runners connect to entries and to their upstreams, and both
+            roles to the store, through fault-injecting proxies.
 
     Attributes:
         folder: `Path` of the folder.
@@ -190,6 +233,8 @@
         processes: Running process by name.
         upstreams: Upstream of each runner by the runner's name.
         link_proxies: `TcpProxy` in front of the link port of each entry by name.
+        upstream_proxies: `TcpProxy` in front of the upstream of each runner by the
+            runner's name.
         store_proxy: `TcpProxy` in front of the store, or None.
     """
 
@@ -201,6 +246,8 @@
         self.processes = {}
         self.upstreams = {}
         self.link_proxies = {}
+        self.upstream_proxies = {}
+        self._upstream_addresses = {}
         address = (HOST, free_port())
         self.store = PlatformStoreStandIn(address)
         self.store_proxy = TcpProxy(address) if proxied else None
@@ -237,10 +284,18 @@
             env={"PAPAYAWARD_SETTINGS": str(path), "PATH": os.environ["PATH"]},
         )
 
-    def start_upstream(self, name, cores=4):
-        """Starts the upstream of a runner."""
+    def start_upstream(self, name, cores=4, clock_rate=1.0):
+        """Starts the upstream of a runner, with a clock of a relative speed."""
         settings = self.settings[name]
-        upstream = _RestartableUpstream(name, settings, settings["zone"], cores)
+        upstream = _RestartableUpstream(
+            name,
+            settings,
+            settings["zone"],
+            cores,
+            self._upstream_addresses[name],
+            self.upstream_proxies.get(name),
+        )
+        upstream.clock_rate = clock_rate
         self.upstreams[name] = upstream
         upstream.start()
         return upstream
@@ -264,7 +319,8 @@
             process.wait()
         for upstream in self.upstreams.values():
             upstream.crash()
-        for proxy in [*self.link_proxies.values(), self.store_proxy]:
+        proxies = [*self.link_proxies.values(), *self.upstream_proxies.values()]
+        for proxy in [*proxies, self.store_proxy]:
             if proxy is not None:
                 proxy.close()
         self.store.stop()
@@ -333,6 +389,13 @@
         if role == "entry" and self._proxied:
             proxy = self.link_proxies[name] = TcpProxy((HOST, link))
             self.store.address_map[f"{HOST}:{link}"] = "%s:%d" % proxy.address
+        app = self._upstream_addresses[name] = (HOST, free_port())
+        if role == "runner" and self._proxied:
+            # A port of its own, which nobody else takes while the listener is closed.
+            proxy = TcpProxy(app, listen=(HOST, free_port()))
+            proxy.close_listener(_UPSTREAM_DOWN)
+            self.upstream_proxies[name] = proxy
+            app = proxy.address
         return {
             "node_name": name,
             "ip": HOST,
@@ -342,7 +405,7 @@
             "listen_addrs": addresses,
             "seeds": [],
             "service": "dispatch" if role == "runner" else None,
-            "app": f"{HOST}:{free_port()}",
+            "app": "%s:%d" % app,
             "bounds": {"grace_s": 3},
             "platform": {"address": "%s:%d" % self._store_address},
         }
