--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -202,8 +202,9 @@
         replies = self._calls.replies
         if not self.is_up or not replies.is_failing() or now <= self.all_ended_at:
             return
-        # A lease that ended long ago shows that nothing runs, not that it is lost.
-        if self._has_runs() or replies.failing_s(now) > _UNLEASED_LOSS_S:
+        # Without a lease, one request without a reply does not show a loss.
+        has_lease = self._taken_over and self._has_runs()
+        if has_lease or replies.failing_s(now) > _UNLEASED_LOSS_S:
             reason = "no reply until the lease expired"
             self._calls.lose(LossEvidence.SILENT, reason)
 
