List confirmed runs as unsettled until their lifetime is known

Cause (found by reading, not shown in a run): a run whose start was confirmed by a reply that tells no lifetime becomes undecided at a silent loss. Its entry had it as confirmed and would have released it 1.05 s after a broken link, while the next lifetime may run it. Change: such a run is listed as unsettled until a list or a later reading of the clock identifies its lifetime.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -354,7 +354,9 @@
             if run is None or number < run.run:
                 self._unknown.stop(self._current.session, task, number)
                 continue
-            run.identified = True
+            if not run.identified:
+                run.identified = True
+                self._reports.on_run_settled(run.owner)
             if not run.is_slow(percent, now):
                 continue
             remaining_ms = int(run.remaining_s(percent, now) * 1000)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -102,9 +102,10 @@
         """Whether a request to start the run may still be executed.
 
         That includes a request that is not sent yet, and an earlier request of a
-        confirmed start: the next lifetime may execute it.
+        confirmed start: the next lifetime may execute it, or may have confirmed it.
         """
-        return not self.running or self.unanswered > 0 or self.undecided
+        is_confirmed = self.running and self.identified and not self.undecided
+        return not is_confirmed or self.unanswered > 0
 
     @property
     def last_wanted_at(self):
