Keep an upstream closed to starts until it replies after a refusal

A request that broke or timed out soon after a refused connection reopened the upstream to starts, and logged that it responds, although nothing had replied: the silence of 0.3 s alone decided, so that it also withdrew an earlier refusal. Change: only a reply reopens it. Measured: the new test fails before (refusal reason empty) and passes now.

--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -262,7 +262,8 @@
         timed_out = not isinstance(error, (ConnectionBroken, Refused, Unreachable))
         self.replies.on_no_reply(now, timed_out, is_refused)
         # What is started while connections are refused could not be stopped.
-        self._set_silent(is_refused or self.replies.is_silent(now))
+        if is_refused or self.replies.is_silent(now):
+            self._set_silent(True)
 
     def _on_reply(self, reply, sent_at, wait_s, now):
         self.is_up = True
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -8,6 +8,11 @@
 import gevent
 
 from papayaward import clock
+from papayaward.coordination.upstream_requests import (
+    ConnectionBroken,
+    PollRequest,
+    Unreachable,
+)
 from papayaward.protocol.gen.ttypes import StopBatch
 from tests.leased_case import upstream_state
 from tests.replaced_upstream_case import ReplacedUpstreamCase
@@ -103,6 +108,20 @@
         self.assertEqual([(_TASK, "not_run:unreachable")], self.link.ends())
         self.assertEqual("upstream_silent", self.executor.refusal_reason)
 
+    def test_connection_that_breaks_after_a_refusal_reopens_nothing(self):
+        """Guards against starts on an upstream that has not replied since a refusal."""
+        calls = self.executor._current.session._calls
+        poll, self.address.poll = self.address.poll, self.break_connection
+        for error in (Unreachable("refused"), ConnectionBroken("reset")):
+            self.error = error
+            self.assertIsNone(calls.poll(PollRequest(calls.token.value, 0)))
+        self.assertEqual("upstream_silent", self.executor.refusal_reason)
+        self.address.poll = poll
+        self.wait_for(lambda: not self.executor.refusal_reason)
+
+    def break_connection(self, instance, request, timeout_s):
+        raise self.error
+
     def test_upstream_is_used_again_as_soon_as_it_replies(self):
         """Guards against an upstream that stays unused until its next report."""
         for number, refused_s in enumerate((0.1, 1.5)):
