--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -73,6 +73,29 @@
         gevent.sleep(1.5)
         self.assertEqual(1, len(crashes))
 
+    def test_lost_reply_during_the_take_over_is_no_crash(self):
+        """Guards against a crash that is published for each reply that is lost."""
+        crashes = []
+        self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
+        self.crash_with_a_start_without_a_reply()
+        gevent.sleep(1.5)
+        losses = iter([None, 0.0, None, 0.0])
+        self.second.loss = lambda: next(losses, None)
+        self.address.lifetime = self.second
+        self.wait_for(self.link.ends)
+        self.assertEqual(1, len(crashes))
+
+    def test_reported_lifetime_that_does_not_reply_at_once_is_no_crash(self):
+        """Guards against a second crash because runs of an earlier session remain."""
+        crashes = []
+        self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
+        self.crash_with_a_start_without_a_reply()
+        gevent.sleep(0.3)
+        self.address.lifetime = None
+        self.report_second_lifetime()
+        gevent.sleep(0.5)
+        self.assertEqual(1, len(crashes))
+
     def test_another_instance_ends_the_wait_as_soon_as_it_replies(self):
         """Guards against tasks that wait for an upstream that has been replaced."""
         self.start_at_mute_lifetime()
