Remember the lifetime of an upstream that another instance has replaced

When another instance replied to a session that awaited a lost upstream, before any lifetime of that upstream had, the start of the lost lifetime was overwritten by that of the session, which is unknown (0). An older report then counted as news: a session with a lifetime that was over was opened, refused, and its crash published. Change: the start is replaced only by one that a reply has told. Measured: the new test fails before (1 instead of 2) and passes now.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -190,7 +190,7 @@
 
     def _on_session_lost(self, loss):
         session = self.session
-        if not self._is_session_reported:
+        if session.born_ms and not self._is_session_reported:
             # The lifetime has replied, but never reported.
             self.state = replace(self.state, born_ms=session.born_ms, sequence=0)
         now = clock.now()
--- a/tests/test_replaced_upstream.py
+++ b/tests/test_replaced_upstream.py
@@ -7,6 +7,9 @@
 
 import gevent
 
+from papayaward import clock
+from papayaward.coordination.upstream_requests import UpstreamReply
+from tests.leased_case import upstream_state
 from tests.replaced_upstream_case import ReplacedUpstreamCase
 
 
@@ -59,3 +62,15 @@
         self.address.lifetime = self.second
         self.wait_for(self.link.ends, seconds=0.3)
         self.assertEqual([("j.0.0.0", "lost")], self.link.ends())
+
+    def test_late_report_is_outdated_after_another_instance_has_replied(self):
+        """Guards against a session with a lifetime that is known to be over."""
+        self.address.lifetime = self.second
+        self.report_second_lifetime()
+        self.wait_for(lambda: not self.executor.refusal_reason)
+        self.address.refuses = True
+        self.wait_for(lambda: self.executor.refusal_reason == "not_reported", 3.0)
+        self.address.poll = lambda *args: UpstreamReply("other_instance")
+        self.wait_for(lambda: self.executor._current.session is None)
+        self.executor.on_upstream_report(upstream_state(born_ms=1), clock.now())
+        self.assertEqual(2, self.executor.state.born_ms)
