Make the test of a repeated crash independent of stops of the test's process

Injected stops of the whole test process (SIGALRM with a sleep, at each 0.01 or 0.02 s of the test): with 0.5 s only the first condition, that the upstream has executed the start, is ever missed, and only for stops between 0.26 and 0.30 s: the entry's last heartbeat is then older than 0.45 s when the start is sent, so the executor refuses it as stale, and nobody sends it again. With 1.05 s the same, and for stops before the crash the run's lease ends first (a ValueError, another failure).

The tests' entry now sends a heartbeat right before the start, as it is alive by then, and the crash follows as soon as the executor has confirmed the run, which is what the 0.05 s stood for. The checks are unchanged.

--- a/tests/replaced_upstream_case.py
+++ b/tests/replaced_upstream_case.py
@@ -88,10 +88,13 @@
 
     def send_heartbeats(self):
         while True:
-            self.link.mark_alive()
-            self.executor.on_heartbeat(self.link, 0, clock.now())
+            self.send_heartbeat()
             gevent.sleep(0.05)
 
+    def send_heartbeat(self):
+        self.link.mark_alive()
+        self.executor.on_heartbeat(self.link, 0, clock.now())
+
     def wait_for(self, condition, seconds=2.0):
         until = clock.now() + seconds
         while not condition():
@@ -99,7 +102,11 @@
             gevent.sleep(0.002)
 
     def send_start(self, work_ms=5000):
-        """Sends the executor a start of the task `j.0.0.0`."""
+        """Sends the executor a start of the task `j.0.0.0`.
+
+        The entry is known to be alive then, also if this process was stopped before.
+        """
+        self.send_heartbeat()
         batch = StartBatch(1, [start_group("j.0.0.0", work_ms=work_ms)])
         self.executor.on_message(self.link, batch, clock.now())
 
--- a/tests/test_next_lifetime.py
+++ b/tests/test_next_lifetime.py
@@ -104,6 +104,10 @@
 
 
 class RepeatedCrashTest(ReplacedUpstreamCase):
+    def is_start_pending(self):
+        run = self.executor._runs.get(_TASK)
+        return run is not None and not run.running
+
     def test_undecided_run_is_no_witness_of_the_next_crash(self):
         """Guards against a job that is condemned for a crash that it was not part of.
 
@@ -115,8 +119,7 @@
         gevent.sleep(0.3)
         self.first.fail_request("start")
         self.send_start()
-        self.wait_for(lambda: self.first.records)
-        gevent.sleep(0.05)
+        self.wait_for(lambda: not self.is_start_pending())
         self.first.crash()
         self.wait_for(lambda: crashes)
         # The second lifetime crashes right after its first reply.
