Distinguish suspected, known and withdrawn crashes of upstreams

A crash is now suspected until it is known, that is until another lifetime or instance has replied in its place. A suspected crash isolates its jobs, bounds the starts of their tasks and guards their queue as before; the job is answered unknown (upstream crashed) instead of a third start, and failed only for known crashes. A withdrawal removes a suspicion with all that was concluded from it: counts, shares, the relations of other crashes, the base probabilities of jobs recorded meanwhile, and a guard without another cause.

Wire: CrashNotice.known and noticed_ms, CrashNotices.withdrawals, all optional, so that protocol version 3 stays. A process without the fields skips them; its own notices count as suspicions.

The order of a notice and a withdrawal does not follow from ages, which grow by the delay of each link, but from the wall time at which the executor noticed the crash.

--- a/benchmarks/crash_model/executor.py
+++ b/benchmarks/crash_model/executor.py
@@ -7,6 +7,7 @@
 
 import random
 from collections import Counter
+from dataclasses import replace
 from types import SimpleNamespace
 
 from papayaward.coordination.leased_runs import Run, isolated_jobs, may_isolate
@@ -216,7 +217,7 @@
         now = self._events.now
         key = f"{self.name}@{self.instance}"
         crash = crash_of(key, SERVICE, received, now, witnessed=True)
-        self._notices.publish(crash)
+        self._notices.publish(replace(crash, is_known=True))
         self.up = False
         for run in lost:
             # The notice precedes the end on the link to the entry.
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -35,7 +35,7 @@
     """
 
     START = ""
-    # A task crashed several upstreams.
+    # A task is known to have crashed several upstreams.
     CONDEMNED = "crashes upstreams"
     # A task may have been in several crashes, and is not known to have caused them.
     EXHAUSTED = "upstreams crashed repeatedly"
@@ -58,6 +58,7 @@
         self._jobs = jobs
         self._guards = QueueGuards()
         relay.on_crash(self._on_crash)
+        relay.on_change(self._on_change)
 
     def verdict(self, job, views, now):
         """Returns the `Verdict` on a job.
@@ -74,6 +75,8 @@
             return Verdict.EXHAUSTED
         if not self._records.is_likely(job_id):
             return Verdict.START
+        if self._records.is_condemned_if_known(job_id):
+            return Verdict.GIVEN_UP
         if not self._guards.is_guarded(job.queue.name, now):
             return Verdict.START
         if self._records.is_repeatedly_likely(job_id):
@@ -171,6 +174,10 @@
                 probability = self._records.probability(job.job_id)
                 self._add_outcome(job.queue, probability, now)
 
+    def _on_change(self, crash, now):
+        if self._records.find(crash.upstream) is None:
+            self._guards.on_withdrawn(crash, self._records, now)
+
     def is_suspect(self, job):
         """Returns whether a job may have crashed an upstream."""
         job_id = job.request.job_id
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -89,6 +89,7 @@
         self._placement = Placement(self._speeds, self._ejection, is_domain_out)
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._crashes.on_crash(self._on_crash)
+        self._crashes.on_change(self._on_crash)
         self._wakeup = Event()
         gevent.spawn(repeat, self._run)
         gevent.spawn(repeat, self._tick)
--- a/papayaward/coordination/lost_upstreams.py
+++ b/papayaward/coordination/lost_upstreams.py
@@ -8,7 +8,7 @@
 own tasks, and finds another upstream instance when the executor is back.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .upstream_crashes import LostRun, crash_of
 
@@ -68,7 +68,9 @@
         del self._lost[view.name]
         if is_same or now - lost.lost_at >= _RETURN_S:
             return None
-        return crash_of(lost.upstream, lost.service, lost.runs, lost.lost_at)
+        crash = crash_of(lost.upstream, lost.service, lost.runs, lost.lost_at)
+        # The executor has taken over the instance for which it accepts tasks.
+        return replace(crash, is_known=view.accepting)
 
 
 def _to_run(task):
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -13,7 +13,7 @@
 import hashlib
 import logging
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 __all__ = ["QueueGuards", "shard"]
 
@@ -57,6 +57,8 @@
     service: str
     until: float
     updated_at: float
+    # Identifiers of the jobs that have crashed upstreams.
+    causes: set = field(default_factory=set)
     # Jobs that ended while others waited, and the time that this took.
     backlog_jobs: float = 0.0
     backlog_s: float = 0.0
@@ -150,10 +152,26 @@
         """
         for job in crash.jobs:
             is_guarded = self.is_guarded(job.queue, now)
-            if records.is_condemned(job.job_id) or (
+            if records.is_condemned_if_known(job.job_id) or (
                 is_guarded and records.is_likely(job.job_id)
             ):
-                self._guard(job.queue, crash.service, now)
+                self._guard(job, crash.service, now)
+
+    def on_withdrawn(self, crash, records, now):
+        """Ends the guards that only a withdrawn suspicion justified.
+
+        Args:
+            crash: `Crash` that was suspected.
+            records: `CrashRecords` that do not hold the crash any more.
+            now: Time, seconds.
+        """
+        for queue in {job.queue for job in crash.jobs}:
+            if not self.is_guarded(queue, now):
+                continue
+            causes = self._guards[queue].causes
+            if not any(records.is_condemned_if_known(job_id) for job_id in causes):
+                del self._guards[queue]
+                log.info("queue_guard_ended", extra={"queue": queue})
 
     def add_outcome(self, queue, crashes, waiting, now):
         """Records the outcome of an isolated job of this entry.
@@ -167,12 +185,14 @@
         if self.is_guarded(queue, now):
             self._guards[queue].add(crashes, waiting, now)
 
-    def _guard(self, queue, service, now):
-        if self.is_guarded(queue, now):
-            self._guards[queue].until = now + _GUARD_S
-            return
-        self._guards = {
-            name: guard for name, guard in self._guards.items() if now < guard.until
-        }
-        self._guards[queue] = _Guard(service, now + _GUARD_S, now)
-        log.warning("queue_guarded", extra={"queue": queue, "seconds": _GUARD_S})
+    def _guard(self, job, service, now):
+        """Guards the queue of a `CrashedJob`, or keeps it guarded."""
+        queue = job.queue
+        if not self.is_guarded(queue, now):
+            self._guards = {
+                name: guard for name, guard in self._guards.items() if now < guard.until
+            }
+            self._guards[queue] = _Guard(service, now + _GUARD_S, now)
+            log.warning("queue_guarded", extra={"queue": queue, "seconds": _GUARD_S})
+        self._guards[queue].until = now + _GUARD_S
+        self._guards[queue].causes.add(job.job_id)
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -7,7 +7,7 @@
 
 import logging
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..state import metrics
 from ..state.crash_records import Crash, CrashedJob, job_id_of
@@ -117,9 +117,10 @@
     """
     sent = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
     _log_crash(state.key, loss.reason, sent, loss.at)
-    return crash_of(
+    crash = crash_of(
         state.key, state.service, sent, loss.at, loss.uncertainty_s, loss.witnessed
     )
+    return replace(crash, is_known=True)
 
 
 def _was_running(run):
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -869,6 +869,8 @@
      - jobs
      - service_name
      - uncertainty_ms
+     - known
+     - noticed_ms
 
     """
 
@@ -878,31 +880,60 @@
         'jobs',
         'service_name',
         'uncertainty_ms',
+        'known',
+        'noticed_ms',
     )
 
 
-    def __init__(self, upstream=None, age_ms=None, jobs=None, service_name=None, uncertainty_ms=None,):
+    def __init__(self, upstream=None, age_ms=None, jobs=None, service_name=None, uncertainty_ms=None, known=None, noticed_ms=None,):
         self.upstream = upstream
         self.age_ms = age_ms
         self.jobs = jobs
         self.service_name = service_name
         self.uncertainty_ms = uncertainty_ms
+        self.known = known
+        self.noticed_ms = noticed_ms
+
+
+class CrashWithdrawal(TBase):
+    """
+    Attributes:
+     - upstream
+     - noticed_ms
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'noticed_ms',
+        'age_ms',
+    )
+
+
+    def __init__(self, upstream=None, noticed_ms=None, age_ms=None,):
+        self.upstream = upstream
+        self.noticed_ms = noticed_ms
+        self.age_ms = age_ms
 
 
 class CrashNotices(TBase):
     """
     Attributes:
      - notices
+     - withdrawals
 
     """
 
     __slots__ = (
         'notices',
+        'withdrawals',
     )
 
 
-    def __init__(self, notices=None,):
+    def __init__(self, notices=None, withdrawals=None,):
         self.notices = notices
+        self.withdrawals = withdrawals
 
 
 class DomainsPush(TBase):
@@ -1200,11 +1231,21 @@
     (3, TType.LIST, 'jobs', (TType.STRUCT, [CrashedJob, None], False), None, ),  # 3
     (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
     (5, TType.I32, 'uncertainty_ms', None, None, ),  # 5
+    (6, TType.BOOL, 'known', None, None, ),  # 6
+    (7, TType.I64, 'noticed_ms', None, None, ),  # 7
+)
+all_structs.append(CrashWithdrawal)
+CrashWithdrawal.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'noticed_ms', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
 all_structs.append(CrashNotices)
 CrashNotices.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'notices', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 1
+    (2, TType.LIST, 'withdrawals', (TType.STRUCT, [CrashWithdrawal, None], False), None, ),  # 2
 )
 all_structs.append(DomainsPush)
 DomainsPush.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -274,10 +274,24 @@
   4: string service_name
   // Time before `age_ms` in which the crash may have happened as well.
   5: i32 uncertainty_ms
+  // Whether another lifetime or instance has replied in its place. A crash is suspected
+  // if it is missing.
+  6: optional bool known
+  // Wall time at which the executor noticed the crash; missing if another process did.
+  7: optional i64 noticed_ms
+}
+
+// An upstream has replied that was suspected to have crashed: the notices of it with
+// this `noticed_ms` or a lower one are void unless the crash is known.
+struct CrashWithdrawal {
+  1: string upstream
+  2: i64 noticed_ms
+  3: i32 age_ms
 }
 
 struct CrashNotices {
   1: list<CrashNotice> notices
+  2: optional list<CrashWithdrawal> withdrawals
 }
 
 struct DomainsPush {
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -29,7 +29,7 @@
         CrashedJob("q", (f"{job_id}.0.0.0",), 5.0, (f"{job_id}.0.0.0",))
         for job_id in job_ids
     )
-    return Crash(upstream, "dispatch", at, jobs, uncertainty_s)
+    return Crash(upstream, "dispatch", at, jobs, uncertainty_s, is_known=True)
 
 
 class CrashRecordsTest(TestCase):
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -310,7 +310,7 @@
 
 def crash(upstream, *tasks):
     jobs = tuple(CrashedJob("q", (task,), weight, (task,)) for task, weight in tasks)
-    return Crash(upstream, "dispatch", clock.now(), jobs)
+    return Crash(upstream, "dispatch", clock.now(), jobs, is_known=True)
 
 
 def _kind(job):
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -252,7 +252,7 @@
         task = link.starts()[0].task
         for number in range(2):
             crashed = CrashedJob("q", (task,), EARLY_CRASH, (task,))
-            crash = Crash(f"u{number}", "dispatch", clock.now(), (crashed,))
+            crash = Crash(f"u{number}", "dispatch", clock.now(), (crashed,), 0.0, True)
             self.crashes.publish(crash, clock.now())
         self.assertEqual("failed", job.outcome.kind)
         stopped = [name for b in link.of_type(ttypes.StopBatch) for name in b.tasks]
