Model the time in which a crash is only suspected

With a lease, the runs behind a refused connection are over up to 1.05 s later, and the crash is known only when the upstream has restarted.

--- a/benchmarks/crash_model/__init__.py
+++ b/benchmarks/crash_model/__init__.py
@@ -38,6 +38,7 @@
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--shares", default="0,0.001,0.01,0.03,0.1,0.3")
     parser.add_argument("--executors", type=int, default=11)
+    parser.add_argument("--lease", type=float, default=0.0)
     options = parser.parse_args(args)
     logging.disable(logging.CRITICAL)
     print(_HEAD)
@@ -46,7 +47,13 @@
         (True, False),
         (0.05, 0.9),
     ):
-        load = Load(share, all_deadly, crash_at, executors=options.executors)
+        load = Load(
+            share,
+            all_deadly,
+            crash_at,
+            lease_s=options.lease,
+            executors=options.executors,
+        )
         results = [play(replace(load, seed=seed)) for seed in range(options.seeds)]
         deadly = "all" if all_deadly else "one"
         print(f"{share:5} {deadly:>6} {crash_at:5}  {_row(results)}", flush=True)
--- a/benchmarks/crash_model/executor.py
+++ b/benchmarks/crash_model/executor.py
@@ -29,6 +29,8 @@
 _REFUSAL_S = 0.001
 # Time until a start without a reply is confirmed by its repetition.
 _REPEATED_START_S = 0.05
+# Shortest part of the lease that is left when a crash is noticed.
+_MIN_LEASE_SHARE = 0.7
 # Share of the declared run time that a run really takes, least and most.
 _RUN_SHARES = (0.7, 1.2)
 
@@ -73,6 +75,8 @@
         # Whether the upstream runs in fact.
         self._alive = True
         self._has_refused = False
+        # Crash of the present instance that is not known yet.
+        self._suspected = None
         self._runs = {}
         self._capacity = Resources(_EXECUTOR_CORES * CORE, 1 << 20, 0)
         self._free = self._capacity
@@ -212,13 +216,26 @@
         return notice
 
     def _on_crash_noticed(self):
+        self.up = False
+        lease_s = self._load.lease_s if self._runs else 0.0
+        if not lease_s:
+            self._publish_crash(self._events.now)
+            return
+        self.report()
+        noticed_at, instance = self._events.now, self.instance
+        delay_s = lease_s * random.uniform(_MIN_LEASE_SHARE, 1.0)
+        self._events.after(
+            min(delay_s, _RESTART_S),
+            lambda: self.instance == instance and self._publish_crash(noticed_at),
+        )
+
+    def _publish_crash(self, at):
         lost = list(self._runs.values())
         received = [run for run in lost if run.delivery is not Delivery.NOT_DELIVERED]
-        now = self._events.now
         key = f"{self.name}@{self.instance}"
-        crash = crash_of(key, SERVICE, received, now, witnessed=True)
-        self._notices.publish(replace(crash, is_known=True))
-        self.up = False
+        crash = crash_of(key, SERVICE, received, at, witnessed=True)
+        self._suspected = replace(crash, is_known=not self._load.lease_s)
+        self._notices.publish(self._suspected)
         for run in lost:
             # The notice precedes the end on the link to the entry.
             delay_s = ROUND_S + self._notices.delay_s(run.owner)
@@ -226,6 +243,11 @@
 
     def _restart(self):
         self._notice_crash_of(self.instance)()
+        if self._suspected is None:
+            self._publish_crash(self._events.now)
+        if not self._suspected.is_known:
+            self._notices.publish(replace(self._suspected, is_known=True))
+        self._suspected = None
         self.up = self._alive = True
         self.instance += 1
         self.report()
--- a/benchmarks/crash_model/load.py
+++ b/benchmarks/crash_model/load.py
@@ -25,6 +25,10 @@
         notice_s: Time from a crash to its notice by an executor with runs.
         idle_notice_s: The same for an executor without runs; a start that is sent to
             the upstream ends it.
+        lease_s: Longest time from the notice of a crash until the lease of the runs has
+            ended. Until then no task starts there, and its runs are not started again;
+            then the crash is suspected, and known once the upstream has restarted. If
+            it is 0, a crash is known at its notice.
         confirm_s: Time from a start to its confirmation by the upstream.
         lost_replies: Part of the starts that only their repetition confirms.
         unanswered_share: Part of the starts sent to an upstream that is gone of which
@@ -45,6 +49,7 @@
     single_crashes_per_s: float = 0.0
     notice_s: float = 0.0
     idle_notice_s: float = 0.0
+    lease_s: float = 0.0
     confirm_s: float = 0.0
     lost_replies: float = 0.0
     unanswered_share: float = 0.0
--- a/tests/test_crash_model.py
+++ b/tests/test_crash_model.py
@@ -13,6 +13,8 @@
 
 # Delays of the executors and their upstreams.
 DELAYS = {"notice_s": 0.004, "confirm_s": 0.002}
+# Longest time from a refused connection until a run's lease has ended.
+LEASE_S = 1.05
 # Part of the other queues' jobs that have to meet their objective.
 MIN_OTHERS_IN_TIME = 0.85
 
@@ -40,6 +42,16 @@
         """Guards against starting the crashing task of a job again and again."""
         self.check(share=0.1, all_deadly=False, crash_at=0.05)
 
+    def test_starts_are_bounded_while_crashes_are_only_suspected(self):
+        """Guards against a task that is started on until the first upstream is back."""
+        for all_deadly, crash_at in ((True, 0.9), (False, 0.05)):
+            options = {"share": 0.1, "all_deadly": all_deadly, "crash_at": crash_at}
+            options.update(DELAYS, lease_s=LEASE_S)
+            for result in [play(Load(seed=seed, **options)) for seed in range(3)]:
+                self.assertLessEqual(result.most_starts, 3)
+                self.assertEqual(0, result.late_starts)
+                self.assertEqual(0, result.condemned)
+
     def test_outages_that_no_task_causes(self):
         """Guards against innocent jobs that are given up or held after an outage."""
         loads = [Load(share=0.0, outage_s=7.9, seed=seed) for seed in range(6)]
