Withdraw a suspected crash when the upstream replies again

The executor publishes the crash at the end of the lease as suspected, with the time of the first refusal, and the next session decides it when it has taken over the lifetime that replies: the same one withdraws the crash at all processes, another lifetime or instance makes it known. A reply that shows another lifetime or instance in the session itself makes it known at once. A report alone does not: the crash waits for the reply, at most until the lease has ended, so that a job that is failed in the next milliseconds is not answered unknown before.

A run that was to be stopped only after the crash was running at it. Up to a second lies between the two now, and a caller that leaves in it would take the cause out of the notice.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -21,8 +21,10 @@
 from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_activity import RunActivity
 from .run_owners import RunOwners
+from .suspected_crashes import SuspectedCrashes
 from .unknown_runs import UnknownRuns
 from .upstream_crashes import crash_of_loss
+from .upstream_requests import LossEvidence
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -56,6 +58,7 @@
 
     def __init__(self, upstream, is_domain_out, crashes=None):
         self._crashes = crashes or CrashRelay()
+        self._suspected = SuspectedCrashes(self._crashes)
         self._upstream = upstream
         self._is_domain_out = is_domain_out
         self._current = CurrentUpstream(
@@ -158,7 +161,10 @@
         """Notifies the entries when tasks may start or may no longer start."""
         session = self._current.session
         if session is not None and session.taken_over:
-            self._activity.on_taken_over(session, clock.now())
+            now, instance = clock.now(), self.state.instance
+            # The notice of a crash precedes the ends of its runs.
+            self._suspected.on_taken_over(instance, session.born_ms, now)
+            self._activity.on_taken_over(session, now)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -462,13 +468,18 @@
             loss: `InstanceLoss`.
             now: Time, seconds.
         """
-        crash = crash_of_loss(self.state, loss, self._runs.values())
-        self._crashes.publish(crash, now)
+        runs = self._runs.values()
+        crash = crash_of_loss(self.state, loss, runs, clock.unix_ms())
+        publish_at = None
+        if loss.evidence is LossEvidence.REPORTED:
+            publish_at = self._current.session.all_ended_at
+        self._suspected.add(self.state, crash, now, publish_at)
 
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
         self._current.check(now)
+        self._suspected.check(now)
         self._activity.check(now)
         if not self._activity.may_start_late(now):
             self._current.stop_awaiting(now)
--- /dev/null
+++ b/papayaward/coordination/suspected_crashes.py
@@ -0,0 +1,89 @@
+"""
+papayaward.coordination.suspected_crashes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Crashes of an executor's upstream until a reply shows whether they have happened.
+
+An upstream that does not reply until its lease has ended may have crashed, or run on
+behind a path that refuses connections. The first lifetime that replies decides it. If
+another lifetime has reported, its reply is awaited before anybody is told.
+"""
+
+from dataclasses import dataclass, replace
+
+from ..state.crash_records import Crash
+from .upstream_requests import UpstreamState
+
+__all__ = ["SuspectedCrashes"]
+
+# An upstream that has reported and not replied, again and again, is lost as often.
+_MAX_SUSPECTED = 20
+
+
+@dataclass(frozen=True)
+class _Suspected:
+    state: UpstreamState
+    crash: Crash
+    # Time at which it is published, seconds; None if it has been.
+    publish_at: float | None
+
+
+class SuspectedCrashes:
+    """Publishes the crashes of one executor's upstream, and what becomes of them.
+
+    Args:
+        relay: `CrashRelay` of the process.
+    """
+
+    def __init__(self, relay):
+        self._relay = relay
+        self._suspected = {}
+
+    def add(self, state, crash, now, publish_at=None):
+        """Tells all processes of a crash.
+
+        Args:
+            state: `UpstreamState` of the instance.
+            crash: Its `Crash`.
+            now: Time, seconds.
+            publish_at: Time until which a reply is awaited before, seconds.
+        """
+        self._suspected.pop(crash.upstream, None)
+        if crash.is_known:
+            self._relay.publish(crash, now)
+            return
+        self._suspected[crash.upstream] = _Suspected(state, crash, publish_at or now)
+        self.check(now)
+        if len(self._suspected) > _MAX_SUSPECTED:
+            del self._suspected[next(iter(self._suspected))]
+
+    def check(self, now):
+        """Publishes the suspicions that no reply has decided in time.
+
+        Args:
+            now: Time, seconds.
+        """
+        for key, suspected in list(self._suspected.items()):
+            if suspected.publish_at is not None and now >= suspected.publish_at:
+                self._suspected[key] = replace(suspected, publish_at=None)
+                self._relay.publish(suspected.crash, now)
+
+    def on_taken_over(self, instance, born_ms, now):
+        """Confirms or withdraws the suspicions: a lifetime has replied.
+
+        Args:
+            instance: Identifier of the instance that has replied.
+            born_ms: Start of its lifetime, milliseconds; 0 if it is not known.
+            now: Time, seconds.
+        """
+        for suspected in list(self._suspected.values()):
+            state, crash = suspected.state, suspected.crash
+            is_same = state.instance == instance
+            if is_same and not (born_ms and state.born_ms):
+                # Whether it is the same lifetime is not known.
+                continue
+            del self._suspected[crash.upstream]
+            if not is_same or state.born_ms != born_ms:
+                self._relay.publish(replace(crash, is_known=True), now)
+            elif suspected.publish_at is None:
+                self._relay.withdraw(crash, now)
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -65,7 +65,8 @@
         declared_s: Declared run time, seconds.
         started_at: Time of the start, seconds.
         delivery: `Delivery` of the start.
-        stopping: Whether a stop of the run has been requested.
+        stop_requested_at: Time at which the run was to be stopped, None if it is
+            wanted.
         session_closed: Whether it was on an earlier lifetime of the upstream.
     """
 
@@ -74,7 +75,7 @@
     declared_s: float
     started_at: float
     delivery: Delivery = Delivery.UNANSWERED
-    stopping: bool = False
+    stop_requested_at: float | None = None
     session_closed: bool = False
 
 
@@ -98,14 +99,14 @@
             job_runs[0].queue,
             tuple(run.task for run in job_runs),
             max(_weight(run, at) for run in job_runs),
-            tuple(run.task for run in job_runs if witnessed and _was_running(run)),
+            tuple(run.task for run in job_runs if witnessed and _was_running(run, at)),
         )
         for job_runs in by_job.values()
     )
     return Crash(upstream, service, at, jobs, uncertainty_s)
 
 
-def crash_of_loss(state, loss, runs):
+def crash_of_loss(state, loss, runs, noticed_ms):
     """Logs the crash of an upstream and returns its `Crash`.
 
     A start that the upstream has not received cannot be the cause.
@@ -114,22 +115,24 @@
         state: `UpstreamState` of the instance.
         loss: `InstanceLoss`.
         runs: `Run` of each run that the executor had there.
+        noticed_ms: Wall time, milliseconds.
     """
     sent = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
     _log_crash(state.key, loss.reason, sent, loss.at)
     crash = crash_of(
         state.key, state.service, sent, loss.at, loss.uncertainty_s, loss.witnessed
     )
-    return replace(crash, is_known=True)
+    return replace(crash, is_known=loss.is_replaced, noticed_ms=noticed_ms)
 
 
-def _was_running(run):
-    """Returns whether a run is known to have begun and was not being stopped.
+def _was_running(run, at):
+    """Returns whether a run is known to have begun and was not being stopped at a time.
 
     One whose session was closed before has begun at an earlier lifetime.
     """
     has_begun = run.delivery is Delivery.STARTED and not run.session_closed
-    return has_begun and not run.stopping
+    stop_at = run.stop_requested_at
+    return has_begun and (stop_at is None or stop_at > at)
 
 
 def _weight(run, at):
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -139,6 +139,12 @@
     uncertainty_s: float
     witnessed: bool
 
+    @property
+    def is_replaced(self):
+        """Whether another lifetime or instance has replied in its place."""
+        replaced = (LossEvidence.OTHER_LIFETIME, LossEvidence.OTHER_INSTANCE)
+        return self.evidence in replaced
+
 
 @dataclass(frozen=True)
 class StartRequest:
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -8,11 +8,13 @@
 from types import SimpleNamespace
 
 import gevent
+from gevent.event import Event
 
 from papayaward import clock
 from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_executor import LeasedExecutor
+from papayaward.coordination.upstream_requests import ConnectionBroken, Unreachable
 from papayaward.protocol.jobs import LeasedJobRequest as Request
 from papayaward.protocol.jobs import Phase, Resources
 from standins.leased_upstream import LeasedUpstream
@@ -21,6 +23,7 @@
 __all__ = ["LeasedFleet", "LocalUpstream", "job"]
 
 _HEARTBEAT_S = 0.05
+_REFUSAL_DELAY_S = 0.001
 
 
 def job(job_id, spec="50", tasks=1, expected_s=0.05, timeout_s=3.0):
@@ -68,14 +71,45 @@
         self._cores = cores
         self._restart_s = restart_s
         self._upstream = None
+        self._path_refuses = Event()
         self.crash_relay = CrashRelay()
         self.executor = LeasedExecutor(self, lambda domain: False, self.crash_relay)
         self._begin()
 
     def __getattr__(self, name):
         # The client of the executor: requests go to the present instance.
+        if name in ("start", "stop", "poll"):
+            return lambda *args: self._send(getattr(self._upstream, name), args)
         return getattr(self._upstream, name)
 
+    def refuse(self):
+        """Breaks the connections and refuses new ones; the instance runs on."""
+        self._path_refuses.set()
+
+    def restore(self):
+        """Ends the effect of `refuse`."""
+        self._path_refuses.clear()
+
+    def report(self):
+        """Sends the executor a report of the present instance."""
+        state = upstream_state(
+            self._upstream.instance, self._cores, born_ms=self.number
+        )
+        self.executor.on_upstream_report(state, clock.now())
+
+    def _send(self, request, args):
+        if self._path_refuses.is_set():
+            gevent.sleep(_REFUSAL_DELAY_S)
+            raise Unreachable("connection refused")
+        sent = gevent.spawn(_outcome_of, request, args)
+        gevent.wait([sent, self._path_refuses], count=1)
+        if self._path_refuses.is_set():
+            raise ConnectionBroken("connection reset")
+        reply, error = sent.value
+        if error is not None:
+            raise error
+        return reply
+
     def runs(self, task):
         """Returns whether a task runs on the present instance."""
         return any(name == task for name, _ in self._upstream.running)
@@ -89,10 +123,12 @@
         self.number += 1
         instance = f"{self.name}-{self.number}"
         self._upstream = LeasedUpstream(
-            instance, records=self.records, on_crash=self._on_crash
+            instance,
+            records=self.records,
+            on_crash=self._on_crash,
+            born_ms=self.number,
         )
-        state = upstream_state(instance, self._cores, born_ms=self.number)
-        self.executor.on_upstream_report(state, clock.now())
+        self.report()
 
     def _on_crash(self):
         self.crashes += 1
@@ -106,12 +142,17 @@
         entries: Number of entries.
         executors: Number of executors.
         options: Further arguments of each `LocalUpstream`.
+
+    Attributes:
+        upstreams: `LocalUpstream` of each executor.
+        entries: `JobScheduler` of each entry.
+        relays: `CrashRelay` of each entry.
     """
 
     def __init__(self, entries=1, executors=6, **options):
         self.upstreams = [LocalUpstream(f"r{i}", **options) for i in range(executors)]
         self.entries = []
-        self._relays = []
+        self.relays = []
         self._links = []
         self._greenlet = gevent.spawn(self._send_heartbeats)
         for _ in range(entries):
@@ -133,7 +174,7 @@
         entry = JobScheduler(lambda domain: False, relay)
         name = f"e{len(self.entries)}"
         self.entries.append(entry)
-        self._relays.append(relay)
+        self.relays.append(relay)
         for upstream in self.upstreams:
             self._connect(name, entry, relay, upstream)
         return entry
@@ -155,7 +196,7 @@
         new = LocalUpstream(upstream.name, number=upstream.number)
         self.upstreams[self.upstreams.index(upstream)] = new
         for number, entry in enumerate(self.entries):
-            self._connect(f"e{number}", entry, self._relays[number], new)
+            self._connect(f"e{number}", entry, self.relays[number], new)
 
     def close(self):
         """Ends the heartbeats."""
@@ -188,6 +229,14 @@
             gevent.sleep(_HEARTBEAT_S)
 
 
+def _outcome_of(request, args):
+    """Returns the reply to a request and None, or None and the error."""
+    try:
+        return request(*args), None
+    except Exception as error:
+        return None, error
+
+
 def _peer(member, role):
     return SimpleNamespace(
         member=member,
--- a/tests/test_suspected_crashes.py
+++ b/tests/test_suspected_crashes.py
@@ -8,6 +8,7 @@
 import time
 from dataclasses import replace
 
+import gevent
 from testtools import TestCase
 from thrift.protocol.TBinaryProtocol import TBinaryProtocolAccelerated
 from thrift.Thrift import TType
@@ -25,6 +26,7 @@
     Withdrawal,
 )
 from tests.leased_case import FakeLink, job_queue, job_request
+from tests.leased_fleet import LeasedFleet, job
 
 JOB = "0123456789abcdef"
 
@@ -340,6 +342,146 @@
         self.assertTrue(self.entry._isolation.is_guarded(job, clock.now()))
 
 
+class SuspectedUpstreamTest(TestCase):
+    """Upstreams that cannot be reached until the lease of their runs has ended."""
+
+    def fleet(self, **options):
+        fleet = LeasedFleet(**options)
+        self.addCleanup(fleet.close)
+        gevent.sleep(0.1)
+        return fleet
+
+    def submit(self, fleet, spec="9000", number=0, **options):
+        """Submits a job with one task to an entry."""
+        options = {"expected_s": 9.0, "timeout_s": 30.0, **options}
+        request = job(JOB, spec, **options)
+        return fleet.entries[number].submit(request, job_queue(), clock.now())
+
+    def wait_for(self, condition, seconds=2.0):
+        until = clock.now() + seconds
+        while not condition():
+            self.assertLess(clock.now(), until, "condition not met in time")
+            gevent.sleep(0.005)
+
+    def refuse_path_of_run(self, fleet, last=None):
+        """Makes the path to the upstream refuse that runs the job, once it does."""
+
+        def others():
+            return [u for u in fleet.running(f"{JOB}.0.0.0") if u is not last]
+
+        self.wait_for(others)
+        gevent.sleep(0.1)
+        (upstream,) = others()
+        upstream.refuse()
+        return upstream
+
+    def is_suspected(self, fleet, upstream):
+        """Returns whether each process has recorded a crash of an upstream."""
+        processes = [*fleet.relays, *(other.crash_relay for other in fleet.upstreams)]
+        key = f"{upstream.name}-{upstream.number}@{upstream.number}"
+        recorded = {relay.records.find(key) is not None for relay in processes}
+        self.assertEqual(1, len(recorded), "the processes know different crashes")
+        return recorded.pop()
+
+    def test_job_is_not_shown_as_failed_for_paths_that_refuse_connections(self):
+        """Guards against a job shown as failed while its upstreams run on."""
+        fleet = self.fleet(entries=2, executors=4)
+        one = self.submit(fleet)
+        first = self.refuse_path_of_run(fleet)
+        second = self.refuse_path_of_run(fleet, last=first)
+        self.assertTrue(one.finished.wait(2.0))
+        self.assertEqual("unknown", one.outcome.kind)
+        for upstream in (first, second):
+            upstream.restore()
+        self.wait_for(lambda: not self.is_suspected(fleet, second), 0.5)
+        for number in range(2):
+            again = self.submit(fleet, spec="50", number=number, expected_s=0.05)
+            self.assertTrue(again.finished.wait(1.0))
+            self.assertEqual("completed", again.outcome.kind)
+
+    def test_suspicion_begins_with_the_end_of_the_lease_and_ends_with_a_reply(self):
+        """Guards against processes that hold on to a crash that did not happen."""
+        fleet = self.fleet(entries=2, executors=3)
+        self.submit(fleet)
+        upstream = self.refuse_path_of_run(fleet)
+        refused_at = clock.now()
+        self.wait_for(lambda: upstream.executor.refusal_reason, 0.1)
+        gevent.sleep(0.4)
+        self.assertFalse(self.is_suspected(fleet, upstream))
+        self.wait_for(lambda: fleet.relays[0].records.all())
+        gevent.sleep(0.01)
+        self.assertTrue(self.is_suspected(fleet, upstream))
+        (crash,) = fleet.relays[0].records.all()
+        self.assertLess(abs(crash.at - refused_at), 0.02)
+        self.assertEqual((f"{JOB}.0.0.0",), crash.jobs[0].started)
+        self.assertFalse(crash.is_known)
+        late = fleet.relays.index(self.add_entry(fleet))
+        self.assertEqual(1, len(fleet.relays[late].records.all()))
+        upstream.restore()
+        self.wait_for(lambda: not fleet.relays[0].records.all(), 0.5)
+        gevent.sleep(0.01)
+        self.assertFalse(self.is_suspected(fleet, upstream))
+        self.wait_for(lambda: not upstream.executor.refusal_reason, 0.5)
+
+    def add_entry(self, fleet):
+        """Adds an entry and returns its `CrashRelay`."""
+        fleet.add_entry()
+        gevent.sleep(0.05)
+        return fleet.relays[-1]
+
+    def test_upstream_that_crashes_after_its_suspicion_was_withdrawn_is_suspected(self):
+        """Guards against crashes that are ignored after a path has refused once."""
+        fleet = self.fleet(executors=2, restart_s=9.0)
+        self.submit(fleet)
+        upstream = self.refuse_path_of_run(fleet)
+        self.wait_for(lambda: fleet.relays[0].records.all())
+        upstream.restore()
+        self.wait_for(lambda: not fleet.relays[0].records.all())
+        gevent.sleep(0.05)
+        upstream.crash_from_outside()
+        self.wait_for(lambda: fleet.relays[0].records.all(), 3.0)
+
+    def test_task_that_crashes_upstreams_is_given_up_before_any_is_back(self):
+        """Guards against a task that takes upstreams until the first one returns."""
+        fleet = self.fleet(entries=2, executors=8, restart_s=4.5)
+        one = self.submit(fleet, spec="deadly:30:0")
+        self.assertTrue(one.finished.wait(4.0))
+        self.assertEqual("unknown", one.outcome.kind)
+        self.assertEqual(2, fleet.crashes)
+        for number in range(2):
+            again = self.submit(fleet, spec="deadly:30:0", number=number)
+            self.assertEqual("unknown", again.outcome.kind)
+        gevent.sleep(5.0)
+        for number in range(2):
+            again = self.submit(fleet, spec="deadly:30:0", number=number)
+            self.assertEqual("failed", again.outcome.kind)
+        self.assertEqual(2, fleet.crashes)
+
+    def test_report_of_another_lifetime_alone_makes_no_crash_known(self):
+        """Guards against a job shown as failed on the word of a stale report."""
+        fleet = self.fleet(executors=3)
+        self.submit(fleet)
+        upstream = self.refuse_path_of_run(fleet)
+        state = replace(upstream.executor.state, born_ms=7)
+        upstream.executor.on_upstream_report(state, clock.now())
+        self.wait_for(lambda: fleet.relays[0].records.all())
+        gevent.sleep(0.2)
+        (crash,) = fleet.relays[0].records.all()
+        self.assertFalse(crash.is_known)
+
+    def test_run_that_is_to_be_stopped_after_the_crash_was_running_at_it(self):
+        """Guards against a cause that is not counted because its caller has left."""
+        fleet = self.fleet(executors=2)
+        one = self.submit(fleet)
+        upstream = self.refuse_path_of_run(fleet)
+        gevent.sleep(0.2)
+        fleet.entries[0].remove_caller(one, clock.now())
+        self.wait_for(lambda: fleet.relays[0].records.all())
+        (crash,) = fleet.relays[0].records.all()
+        self.assertEqual((f"{JOB}.0.0.0",), crash.jobs[0].started)
+        self.assertTrue(self.is_suspected(fleet, upstream))
+
+
 class _OldNotice(ttypes.CrashNotice):
     """`CrashNotice` of a process that does not know the later fields."""
 
