End all greenlets of a process in the order search

A killed process went on in the worlds of the search until it next sent something, so that its schedulers logged and used the CPU. Requests that were under way were dropped; they are executed late or lost now.

--- a/tests/order_path.py
+++ b/tests/order_path.py
@@ -28,6 +28,8 @@
 _SLOW_SHARE = 0.03
 _END_POLL_S = 0.02
 _LATE_S = (0.2, 3.0)
+# Part of the requests that are executed though their connection breaks before that.
+_EXECUTED_SHARE = 0.6
 _KEPT_CONNECTION_SHARE = 0.7
 
 
@@ -118,12 +120,13 @@
 
     def send(self, process, name, instance, handle, timeout_s, may_send, wait_s=0.0):
         """Sends one request; see `papayaward.coordination.upstream_requests`."""
-        call = _Call(self, process, name, instance, handle, timeout_s, wait_s)
+        call = _Call(self, name, instance, handle, timeout_s, wait_s)
         try:
             return call.run(may_send)
-        finally:
+        except gevent.GreenletExit:
             if not process.alive:
-                raise gevent.GreenletExit
+                call.on_sender_ended()
+            raise
 
     def travel_s(self):
         """Returns the time until a request or a reply arrives, seconds."""
@@ -187,15 +190,21 @@
 class _Call:
     """One request on its way."""
 
-    def __init__(self, path, process, name, instance, handle, timeout_s, wait_s):
+    def __init__(self, path, name, instance, handle, timeout_s, wait_s):
         self._path = path
-        self._process = process
         self._name = name
         self._instance = instance
         self._handle = handle
         self._until = time.monotonic() + timeout_s
         self._wait_until = time.monotonic() + wait_s
         self._resets = path.resets
+        # Whether the request has been sent, and nothing has been decided of it.
+        self._is_under_way = False
+
+    def on_sender_ended(self):
+        """Has the request executed or lost whose sender has ended."""
+        if self._is_under_way and self._path.has(_EXECUTED_SHARE):
+            self._execute_unanswered()
 
     def run(self, may_send):
         """Returns the reply, or raises as the client of an upstream does."""
@@ -204,12 +213,14 @@
             self._connect()
         if not may_send():
             raise NoReply("not sent")
+        self._is_under_way = True
         self._travel(is_executed=False)
+        self._is_under_way = False
         if path.has(path.late_share):
             path.execute_late(self._name, self._instance, self._handle)
             self._time_out()
         if path.silent_to:
-            if path.has(0.5):
+            if path.has(_EXECUTED_SHARE):
                 path.execute_late(self._name, self._instance, self._handle)
             self._time_out()
         lifetime = path.lifetime
@@ -275,11 +286,11 @@
         path = self._path
         if path.resets == self._resets:
             return
-        if not is_executed and path.has(0.6):
-            self._execute_after_reset()
+        if not is_executed and path.has(_EXECUTED_SHARE):
+            self._execute_unanswered()
         raise ConnectionBroken("connection reset")
 
-    def _execute_after_reset(self):
+    def _execute_unanswered(self):
         path, lifetime = self._path, self._path.lifetime
         if path.has(0.5):
             path.execute_late(self._name, self._instance, self._handle)
@@ -293,8 +304,6 @@
             gevent.sleep(max(0.0, remaining_s))
             raise NoReply(f"no reply to {self._name}")
         gevent.sleep(seconds)
-        if not self._process.alive:
-            raise gevent.GreenletExit
 
     def _time_out(self):
         """Waits in vain for the reply."""
--- a/tests/order_search.py
+++ b/tests/order_search.py
@@ -21,7 +21,7 @@
 import gevent
 
 from tests.order_faults import FAULTS
-from tests.order_world import World
+from tests.order_world import World, track_processes
 
 __all__ = ["Finding", "Result", "find_overlaps", "search"]
 
@@ -101,7 +101,7 @@
         if record.exc_info:
             self.errors.append(f"{record.getMessage()}: {record.exc_info[1]!r}")
         if world is not None:
-            entry = time.monotonic(), scope["process"], record
+            entry = time.monotonic(), str(scope["process"]), record
             self._records[world].append(entry)
 
     def events(self, world):
@@ -142,7 +142,9 @@
     gevent.spawn(_watch, stalls)
     try:
         worlds = [World(seed, seconds, excluded) for seed in seeds]
-        gevent.joinall([gevent.spawn(world.run) for world in worlds], raise_error=True)
+        with track_processes():
+            runs = [gevent.spawn(world.run) for world in worlds]
+            gevent.joinall(runs, raise_error=True)
     finally:
         logger.removeHandler(logs)
         logger.setLevel(level)
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -9,6 +9,8 @@
 
 import random
 import time
+import weakref
+from contextlib import contextmanager
 from dataclasses import dataclass
 
 import gevent
@@ -24,7 +26,7 @@
 from tests.order_links import Connection
 from tests.order_path import Lifetime, Path
 
-__all__ = ["SETTLE_S", "World"]
+__all__ = ["SETTLE_S", "World", "track_processes"]
 
 # Time without new faults or jobs at the end.
 SETTLE_S = 2.0
@@ -51,7 +53,7 @@
 
 
 class _Process:
-    """A process, whose greenlets end when they next send something after its end."""
+    """A process, whose greenlets end with it."""
 
     def __init__(self, world, name, incarnation):
         self.name = name
@@ -60,7 +62,8 @@
         self.ended = Event()
         self.relay = CrashRelay()
         self._world = world
-        self._locals = {"world": world, "process": f"{name}.{incarnation}"}
+        self._locals = {"world": world, "process": self}
+        self._greenlets = weakref.WeakSet()
 
     def spawn(self, function, *args):
         """Calls a function in a greenlet of this process."""
@@ -70,8 +73,17 @@
         greenlet.start()
         return greenlet
 
+    def __str__(self):
+        return f"{self.name}.{self.incarnation}"
+
+    def on_spawn(self, greenlet):
+        """Adds a greenlet of this process."""
+        self._greenlets.add(greenlet)
+
     def end(self):
+        """Ends the process at once, without a word to its peers."""
         self.alive = False
+        gevent.killall(list(self._greenlets), block=False)
         self.ended.set()
 
     def _call(self, function, args):
@@ -92,6 +104,22 @@
         self.handler.on_link_down(end, clock.now())
 
 
+@contextmanager
+def track_processes():
+    """Has each process know its greenlets, also those that the product spawns."""
+
+    def on_spawn(greenlet):
+        process = (greenlet.spawn_tree_locals or {}).get("process")
+        if process is not None:
+            process.on_spawn(greenlet)
+
+    gevent.Greenlet.add_spawn_callback(on_spawn)
+    try:
+        yield
+    finally:
+        gevent.Greenlet.remove_spawn_callback(on_spawn)
+
+
 class _Entry(_Process):
     def __init__(self, world, name, incarnation):
         super().__init__(world, name, incarnation)
