Let the order search hit starts or stops alone, also before crashes

A request without a reply matters most if the upstream or the process of its executor ends a moment later, and errors matter most for stops.

--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -9,9 +9,19 @@
 
 import gevent
 
+from tests.order_path import RequestFault
+
 __all__ = ["FAULTS"]
 
 _RETURN_S = (0.03, 1.5)
+# Parts of the requests that a fault hits, and their names.
+_SHARES = (0.2, 0.6, 1.0)
+_HIT_NAMES = (
+    ("start",),
+    ("stop",),
+    ("start", "stop"),
+    ("start", "stop", "poll"),
+)
 
 
 def _refuse(world, machine, rng):
@@ -43,22 +53,46 @@
     path.silent_to = path.silent_from = False
 
 
-def _share(name, shares):
+def _hit_requests(kind):
     def fault(world, machine, rng):
-        share, seconds = rng.choice(shares), rng.uniform(0.1, 1.5)
-        world.note(f"{machine.name}: {name} {share} for {seconds:.2f} s")
-        setattr(machine.path, name, share)
+        seconds = rng.uniform(0.1, 1.5)
+        _begin_to_hit(world, machine, rng, kind)
         gevent.sleep(seconds)
-        setattr(machine.path, name, 0.0)
+        machine.path.faults[kind] = RequestFault()
 
     return fault
 
 
+def _begin_to_hit(world, machine, rng, kind):
+    found = RequestFault(rng.choice(_SHARES), rng.choice(_HIT_NAMES))
+    world.note(f"{machine.name}: {kind} {found.share} of {', '.join(found.names)}")
+    machine.path.faults[kind] = found
+
+
+def _disturb_before_end(world, machine, rng):
+    """Leaves requests unanswered for a moment before a process ends."""
+    if rng.random() < 0.5:
+        return
+    kinds = rng.sample(("error", "loss", "late"), rng.choice((1, 1, 2)))
+    for kind in kinds:
+        _begin_to_hit(world, machine, rng, kind)
+    gevent.sleep(rng.uniform(0.05, 0.5))
+    gevent.spawn_later(rng.uniform(0.0, 0.5), _hit_no_more, machine, kinds)
+
+
+def _hit_no_more(machine, kinds):
+    for kind in kinds:
+        machine.path.faults[kind] = RequestFault()
+
+
 def _crash(world, machine, rng):
     """The upstream crashes and returns, mute or not, with its identifier or not."""
     lifetime = machine.lifetime
     if lifetime.crashed:
         return
+    _disturb_before_end(world, machine, rng)
+    if machine.lifetime is not lifetime or lifetime.crashed:
+        return
     machine.crash(silent=rng.random() < 0.6)
     _return(world, machine, rng)
 
@@ -124,6 +158,9 @@
     process = machine.process
     if process is None:
         return
+    _disturb_before_end(world, machine, rng)
+    if not process.alive:
+        return
     world.note(f"{machine.name}: process {process.incarnation} killed")
     connections = world.connections(process)
     process.end()
@@ -200,9 +237,9 @@
     "refuse": _refuse,
     "reset": _reset,
     "silence": _silence,
-    "errors": _share("error_share", (0.2, 0.6, 1.0)),
-    "lost replies": _share("loss_share", (0.2, 0.6, 1.0)),
-    "late requests": _share("late_share", (0.2, 0.6)),
+    "errors": _hit_requests("error"),
+    "lost replies": _hit_requests("loss"),
+    "late requests": _hit_requests("late"),
     "crash": _crash,
     "deregister": _deregister,
     "executor": _replace_executor,
--- a/tests/order_path.py
+++ b/tests/order_path.py
@@ -7,7 +7,7 @@
 
 import random
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import gevent
 
@@ -19,7 +19,7 @@
 )
 from standins.leased_upstream import LeasedUpstream
 
-__all__ = ["Lifetime", "Path"]
+__all__ = ["Lifetime", "Path", "RequestFault"]
 
 _REFUSAL_DELAY_S = 0.001
 _TRAVEL_S = (0.0005, 0.003)
@@ -66,6 +66,19 @@
         return int(min(99, 100 * elapsed_s / work_s))
 
 
+@dataclass(frozen=True)
+class RequestFault:
+    """A fault of single requests.
+
+    Attributes:
+        share: Part of the requests that it hits.
+        names: Their names: `start`, `stop` or `poll`.
+    """
+
+    share: float = 0.0
+    names: tuple = ("start", "stop", "poll")
+
+
 class Path:
     """Client of whichever lifetime is at the address of an upstream.
 
@@ -78,9 +91,9 @@
         refuses: Whether connections are refused, though the lifetime runs on.
         silent_to: Whether requests don't arrive.
         silent_from: Whether replies don't arrive.
-        error_share: Part of the requests that are answered by an error.
-        loss_share: Part of the requests that are executed at once without a reply.
-        late_share: Part of the requests that are executed late without a reply.
+        faults: `RequestFault` by kind: `error` for requests that are answered by an
+            error, `loss` for those that are executed at once without a reply, and
+            `late` for those that are executed late without a reply.
         kept_share: Part of the requests that are sent on a connection which was made
             before, so that they aren't refused.
     """
@@ -93,9 +106,7 @@
         self.refuses = False
         self.silent_to = False
         self.silent_from = False
-        self.error_share = 0.0
-        self.loss_share = 0.0
-        self.late_share = 0.0
+        self.faults = dict.fromkeys(("error", "loss", "late"), RequestFault())
         self.kept_share = _KEPT_CONNECTION_SHARE
 
     def refuse(self, with_reset):
@@ -137,6 +148,11 @@
         """Returns whether a fault with the given probability occurs."""
         return share > 0.0 and self._rng.random() < share
 
+    def hits(self, kind, name):
+        """Returns whether a fault hits the next request with the given name."""
+        fault = self.faults[kind]
+        return name in fault.names and self.has(fault.share)
+
     def execute_late(self, name, instance, handle):
         """Has a request executed later, by the lifetime that is there then."""
         delay_s = self._rng.uniform(*_LATE_S)
@@ -216,7 +232,7 @@
         self._is_under_way = True
         self._travel(is_executed=False)
         self._is_under_way = False
-        if path.has(path.late_share):
+        if path.hits("late", self._name):
             path.execute_late(self._name, self._instance, self._handle)
             self._time_out()
         if path.silent_to:
@@ -227,7 +243,7 @@
         if lifetime is None:
             self._time_out()
         reply = self._reply_of(lifetime)
-        if path.has(path.loss_share):
+        if path.hits("loss", self._name):
             self._time_out()
         self._travel(is_executed=True)
         if path.silent_from:
@@ -260,7 +276,7 @@
             raise ConnectionBroken("connection closed")
         if lifetime.instance != self._instance:
             return UpstreamReply("other_instance")
-        if self._path.has(self._path.error_share):
+        if self._path.hits("error", self._name):
             return UpstreamReply("unhealthy")
         reply = self._handle(lifetime)
         while self._waits_for_end(reply):
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -31,7 +31,7 @@
 # Time without new faults or jobs at the end.
 SETTLE_S = 2.0
 _CORES = 8
-_WORK_S = (0.05, 0.2, 0.2, 0.6, 1.0, 2.0)
+_WORK_S = (0.05, 0.2, 0.4, 0.8, 1.4)
 _RETRY_DELAY_S = 1.3
 _REFUSED_PAUSE_S = 0.4
 _ATTEMPTS = 4
@@ -39,7 +39,7 @@
 _FAULT_GAPS_S = (0.15, 0.3, 0.6)
 # Numbers of kinds of faults in one world.
 _FAULT_KINDS = (1, 2, 3, 4, 6, 9)
-_JOBS_PER_S = 6.0
+_JOBS_PER_S = 7.0
 _REPORT_INTERVAL_S = 1.0
 _BORN_MS = 1_700_000_000_000
 
@@ -378,11 +378,11 @@
                 machine.report()
 
     def _inject(self):
-        """Begins one to three faults at a machine."""
+        """Begins one to four faults at a machine."""
         if not self._fault_names:
             return
         machine = self.rng.choice(self.machines)
-        for _ in range(self.rng.choice((1, 1, 2, 3))):
+        for _ in range(self.rng.choice((1, 1, 2, 3, 4))):
             name = self.rng.choice(self._fault_names)
             seed = self.rng.getrandbits(32)
             delay_s = self.rng.choice((0.0, self.rng.uniform(0.0, 0.3)))
