Announce lifetimes before they begin in the order search

A report of the next lifetime or instance may come while the present one still runs. The clock of a later lifetime starts anew, as the platform's pages say; some began far ahead.

--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -91,6 +91,9 @@
     if lifetime.crashed:
         return
     _disturb_before_end(world, machine, rng)
+    if rng.random() < 0.15:
+        machine.announce(keeps_instance=rng.random() < 0.6)
+        gevent.sleep(rng.uniform(0.0, 0.6))
     if machine.lifetime is not lifetime or lifetime.crashed:
         return
     machine.crash(silent=rng.random() < 0.6)
