Search the orders of events that decide whether a run is over

`tests.activity_model` plays random orders of starts, polls, stops, late and lost requests, crashes, returns, reports and take-overs against `run_activity` alone, in simulated time, with upstream clocks up to 2 % slow. Five false beliefs put in place of functions of the module are each found.

--- /dev/null
+++ b/tests/test_activity_orders.py
@@ -0,0 +1,76 @@
+"""
+tests.test_activity_orders
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Seeded search over the orders of events that decide whether a run is over.
+"""
+
+import logging
+from unittest import mock
+
+from testtools import TestCase
+
+from papayaward.coordination import run_activity
+from papayaward.coordination.run_activity import Proof
+from papayaward.coordination.upstream_requests import LossEvidence
+from tests.activity_model import FalseProof, Model
+
+_SEEDS = range(2000)
+_EVENTS = 40
+
+
+class ActivityOrdersTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+
+    def find_false_proof(self):
+        """Returns a description of the first false proof, or None."""
+        for seed in _SEEDS:
+            model = Model(seed)
+            try:
+                model.play(_EVENTS)
+            except FalseProof as error:
+                events = "\n".join(f"  {at} {text}" for at, text in model.events)
+                return f"seed {seed}: {error}\n{events}"
+        return None
+
+    def test_no_run_counts_as_over_that_is_active_or_may_begin(self):
+        """Guards against a proof that does not hold in some order of events."""
+        found = self.find_false_proof()
+        self.assertIsNone(found, found)
+
+    def check_finds(self, name, belief):
+        """Checks that the search finds a false belief in place of a function."""
+        with mock.patch.object(run_activity, name, belief):
+            self.assertIsNotNone(self.find_false_proof())
+
+    def test_search_finds_unanswered_starts_taken_for_over(self):
+        """Guards against a search that knows no late starts."""
+        self.check_finds("may_begin", lambda run, may_have_reached_other: False)
+
+    def test_search_finds_silence_taken_for_the_end(self):
+        """Guards against a search in which nothing runs without replies."""
+        self.check_finds("proof_of_end", lambda run, now: Proof.LEASE_ENDED)
+
+    def test_search_finds_a_short_delay_of_late_starts(self):
+        """Guards against a search whose late starts are not late enough."""
+        self.check_finds("MAX_START_DELAY_S", 1.1)
+
+    def test_search_finds_reports_taken_for_proofs(self):
+        """Guards against a search whose reports come only after a crash."""
+
+        def proof_at_loss(run, evidence):
+            return Proof.REPLACED if evidence is LossEvidence.REPORTED else None
+
+        self.check_finds("_proof_at_loss", proof_at_loss)
+
+    def test_search_finds_undecided_starts_that_another_lifetime_ends(self):
+        """Guards against a search whose later lifetimes execute no late starts."""
+
+        def proof_at_loss(run, evidence):
+            is_other = evidence is LossEvidence.OTHER_LIFETIME
+            return Proof.REPLACED if is_other else None
+
+        self.check_finds("_proof_at_loss", proof_at_loss)
