--- a/tests/activity_model.py
+++ b/tests/activity_model.py
@@ -553,6 +553,7 @@
             if run.proof in _PROOFS_OF_ONE_LIFETIME and (
                 run.proof is Proof.LISTED_END
                 or lifetime.crashed
+                or lifetime.born_ms != self._session.born_ms
                 or not lifetime.may_accept(run, token)
             ):
                 continue
