Tell a request that times out from a connection that breaks

A timeout of a request over an open connection reached the tracker of replies as a broken connection: the HTTP client turns each exception, also that of the timeout, into a lost connection. So a path that goes silent was taken for an upstream that was in touch until it crashed if connections were refused within 0.3 s, and all runs there counted as running at the crash. Stand-ins that raise the timeout themselves did not show it.

--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -13,6 +13,7 @@
 
 import gevent
 from gevent.pywsgi import WSGIServer
+from gevent.server import StreamServer
 from testtools import TestCase
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "platform"))
@@ -25,6 +26,7 @@
 
 from papayaward import clock  # noqa: E402
 from papayaward.coordination.upstream_requests import (  # noqa: E402
+    ConnectionBroken,
     NoReply,
     PollRequest,
 )
@@ -152,6 +154,24 @@
         for status in (429, 503):
             self.assertEqual("unhealthy", self.reply(status, b"").outcome)
 
+    def test_request_that_times_out_is_told_from_a_connection_that_breaks(self):
+        """Guards against a silent path that is taken for a crash that was seen."""
+        is_reset = False
+
+        def handle(sock, address):
+            if not is_reset:
+                gevent.sleep(2.0)
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        upstream = PlatformUpstream(server.address)
+        for is_reset, kind in ((False, NoReply), (True, ConnectionBroken)):
+            error = self.assertRaises(
+                NoReply, upstream.poll, "i-1", PollRequest(1, 0), timeout_s=0.1
+            )
+            self.assertIs(kind, type(error))
+
 
 class ConfigurationTest(TestCase):
     def test_longest_matching_prefix_of_the_host_is_used(self):
