Renew no lease in a session that has been closed

A session is closed while its renewal may be due in the same iteration of the event loop, above all after a pause of the process: the greenlet ends only at its next switch, which is after the request. The lease of the runs that wait for its end is then up to 0.5 s longer than the time kept for them at the closing, so that a run of an upstream that runs on counts as over too early. Change: no poll is sent in a closed session, as was the case for starts and stops.

--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -173,8 +173,11 @@
 
         Returns:
             UpstreamReply: The reply, with the outcome `ok` or `fenced`; None if there
-                was none.
+                was none, or if no requests are sent any more.
         """
+        if self.closed:
+            # A lease that is renewed now would outlast the time that was told.
+            return None
         try:
             reply = self._call(
                 lambda timeout_s: self._upstream.poll(
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -5,6 +5,8 @@
 An upstream that runs on while something that is no end of its runs is seen of it.
 """
 
+import time
+
 import gevent
 
 from papayaward import clock
@@ -99,6 +101,28 @@
         self.executor.on_upstream_report(other, clock.now())
         self.wait_for_end(record, "lost", "lapsed")
 
+    def test_closed_session_renews_no_lease(self):
+        """Guards against a run that outlasts the lease after which it is lost."""
+        self.start_run()
+        poll, leases = self.first.poll, []
+
+        def record(instance, request, timeout_s):
+            leases.append(request.lease_ms)
+            return poll(instance, request, timeout_s)
+
+        self.first.poll = record
+        self.wait_for(lambda: any(leases))
+        leases.clear()
+        # The report and the next renewal are due when the process goes on.
+        other = upstream_state("i-2", born_ms=2)
+        report = self.executor.on_upstream_report
+        gevent.spawn_later(0.01, lambda: report(other, clock.now()))
+        gevent.sleep(0)
+        time.sleep(0.3)
+        gevent.sleep(0.05)
+        self.assertEqual("i-2", self.executor.state.instance)
+        self.assertEqual([], [lease_ms for lease_ms in leases if lease_ms])
+
     def test_nothing_starts_while_connections_are_refused(self):
         """Guards against starts that wait for an upstream that can't be reached."""
         gevent.sleep(0.1)
