Let faults come in bursts at one machine in the order search

Most overlaps need several faults within a second at one machine while the others can take its tasks.

--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -11,7 +11,7 @@
 
 from tests.order_path import RequestFault
 
-__all__ = ["FAULTS"]
+__all__ = ["BURST_FAULTS", "FAULTS"]
 
 _RETURN_S = (0.03, 1.5)
 # Parts of the requests that a fault hits, and their names.
@@ -250,3 +250,17 @@
     "link": _break_link,
     "delay": _delay_link,
 }
+
+# Those of which a burst consists.
+BURST_FAULTS = (
+    "refuse",
+    "reset",
+    "silence",
+    "errors",
+    "lost replies",
+    "late requests",
+    "crash",
+    "executor",
+    "link",
+    "entry",
+)
--- a/tests/order_search.py
+++ b/tests/order_search.py
@@ -5,8 +5,9 @@
 Searches the orders of events of many fleets for two runs of one task at once.
 
 Usage: `python -m tests.order_search --seeds FIRST LAST [--worlds N] [--seconds S]
-[--without FAULT ...] [--verbose]`. Up to N worlds run side by side. The first finding
-of each seed is printed with the events near it and both runs, with `--verbose` each.
+[--without FAULT ...] [--bursts] [--verbose]`. Up to N worlds run side by side. With
+`--bursts`, all faults come in bursts at one machine. The first finding of each seed is
+printed with the events near it and both runs, with `--verbose` each.
 """
 
 import argparse
@@ -122,13 +123,11 @@
     )
 
 
-def search(seeds, seconds=4.0, excluded=()):
-    """Runs a world for each seed, side by side.
+def search(worlds):
+    """Runs worlds side by side.
 
     Args:
-        seeds: The seeds.
-        seconds: Time in which faults occur and jobs are submitted, seconds.
-        excluded: Names of the faults that don't occur.
+        worlds: `World` list.
 
     Returns:
         Result: What they showed.
@@ -143,7 +142,6 @@
     stalls = []
     gevent.spawn(_watch, stalls)
     try:
-        worlds = [World(seed, seconds, excluded) for seed in seeds]
         with track_processes():
             runs = [gevent.spawn(world.run) for world in worlds]
             gevent.joinall(runs, raise_error=True)
@@ -258,13 +256,19 @@
     parser.add_argument("--worlds", type=int, default=24)
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--without", nargs="*", default=(), choices=sorted(FAULTS))
+    parser.add_argument("--bursts", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args(args)
     first, last = options.seeds
     found = 0
     for start in range(first, last + 1, options.worlds):
         seeds = range(start, min(last + 1, start + options.worlds))
-        result = search(seeds, options.seconds, options.without)
+        result = search(
+            [
+                World(seed, options.seconds, options.without, options.bursts)
+                for seed in seeds
+            ]
+        )
         found += len(result.findings)
         print(
             f"seeds {seeds[0]} to {seeds[-1]}: {len(result.findings)} overlaps in "
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -22,7 +22,7 @@
 from papayaward.coordination.leased_executor import LeasedExecutor
 from tests.leased_case import job_queue, upstream_state
 from tests.leased_fleet import job
-from tests.order_faults import FAULTS
+from tests.order_faults import BURST_FAULTS, FAULTS
 from tests.order_links import Connection
 from tests.order_path import Lifetime, Path
 
@@ -37,6 +37,7 @@
 _ATTEMPTS = 4
 _FIRST_FAULT_S = 0.4
 _FAULT_GAPS_S = (0.15, 0.3, 0.6)
+_BURST_GAPS_S = (0.7, 1.2, 1.8)
 # Numbers of kinds of faults in one world.
 _FAULT_KINDS = (1, 2, 3, 4, 6, 9)
 _JOBS_PER_S = 7.0
@@ -281,6 +282,7 @@
         seed: The seed.
         seconds: Time in which faults occur and jobs are submitted, seconds.
         excluded: Names of the faults that don't occur.
+        in_bursts: Whether all faults come in bursts at one machine.
 
     Attributes:
         events: (time, text) of each event.
@@ -292,7 +294,7 @@
         work_s: Run time of the tasks by job, seconds.
     """
 
-    def __init__(self, seed, seconds=4.0, excluded=()):
+    def __init__(self, seed, seconds=4.0, excluded=(), in_bursts=False):
         self.seed = seed
         self.events = []
         self.rng = random.Random(seed)
@@ -315,6 +317,10 @@
         chosen = self.rng.sample(names, self.rng.choice(_FAULT_KINDS))
         self._fault_names = [name for name in chosen if name not in excluded]
         self._fault_gap_s = self.rng.choice(_FAULT_GAPS_S)
+        self._burst_names = [name for name in BURST_FAULTS if name not in excluded]
+        if in_bursts:
+            self._fault_names = ["burst"]
+            self._fault_gap_s = self.rng.choice(_BURST_GAPS_S)
 
     @property
     def is_running(self):
@@ -401,10 +407,21 @@
                 machine.report()
 
     def _inject(self):
-        """Begins one to four faults at a machine."""
-        if not self._fault_names:
-            return
         machine = self.rng.choice(self.machines)
+        if self._fault_names == ["burst"]:
+            self._burst(machine)
+        elif self._fault_names:
+            self._inject_some(machine)
+
+    def _burst(self, machine):
+        """Begins several faults of different kinds at a machine."""
+        self.note(f"{machine.name}: burst")
+        for name in self.rng.sample(self._burst_names, self.rng.choice((2, 3, 4, 5))):
+            seed, delay_s = self.rng.getrandbits(32), self.rng.uniform(0.0, 0.6)
+            self.spawn(self._begin_fault, name, machine, random.Random(seed), delay_s)
+
+    def _inject_some(self, machine):
+        """Begins one to four faults at a machine."""
         for _ in range(self.rng.choice((1, 1, 2, 3, 4))):
             name = self.rng.choice(self._fault_names)
             seed = self.rng.getrandbits(32)
--- a/tests/test_order_search.py
+++ b/tests/test_order_search.py
@@ -13,14 +13,17 @@
 
 from standins.leased_upstream import StartRecord
 from tests.order_search import find_overlaps, search
+from tests.order_world import World
 
 _SEEDS = (1, 2, 3, 4, 5, 10, 11, 22, 23, 26, 41, 47)
+_BURST_SEEDS = range(1, 5)
 _MIN_ANSWERED_SHARE = 0.4
 
 
 @cache
 def _result():
-    return search(_SEEDS)
+    worlds = [World(seed) for seed in _SEEDS]
+    return search(worlds + [World(seed, in_bursts=True) for seed in _BURST_SEEDS])
 
 
 class OrderSearchTest(TestCase):
