--- a/tests/order_search.py
+++ b/tests/order_search.py
@@ -146,10 +146,10 @@
             runs = [gevent.spawn(world.run) for world in worlds]
             gevent.joinall(runs, raise_error=True)
     finally:
+        gevent.killall([g for g in _greenlets() if g not in before])
         logger.removeHandler(logs)
         logger.setLevel(level)
         logger.propagate = propagates
-        gevent.killall([g for g in _greenlets() if g not in before])
     return Result(
         [finding for world in worlds for finding in _findings(world, logs, stalls)],
         len(worlds),
