Add silent paths with a second event and upstreams that return twice

Cause: the path faults had no silent path beside cut links, a paused or a killed runner, and no upstream that crashes again right after its return.

Change: path_silent_disturbed and path_twice; the latter returns twice in a row under one identifier, also without replies, inherits delayed orders and refuses connections meanwhile.

--- a/benchmarks/path_faults.py
+++ b/benchmarks/path_faults.py
@@ -33,6 +33,7 @@
 _UPSTREAM_DOWNTIME_S = (0.05, 0.5)
 _FIRST_REPORT_S = (0.0, 1.0)
 _REPORT_DELAY_S = (0.3, 2.0)
+_SHORT_S = (0.02, 0.5)
 _MUTE_S = (0.2, 1.5)
 _LINKS_CUT_S = (0.1, 1.5)
 
@@ -109,12 +110,20 @@
         gevent.sleep(open_s)
 
 
-def _silence(soak):
-    """A path is silent in one or both directions, and may be reset after that."""
+def _draw_silence(soak):
     rng = soak.path_rng
-    name = rng.choice(soak.runners)
     seconds, resets = rng.uniform(*_SILENT_S), rng.random() < _RESET_SHARE
-    direction = rng.choice(("both", "to_upstream", "to_runner"))
+    return seconds, resets, rng.choice(("both", "to_upstream", "to_runner"))
+
+
+def _silence(soak):
+    """A path is silent in one or both directions, and may be reset after that."""
+    name = soak.path_rng.choice(soak.runners)
+    _silence_path(soak, name, *_draw_silence(soak))
+
+
+def _silence_path(soak, name, seconds, resets, direction):
+    """A path holds back data, and delivers it later unless it is reset."""
     soak.note(
         f"path of {name} to the upstream is silent ({direction}) for {seconds:.2f} s"
         + ", then reset" * resets
@@ -128,6 +137,45 @@
     proxy.silent_to_target = proxy.silent_to_client = False
 
 
+def _silence_and_disturb(soak):
+    """A path is silent while links of an entry are cut or the runner is disturbed."""
+    rng = soak.path_rng
+    name, entry = rng.choice(soak.runners), rng.choice(soak.entries)
+    silence = _draw_silence(soak)
+    delay_s, seconds = rng.uniform(0.0, _SECOND_EVENT_S), rng.uniform(*_DOWNTIME_S)
+    disturb = rng.choice(
+        (
+            lambda: _cut_links(soak, entry, seconds),
+            lambda: soak.pause(name, seconds),
+            lambda: soak.restart_after(name, seconds),
+        )
+    )
+    event = gevent.spawn_later(delay_s, disturb)
+    _silence_path(soak, name, *silence)
+    event.join()
+
+
+def _return_twice(soak):
+    """An upstream returns twice in a row while its path refuses now and then."""
+    rng = soak.path_rng
+    name = rng.choice(soak.runners)
+    returns = [
+        (rng.uniform(*_SHORT_S), rng.uniform(*_SHORT_S), rng.uniform(*_MUTE_S))
+        for _ in range(2)
+    ]
+    is_mute = rng.random() < 0.5
+    seconds, resets = rng.uniform(*_SHORT_S), rng.random() < _RESET_SHARE
+    refusal = gevent.spawn(_refuse, soak, [name], seconds, resets)
+    upstream = soak.fleet.upstreams[name]
+    for downtime_s, lifetime_s, mute_s in returns:
+        soak.note(f"upstream of {name} returns after {downtime_s:.2f} s")
+        upstream.restart_silently(
+            downtime_s, lifetime_s, mute_s * is_mute, inherits_orders=True
+        )
+        gevent.sleep(lifetime_s)
+    refusal.join()
+
+
 def _refuse_and_lose_replies(soak):
     """Paths refuse while their upstreams answer with errors and lose replies."""
     names = _choose_runners(soak)
@@ -249,4 +297,6 @@
     "path_reports": _refuse_and_delay_reports,
     "path_refuse": _refuse_connections,
     "path_silent": _silence,
+    "path_silent_disturbed": _silence_and_disturb,
+    "path_twice": _return_twice,
 }
