Fence off earlier starts with the first request to an upstream

A session took an upstream over with polls without a fencing token until one was answered. A lifetime that executes requests while its replies are lost thus accepted starts of earlier sessions and processes for as long as that went on. Nobody waits for such a start if its run was over, so that it runs beside the one that has taken its place. Change: the first poll carries the token of the session. If it is too low, the reply tells that as before, and the token is raised. Measured: the new test fails before (the late start is executed) and passes now.

--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -222,7 +222,7 @@
 
     def _take_over(self):
         """Fences off earlier processes, and stops the runs that they started."""
-        reply = self._poll_until_answered(PollRequest(0, 0))
+        reply = self._poll_until_answered(PollRequest(self._calls.token.value, 0))
         self._calls.token.raise_to(reply.clock_ms)
         self._poll_until_accepted()
         self._calls.token.raise_above_accepted()
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -139,6 +139,18 @@
         late = StartRequest("j.0.0.0", 1, "50", self.second.clock_ms + 900, token)
         self.assertEqual("fenced", self.second._start(late).outcome)
 
+    def test_silent_lifetime_rejects_starts_sent_before_the_loss(self):
+        """Guards against a late start that a lifetime executes before it replies."""
+        gevent.sleep(0.3)
+        token = self.executor._current.session.next_token - 1
+        self.crash_with_a_start_without_a_reply()
+        self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
+        self.second.mute(60.0)
+        self.address.lifetime = self.second
+        gevent.sleep(0.3)
+        late = StartRequest("j.0.0.0", 1, "50", self.second.clock_ms + 900, token)
+        self.assertEqual("fenced", self.second._start(late).outcome)
+
     def test_upstream_that_does_not_return_is_not_polled_for_ever(self):
         """Guards against requests without end to an upstream that is gone."""
         self.crash_with_a_start_without_a_reply()
