Keep the latest time of a late start among the runs that are over

A run that was over with an earlier start replaced the time kept for one with a later start, so that it no longer counted that the next lifetime may execute the later one. Not seen to matter so far: a lost upstream is awaited for 15 s in any case. Change: the later of both times is kept. Measured: the new test fails before and passes now.

--- a/papayaward/coordination/run_activity.py
+++ b/papayaward/coordination/run_activity.py
@@ -122,7 +122,8 @@
 
     def on_unanswered_run_over(self, run):
         """Remembers a run that is over while a request to start it had no reply."""
-        self._late_start_until = run.sent_at + MAX_START_DELAY_S
+        until = run.sent_at + MAX_START_DELAY_S
+        self._late_start_until = max(self._late_start_until, until)
 
     def may_start_late(self, now):
         """Returns whether the next lifetime may execute starts.
--- a/tests/test_run_activity.py
+++ b/tests/test_run_activity.py
@@ -158,6 +158,15 @@
         self.activity.check(100.0 + MAX_START_DELAY_S)
         self.assertEqual(Proof.TOO_LATE, run.proof)
 
+    def test_latest_start_of_the_runs_that_are_over_counts(self):
+        """Guards against an upstream given up while it may execute a start late."""
+        for sent_at in (100.0, 90.0):
+            self.activity.on_unanswered_run_over(self.add(sent_at=sent_at))
+            self.runs.clear()
+        until = 100.0 + MAX_START_DELAY_S
+        self.assertTrue(self.activity.may_start_late(until - 0.1))
+        self.assertFalse(self.activity.may_start_late(until))
+
     def test_run_is_over_once(self):
         """Guards against two ends of one run, of which the second one is counted."""
         run = self.add()
