Count no crash of a lifetime that only reported before an earlier one replied

A report of another lifetime, then 1 s without replies, then a reply of the earlier lifetime: the one that had reported counted as a known crash, though nothing shows that it ever ran. Only a later lifetime, or another instance, replaces one now; else the suspicion is withdrawn.

--- a/papayaward/coordination/suspected_crashes.py
+++ b/papayaward/coordination/suspected_crashes.py
@@ -71,6 +71,8 @@
     def on_taken_over(self, instance, born_ms, now):
         """Confirms or withdraws the suspicions: a lifetime has replied.
 
+        It does not replace a later lifetime, which may have reported by mistake.
+
         Args:
             instance: Identifier of the instance that has replied.
             born_ms: Start of its lifetime, milliseconds; 0 if it is not known.
@@ -83,7 +85,7 @@
                 # Whether it is the same lifetime is not known.
                 continue
             del self._suspected[crash.upstream]
-            if not is_same or state.born_ms != born_ms:
+            if not is_same or born_ms > state.born_ms:
                 self._relay.publish(replace(crash, is_known=True), now)
             elif suspected.publish_at is None:
                 self._relay.withdraw(crash, now)
