--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -24,14 +24,13 @@
 _MAX_LOGGED_RUNS = 20
 
 
-def _log_crash(upstream, reason, runs, now):
+def _log_crash(upstream, loss, runs):
     """Logs the runs of an upstream that has crashed, the latest start first.
 
     Args:
         upstream: Identifier of the upstream instance.
-        reason: How the crash was noticed.
+        loss: `InstanceLoss`.
         runs: `Run` of each run that was lost.
-        now: Time, seconds.
     """
     latest_first = sorted(runs, key=lambda run: -run.started_at)
     metrics.UPSTREAM_CRASHES.inc()
@@ -39,14 +38,15 @@
         "upstream_crashed",
         extra={
             "upstream": upstream,
-            "reason": reason,
+            "reason": loss.reason,
+            "known": loss.is_replaced,
             "lost_runs": len(latest_first),
             "runs": [
                 {
                     "task": run.task,
                     "run": run.run,
                     "request_id": run.request_id,
-                    "age_s": round(now - run.started_at, 3),
+                    "age_s": round(loss.at - run.started_at, 3),
                     "delivery": run.delivery.value,
                 }
                 for run in latest_first[:_MAX_LOGGED_RUNS]
@@ -118,7 +118,7 @@
         noticed_ms: Wall time, milliseconds.
     """
     sent = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
-    _log_crash(state.key, loss.reason, sent, loss.at)
+    _log_crash(state.key, loss, sent)
     crash = crash_of(
         state.key, state.service, sent, loss.at, loss.uncertainty_s, loss.witnessed
     )
