Wait for renewals that are executed late before a start is too late

Cause (found by the review, read): a renewal that the lost session sent seconds after an unanswered start may be executed up to 12 s after it was sent, and extend the lease of that start at the next lifetime, so that 15 s after the start did not bound the run. Change: the 15 s count from the end of the latest lease as well. Besides: may_begin is now may_be_executed_late, a list seen by a later session identifies no run of an earlier one, and the proof of a take-over says what it covers. test_upstream_that_does_not_return shifts the lease with the start, as both stand for time that has passed. Measured: the new test fails before (over at 16.0 s of its clock) and passes now; test_run_activity, test_activity_orders, test_silent_return and test_order_search pass.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -360,7 +360,7 @@
             if run is None or number < run.run:
                 self._unknown.stop(self._current.session, task, number)
                 continue
-            if not run.identified:
+            if not run.identified and not run.session_closed:
                 run.identified = True
                 self._reports.on_run_settled(run.owner)
             if not run.is_slow(percent, now):
--- a/papayaward/coordination/run_activity.py
+++ b/papayaward/coordination/run_activity.py
@@ -22,7 +22,7 @@
 
 from .upstream_requests import MAX_START_DELAY_S, Delivery, LossEvidence
 
-__all__ = ["LOST", "Proof", "RunActivity", "may_begin", "proof_of_end"]
+__all__ = ["LOST", "Proof", "RunActivity", "may_be_executed_late", "proof_of_end"]
 
 log = logging.getLogger(__name__)
 
@@ -42,7 +42,9 @@
     LEASE_ENDED = "its lease has ended"
     # A reply to a request of its own session came from another lifetime or instance.
     REPLACED = "another lifetime or instance replied"
-    # A later session has stopped what ran on the upstream and has fenced off requests.
+    # A later session has stopped what ran on the upstream, and the lifetime that is
+    # there rejects earlier requests. The lifetime after it may execute them: see
+    # `RunActivity.may_start_late`.
     TAKEN_OVER = "a later session has taken over the upstream"
     # The longest delay of a request has passed as well as the lease.
     TOO_LATE = "a late start is no longer possible"
@@ -138,7 +140,7 @@
 
     def _on_own_session_closed(self, run, evidence, now):
         run.session_closed = True
-        run.undecided = may_begin(run, run.session.may_have_reached_other)
+        run.undecided = may_be_executed_late(run, run.session.may_have_reached_other)
         run.leased_until = run.session.all_ended_at
         if run.delivery is Delivery.NOT_DELIVERED:
             # A start that has not been sent by then never is.
@@ -175,7 +177,7 @@
         self._finish(run, outcome, now)
 
 
-def may_begin(run, may_have_reached_other):
+def may_be_executed_late(run, may_have_reached_other):
     """Returns whether a request to start a run may still be executed.
 
     Args:
@@ -203,7 +205,8 @@
         return None
     if not run.undecided:
         return Proof.LEASE_ENDED
-    if now >= run.sent_at + MAX_START_DELAY_S:
+    # A renewal may be executed late, too, and extend the lease of a late start.
+    if now >= max(run.sent_at, run.leased_until) + MAX_START_DELAY_S:
         return Proof.TOO_LATE
     return None
 
--- a/tests/test_activity_orders.py
+++ b/tests/test_activity_orders.py
@@ -36,7 +36,7 @@
                 return f"seed {seed}: {error}\n{events}"
         return None
 
-    def test_no_run_counts_as_over_that_is_active_or_may_begin(self):
+    def test_no_run_counts_as_over_that_is_active_or_may_be_executed_late(self):
         """Guards against a proof that does not hold in some order of events."""
         found = self.find_false_proof()
         self.assertIsNone(found, found)
@@ -48,7 +48,9 @@
 
     def test_search_finds_unanswered_starts_taken_for_over(self):
         """Guards against a search that knows no late starts."""
-        self.check_finds("may_begin", lambda run, may_have_reached_other: False)
+        self.check_finds(
+            "may_be_executed_late", lambda run, may_have_reached_other: False
+        )
 
     def test_search_finds_silence_taken_for_the_end(self):
         """Guards against a search in which nothing runs without replies."""
--- a/tests/test_run_activity.py
+++ b/tests/test_run_activity.py
@@ -158,6 +158,15 @@
         self.activity.check(100.0 + MAX_START_DELAY_S)
         self.assertEqual(Proof.TOO_LATE, run.proof)
 
+    def test_renewal_that_is_executed_late_is_waited_for(self):
+        """Guards against a late start whose lease a late renewal extends."""
+        run = self.add(delivery=Delivery.UNANSWERED, unanswered=1, sent_at=1.0)
+        self.close(LossEvidence.SILENT, LEASED_UNTIL)
+        self.activity.check(LEASED_UNTIL + MAX_START_DELAY_S - 0.1)
+        self.assertFalse(run.ended)
+        self.activity.check(LEASED_UNTIL + MAX_START_DELAY_S)
+        self.assertEqual(Proof.TOO_LATE, run.proof)
+
     def test_latest_start_of_the_runs_that_are_over_counts(self):
         """Guards against an upstream given up while it may execute a start late."""
         for sent_at in (100.0, 90.0):
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -158,6 +158,7 @@
         self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
         (run,) = self.executor._runs.values()
         run.sent_at -= MAX_START_DELAY_S
+        run.leased_until -= MAX_START_DELAY_S
         self.executor._current._awaited_until -= MAX_START_DELAY_S
         self.wait_for(self.link.ends)
         self.assertEqual([("j.0.0.0", "lost")], self.link.ends())
