Move no slow run while a request to start it is unsettled

A move is voluntary: an entry now leaves a run where it is while its executor lists a request to start it as unsettled. Runs that end as lapsed, or are stopped because their job or entry has ended, are as before, so the case is rarer but not closed.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -331,6 +331,10 @@
         placement_round = self._placement.begin_round(self._views.values(), now)
         stops = []
         for slow_task in slow:
+            if view.is_unsettled(slow_task.task):
+                # The next lifetime of the upstream may execute a request to start it,
+                # and nobody would know of that if the executor's process ends as well.
+                continue
             elsewhere_s = elsewhere_s_if_moved(
                 slow_task, view, self._placement, placement_round, now
             )
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -117,7 +117,15 @@
             task: `Task` that was sent there.
         """
         is_acknowledged = task.batch <= self._acknowledged_batch
-        return is_acknowledged and task.name not in self._unsettled
+        return is_acknowledged and not self.is_unsettled(task)
+
+    def is_unsettled(self, task):
+        """Returns whether the executor has listed a task's start as unsettled.
+
+        Args:
+            task: `Task` that was sent there.
+        """
+        return task.name in self._unsettled
 
     def next_batch(self):
         """Returns the number of the next batch of starts."""
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -410,6 +410,20 @@
         self.end(link, start, "stopped")
         self.assertEqual([start.task], [start.task for start in other.starts()])
 
+    def test_stalled_run_is_not_moved_while_a_request_to_start_it_is_unsettled(self):
+        """Guards against a late start beside the run that has taken its place."""
+        link = self.executor()
+        self.submit()
+        self.executor("r2")
+        start = link.starts()[0]
+        slow = [ttypes.SlowRun(start.task, 20_000, 200)]
+        for unsettled in ([start.task], None):
+            self.assertEqual([], link.of_type(ttypes.StopBatch))
+            report = capacity_report(last_batch=1)
+            report.room.unsettled, report.slow = unsettled, slow
+            self.scheduler.on_message(link, report, clock.now())
+        self.assertEqual([start.task], link.of_type(ttypes.StopBatch)[0].tasks)
+
     def test_run_that_is_reported_again_before_it_has_stopped_moves_once(self):
         """Guards against two reports of a slow run that use up both of its moves.
 
