Give the executor of the moved run less room than the other one in the test

tests.test_job_scheduler.JobSchedulerTest.test_stalled_run_is_not_moved_while_a_request_to_start_it_is_unsettled failed in 3 of 5 runs: its report gave both executors the same free capacity, so that placement chose one of them at random.

--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -419,7 +419,7 @@
         slow = [ttypes.SlowRun(start.task, 20_000, 200)]
         for unsettled in ([start.task], None):
             self.assertEqual([], link.of_type(ttypes.StopBatch))
-            report = capacity_report(last_batch=1)
+            report = capacity_report(last_batch=1, free=3)
             report.room.unsettled, report.slow = unsettled, slow
             self.scheduler.on_message(link, report, clock.now())
         self.assertEqual([start.task], link.of_type(ttypes.StopBatch)[0].tasks)
