--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -742,6 +742,7 @@
      - unsettled
      - taken_over
      - unsettled_peer_tasks
+     - late_start_tasks
 
     """
 
@@ -758,10 +759,11 @@
         'unsettled',
         'taken_over',
         'unsettled_peer_tasks',
+        'late_start_tasks',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_start_tasks=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -774,6 +776,7 @@
         self.unsettled = unsettled
         self.taken_over = taken_over
         self.unsettled_peer_tasks = unsettled_peer_tasks
+        self.late_start_tasks = late_start_tasks
 
 
 class SlowRun(TBase):
@@ -1195,6 +1198,7 @@
     (10, TType.LIST, 'unsettled', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'taken_over', None, None, ),  # 11
     (12, TType.LIST, 'unsettled_peer_tasks', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.LIST, 'late_start_tasks', (TType.STRING, 'UTF8', False), None, ),  # 13
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
