Show that a start is executed by the next lifetime beside a run elsewhere

What callers saw: two runs of one task at once, on upstreams that are both up. The two tests have a start without a reply whose run is over at one lifetime of its upstream (settled by a stop, or failed); the next lifetime executes it, which no proof about the lifetime before rules out.

--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -60,9 +60,11 @@
         cores: Capacity of the upstream.
         restart_s: Time from a crash to the report of the next instance, seconds.
         number: Number of earlier instances.
+        keeps_instance: Whether the upstream starts again under its identifier, and
+            executes what was sent to the lifetime before.
     """
 
-    def __init__(self, name, cores=8, restart_s=0.5, number=0):
+    def __init__(self, name, cores=8, restart_s=0.5, number=0, keeps_instance=False):
         self.name = name
         self.number = number
         self.entry_links = []
@@ -70,6 +72,7 @@
         self.records = []
         self._cores = cores
         self._restart_s = restart_s
+        self._keeps_instance = keeps_instance
         self._upstream = None
         self._path_refuses = Event()
         self.crash_relay = CrashRelay()
@@ -82,6 +85,11 @@
             return lambda *args: self._send(getattr(self._upstream, name), args)
         return getattr(self._upstream, name)
 
+    @property
+    def lifetime(self):
+        """The present `LeasedUpstream`."""
+        return self._upstream
+
     def refuse(self):
         """Breaks the connections and refuses new ones; the instance runs on."""
         self._path_refuses.set()
@@ -121,13 +129,16 @@
 
     def _begin(self):
         self.number += 1
-        instance = f"{self.name}-{self.number}"
+        instance = f"{self.name}-{1 if self._keeps_instance else self.number}"
+        last = self._upstream
         self._upstream = LeasedUpstream(
             instance,
             records=self.records,
             on_crash=self._on_crash,
             born_ms=self.number,
         )
+        if last is not None and self._keeps_instance:
+            last.next_lifetime = self._upstream
         self.report()
 
     def _on_crash(self):
@@ -151,6 +162,7 @@
 
     def __init__(self, entries=1, executors=6, **options):
         self.upstreams = [LocalUpstream(f"r{i}", **options) for i in range(executors)]
+        self._options = options
         self.entries = []
         self.relays = []
         self._links = []
@@ -179,6 +191,13 @@
             self._connect(name, entry, relay, upstream)
         return entry
 
+    def add_executor(self):
+        """Adds an executor with an upstream and links it with the entries."""
+        upstream = LocalUpstream(f"r{len(self.upstreams)}", **self._options)
+        self.upstreams.append(upstream)
+        for number, entry in enumerate(self.entries):
+            self._connect(f"e{number}", entry, self.relays[number], upstream)
+
     def running(self, task):
         """Returns each upstream on which a task runs."""
         return [upstream for upstream in self.upstreams if upstream.runs(task)]
--- /dev/null
+++ b/tests/test_late_starts.py
@@ -0,0 +1,109 @@
+"""
+tests.test_late_starts
+~~~~~~~~~~~~~~~~~~~~~~
+
+Starts that a later lifetime of an upstream executes after their runs were over.
+"""
+
+import time
+from itertools import combinations
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from tests.leased_case import job_queue
+from tests.leased_fleet import LeasedFleet, job
+
+_JOB = "0123456789abcdef"
+_TASK = _JOB + ".0.0.0"
+_LATE_S = 1.5
+_SHORTEST_OVERLAP_S = 0.001
+
+
+class LateStartTest(TestCase):
+    """A fleet whose first upstream crashes before it executes a start.
+
+    The path to its next lifetime refuses connections until that has executed the start.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = LeasedFleet(executors=1, keeps_instance=True, restart_s=0.1)
+        self.addCleanup(self.fleet.close)
+        self.first = self.fleet.upstreams[0]
+        self.wait_for(lambda: not self.first.executor.refusal_reason)
+
+    def wait_for(self, condition, seconds=4.0):
+        until = clock.now() + seconds
+        while not condition():
+            self.assertLess(clock.now(), until, "the condition was not met in time")
+            gevent.sleep(0.005)
+
+    def submit(self, spec):
+        request = job(_JOB, spec, expected_s=0.5, timeout_s=12.0)
+        queue = job_queue(slack_s=12.0)
+        return self.fleet.entries[0].submit(request, queue, clock.now())
+
+    def crash_before_the_late_start(self):
+        self.first.refuse()
+        self.first.crash_from_outside()
+        self.wait_for(lambda: len(self.late_records()) == 1)
+        gevent.sleep(0.1)
+        self.first.restore()
+
+    def late_records(self):
+        """Returns the records of the runs at the next lifetime."""
+        lifetime = self.first.lifetime
+        return [] if lifetime.crashed else list(lifetime.running.values())
+
+    def check_no_overlap(self):
+        records = [
+            record
+            for upstream in self.fleet.upstreams
+            for record in upstream.records
+            if record.task == _TASK
+        ]
+        for one, other in combinations(records, 2):
+            ends_at = min(_end(one), _end(other))
+            overlap_s = ends_at - max(one.started_at, other.started_at)
+            self.assertLess(overlap_s, _SHORTEST_OVERLAP_S, records)
+
+    def test_task_whose_start_was_settled_starts_nowhere_else(self):
+        """Guards against a second run beside a start that the next lifetime executes.
+
+        The stop that settles the start holds for the lifetime that answered it.
+        """
+        lifetime = self.first.lifetime
+        lifetime.fail_request("start", delay_s=_LATE_S)
+        lifetime.is_unhealthy = lambda name: (
+            name == "start" and not any(fault.times for fault in lifetime.faults)
+        )
+        submitted = self.submit("2000")
+        gevent.sleep(0.3)
+        self.fleet.add_executor()
+        gevent.sleep(0.4)
+        self.crash_before_the_late_start()
+        submitted.finished.wait(8.0)
+        self.check_no_overlap()
+        self.assertEqual("completed", submitted.outcome.kind)
+
+    def test_task_that_failed_starts_nowhere_else_while_a_request_may_be_late(self):
+        """Guards against a second run beside an earlier request of a run that ended.
+
+        The lifetime that has listed its end rejects the request, the next one doesn't.
+        """
+        self.first.lifetime.fail_request("start", delay_s=_LATE_S)
+        submitted = self.submit("fail:800")
+        self.wait_for(lambda: self.first.records)
+        self.fleet.add_executor()
+        self.wait_for(lambda: self.first.records[0].outcome)
+        gevent.sleep(0.1)
+        self.crash_before_the_late_start()
+        submitted.finished.wait(8.0)
+        self.check_no_overlap()
+        self.assertEqual("failed", submitted.outcome.kind)
+
+
+def _end(record):
+    return time.monotonic() if record.ended_at is None else record.ended_at
