--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -51,6 +51,8 @@
         upstream: Key of the upstream instance; empty if there is none.
         taken_over: Whether the starts of earlier processes take no effect on the
             upstream any more and their runs have ended.
+        late_starts: Names of the tasks without a run that a later lifetime of the
+            upstream may start.
     """
 
     free: Resources
@@ -59,6 +61,7 @@
     labels: tuple
     upstream: str
     taken_over: bool
+    late_starts: tuple = ()
 
 
 def report_due_at(owner, capacity, needs, isolated, now):
@@ -205,4 +208,5 @@
         unsettled or None,
         capacity.taken_over,
         unsettled_of_peers or None,
+        list(capacity.late_starts) or None,
     )
--- a/papayaward/coordination/isolated_placement.py
+++ b/papayaward/coordination/isolated_placement.py
@@ -31,6 +31,9 @@
         task.isolation_limit = limit
         if view is None or not placement_round.may_run(view, task):
             view = _choose(task, len(tasks) - position, limit, placement_round)
+            if view is None and placement_round.is_pinned(task):
+                # It must not hold up the tasks that may start elsewhere.
+                continue
             if one_executor and used and view not in used:
                 return
             used.add(view)
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -41,12 +41,14 @@
         ejection: `Ejection` of executors that fail.
         is_domain_out: Function that returns whether a failure domain is out of
             service.
+        lost: `LostTasks`, which tells the tasks that may start at one executor only.
     """
 
-    def __init__(self, speeds, ejection, is_domain_out):
+    def __init__(self, speeds, ejection, is_domain_out, lost):
         self._speeds = speeds
         self._ejection = ejection
         self._is_domain_out = is_domain_out
+        self._lost = lost
 
     def begin_round(self, views, now):
         """Returns a `PlacementRound` for the current state of the executors.
@@ -154,11 +156,17 @@
         """Returns an executor's ratio of actual to declared run time for a queue."""
         return self._speeds.predicted_s(view.name, queue.name, 1.0)
 
+    def is_pinned(self, task):
+        """Returns whether a task may start at one executor only."""
+        return self._lost.is_pinned(task.name)
+
     def fits(self, view, task, now):
-        """Returns whether labels, the limit per upstream and ejection permit a start.
+        """Returns whether all but the free capacity permits a start.
 
-        Free capacity is not checked.
+        These are late starts elsewhere, labels, the limit per upstream and ejection.
         """
+        if not self._lost.may_start_at(task.name, view.name):
+            return False
         phase = task.phase
         if phase.label and phase.label not in view.labels:
             return False
@@ -246,7 +254,12 @@
         heap = None
         latest, together = None, 0
         for task in job.waiting_tasks(number):
-            if task.avoided_executors or task.phase.max_per_upstream:
+            if self._placement.is_pinned(task):
+                view = self.choose(task)
+                if view is None:
+                    # It must not hold up the tasks that may start elsewhere.
+                    continue
+            elif task.avoided_executors or task.phase.max_per_upstream:
                 view = self.choose(task)
             elif together < _MAX_TOGETHER and latest and self.may_run(latest, task):
                 view = latest
@@ -309,8 +322,14 @@
         views = self._with_free_capacity.get(task.job.queue.service, ())
         return [view for view in views if self.may_run(view, task)]
 
+    def is_pinned(self, task):
+        """Returns whether a task may start at one executor only."""
+        return self._placement.is_pinned(task)
+
     def may_run(self, view, task):
         """Returns whether an executor can start a task now."""
+        if self._now < task.retry_at:
+            return False
         return view.free.covers(task.phase.need) and self._placement.fits(
             view, task, self._now
         )
@@ -322,6 +341,8 @@
         ends_at = self._now + self._placement.run_s(view, task) + after_s
         if ends_at <= job.objective_at:
             return True
+        if self._placement.is_pinned(task):
+            return ends_at <= job.deadline
         fastest_s = self._min_ratio(job.queue) * task.phase.expected_s + _OVERHEAD_S
         if self._now + fastest_s + after_s < job.objective_at:
             # A faster executor may become free in time to meet the objective.
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -52,6 +52,9 @@
 # During a shutdown, a job is ended early if this fraction of its expected remaining
 # time is longer than the time until the process stops.
 _CLOSING_SHARE = 0.7
+# Time between two starts of a task that no other executor may start. An executor that
+# refuses it would else be asked again at once.
+_PINNED_RETRY_S = 0.05
 # Class of the runs for other entries, whose queues are not reported.
 _ALL_QUEUES = ""
 # Prefix of the outcome of a start that did not lead to a run; the reason follows.
@@ -86,7 +89,9 @@
         self._closing_at = None
         self._speeds = SpeedEstimates()
         self._ejection = Ejection()
-        self._placement = Placement(self._speeds, self._ejection, is_domain_out)
+        self._placement = Placement(
+            self._speeds, self._ejection, is_domain_out, self._lost
+        )
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
@@ -163,7 +168,7 @@
         """Sets a job's outcome and stops its runs."""
         if job.outcome is not None:
             return
-        if kind == "not_run" and self._lost.holds_back(job.request.job_id):
+        if kind == "not_run" and self._lost.may_start_late(job.request.job_id):
             # A start of an earlier submission may still be executed.
             kind = "unknown"
         job.outcome = LeasedJobOutcome(kind, reason, retry_after_s)
@@ -221,7 +226,7 @@
         if isinstance(message, ttypes.EndBatch):
             if message.room is not None:
                 view.on_capacity_report(message.room)
-                self._lost.on_capacity_report(view)
+                self._lost.on_capacity_report(view, now)
                 self._learn_from_peers(view, message.room, now)
                 crash = self._lost_upstreams.crash_of_previous(view, now)
                 if crash is not None:
@@ -289,6 +294,8 @@
                 return
             if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
+            if self._lost.is_pinned(task.name):
+                task.retry_at = now + _PINNED_RETRY_S
             self._requeue(task, reason, now)
             task.job.on_start_refused()
         elif not self._end_if_crashing(task.job, now):
@@ -331,7 +338,8 @@
         placement_round = self._placement.begin_round(self._views.values(), now)
         stops = []
         for slow_task in slow:
-            if view.is_unsettled(slow_task.task):
+            name = slow_task.task.name
+            if view.is_unsettled(slow_task.task) or self._lost.is_pinned(name):
                 # The next lifetime of the upstream may execute a request to start it,
                 # and nobody would know of that if the executor's process ends as well.
                 continue
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -34,6 +34,7 @@
         "moves",
         "name",
         "phase_number",
+        "retry_at",
         "run",
         "sent_at",
         "state",
@@ -54,6 +55,8 @@
         # Keys of the upstreams whose executors did not return in time.
         self.lost_upstreams = set()
         self.executor = None
+        # Time before which it is not started again, seconds.
+        self.retry_at = 0.0
         self.sent_at = 0.0
         # Number of the batch of starts that contained it, on its executor's link; 0 if
         # the link has not taken the batch.
--- /dev/null
+++ b/papayaward/coordination/late_starts.py
@@ -0,0 +1,109 @@
+"""
+papayaward.coordination.late_starts
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Tasks that no run of an executor is active for, but of which a start may be executed.
+
+What ends a run at one lifetime of an upstream says nothing about the next one: that has
+seen neither the stop nor the fencing token that the one before rejects the start with.
+Until the longest delay of a request has passed, such a task may start on this upstream
+only. A run there ends with the lifetime that executes it, and no start is sent to the
+next one before that rejects the earlier requests.
+"""
+
+import logging
+from dataclasses import dataclass
+
+from .run_activity import may_outlast_lifetime
+
+__all__ = ["LateStarts"]
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class _LateStart:
+    """Requests to start a task that may still be executed.
+
+    Attributes:
+        instance: Identifier of the upstream instance that they name.
+        until: Time at which they are not executed any more, seconds.
+    """
+
+    instance: str
+    until: float
+
+
+class LateStarts:
+    """The tasks without a run of which a request to start one may be executed."""
+
+    def __init__(self):
+        # `_LateStart` by the name of the task.
+        self._starts = {}
+
+    def __bool__(self):
+        return bool(self._starts)
+
+    @property
+    def tasks(self):
+        """Names of the tasks."""
+        return list(self._starts)
+
+    def on_run_accepted(self, run):
+        """Has a new run of a task bear the earlier requests to start it.
+
+        Args:
+            run: `Run`.
+        """
+        start = self._starts.pop(run.task, None)
+        if start is not None:
+            run.earlier_start_until = start.until
+
+    def on_run_over(self, run, now):
+        """Adds the task of a run that is over, if a request may still be executed.
+
+        Args:
+            run: `Run` with its `Proof`.
+            now: Time, seconds.
+        """
+        until = run.late_start_until
+        if until <= now or not may_outlast_lifetime(run.proof):
+            return
+        self._starts[run.task] = _LateStart(run.session.instance, until)
+        log.info(
+            "late_start_possible",
+            extra={
+                "task": run.task,
+                "run": run.run,
+                "request_id": run.request_id,
+                "upstream": run.session.instance,
+                "seconds": round(until - now, 3),
+                "reason": run.proof.value,
+            },
+        )
+
+    def on_taken_over(self, instance):
+        """Removes the tasks whose requests name another instance, which has ended.
+
+        Args:
+            instance: Identifier of the instance that was taken over.
+        """
+        self._keep(lambda start: start.instance == instance)
+
+    def forget_expired(self, now):
+        """Removes the tasks that no request can start any more.
+
+        Args:
+            now: Time, seconds.
+
+        Returns:
+            bool: Whether there were any.
+        """
+        return self._keep(lambda start: now < start.until)
+
+    def _keep(self, is_kept):
+        before = len(self._starts)
+        self._starts = {
+            task: start for task, start in self._starts.items() if is_kept(start)
+        }
+        return len(self._starts) < before
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -18,13 +18,14 @@
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
+from .late_starts import LateStarts
 from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_activity import RunActivity
 from .run_owners import RunOwners
 from .suspected_crashes import SuspectedCrashes
 from .unknown_runs import UnknownRuns
 from .upstream_crashes import crash_of_loss
-from .upstream_requests import LossEvidence
+from .upstream_requests import Delivery, LossEvidence
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -66,6 +67,7 @@
         )
         self._owners = RunOwners()
         self._runs = {}
+        self._late_starts = LateStarts()
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
@@ -165,6 +167,7 @@
             # The notice of a crash precedes the ends of its runs.
             self._suspected.on_taken_over(instance, session.born_ms, now)
             self._activity.on_taken_over(session, now)
+            self._late_starts.on_taken_over(session.instance)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -288,6 +291,7 @@
             return "not_isolated"
         run = Run.of_start(group, start, need, owner, now)
         run.session = self._current.session
+        self._late_starts.on_run_accepted(run)
         self._runs[start.task] = run
         self._used = self._used + need
         self._isolated_runs += run.isolated
@@ -309,9 +313,6 @@
         def is_wanted():
             return not run.stopping and not run.ended
 
-        def on_delivery(delivery):
-            run.delivery = delivery
-
         def on_unanswered(count):
             if count > run.unanswered:
                 run.sent_at = clock.now()
@@ -325,15 +326,17 @@
             run.run,
             run.spec,
             is_wanted,
-            on_delivery,
+            run.on_start_answered,
             on_unanswered,
             on_identified,
+            run.earlier_start_until > 0.0,
         )
         run.run = number
         if run.ended or run.session_closed:
             return
         if result == "started":
             run.running = True
+            run.delivery = Delivery.STARTED
             run.started_at = clock.now()
             self._reports.on_run_settled(run.owner)
             if run.stopping:
@@ -351,6 +354,7 @@
         for end in ends:
             run = self._runs.get(end.task)
             if run is not None and end.run >= run.run:
+                run.on_listed()
                 self._activity.on_listed_end(run, end.outcome, now)
 
     def _on_progress(self, running, now):
@@ -360,6 +364,7 @@
             if run is None or number < run.run:
                 self._unknown.stop(self._current.session, task, number)
                 continue
+            run.on_listed()
             if not run.identified and not run.session_closed:
                 run.identified = True
                 self._reports.on_run_settled(run.owner)
@@ -378,16 +383,15 @@
         service_us = int((now - run.started_at) * 1e6) if run.running else 0
         if outcome == "done" and service_us > 0 and run.declared_s:
             self._add_peer_run(run, service_us / 1e6 / run.declared_s)
-        if run.unanswered:
-            self._on_unanswered_run_over(run, outcome)
+        self._late_starts.on_run_over(run, now)
+        if run.late_requests and outcome != "done":
+            self._fence_off_sent_requests()
         self._queue_end(run.owner, run.task, run.run, outcome, service_us)
         self._on_capacity_changed()
 
-    def _on_unanswered_run_over(self, run, outcome):
-        """Handles the end of a run whose start the next lifetime may still execute."""
-        self._activity.on_unanswered_run_over(run)
+    def _fence_off_sent_requests(self):
         session = self._current.session
-        if outcome != "done" and session is not None:
+        if session is not None:
             session.fence_off_sent_requests()
 
     def _add_peer_run(self, run, ratio):
@@ -483,7 +487,9 @@
         self._current.check(now)
         self._suspected.check(now)
         self._activity.check(now)
-        if not self._activity.may_start_late(now):
+        if self._late_starts.forget_expired(now):
+            self._on_capacity_changed()
+        if not self._late_starts and not self._activity.may_start_late(now):
             self._current.stop_awaiting(now)
         self._forget_deregistered()
         for owner in self._owners.silent(now):
@@ -521,4 +527,5 @@
             self.state.labels,
             self.state.key,
             session is not None and session.taken_over,
+            tuple(self._late_starts.tasks),
         )
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -10,7 +10,7 @@
 
 from ..protocol.jobs import Resources
 from ..state.crash_records import job_id_of
-from .upstream_requests import Delivery
+from .upstream_requests import MAX_START_DELAY_S, Delivery
 
 __all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
 
@@ -43,8 +43,13 @@
     delivery: Delivery = Delivery.NOT_DELIVERED
     # Time at which the start was last sent.
     sent_at: float = 0.0
-    # Number of requests to start it that had no reply.
+    # Number of requests to start it that had no reply, and whether one of them is known
+    # to have been executed, because the upstream has listed the run.
     unanswered: int = 0
+    has_executed_unanswered: bool = False
+    # Time until which a request to start an earlier run of the task may be executed by
+    # a later lifetime of the upstream, seconds.
+    earlier_start_until: float = 0.0
     # Whether the lifetime of its session is known to have begun it, from the reply to
     # its start or from a list of the runs.
     identified: bool = False
@@ -97,15 +102,42 @@
         """Whether the run is to be stopped."""
         return self.stop_requested_at is not None
 
+    @property
+    def late_requests(self):
+        """Number of requests to start it that may still be executed."""
+        return max(0, self.unanswered - self.has_executed_unanswered)
+
+    @property
+    def late_start_until(self):
+        """Time until which a later lifetime may start the task, seconds."""
+        own = self.sent_at + MAX_START_DELAY_S if self.late_requests else 0.0
+        return max(own, self.earlier_start_until)
+
     @property
     def is_unsettled(self):
-        """Whether a request to start the run may still be executed.
+        """Whether a request to start the task may still be executed.
 
         That includes a request that is not sent yet, and an earlier request of a
         confirmed start: the next lifetime may execute it, or may have confirmed it.
         """
         is_confirmed = self.running and self.identified and not self.undecided
-        return not is_confirmed or self.unanswered > 0
+        return not is_confirmed or self.late_start_until > 0.0
+
+    def on_start_answered(self, delivery):
+        """Records what is known of its start.
+
+        Args:
+            delivery: `Delivery`.
+        """
+        self.delivery = delivery
+        if delivery is Delivery.STARTED:
+            # The request that was answered may be the one that was executed.
+            self.has_executed_unanswered = False
+
+    def on_listed(self):
+        """Records that the upstream has listed the run, as active or as ended."""
+        if self.delivery is Delivery.UNANSWERED:
+            self.has_executed_unanswered = True
 
     @property
     def last_wanted_at(self):
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -35,6 +35,8 @@
         self.taken_over = False
         # Names of the tasks of other entries whose start may still be executed.
         self.unsettled_peer_tasks = ()
+        # Names of the tasks that may start at this executor only.
+        self.late_start_tasks = ()
         # Number of isolated jobs of other entries.
         self.isolated_peer_jobs = 0
         self.tasks = {}
@@ -165,3 +167,4 @@
         self._acknowledged_batch = report.last_batch or 0
         self._unsettled = frozenset(report.unsettled or ())
         self.unsettled_peer_tasks = report.unsettled_peer_tasks or ()
+        self.late_start_tasks = report.late_start_tasks or ()
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -15,7 +15,8 @@
 from .ending_jobs import EndingJobs
 from .job_state import LOST, SENT
 from .peer_starts import PeerStarts
-from .upstream_requests import MAX_START_DELAY_S
+from .pinned_tasks import PinnedTasks
+from .upstream_requests import MAX_START_DELAY_S, instance_of_key
 
 __all__ = ["LostTasks", "Release"]
 
@@ -27,14 +28,18 @@
 
 
 class Release(Enum):
-    """What shows that a task neither runs nor will start at its executor."""
+    """What shows that a task neither runs nor will start at its executor.
+
+    A request to start it may still be executed by a later lifetime of the upstream; the
+    task is pinned to the executor then (see `pinned_tasks`).
+    """
 
     # Its executor has reported the end of its latest run.
     ENDED = "ended"
     # The same process of the executor is linked again, and does not list it.
     NOT_RUNNING = "not running after the link broke"
     # A later process of the executor has taken over the same upstream instance: it has
-    # stopped all runs there, and later starts of earlier processes are rejected.
+    # stopped all runs there, and its lifetime rejects starts of earlier processes.
     TAKEN_OVER = "a later process has taken over its upstream"
     # The lease of a confirmed run has ended, counted from the last moment at which the
     # executor can have heard of this entry.
@@ -59,11 +64,14 @@
         tasks: `Task` of each of them.
         upstream: Key of the upstream instance that they were sent to.
         awaited: `Release` that ends the wait for them unless another one comes first.
+        may_start_late: Whether a later lifetime of the upstream may execute requests to
+            start them when they are released.
     """
 
     tasks: list
     upstream: str
     awaited: Release
+    may_start_late: bool = False
 
 
 @dataclass
@@ -97,13 +105,26 @@
     def __init__(self):
         # `_LostProcess` by the executor's name and the incarnation of its process.
         self._processes = {}
-        self._peer_starts = PeerStarts()
+        self._pinned = PinnedTasks()
+        self._peer_starts = PeerStarts(self._pinned)
         self._ending = EndingJobs()
 
     def holds_back(self, job_id):
         """Returns whether earlier or other runs of a job's tasks may be active."""
         return job_id in self._ending or job_id in self._peer_starts
 
+    def may_start_late(self, job_id):
+        """Returns whether an earlier request may still start a task of a job."""
+        return self.holds_back(job_id) or self._pinned.has_job(job_id)
+
+    def is_pinned(self, task_name):
+        """Returns whether a task may start at one executor only."""
+        return task_name in self._pinned
+
+    def may_start_at(self, task_name, executor_name):
+        """Returns whether a task may start at an executor as far as late starts go."""
+        return self._pinned.may_start_at(task_name, executor_name)
+
     def on_job_ended(self, job):
         """Adds the tasks of an ended job that may be running."""
         self._ending.add(job)
@@ -118,6 +139,7 @@
         Args:
             view: `LeasedView` of the executor.
         """
+        self._pinned.on_link_up(view)
         lost = self._processes.get(view.process)
         if lost is not None:
             lost.lost_at = None
@@ -130,6 +152,7 @@
             tasks: `Task` of each of them.
             now: Time, seconds.
         """
+        self._pinned.on_link_down(view, now)
         self._peer_starts.on_link_down(view, now)
         lost = self._processes.get(view.process)
         if lost is not None:
@@ -158,20 +181,28 @@
             },
         )
 
-    def on_capacity_report(self, view):
+    def on_capacity_report(self, view, now):
         """Releases the tasks of earlier processes of an executor after a take-over.
 
-        If another instance is there, the runs of the one before may last until their
-        lease ends; it is the only one that would have executed late starts.
+        If another lifetime or instance is there, the runs of the one before may last
+        until their lease ends. Another instance executes no late starts of its
+        predecessor; a later lifetime of the same one may.
 
         Args:
             view: `LeasedView` of an executor that has sent a report.
+            now: Time, seconds.
         """
-        self._peer_starts.on_capacity_report(view)
+        self._pinned.on_capacity_report(view)
+        self._peer_starts.on_capacity_report(view, now)
         if not self._processes or not view.taken_over:
             return
+        instance = instance_of_key(view.upstream)
         for process in view.earlier_processes(self._processes):
             for group in self._processes[process].groups:
+                if instance_of_key(group.upstream) != instance:
+                    group.may_start_late = False
+                elif group.awaited is Release.START_EXPIRED:
+                    group.may_start_late = True
                 if group.upstream == view.upstream:
                     group.awaited = Release.TAKEN_OVER
                 elif group.awaited is Release.START_EXPIRED:
@@ -223,6 +254,7 @@
         Returns:
             list: (`Task`, `Release`) of each of them.
         """
+        self._pinned.forget_expired(now)
         self._peer_starts.forget_expired(now)
         over = []
         for process, lost in list(self._processes.items()):
@@ -232,11 +264,19 @@
             for group in lost.groups:
                 if age_s >= _HOLD_S[group.awaited]:
                     over += [(task, group.awaited) for task in group.tasks]
+                    self._pin(group, process[0], lost.lost_at)
             lost.groups = [g for g in lost.groups if age_s < _HOLD_S[g.awaited]]
             if not lost.groups:
                 del self._processes[process]
         return [(task, release) for task, release in over if task.state is LOST]
 
+    def _pin(self, group, executor_name, lost_at):
+        """Pins released tasks that a later lifetime may start."""
+        if group.may_start_late:
+            names = [task.name for task in group.tasks if task.state is LOST]
+            until = lost_at + MAX_START_DELAY_S
+            self._pinned.pin(names, executor_name, group.upstream, until)
+
 
 def _return_to(view, task):
     """Counts a lost task as sent on the present link of its executor."""
--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -8,22 +8,26 @@
 from dataclasses import dataclass
 
 from ..state.crash_records import job_id_of
-from .upstream_requests import MAX_START_DELAY_S
+from .upstream_requests import MAX_START_DELAY_S, instance_of_key
 
 __all__ = ["PeerStarts"]
 
 
 @dataclass
 class _Listed:
-    """Jobs that one process of an executor has listed.
+    """Tasks that one process of an executor has listed.
 
     Attributes:
-        job_ids: Identifiers of the jobs.
+        tasks: Names of the tasks.
+        job_ids: Identifiers of their jobs.
+        upstream: Key of the upstream instance.
         until: Time at which their starts have no effect any more, seconds; None while
             the executor is linked.
     """
 
+    tasks: frozenset
     job_ids: frozenset
+    upstream: str
     until: float | None = None
 
 
@@ -32,31 +36,43 @@
 
     A caller whose entry died submits its job again to another one. Its tasks must not
     start there while a request to start them for the dead entry may be executed.
+
+    Args:
+        pinned: `PinnedTasks`, which gets the tasks whose requests are rejected by the
+            present lifetime of the upstream only.
     """
 
-    def __init__(self):
+    def __init__(self, pinned):
+        self._pinned = pinned
         # `_Listed` by the executor's name and the incarnation of its process.
         self._listed = {}
 
     def __contains__(self, job_id):
         return any(job_id in listed.job_ids for listed in self._listed.values())
 
-    def on_capacity_report(self, view):
+    def on_capacity_report(self, view, now):
         """Takes over the list of a report.
 
         After a take-over, the starts of earlier processes of the executor are rejected.
 
         Args:
             view: `LeasedView` of the executor.
+            now: Time, seconds.
         """
         if view.unsettled_peer_tasks:
-            job_ids = frozenset(map(job_id_of, view.unsettled_peer_tasks))
-            self._listed[view.process] = _Listed(job_ids)
+            tasks = frozenset(view.unsettled_peer_tasks)
+            job_ids = frozenset(map(job_id_of, tasks))
+            self._listed[view.process] = _Listed(tasks, job_ids, view.upstream)
         else:
             self._listed.pop(view.process, None)
         if self._listed and view.taken_over:
             for process in view.earlier_processes(self._listed):
-                del self._listed[process]
+                self._release(view, self._listed.pop(process), now)
+
+    def _release(self, view, listed, now):
+        if instance_of_key(listed.upstream) == instance_of_key(view.upstream):
+            until = listed.until or now + MAX_START_DELAY_S
+            self._pinned.pin(listed.tasks, view.name, listed.upstream, until)
 
     def on_link_down(self, view, now):
         """Keeps the list of a lost executor for the longest delay of a start."""
--- a/papayaward/coordination/run_activity.py
+++ b/papayaward/coordination/run_activity.py
@@ -13,8 +13,10 @@
 
 - what is active at the lifetime that confirmed it, which ends with its lease;
 - the requests to start it without a reply. The next lifetime of the upstream may
-  execute them whatever became of the lease, so only a take-over, another instance in
-  the upstream's place or the longest delay of a request settles them.
+  execute them whatever became of the lease, so only another instance in the upstream's
+  place or the longest delay of a request settles them for good. A take-over, a listed
+  end or an answered stop settles them at one lifetime: the run is over, but its task
+  may start on this upstream only (see `late_starts`).
 """
 
 import logging
@@ -22,7 +24,14 @@
 
 from .upstream_requests import MAX_START_DELAY_S, Delivery, LossEvidence
 
-__all__ = ["LOST", "Proof", "RunActivity", "may_be_executed_late", "proof_of_end"]
+__all__ = [
+    "LOST",
+    "Proof",
+    "RunActivity",
+    "may_be_executed_late",
+    "may_outlast_lifetime",
+    "proof_of_end",
+]
 
 log = logging.getLogger(__name__)
 
@@ -32,24 +41,32 @@
 
 
 class Proof(Enum):
-    """What shows that a run is not active and will not begin. The list is closed."""
+    """What shows that a run is not active and will not begin. The list is closed.
 
-    # No request to start it was sent, or the upstream has rejected each of them.
+    Each proof is about the lifetimes of the upstream up to the one that gave it, but
+    for those of `_PROOFS_OF_ALL_LIFETIMES`.
+    """
+
+    # No request to start it was sent, or the upstream rejects each of them.
     NOT_STARTED = "it was not started"
     # The upstream has listed its end.
     LISTED_END = "the upstream listed its end"
     # Its lease has ended on the upstream's clock, and no start may be executed late.
     LEASE_ENDED = "its lease has ended"
-    # A reply to a request of its own session came from another lifetime or instance.
-    REPLACED = "another lifetime or instance replied"
+    # A reply to a request of its own session came from a later lifetime.
+    OTHER_LIFETIME = "another lifetime replied"
+    # The same from another instance. No later lifetime executes its requests.
+    OTHER_INSTANCE = "another instance replied"
     # A later session has stopped what ran on the upstream, and the lifetime that is
-    # there rejects earlier requests. The lifetime after it may execute them: see
-    # `RunActivity.may_start_late`.
+    # there rejects earlier requests.
     TAKEN_OVER = "a later session has taken over the upstream"
     # The longest delay of a request has passed as well as the lease.
     TOO_LATE = "a late start is no longer possible"
 
 
+_PROOFS_OF_ALL_LIFETIMES = (Proof.OTHER_INSTANCE, Proof.TOO_LATE)
+
+
 class RunActivity:
     """Ends the runs of one executor, each with a `Proof`.
 
@@ -61,9 +78,6 @@
     def __init__(self, runs, finish):
         self._runs = runs
         self._finish = finish
-        # Time until which the next lifetime of the upstream may execute a start of a
-        # run that is over, seconds.
-        self._late_start_until = 0.0
 
     def on_listed_end(self, run, outcome, now):
         """Ends a run whose end the upstream has listed.
@@ -122,21 +136,15 @@
             if proof is not None:
                 self._lose(run, proof, now)
 
-    def on_unanswered_run_over(self, run):
-        """Remembers a run that is over while a request to start it had no reply."""
-        until = run.sent_at + MAX_START_DELAY_S
-        self._late_start_until = max(self._late_start_until, until)
-
     def may_start_late(self, now):
-        """Returns whether the next lifetime may execute starts.
-
-        These are starts of undecided runs, or of runs that are over here.
+        """Returns whether the next lifetime may execute starts of the runs.
 
         Args:
             now: Time, seconds.
         """
-        undecided = any(run.undecided for run in self._runs.values())
-        return undecided or now < self._late_start_until
+        return any(
+            run.undecided or now < run.late_start_until for run in self._runs.values()
+        )
 
     def _on_own_session_closed(self, run, evidence, now):
         run.session_closed = True
@@ -187,13 +195,22 @@
     """
     if run.delivery is Delivery.NOT_DELIVERED:
         return False
-    if run.unanswered:
+    if run.late_requests:
         return True
     if run.identified:
         return False
     return may_have_reached_other(max(run.sent_at, run.started_at))
 
 
+def may_outlast_lifetime(proof):
+    """Returns whether a later lifetime may execute requests despite a `Proof`.
+
+    Args:
+        proof: `Proof` that the run is over.
+    """
+    return proof not in _PROOFS_OF_ALL_LIFETIMES
+
+
 def proof_of_end(run, now):
     """Returns the `Proof` that time has ended a run whose session was closed, or None.
 
@@ -215,7 +232,7 @@
     """Returns the `Proof` that the loss of an instance ends a run, or None."""
     if evidence is LossEvidence.OTHER_INSTANCE:
         # Requests name the instance, so that no other one executes them.
-        return Proof.REPLACED
+        return Proof.OTHER_INSTANCE
     if evidence is LossEvidence.OTHER_LIFETIME and not run.undecided:
-        return Proof.REPLACED
+        return Proof.OTHER_LIFETIME
     return None
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -27,8 +27,9 @@
 
     Args:
         calls: `UpstreamCalls`.
-        poll: Function that takes a `PollRequest`, handles the ends that the reply
-            reports and returns the `UpstreamReply`, None if there was none.
+        poll: Function that takes a `PollRequest` and the number of earlier attempts
+            without a reply, handles the runs and ends that the reply lists and returns
+            the `UpstreamReply`, None if there was none.
         lease_end: Function of the current time that returns the time at which a lease
             that is sent now has to end, seconds.
         last_end: Function that returns the number of the last end that was reported.
@@ -41,19 +42,36 @@
         self._last_end = last_end
 
     def start(
-        self, task, run, spec, is_wanted, on_delivery, on_unanswered, on_identified
+        self,
+        task,
+        run,
+        spec,
+        is_wanted,
+        on_delivery,
+        on_unanswered,
+        on_identified,
+        has_earlier_starts=False,
     ):
         """Starts a run; see `UpstreamSession.start`."""
         unanswered = 0
         expires_ms = 0
         result = "rejected"
+        must_ask = has_earlier_starts
         delivery = DeliveryTracker(
             on_delivery, on_unanswered, on_identified, lambda: not self._calls.closed
         )
-        for _ in range(_START_ATTEMPTS):
+        for attempt in range(_START_ATTEMPTS):
             if self._calls.closed or not is_wanted():
                 result = "cancelled"
                 break
+            if must_ask:
+                state = self._ask(task, run, attempt)
+                if state is None or (state == "started" and not unanswered):
+                    continue
+                must_ask = False
+                # The end of an earlier submission's run may be listed.
+                if state == "started" or (state == "ended" and not is_wanted()):
+                    return state, run
             request = self._request(task, run, spec, clock.now())
             if request is None:
                 result = "cancelled"
@@ -62,6 +80,7 @@
                 outcome = self._calls.start(request, unanswered, delivery)
             except NoReply as error:
                 unanswered += 1
+                must_ask = True
                 expires_ms = max(expires_ms, request.lease_ms)
                 log.info(
                     "start_unanswered",
@@ -117,6 +136,23 @@
             attempt += 1
         return state
 
+    def _ask(self, task, run, attempt):
+        """Polls once and returns the state of a run.
+
+        Returns:
+            str: `started`, `ended`, `never`, or None if there was no reply or an
+                earlier run of the task has not ended yet.
+        """
+        request = PollRequest(self._calls.token.value, self._last_end())
+        reply = self._poll(request, attempt)
+        if reply is None:
+            return None
+        state = _listed_state(reply, task, run)
+        if reply.outcome != "ok" or state == "earlier":
+            gevent.sleep(_RETRY_S)
+            state = None
+        return state
+
     def _state_of(self, task, run):
         """Polls until the upstream replies and returns the state of a run.
 
@@ -129,8 +165,27 @@
             if reply is None:
                 gevent.sleep(_RETRY_S)
             elif reply.outcome == "ok":
-                if (task, run) in reply.running:
-                    return "started"
-                ended = any((end.task, end.run) == (task, run) for end in reply.ends)
-                return "ended" if ended else "never"
+                state = _listed_state(reply, task, run)
+                return "never" if state == "earlier" else state
         return "closed"
+
+
+def _listed_state(reply, task, run):
+    """Returns the state of a run that a reply to a poll lists.
+
+    Args:
+        reply: `UpstreamReply`.
+        task: Name of the task.
+        run: Number of the run.
+
+    Returns:
+        str: `started`, `ended`, `earlier` if only another run of the task is active, or
+            `never`.
+    """
+    if (task, run) in reply.running:
+        return "started"
+    if any((end.task, end.run) == (task, run) for end in reply.ends):
+        return "ended"
+    if any(other == task for other, _ in reply.running):
+        return "earlier"
+    return "never"
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -31,6 +31,7 @@
     "Unreachable",
     "UpstreamReply",
     "UpstreamState",
+    "instance_of_key",
 ]
 
 # Time after which a start without a reply has no effect any more: an upstream may
@@ -119,6 +120,15 @@
         return f"{self.instance}@{self.born_ms}"
 
 
+def instance_of_key(key):
+    """Returns the identifier of an instance.
+
+    Args:
+        key: `UpstreamState.key` of a lifetime of the instance; empty if there is none.
+    """
+    return key.rpartition("@")[0] or key
+
+
 @dataclass(frozen=True)
 class InstanceLoss:
     """The end of an upstream instance, as far as its requests showed it.
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -92,6 +92,11 @@
         """Lowest fencing token that is above all tokens of this session."""
         return self._calls.token.value + 1
 
+    @property
+    def instance(self):
+        """Identifier of the upstream instance."""
+        return self._calls.state.instance
+
     @property
     def taken_over(self):
         """Whether earlier starts take no effect any more and their runs have ended."""
@@ -149,11 +154,13 @@
         on_delivery=lambda delivery: None,
         on_unanswered=lambda count: None,
         on_identified=lambda: None,
+        has_earlier_starts=False,
     ):
         """Starts a run.
 
-        A request without a reply is sent again with the same number, which starts no
-        second run.
+        After a request without a reply the upstream is asked whether it has the run.
+        If not, the request is sent again with the same number, which starts no second
+        run.
 
         Args:
             task: Name of the task.
@@ -166,6 +173,9 @@
                 reply whenever it changes.
             on_identified: Function called when the lifetime of this session is known to
                 have begun the run.
+            has_earlier_starts: Whether a request to start an earlier run of the task
+                may still be executed. The upstream is polled first then, so that the
+                lifetime that is there rejects that request.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
@@ -173,7 +183,14 @@
                 the same or a higher number for the task.
         """
         return self._starter.start(
-            task, run, spec, is_wanted, on_delivery, on_unanswered, on_identified
+            task,
+            run,
+            spec,
+            is_wanted,
+            on_delivery,
+            on_unanswered,
+            on_identified,
+            has_earlier_starts,
         )
 
     def stop(self, task, run, is_needed=lambda: True):
@@ -229,6 +246,7 @@
         reply = self._poll_until_accepted()
         while reply.running:
             for task, run in reply.running:
+                log.info("run_found_at_take_over", extra={"task": task, "run": run})
                 self._calls.stop(task, run)
             gevent.sleep(_RETRY_S)
             reply = self._poll_until_accepted()
--- a/tests/activity_model.py
+++ b/tests/activity_model.py
@@ -15,9 +15,10 @@
 
 from papayaward.coordination.delivery_tracker import DeliveryTracker
 from papayaward.coordination.fencing_token import FencingToken
+from papayaward.coordination.late_starts import LateStarts
 from papayaward.coordination.lease_clock import LeaseClock
 from papayaward.coordination.leased_runs import Run
-from papayaward.coordination.run_activity import Proof, RunActivity
+from papayaward.coordination.run_activity import RunActivity
 from papayaward.coordination.upstream_requests import Delivery, LossEvidence
 from papayaward.protocol.jobs import Resources
 
@@ -31,13 +32,13 @@
 _UNLEASED_LOSS_S = 1.0
 _MAX_DELAY_S = 12.0
 _TOKEN_BASE = 10**12
-# Proofs that hold for the lifetime which gave them: its successor may execute requests
-# before the first one of the executor reaches it (what remains of issue 34).
-_PROOFS_OF_ONE_LIFETIME = (Proof.LISTED_END, Proof.TAKEN_OVER)
 
 
 class FalseProof(Exception):
-    """A run counts as over while it is active or may begin."""
+    """A run counts as over while it is active or may begin, or its task is released.
+
+    A task may start elsewhere only if no lifetime executes a request to start it.
+    """
 
 
 @dataclass
@@ -180,8 +181,9 @@
         self._instances = 0
         self._lifetimes = 0
         self._lowest_token = 1
-        # (task, run, instance, token, lease_ms) of each start that is under way.
-        self._late_starts = {}
+        # (run, instance, token) of each start that is under way.
+        self._under_way = {}
+        self._late_starts = LateStarts()
         self._trackers = {}
         # Names of the tasks whose start will be answered; it is sent again otherwise.
         self._answered = set()
@@ -364,7 +366,7 @@
         number, token = next(self._numbers), session.token.value
         until = self._now + self._rng.uniform(0.2, 0.95)
         lease_ms = session.lease.lease_ms(until)
-        self._late_starts[number] = run, session.instance, token, lease_ms
+        self._under_way[number] = run, session.instance, token
         tells_born = self._rng.random() < 0.6
 
         def on_reply(session, reply, sent_at):
@@ -390,7 +392,7 @@
                 self._now, run.task, run.run, token, lease_ms
             ),
             on_reply,
-            lambda: self._late_starts.pop(number),
+            lambda: self._under_way.pop(number),
         )
         if is_answered:
             self._answered.add(run.task)
@@ -414,9 +416,6 @@
         return run
 
     def _tracker(self, run, session):
-        def on_delivery(delivery):
-            run.delivery = delivery
-
         def on_unanswered(count):
             if count > run.unanswered:
                 run.sent_at = self._now
@@ -426,7 +425,10 @@
             run.identified = True
 
         return DeliveryTracker(
-            on_delivery, on_unanswered, on_identified, lambda: not session.closed
+            run.on_start_answered,
+            on_unanswered,
+            on_identified,
+            lambda: not session.closed,
         )
 
     def _stop(self):
@@ -467,11 +469,14 @@
         for task, number in reply.ends:
             run = self._runs.get(task)
             if run is not None and number >= run.run:
+                run.on_listed()
                 self._activity.on_listed_end(run, "stopped", self._now)
         for task, number in reply.active.items():
             run = self._runs.get(task)
             if run is not None and number >= run.run:
-                run.identified = True
+                run.on_listed()
+                if not run.session_closed:
+                    run.identified = True
         if not session.taken_over:
             self._take_over(session, reply)
 
@@ -495,6 +500,7 @@
             session.taken_over = True
             self._note("taken over")
             self._activity.on_taken_over(session, self._now)
+            self._late_starts.on_taken_over(session.instance)
 
     def _report(self):
         """A report names another lifetime: the next one, or one that has ended."""
@@ -504,6 +510,8 @@
 
     def _check(self):
         self._activity.check(self._now)
+        self._late_starts.forget_expired(self._now)
+        self._check_released()
         session = self._session
         if not session.is_up or not session.failing:
             return
@@ -534,27 +542,29 @@
         del self._runs[run.task]
         self.proofs.append(run.proof)
         self._note(f"{run.task} is over: {run.proof.value}")
-        if run.unanswered:
-            self._activity.on_unanswered_run_over(run)
-            if not self._session.closed:
-                self._session.token.raise_above_sent()
+        self._late_starts.on_run_over(run, now)
+        if run.late_requests and not self._session.closed:
+            self._session.token.raise_above_sent()
         self._check_proof(run)
+        self._check_released()
 
     def _check_proof(self, run):
         lifetime = self._lifetime
         lifetime.enforce_lease(self._now)
         if lifetime.active.get(run.task) == run.run:
             raise FalseProof(f"{run.task} is active: {run.proof.value}")
-        for started, instance, token, _ in self._late_starts.values():
-            if started is not run:
-                continue
-            if run.proof is Proof.REPLACED and instance != lifetime.instance:
-                continue
-            if run.proof in _PROOFS_OF_ONE_LIFETIME and (
-                run.proof is Proof.LISTED_END
-                or lifetime.crashed
-                or lifetime.born_ms != self._session.born_ms
-                or not lifetime.may_accept(run, token)
-            ):
+        for started, instance, token in self._under_way.values():
+            is_there = instance == lifetime.instance and not lifetime.crashed
+            if started is not run or not is_there:
                 continue
-            raise FalseProof(f"{run.task} may begin: {run.proof.value}")
+            # A proof is about the lifetimes that the session has seen.
+            is_seen = lifetime.born_ms == self._session.born_ms
+            if is_seen and lifetime.may_accept(run, token):
+                raise FalseProof(f"{run.task} may begin: {run.proof.value}")
+
+    def _check_released(self):
+        """Checks that no request can start a task that may start elsewhere."""
+        for run, instance, _ in self._under_way.values():
+            is_there = instance == self._lifetime.instance
+            if run.ended and is_there and run.task not in self._late_starts.tasks:
+                raise FalseProof(f"{run.task} is released: {run.proof.value}")
--- a/tests/replaced_upstream_case.py
+++ b/tests/replaced_upstream_case.py
@@ -27,19 +27,27 @@
         lifetime: The reachable `LeasedUpstream`, or None.
         reached_by_starts_only: Whether other requests get no reply yet.
         refuses: Whether connections are refused, whatever the lifetime does.
+        next_lifetime: `LeasedUpstream` that replaces the lifetime, which crashes, right
+            after it has answered the poll that follows a start without a reply.
     """
 
     def __init__(self, lifetime):
         self.lifetime = lifetime
         self.reached_by_starts_only = False
         self.refuses = False
+        self.next_lifetime = None
+        self._is_asked_next = False
 
     def start(self, instance, request, timeout_s, may_send=lambda: True):
         self._connect()
         if self.lifetime is None and not may_send():
             raise NoReply("not sent")
         self._wait(timeout_s)
-        return self.lifetime.start(instance, request, timeout_s, may_send)
+        try:
+            return self.lifetime.start(instance, request, timeout_s, may_send)
+        except NoReply:
+            self._is_asked_next = True
+            raise
 
     def stop(self, instance, task, run, fencing_token, timeout_s):
         self._connect()
@@ -49,7 +57,17 @@
     def poll(self, instance, request, timeout_s):
         self._connect()
         self._wait(timeout_s, self.reached_by_starts_only)
-        return self.lifetime.poll(instance, request, timeout_s)
+        is_replaced_next = self._is_asked_next and self.next_lifetime is not None
+        reply = self.lifetime.poll(instance, request, timeout_s)
+        if is_replaced_next:
+            self._replace_lifetime()
+        return reply
+
+    def _replace_lifetime(self):
+        self.lifetime.crash()
+        self.lifetime, self.next_lifetime = self.next_lifetime, None
+        # The reply to another request would end the session before the start arrives.
+        self.reached_by_starts_only = True
 
     def _connect(self):
         if self.refuses:
@@ -119,19 +137,15 @@
         self.first.crash()
 
     def start_at_the_second_lifetime(self, reached_by_starts_only=False):
-        """Sends a start while nothing is reachable; the second lifetime executes it.
+        """Sends a start without a reply twice; the second lifetime executes the second.
 
         Args:
             reached_by_starts_only: Whether other requests don't reach it afterwards.
         """
         gevent.sleep(0.3)
-        self.address.lifetime = None
+        self.first.fail_request("start")
+        self.address.next_lifetime = self.second
         self.send_start()
-        gevent.sleep(0.1)
-        self.first.crash()
-        # The reply to another request would end the session before the start arrives.
-        self.address.reached_by_starts_only = True
-        self.address.lifetime = self.second
         self.wait_for(lambda: self.second.records)
         self.address.reached_by_starts_only = reached_by_starts_only
 
--- a/tests/test_activity_orders.py
+++ b/tests/test_activity_orders.py
@@ -10,7 +10,8 @@
 
 from testtools import TestCase
 
-from papayaward.coordination import run_activity
+from papayaward.coordination import late_starts, run_activity
+from papayaward.coordination.leased_runs import Run
 from papayaward.coordination.run_activity import Proof
 from papayaward.coordination.upstream_requests import LossEvidence
 from tests.activity_model import FalseProof, Model
@@ -64,15 +65,30 @@
         """Guards against a search whose reports come only after a crash."""
 
         def proof_at_loss(run, evidence):
-            return Proof.REPLACED if evidence is LossEvidence.REPORTED else None
+            is_report = evidence is LossEvidence.REPORTED
+            return Proof.OTHER_LIFETIME if is_report else None
 
         self.check_finds("_proof_at_loss", proof_at_loss)
 
+    def test_search_finds_proofs_of_one_lifetime_taken_for_all(self):
+        """Guards against a search in which late starts end with their lifetime."""
+        with mock.patch.object(late_starts, "may_outlast_lifetime", lambda _: False):
+            self.assertIsNotNone(self.find_false_proof())
+
+    def test_search_finds_late_starts_counted_as_executed(self):
+        """Guards against a search whose lists never name a run without a reply."""
+
+        def on_listed(run):
+            run.has_executed_unanswered = True
+
+        with mock.patch.object(Run, "on_listed", on_listed):
+            self.assertIsNotNone(self.find_false_proof())
+
     def test_search_finds_undecided_starts_that_another_lifetime_ends(self):
         """Guards against a search whose later lifetimes execute no late starts."""
 
         def proof_at_loss(run, evidence):
             is_other = evidence is LossEvidence.OTHER_LIFETIME
-            return Proof.REPLACED if is_other else None
+            return Proof.OTHER_LIFETIME if is_other else None
 
         self.check_finds("_proof_at_loss", proof_at_loss)
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -21,6 +21,7 @@
 # Longer than a confirmed run continues after the link to its executor broke.
 _LOST_RUN_S = 1.1
 _TASK = "0123456789abcdef.0.0.0"
+_OTHER_TASK = "0123456789abcdef.0.0.1"
 # Values that another program may send as the list of unsettled tasks.
 _ODD_LISTS = (
     None,
@@ -221,8 +222,8 @@
         self.report(link, accepting=False, **values)
         return link
 
-    def test_next_process_resolves_starts_when_it_has_taken_over(self):
-        """Guards against tasks that wait although their runs were stopped for good."""
+    def take_over_by_the_next_process(self):
+        """Has a confirmed and an unsettled task, and returns both executors' links."""
         self.submit(tasks=2)
         self.report(self.first, 1, [_TASK])
         self.lose(self.first)
@@ -230,7 +231,32 @@
         other = self.connect("r2")
         self.assertEqual([], self.starts_after(0.2, link, other))
         self.report(link, accepting=False, taken_over=True)
-        self.assertEqual(2, len(self.starts_after(0.02, other)))
+        return link, other
+
+    def test_next_process_resolves_starts_when_it_has_taken_over(self):
+        """Guards against tasks that wait although their runs were stopped for good.
+
+        A request to start the unsettled one may be executed by the next lifetime.
+        """
+        link, other = self.take_over_by_the_next_process()
+        self.assertEqual([_OTHER_TASK], self.starts_after(0.02, other))
+        self.report(link)
+        self.assertEqual([_TASK], self.starts_after(0.02, link))
+
+    def test_unsettled_start_keeps_its_task_at_its_upstream_after_a_take_over(self):
+        """Guards against a second run beside a start at the lifetime after that."""
+        link, other = self.take_over_by_the_next_process()
+        self.lose(link)
+        last_s = MAX_START_DELAY_S - 0.3
+        self.assertEqual([_OTHER_TASK], self.starts_after(last_s, other))
+        self.assertEqual([_TASK, _OTHER_TASK], self.starts_after(0.2, other))
+
+    def test_unsettled_start_keeps_no_task_at_an_upstream_that_was_replaced(self):
+        """Guards against tasks that wait for an instance that executes nothing."""
+        link, other = self.take_over_by_the_next_process()
+        self.report(link, accepting=False, taken_over=True, upstream="i-2@7")
+        started = self.starts_after(0.02, other)
+        self.assertEqual([_TASK, _OTHER_TASK], started)
 
     def test_next_process_that_has_not_taken_over_resolves_nothing(self):
         """Guards against a second run beside one that nobody has stopped."""
--- a/tests/test_peer_starts.py
+++ b/tests/test_peer_starts.py
@@ -82,14 +82,26 @@
         self.assertEqual(0, self.starts_after(MAX_START_DELAY_S - 0.1))
         self.assertEqual(1, self.starts_after(0.2))
 
-    def test_take_over_by_the_next_process_settles_the_list(self):
-        """Guards against a job that waits although its run was stopped for good."""
+    def take_over_by_the_next_process(self, **values):
         self.report(self.first, [_TASK])
         self.scheduler.on_link_down(self.first, self.now)
         self.submit()
         link = self.connect("r1", incarnation=2, accepting=False)
         self.assertEqual(0, self.starts_after(0.1))
-        self.report(link, accepting=False, taken_over=True)
+        self.report(link, accepting=False, taken_over=True, **values)
+        return link
+
+    def test_take_over_by_the_next_process_settles_the_list(self):
+        """Guards against a job that waits although its run was stopped for good."""
+        link = self.take_over_by_the_next_process()
+        self.assertEqual(0, self.starts_after(0.02))
+        self.report(link)
+        self.assertEqual(0, self.starts_after(0.02))
+        self.assertEqual([_TASK], [start.task for start in link.starts()])
+
+    def test_take_over_of_another_instance_forgets_the_list(self):
+        """Guards against a job that waits for an upstream that executes nothing."""
+        self.take_over_by_the_next_process(upstream="i-2")
         self.assertEqual(1, self.starts_after(0.02))
 
     def test_same_process_that_is_back_tells_the_present_list(self):
--- /dev/null
+++ b/tests/test_pinned_tasks.py
@@ -0,0 +1,136 @@
+"""
+tests.test_pinned_tasks
+~~~~~~~~~~~~~~~~~~~~~~~
+
+Tasks that a later lifetime of an upstream may start by an earlier request.
+"""
+
+from testtools import TestCase
+
+from papayaward import clock
+from papayaward.coordination.job_scheduler import JobScheduler
+from papayaward.coordination.upstream_requests import MAX_START_DELAY_S
+from papayaward.protocol.gen import ttypes
+from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
+
+_JOB = "0123456789abcdef"
+_TASK = _JOB + ".0.0.0"
+_OTHER_TASK = _JOB + ".0.0.1"
+
+
+class PinnedTasksTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.scheduler = JobScheduler(lambda domain: False)
+        self.now = clock.now()
+        self.first = self.connect("r1")
+        self.other = self.connect("r2")
+
+    def connect(self, name, incarnation=1, **values):
+        link = FakeLink(name, "runner", incarnation)
+        self.scheduler.on_link_up(link, self.now)
+        self.report(link, **values)
+        self.scheduler.on_message(link, ttypes.RunningTasks([]), self.now)
+        return link
+
+    def report(self, link, pinned=None, ends=(), last_batch=0, **values):
+        """Sends a report that lists tasks which may start at its executor only."""
+        report = capacity_report(last_batch)
+        report.ends = list(ends)
+        report.room.late_start_tasks = pinned
+        for name, value in values.items():
+            setattr(report.room, name, value)
+        self.scheduler.on_message(link, report, self.now)
+
+    def submit(self, tasks=1, timeout_s=60.0):
+        request = job_request(_JOB, tasks, timeout_s)
+        return self.scheduler.submit(request, job_queue(slack_s=60.0), self.now)
+
+    def starts_after(self, seconds, link):
+        """Returns the tasks that start at an executor within some time."""
+        self.now += seconds
+        self.scheduler.check(self.now)
+        self.scheduler.schedule(self.now)
+        return sorted(start.task for start in link.starts())
+
+    def test_job_that_is_submitted_again_starts_at_its_upstream_only(self):
+        """Guards against a second run beside a late start for another entry."""
+        self.report(self.first, [_TASK], accepting=False)
+        self.submit()
+        self.assertEqual([], self.starts_after(5.0, self.other))
+        self.report(self.first, [_TASK])
+        self.assertEqual([], self.starts_after(0.02, self.other))
+        self.assertEqual([_TASK], self.starts_after(0.02, self.first))
+
+    def test_pinned_task_does_not_hold_up_the_other_tasks_of_its_job(self):
+        """Guards against a job that waits as a whole for one upstream."""
+        self.report(self.first, [_TASK], accepting=False)
+        self.submit(tasks=2)
+        self.assertEqual([_OTHER_TASK], self.starts_after(0.02, self.other))
+
+    def test_task_starts_anywhere_when_the_executor_lists_it_no_more(self):
+        """Guards against a task that waits for a request that nobody executes."""
+        self.report(self.first, [_TASK], accepting=False)
+        self.submit()
+        self.assertEqual([], self.starts_after(0.02, self.other))
+        self.report(self.first, accepting=False)
+        self.assertEqual([_TASK], self.starts_after(0.02, self.other))
+
+    def test_list_of_a_lost_executor_holds_for_the_longest_delay(self):
+        """Guards against a second run if the executor is lost as well."""
+        self.report(self.first, [_TASK])
+        self.scheduler.on_link_down(self.first, self.now)
+        self.submit()
+        last_s = MAX_START_DELAY_S - 0.1
+        self.assertEqual([], self.starts_after(last_s, self.other))
+        self.assertEqual([_TASK], self.starts_after(0.2, self.other))
+
+    def test_next_process_does_not_release_the_list_of_the_one_before(self):
+        """Guards against a lifetime after the one that has been taken over."""
+        self.report(self.first, [_TASK])
+        self.scheduler.on_link_down(self.first, self.now)
+        self.submit()
+        self.connect("r1", 2, accepting=False, taken_over=True)
+        self.assertEqual([], self.starts_after(5.0, self.other))
+
+    def test_list_ends_when_another_instance_has_been_taken_over(self):
+        """Guards against a task that waits for an upstream that was replaced."""
+        self.report(self.first, [_TASK], accepting=False)
+        self.scheduler.on_link_down(self.first, self.now)
+        self.submit()
+        self.assertEqual([], self.starts_after(0.02, self.other))
+        self.connect("r1", 2, accepting=False, taken_over=True, upstream="i-2@5")
+        self.assertEqual([_TASK], self.starts_after(0.02, self.other))
+
+    def test_job_with_a_pinned_task_is_not_answered_as_not_run(self):
+        """Guards against a caller who is told that nothing runs before a late start."""
+        self.report(self.first, [_TASK], accepting=False)
+        job = self.submit(timeout_s=1.0)
+        self.assertEqual([], self.starts_after(1.1, self.other))
+        self.assertEqual("unknown", job.outcome.kind)
+
+    def test_task_that_two_upstreams_may_start_waits(self):
+        """Guards against a start at one of two upstreams beside a late one."""
+        self.report(self.first, [_TASK])
+        self.report(self.other, [_TASK])
+        self.submit()
+        self.assertEqual([], self.starts_after(0.02, self.first))
+        self.assertEqual([], self.starts_after(0.02, self.other))
+        self.report(self.other)
+        self.assertEqual([_TASK], self.starts_after(0.02, self.first))
+
+    def test_refused_start_of_a_pinned_task_is_not_repeated_at_once(self):
+        """Guards against an executor that is asked hundreds of times a second."""
+        self.report(self.first, [_TASK])
+        self.submit()
+        self.assertEqual([_TASK], self.starts_after(0.02, self.first))
+        refusal = ttypes.TaskEnd(_TASK, 1, "not_run:unhealthy", 0)
+        self.report(self.first, [_TASK], [refusal], last_batch=1)
+        self.assertEqual([_TASK], self.starts_after(0.02, self.first))
+        self.assertEqual([_TASK, _TASK], self.starts_after(0.1, self.first))
+
+    def test_odd_names_pin_nothing(self):
+        """Guards against a list of another program that stops all jobs."""
+        self.report(self.first, ["", ".", "x" * (1 << 20), "\ud800"], accepting=False)
+        self.submit()
+        self.assertEqual([_TASK], self.starts_after(0.02, self.other))
--- a/tests/test_run_activity.py
+++ b/tests/test_run_activity.py
@@ -103,7 +103,7 @@
         evidences = (LossEvidence.SILENT, LossEvidence.OTHER_LIFETIME)
         at_end = {"now": LEASED_UNTIL, "sent_at": IDENTIFIED_AT + 0.1}
         self.assertEqual([None, None], self.close_each(*evidences, **at_end))
-        proofs = [Proof.LEASE_ENDED, Proof.REPLACED]
+        proofs = [Proof.LEASE_ENDED, Proof.OTHER_LIFETIME]
         at_end["identified"] = True
         self.assertEqual(proofs, self.close_each(*evidences, **at_end))
         at_end = {"now": LEASED_UNTIL, "sent_at": IDENTIFIED_AT - 1.0}
@@ -118,7 +118,7 @@
         """Guards against tasks that wait for an upstream that never returns."""
         start = {"delivery": Delivery.UNANSWERED, "unanswered": 2}
         proofs = self.close_each(LossEvidence.OTHER_INSTANCE, **start)
-        self.assertEqual([Proof.REPLACED], proofs)
+        self.assertEqual([Proof.OTHER_INSTANCE], proofs)
 
     def test_reply_of_another_instance_ends_no_run_of_an_earlier_session(self):
         """Guards against a second run if the instance that was lost is the one there.
@@ -167,15 +167,6 @@
         self.activity.check(LEASED_UNTIL + MAX_START_DELAY_S)
         self.assertEqual(Proof.TOO_LATE, run.proof)
 
-    def test_latest_start_of_the_runs_that_are_over_counts(self):
-        """Guards against an upstream given up while it may execute a start late."""
-        for sent_at in (100.0, 90.0):
-            self.activity.on_unanswered_run_over(self.add(sent_at=sent_at))
-            self.runs.clear()
-        until = 100.0 + MAX_START_DELAY_S
-        self.assertTrue(self.activity.may_start_late(until - 0.1))
-        self.assertFalse(self.activity.may_start_late(until))
-
     def test_run_is_over_once(self):
         """Guards against two ends of one run, of which the second one is counted."""
         run = self.add()
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -20,15 +20,9 @@
 
     def start_at_mute_lifetime(self):
         """Has the second lifetime execute a start without a reply and refuse stops."""
-        gevent.sleep(0.3)
-        self.address.lifetime = None
-        self.send_start()
-        gevent.sleep(0.3)
-        self.first.crash()
         self.second.mute(60.0)
         self.second.is_unhealthy = lambda name: name == "stop"
-        self.address.lifetime = self.second
-        self.wait_for(lambda: self.second.records)
+        self.start_at_the_second_lifetime()
 
     def test_unanswered_start_is_not_lost_when_a_silent_lease_ends(self):
         """Guards against a second run beside the one at the next lifetime."""
