--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -436,6 +436,7 @@
                     "executor": executor.name,
                     "upstream": executor.upstream,
                     "sent_s": round(now - task.sent_at, 3),
+                    "pinned": self._lost.is_pinned(task.name),
                 },
             )
         self._enqueue(task.job)
