Tell all entries of starts without a reply while they are wanted

What callers could see: two runs of a task at once. An executor's process dies while a start has no reply; its entry holds the task back and answers the job as unknown at its deadline; the caller submits it to another entry, which knew nothing of the start and began the task elsewhere, beside a late start at the executor's upstream.

Executors told other entries only of starts that were to be stopped or were undecided. They now tell them of each task with a request that had no reply, so that the list is there when the process dies; entries hold the job back until the next process has taken over, and keep the task at that executor then.

Evidence: test_start_without_a_reply_is_told_to_the_others_while_it_is_wanted failed before. test_start_for_a_dead_entry_is_told_to_the_others no longer asks that nothing is told before the entry dies, which was the gap; a test asks instead that confirmed starts are not told.

--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -253,8 +253,9 @@
 def unsettled_tasks(runs, owner):
     """Returns the tasks whose start may still be executed, as far as an entry asks.
 
-    Of other entries only starts that are no longer wanted, or that the next lifetime
-    of the upstream may execute, concern it: their jobs may be submitted to it.
+    Of other entries only starts that are no longer wanted, or that a later lifetime of
+    the upstream may execute, concern it: their jobs may be submitted to it, also after
+    this process has died.
 
     Args:
         runs: `Run` of each run.
@@ -269,7 +270,7 @@
             continue
         if run.owner is owner:
             own.append(run.task)
-        elif run.stopping or run.undecided:
+        elif run.stopping or run.undecided or run.late_start_until:
             of_peers.append(run.task)
     return own, of_peers
 
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -221,7 +221,7 @@
 // missing if there are none. taken_over tells whether the starts of earlier processes of
 // the executor take no effect any more and their runs have ended. unsettled_peer_tasks
 // lists tasks of other entries whose start may still be executed although they are to be
-// stopped or are undecided; missing if there are none. late_start_tasks lists the tasks of
+// stopped or are undecided, or a request to start them had no reply; missing if there are none. late_start_tasks lists the tasks of
 // all entries without a run here of which a request to start one may still be executed,
 // by a later lifetime of the upstream: they may start here only; missing if there are none.
 struct RoomReport {
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -123,7 +123,6 @@
         # The upstream would reject the start after the stop.
         self.upstream.fail_request("stop", times=10_000)
         self.start_without_replies()
-        self.assertIsNone(_last_report(other).unsettled_peer_tasks)
         self.link.heartbeats.kill()
         self.executor.on_link_down(self.link, clock.now())
         self.wait_for(lambda: _last_report(other).unsettled_peer_tasks, seconds=1.2)
@@ -131,6 +130,24 @@
         self.wait_for(lambda: not self.executor.running, seconds=5.0)
         self.wait_for(lambda: not _last_report(other).unsettled_peer_tasks)
 
+    def test_start_without_a_reply_is_told_to_the_others_while_it_is_wanted(self):
+        """Guards against a second run if the executor's process dies next.
+
+        Its entry answers the job as unknown, and the caller submits it to another one.
+        """
+        other = self.connect("e2")
+        self.start_without_replies()
+        self.wait_for(lambda: _last_report(other).unsettled_peer_tasks, seconds=0.5)
+        self.assertEqual([_TASK], _last_report(other).unsettled_peer_tasks)
+
+    def test_confirmed_start_is_not_told_to_the_others(self):
+        """Guards against jobs that are held back for a run that they own."""
+        other = self.connect("e2")
+        self.start()
+        self.wait_for(lambda: self.upstream.running)
+        gevent.sleep(0.5)
+        self.assertIsNone(_last_report(other).unsettled_peer_tasks)
+
     def test_start_that_was_not_sent_yet_is_listed(self):
         """Guards against a start that is sent after a report has confirmed it."""
         self.start()
