Send no start after its run has ended while the upstream was asked for it

What callers saw: two runs of one task at once, if the upstream crashes meanwhile.

Cause: a start without a reply is repeated only after a poll, which takes up to its timeout. Whether the run was still wanted was checked before that poll alone. If another poll lists and acknowledges the end of the run first, the one that asks no longer finds the run, and the start was sent once more. The run was over by then, with one request counted as executed, so that nobody counted the other one: the task was not listed among those that may start late, and the next lifetime executed it beside a run elsewhere. A connection that takes long to be made left the same gap.

Why this works: the last check before a request is sent also asks whether the run is wanted, and a run that is over is not. The check after the poll spares the connection.

--- a/papayaward/coordination/delivery_tracker.py
+++ b/papayaward/coordination/delivery_tracker.py
@@ -19,8 +19,9 @@
             whenever it changes.
         on_identified: Function called when the lifetime of the session is known to have
             begun the run.
-        is_open: Function that returns whether the session is open. Once it is closed,
-            the executor has reported what was not sent as not run.
+        is_open: Function that returns whether the session is open and the run wanted.
+            Otherwise the executor may have reported what was not sent as not run, and
+            may count no further request to start the run.
     """
 
     def __init__(self, on_delivery, on_unanswered, on_identified, is_open):
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -58,7 +58,10 @@
         result = "rejected"
         must_ask = has_earlier_starts
         delivery = DeliveryTracker(
-            on_delivery, on_unanswered, on_identified, lambda: not self._calls.closed
+            on_delivery,
+            on_unanswered,
+            on_identified,
+            lambda: not self._calls.closed and is_wanted(),
         )
         for attempt in range(_START_ATTEMPTS):
             if self._calls.closed or not is_wanted():
@@ -73,7 +76,8 @@
                 if state == "started" or (state == "ended" and not is_wanted()):
                     return state, run
             request = self._request(task, run, spec, clock.now())
-            if request is None:
+            # While the upstream was asked, another poll may have listed the end.
+            if request is None or not is_wanted():
                 result = "cancelled"
                 break
             try:
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -144,6 +144,46 @@
         self.assertEqual(["done"], [end.outcome for end in self.ends])
         self.assertEqual([], upstream.ends)
 
+    def test_start_is_not_sent_again_when_the_end_of_its_run_has_been_listed(self):
+        """Guards against a request that nobody counts, as its run is over.
+
+        A poll that asks for the run may be overtaken by the one that acknowledges its
+        end. The next lifetime would execute the request beside a run elsewhere.
+        """
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        send_start, send_poll, sent = upstream.start, upstream.poll, []
+
+        def start(instance, request, timeout_s, may_send):
+            sent.append(request.run)
+            return send_start(instance, request, timeout_s, may_send)
+
+        def poll(instance, request, timeout_s):
+            while (
+                sent and not request.wait_ms and not (self.ends and not upstream.ends)
+            ):
+                gevent.sleep(0.005)
+            return send_poll(instance, request, timeout_s)
+
+        upstream.start, upstream.poll = start, poll
+        upstream.fail_request("start", delay_s=0.0)
+        self.start(session, work_ms=20)
+        self.assertEqual([1], sent)
+
+    def test_start_is_not_sent_when_its_run_is_over_before_the_connection_is_made(self):
+        """Guards against the same while a connection is made."""
+        upstream = LeasedUpstream()
+        session = self.open_ready(upstream)
+        send_start = upstream.start
+
+        def start(instance, request, timeout_s, may_send):
+            self.is_wanted = False
+            return send_start(instance, request, timeout_s, may_send)
+
+        upstream.start = start
+        self.start(session)
+        self.assertEqual([], upstream.records)
+
     def test_unanswered_start_that_never_took_effect_is_sent_again(self):
         """Guards against a task that waits for a lost start request."""
         upstream = LeasedUpstream()
