Tell late starts once, and do not wait long for the poll after a lost reply

Cause: the poll after a start without a reply counted as one of six attempts and was waited for up to its timeout, so that a start was given up after three requests; and each report listed all late starts, also those of runs that are done.

The poll is waited for 0.02 s and is no attempt; without a reply the request is repeated as before. Only a task with an earlier late start waits for the reply. A late start is told once on each link, with the time that is left; the entry forgets it by its own clock. So nothing has to be told when a late start has expired.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -51,8 +51,6 @@
         upstream: Key of the upstream instance; empty if there is none.
         taken_over: Whether the starts of earlier processes take no effect on the
             upstream any more and their runs have ended.
-        late_starts: Names of the tasks without a run that a later lifetime of the
-            upstream may start.
     """
 
     free: Resources
@@ -61,7 +59,6 @@
     labels: tuple
     upstream: str
     taken_over: bool
-    late_starts: tuple = ()
 
 
 def report_due_at(owner, capacity, needs, isolated, now):
@@ -105,13 +102,15 @@
             isolated jobs of other entries.
         unsettled: Function that takes an `Owner` and returns the names of its tasks
             whose start may still be executed, and of such tasks of other entries.
+        late_starts: `LateStarts`.
     """
 
-    def __init__(self, owners, capacity, isolated_peer_jobs, unsettled):
+    def __init__(self, owners, capacity, isolated_peer_jobs, unsettled, late_starts):
         self._owners = owners
         self._capacity = capacity
         self._isolated_peer_jobs = isolated_peer_jobs
         self._unsettled = unsettled
+        self._late_starts = late_starts
         # Resources needed by the most recent kinds of tasks, the oldest first.
         self._needs = {}
         self._pending = Event()
@@ -153,9 +152,19 @@
         unsettled, of_peers = self._unsettled(owner)
         owner.reported_unsettled, owner.has_settled = bool(unsettled), False
         owner.reported_batch = owner.last_batch
-        report = _capacity_report(owner, capacity, unsettled, of_peers)
+        late_starts = self._new_late_starts(owner, now)
+        report = _capacity_report(owner, capacity, unsettled, of_peers, late_starts)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
+    def _new_late_starts(self, owner, now):
+        """Returns the `LateStart` of each task that the entry was not told of yet."""
+        added = self._late_starts.added_after(owner.reported_late_starts)
+        owner.reported_late_starts = self._late_starts.additions
+        return [
+            ttypes.LateStart(task, int((until - now) * 1000) + 1)
+            for task, until in added.items()
+        ]
+
     def _run(self):
         wait_s = None
         while True:
@@ -193,7 +202,7 @@
     return capacity.accepting and not owner.released
 
 
-def _capacity_report(owner, capacity, unsettled, unsettled_of_peers):
+def _capacity_report(owner, capacity, unsettled, unsettled_of_peers, late_starts):
     peer_runs, peer_ratio = owner.take_peer_ratio()
     return ttypes.RoomReport(
         owner.last_batch,
@@ -208,5 +217,5 @@
         unsettled or None,
         capacity.taken_over,
         unsettled_of_peers or None,
-        list(capacity.late_starts) or None,
+        late_starts or None,
     )
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -28,10 +28,12 @@
     Attributes:
         instance: Identifier of the upstream instance that they name.
         until: Time at which they are not executed any more, seconds.
+        number: Number of this addition to the tasks, from 1.
     """
 
     instance: str
     until: float
+    number: int
 
 
 class LateStarts:
@@ -40,14 +42,32 @@
     def __init__(self):
         # `_LateStart` by the name of the task.
         self._starts = {}
+        self._additions = 0
+
+    def __contains__(self, task):
+        return task in self._starts
 
     def __bool__(self):
         return bool(self._starts)
 
     @property
-    def tasks(self):
-        """Names of the tasks."""
-        return list(self._starts)
+    def additions(self):
+        """Number of additions to the tasks so far."""
+        return self._additions
+
+    def added_after(self, number):
+        """Returns the time until which the latest tasks may start late, by name.
+
+        Args:
+            number: Value of `additions` before them.
+        """
+        if number == self._additions:
+            return {}
+        return {
+            task: start.until
+            for task, start in self._starts.items()
+            if start.number > number
+        }
 
     def on_run_accepted(self, run):
         """Has a new run of a task bear the earlier requests to start it.
@@ -69,7 +89,9 @@
         until = run.late_start_until
         if until <= now or not may_outlast_lifetime(run.proof):
             return
-        self._starts[run.task] = _LateStart(run.session.instance, until)
+        self._additions += 1
+        start = _LateStart(run.session.instance, until, self._additions)
+        self._starts[run.task] = start
         log.info(
             "late_start_possible",
             extra={
@@ -95,15 +117,10 @@
 
         Args:
             now: Time, seconds.
-
-        Returns:
-            bool: Whether there were any.
         """
-        return self._keep(lambda start: now < start.until)
+        self._keep(lambda start: now < start.until)
 
     def _keep(self, is_kept):
-        before = len(self._starts)
         self._starts = {
             task: start for task, start in self._starts.items() if is_kept(start)
         }
-        return len(self._starts) < before
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -80,6 +80,7 @@
             self._capacity,
             self._isolated_peer_jobs,
             lambda owner: unsettled_tasks(self._runs.values(), owner),
+            self._late_starts,
         )
         gevent.spawn(repeat, self._tick)
 
@@ -487,8 +488,7 @@
         self._current.check(now)
         self._suspected.check(now)
         self._activity.check(now)
-        if self._late_starts.forget_expired(now):
-            self._on_capacity_changed()
+        self._late_starts.forget_expired(now)
         if not self._late_starts and not self._activity.may_start_late(now):
             self._current.stop_awaiting(now)
         self._forget_deregistered()
@@ -527,5 +527,4 @@
             self.state.labels,
             self.state.key,
             session is not None and session.taken_over,
-            tuple(self._late_starts.tasks),
         )
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -208,6 +208,8 @@
     reported_unsettled: bool = False
     has_settled: bool = False
     reported_batch: int = 0
+    # `LateStarts.additions` at the last report on the present link.
+    reported_late_starts: int = 0
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -35,8 +35,8 @@
         self.taken_over = False
         # Names of the tasks of other entries whose start may still be executed.
         self.unsettled_peer_tasks = ()
-        # Names of the tasks that may start at this executor only.
-        self.late_start_tasks = ()
+        # `LateStart` of the tasks that the last report has added.
+        self.late_starts = ()
         # Number of isolated jobs of other entries.
         self.isolated_peer_jobs = 0
         self.tasks = {}
@@ -167,4 +167,4 @@
         self._acknowledged_batch = report.last_batch or 0
         self._unsettled = frozenset(report.unsettled or ())
         self.unsettled_peer_tasks = report.unsettled_peer_tasks or ()
-        self.late_start_tasks = report.late_start_tasks or ()
+        self.late_starts = report.late_starts or ()
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -139,7 +139,6 @@
         Args:
             view: `LeasedView` of the executor.
         """
-        self._pinned.on_link_up(view)
         lost = self._processes.get(view.process)
         if lost is not None:
             lost.lost_at = None
@@ -152,7 +151,6 @@
             tasks: `Task` of each of them.
             now: Time, seconds.
         """
-        self._pinned.on_link_down(view, now)
         self._peer_starts.on_link_down(view, now)
         lost = self._processes.get(view.process)
         if lost is not None:
@@ -192,7 +190,7 @@
             view: `LeasedView` of an executor that has sent a report.
             now: Time, seconds.
         """
-        self._pinned.on_capacity_report(view)
+        self._pinned.on_capacity_report(view, now)
         self._peer_starts.on_capacity_report(view, now)
         if not self._processes or not view.taken_over:
             return
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -13,42 +13,38 @@
 from dataclasses import dataclass
 
 from ..state.crash_records import job_id_of
-from .upstream_requests import MAX_START_DELAY_S, instance_of_key
+from .upstream_requests import instance_of_key
 
 __all__ = ["PinnedTasks"]
 
+_EXPIRY_INTERVAL_S = 0.1
 
-@dataclass
-class _Pins:
-    """Tasks whose late starts go to one upstream.
+
+@dataclass(frozen=True)
+class _Pin:
+    """A late start of a task.
 
     Attributes:
-        executor: Name of its executor.
-        instance: Identifier of the upstream instance.
-        tasks: Names of the tasks.
-        until: Time from which no request is executed any more, seconds; None while the
-            executor's process is linked and lists them.
+        instance: Identifier of the upstream instance that executes it.
+        until: Time from which it is not executed any more, seconds.
     """
 
-    executor: str
     instance: str
-    tasks: frozenset
-    until: float | None
+    until: float
 
 
 class PinnedTasks:
     """Which tasks may start at one executor only, and at which one."""
 
     def __init__(self):
-        # `_Pins` that a process of an executor has listed, by `LeasedView.process`.
-        self._listed = {}
-        # `_Pins` of tasks that a later process of the executor has released.
-        self._released = []
-        # Names of the executors by task.
-        self._executors = {}
+        # `_Pin` by the name of the task, then by that of the executor.
+        self._pins = {}
+        # Identifier of the latest instance taken over, by the name of its executor.
+        self._instances = {}
+        self._next_expiry_at = 0.0
 
     def __contains__(self, task_name):
-        return task_name in self._executors
+        return task_name in self._pins
 
     def may_start_at(self, task_name, executor_name):
         """Returns whether no late start at another executor keeps a task from one.
@@ -57,8 +53,8 @@
             task_name: Name of the task.
             executor_name: Name of the executor.
         """
-        executors = self._executors.get(task_name)
-        return executors is None or executors == {executor_name}
+        pins = self._pins.get(task_name)
+        return pins is None or pins.keys() == {executor_name}
 
     def has_job(self, job_id):
         """Returns whether a task of a job may still be started by an earlier request.
@@ -66,10 +62,10 @@
         Args:
             job_id: Identifier of the job.
         """
-        return any(job_id_of(name) == job_id for name in self._executors)
+        return any(job_id_of(name) == job_id for name in self._pins)
 
     def pin(self, task_names, executor_name, upstream, until):
-        """Pins tasks whose executor's process has ended.
+        """Pins tasks to an executor.
 
         Args:
             task_names: Names of the tasks.
@@ -77,48 +73,30 @@
             upstream: Key of the upstream instance that they were sent to.
             until: Time from which no request is executed any more, seconds.
         """
-        names = frozenset(task_names)
-        if names:
-            instance = instance_of_key(upstream)
-            self._released.append(_Pins(executor_name, instance, names, until))
-            self._update()
+        instance = instance_of_key(upstream)
+        for name in task_names:
+            pins = self._pins.setdefault(name, {})
+            last = pins.get(executor_name)
+            latest = until if last is None else max(until, last.until)
+            pins[executor_name] = _Pin(instance, latest)
 
-    def on_capacity_report(self, view):
-        """Takes over the list of a report.
+    def on_capacity_report(self, view, now):
+        """Pins the tasks that a report adds.
 
         Once another instance has been taken over, no request to the one before is
         executed any more.
 
-        Args:
-            view: `LeasedView` of the executor.
-        """
-        names = frozenset(view.late_start_tasks)
-        listed = self._listed.get(view.process)
-        if names != (frozenset() if listed is None else listed.tasks):
-            self._list(view, names)
-        if self._executors and view.taken_over:
-            self._forget_other_instances(view)
-
-    def on_link_down(self, view, now):
-        """Keeps the list of a lost executor for the longest delay of a start.
-
         Args:
             view: `LeasedView` of the executor.
             now: Time, seconds.
         """
-        listed = self._listed.get(view.process)
-        if listed is not None:
-            listed.until = now + MAX_START_DELAY_S
-
-    def on_link_up(self, view):
-        """Keeps the list of a process while it is linked.
-
-        Args:
-            view: `LeasedView` of the executor.
-        """
-        listed = self._listed.get(view.process)
-        if listed is not None:
-            listed.until = None
+        for start in view.late_starts:
+            until = now + start.remaining_ms / 1000.0
+            self.pin([start.task], view.name, view.upstream, until)
+        name, instance = view.name, instance_of_key(view.upstream)
+        if view.taken_over and self._instances.get(name) != instance:
+            self._instances[name] = instance
+            self._keep(lambda at, pin: at != name or pin.instance == instance)
 
     def forget_expired(self, now):
         """Removes the tasks that no earlier request can start any more.
@@ -126,31 +104,14 @@
         Args:
             now: Time, seconds.
         """
-        if self._executors:
-            self._keep(lambda pins: pins.until is None or now < pins.until)
-
-    def _list(self, view, names):
-        self._listed.pop(view.process, None)
-        if names:
-            instance = instance_of_key(view.upstream)
-            self._listed[view.process] = _Pins(view.name, instance, names, None)
-        self._update()
-
-    def _forget_other_instances(self, view):
-        instance = instance_of_key(view.upstream)
-        self._keep(lambda pins: pins.executor != view.name or pins.instance == instance)
+        if now >= self._next_expiry_at:
+            self._next_expiry_at = now + _EXPIRY_INTERVAL_S
+            self._keep(lambda at, pin: now < pin.until)
 
     def _keep(self, is_kept):
-        before = len(self._listed) + len(self._released)
-        self._listed = {
-            process: pins for process, pins in self._listed.items() if is_kept(pins)
-        }
-        self._released = [pins for pins in self._released if is_kept(pins)]
-        if len(self._listed) + len(self._released) < before:
-            self._update()
-
-    def _update(self):
-        self._executors = {}
-        for pins in (*self._listed.values(), *self._released):
-            for name in pins.tasks:
-                self._executors.setdefault(name, set()).add(pins.executor)
+        for name, pins in list(self._pins.items()):
+            kept = {at: pin for at, pin in pins.items() if is_kept(at, pin)}
+            if kept:
+                self._pins[name] = kept
+            else:
+                del self._pins[name]
--- a/papayaward/coordination/run_owners.py
+++ b/papayaward/coordination/run_owners.py
@@ -58,6 +58,7 @@
         owner.link, owner.disconnected_at = link, None
         owner.released = False
         owner.capacity_changed = True
+        owner.reported_late_starts = 0
         # The entry numbers the batches of each link from 1.
         owner.last_batch = 0
         if not owner.runs:
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -20,6 +20,8 @@
 
 _START_ATTEMPTS = 6
 _RETRY_S = 0.05
+# Time for which a start without a reply waits for the poll that may list its run.
+_ASK_TIMEOUT_S = 0.02
 
 
 class RunStarter:
@@ -56,40 +58,32 @@
         unanswered = 0
         expires_ms = 0
         result = "rejected"
-        must_ask = has_earlier_starts
-        delivery = DeliveryTracker(
-            on_delivery,
-            on_unanswered,
-            on_identified,
-            lambda: not self._calls.closed and is_wanted(),
-        )
-        for attempt in range(_START_ATTEMPTS):
-            if self._calls.closed or not is_wanted():
-                result = "cancelled"
-                break
-            if must_ask:
-                state = self._ask(task, run, attempt)
-                if state is None or (state == "started" and not unanswered):
-                    continue
-                must_ask = False
-                # The end of an earlier submission's run may be listed.
-                if state == "started" or (state == "ended" and not is_wanted()):
-                    return state, run
+
+        def may_send():
+            return not self._calls.closed and is_wanted()
+
+        delivery = DeliveryTracker(on_delivery, on_unanswered, on_identified, may_send)
+        if has_earlier_starts and not self._fence_off_earlier(task, may_send):
+            return result, run
+        for _ in range(_START_ATTEMPTS):
             request = self._request(task, run, spec, clock.now())
             # While the upstream was asked, another poll may have listed the end.
-            if request is None or not is_wanted():
+            if request is None or not may_send():
                 result = "cancelled"
                 break
             try:
                 outcome = self._calls.start(request, unanswered, delivery)
             except NoReply as error:
                 unanswered += 1
-                must_ask = True
                 expires_ms = max(expires_ms, request.lease_ms)
                 log.info(
                     "start_unanswered",
                     extra={"task": task, "run": run, "error": str(error)},
                 )
+                state = self._ask(task, run)
+                # The end of an earlier submission's run may be listed.
+                if state == "started" or (state == "ended" and not is_wanted()):
+                    return state, run
                 continue
             if outcome == "started":
                 return outcome, run
@@ -140,22 +134,45 @@
             attempt += 1
         return state
 
-    def _ask(self, task, run, attempt):
-        """Polls once and returns the state of a run.
+    def _fence_off_earlier(self, task, may_send):
+        """Polls until the upstream has replied and runs no earlier run of a task.
+
+        From the reply on it rejects requests with the tokens of earlier runs.
+
+        Args:
+            task: Name of the task.
+            may_send: Function that returns whether its start may still be sent.
 
         Returns:
-            str: `started`, `ended`, `never`, or None if there was no reply or an
-                earlier run of the task has not ended yet.
+            bool: Whether a start may be sent.
         """
-        request = PollRequest(self._calls.token.value, self._last_end())
-        reply = self._poll(request, attempt)
-        if reply is None:
-            return None
-        state = _listed_state(reply, task, run)
-        if reply.outcome != "ok" or state == "earlier":
+        for attempt in range(_START_ATTEMPTS):
+            if not may_send():
+                return False
+            request = PollRequest(self._calls.token.value, self._last_end())
+            reply = self._poll(request, attempt)
+            if reply is not None and reply.outcome == "ok":
+                if not any(other == task for other, _ in reply.running):
+                    return True
             gevent.sleep(_RETRY_S)
-            state = None
-        return state
+        return False
+
+    def _ask(self, task, run):
+        """Polls once and returns the state of a run whose start had no reply.
+
+        The next request to start it does not wait for a poll that is not answered soon:
+        where replies are lost, that would cost more than a request too many.
+
+        Returns:
+            str: `started`, `ended`, `never`, or empty if there was no reply in time.
+        """
+        request = PollRequest(self._calls.token.value, self._last_end())
+        asked = gevent.spawn(self._poll, request)
+        asked.join(_ASK_TIMEOUT_S)
+        reply = asked.value
+        if reply is None or reply.outcome != "ok":
+            return ""
+        return _listed_state(reply, task, run)
 
     def _state_of(self, task, run):
         """Polls until the upstream replies and returns the state of a run.
@@ -169,8 +186,7 @@
             if reply is None:
                 gevent.sleep(_RETRY_S)
             elif reply.outcome == "ok":
-                state = _listed_state(reply, task, run)
-                return "never" if state == "earlier" else state
+                return _listed_state(reply, task, run)
         return "closed"
 
 
@@ -183,13 +199,9 @@
         run: Number of the run.
 
     Returns:
-        str: `started`, `ended`, `earlier` if only another run of the task is active, or
-            `never`.
+        str: `started`, `ended` or `never`.
     """
     if (task, run) in reply.running:
         return "started"
-    if any((end.task, end.run) == (task, run) for end in reply.ends):
-        return "ended"
-    if any(other == task for other, _ in reply.running):
-        return "earlier"
-    return "never"
+    ended = any((end.task, end.run) == (task, run) for end in reply.ends)
+    return "ended" if ended else "never"
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -727,6 +727,25 @@
         self.service_us = service_us
 
 
+class LateStart(TBase):
+    """
+    Attributes:
+     - task
+     - remaining_ms
+
+    """
+
+    __slots__ = (
+        'task',
+        'remaining_ms',
+    )
+
+
+    def __init__(self, task=None, remaining_ms=None,):
+        self.task = task
+        self.remaining_ms = remaining_ms
+
+
 class RoomReport(TBase):
     """
     Attributes:
@@ -742,7 +761,7 @@
      - unsettled
      - taken_over
      - unsettled_peer_tasks
-     - late_start_tasks
+     - late_starts
 
     """
 
@@ -759,11 +778,11 @@
         'unsettled',
         'taken_over',
         'unsettled_peer_tasks',
-        'late_start_tasks',
+        'late_starts',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_start_tasks=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_starts=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -776,7 +795,7 @@
         self.unsettled = unsettled
         self.taken_over = taken_over
         self.unsettled_peer_tasks = unsettled_peer_tasks
-        self.late_start_tasks = late_start_tasks
+        self.late_starts = late_starts
 
 
 class SlowRun(TBase):
@@ -1183,6 +1202,12 @@
     (3, TType.STRING, 'outcome', 'UTF8', None, ),  # 3
     (4, TType.I64, 'service_us', None, None, ),  # 4
 )
+all_structs.append(LateStart)
+LateStart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'remaining_ms', None, None, ),  # 2
+)
 all_structs.append(RoomReport)
 RoomReport.thrift_spec = (
     None,  # 0
@@ -1198,7 +1223,7 @@
     (10, TType.LIST, 'unsettled', (TType.STRING, 'UTF8', False), None, ),  # 10
     (11, TType.BOOL, 'taken_over', None, None, ),  # 11
     (12, TType.LIST, 'unsettled_peer_tasks', (TType.STRING, 'UTF8', False), None, ),  # 12
-    (13, TType.LIST, 'late_start_tasks', (TType.STRING, 'UTF8', False), None, ),  # 13
+    (13, TType.LIST, 'late_starts', (TType.STRUCT, [LateStart, None], False), None, ),  # 13
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -213,6 +213,13 @@
   4: i64 service_us
 }
 
+// A task without a run of which a request to start one may still be executed, by a later
+// lifetime of the upstream, for this time: it may start at this executor only.
+struct LateStart {
+  1: string task
+  2: i32 remaining_ms
+}
+
 // last_batch is the number of the receiver's latest StartBatch that `free` takes into
 // account. peer_runs is the number of runs for other entries that were done since the
 // last report; peer_ratio is the geometric mean of their actual over their declared run
@@ -221,9 +228,9 @@
 // missing if there are none. taken_over tells whether the starts of earlier processes of
 // the executor take no effect any more and their runs have ended. unsettled_peer_tasks
 // lists tasks of other entries whose start may still be executed although they are to be
-// stopped or are undecided, or a request to start them had no reply; missing if there are none. late_start_tasks lists the tasks of
-// all entries without a run here of which a request to start one may still be executed,
-// by a later lifetime of the upstream: they may start here only; missing if there are none.
+// stopped or are undecided, or a request to start them had no reply; missing if there are none. late_starts lists the tasks
+// of all entries that have come to be late starts since the last report on the link, and
+// all of them in its first report; missing if there are none.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -237,7 +244,7 @@
   10: optional list<string> unsettled
   11: optional bool taken_over
   12: optional list<string> unsettled_peer_tasks
-  13: optional list<string> late_start_tasks
+  13: optional list<LateStart> late_starts
 }
 
 // A run that takes far longer than expected.
