Count no poll without a reply as an attempt to start a run

Cause: since a start without a reply is followed by a poll, each poll whose reply was lost used up one of the six attempts. After a few of them the start was settled by a stop and refused.

Why this works: only requests to start the run are limited. The poll is repeated at the pace of its timeout until there is a reply, the run is unwanted or the session closes, as when a start is settled.

--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -63,12 +63,12 @@
             on_identified,
             lambda: not self._calls.closed and is_wanted(),
         )
-        for attempt in range(_START_ATTEMPTS):
+        for _ in range(_START_ATTEMPTS):
             if self._calls.closed or not is_wanted():
                 result = "cancelled"
                 break
             if must_ask:
-                state = self._ask(task, run, attempt)
+                state = self._ask(task, run, is_wanted)
                 if state is None or (state == "started" and not unanswered):
                     continue
                 must_ask = False
@@ -140,22 +140,29 @@
             attempt += 1
         return state
 
-    def _ask(self, task, run, attempt):
-        """Polls once and returns the state of a run.
+    def _ask(self, task, run, is_wanted):
+        """Polls until the upstream replies and returns the state of a run.
+
+        A poll without a reply is not an attempt to start the run: where half of the
+        replies are lost, most attempts would be polls.
 
         Returns:
-            str: `started`, `ended`, `never`, or None if there was no reply or an
-                earlier run of the task has not ended yet.
+            str: `started`, `ended`, `never`, or None if an earlier run of the task has
+                not ended yet, or if there is no use in a reply any more.
         """
-        request = PollRequest(self._calls.token.value, self._last_end())
-        reply = self._poll(request, attempt)
-        if reply is None:
-            return None
-        state = _listed_state(reply, task, run)
-        if reply.outcome != "ok" or state == "earlier":
-            gevent.sleep(_RETRY_S)
-            state = None
-        return state
+        attempt = 0
+        while not self._calls.closed and is_wanted():
+            request = PollRequest(self._calls.token.value, self._last_end())
+            reply = self._poll(request, attempt)
+            if reply is None:
+                attempt += 1
+                continue
+            state = _listed_state(reply, task, run)
+            if reply.outcome != "ok" or state == "earlier":
+                gevent.sleep(_RETRY_S)
+                state = None
+            return state
+        return None
 
     def _state_of(self, task, run):
         """Polls until the upstream replies and returns the state of a run.
