Answer no job as not run after a refused start that may be executed late

What callers saw: a job answered as not run of which a task was started (REFUSED).

Cause: an executor refuses a start that it has settled, while a request to start it may still reach the upstream's next lifetime. The entry then counts the job as not started. Only while the executor lists the task is its end answered as unknown; the list ends after the longest delay, which shows that nothing will be executed, but not that nothing was.

Why this works: such a refusal no longer says that the job has not run, for good.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -273,7 +273,9 @@
         del view.tasks[end.task]
         task.run = max(task.run, end.run)
         is_refusal = end.outcome.startswith(_NOT_RUN_PREFIX)
-        task.job.may_have_run = task.job.may_have_run or not is_refusal
+        if not is_refusal or self._lost.is_pinned(task.name):
+            # A start that was refused may be executed by the upstream's next lifetime.
+            task.job.may_have_run = True
         if end.outcome == "done" and task.job.outcome is None:
             self._on_done(view, task, end, now)
         if task.state is not SENT:
--- a/tests/test_pinned_tasks.py
+++ b/tests/test_pinned_tasks.py
@@ -109,6 +109,21 @@
         self.assertEqual([], self.starts_after(1.1, self.other))
         self.assertEqual("unknown", job.outcome.kind)
 
+    def test_job_with_a_refused_start_that_may_be_late_is_not_answered_as_not_run(self):
+        """Guards against the same once the executor lists the task no more.
+
+        Its start may have been executed meanwhile.
+        """
+        self.report(self.other, accepting=False)
+        job = self.submit(timeout_s=30.0)
+        self.assertEqual([_TASK], self.starts_after(0.02, self.first))
+        refusal = ttypes.TaskEnd(_TASK, 1, "not_run:rejected", 0)
+        self.report(self.first, [_TASK], [refusal], last_batch=1, accepting=False)
+        self.starts_after(12.0, self.first)
+        self.report(self.first, last_batch=1, accepting=False)
+        self.starts_after(20.0, self.first)
+        self.assertEqual("unknown", job.outcome.kind)
+
     def test_task_that_two_upstreams_may_start_waits(self):
         """Guards against a start at one of two upstreams beside a late one."""
         self.report(self.first, [_TASK])
