Keep the list of late starts of a process that uses another instance

What callers saw: two runs of one task at once, if an upstream is replaced by another instance and the same task may start late there too.

Cause: an entry compared the names of two lists only, and kept the instance of the first one. When the report said that the second instance was taken over, the entry dropped the list as one of the first instance, and started the task elsewhere.

Why this works: a list is replaced when its instance differs, too, and a take-over drops the lists of earlier processes only: a process takes tasks off its own list. A report without an upstream keeps the instance that was named last.

--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -24,7 +24,7 @@
 
     Attributes:
         executor: Name of its executor.
-        instance: Identifier of the upstream instance.
+        instance: Identifier of the upstream instance; empty if it is not known.
         tasks: Names of the tasks.
         until: Time from which no request is executed any more, seconds; None while the
             executor's process is linked and lists them.
@@ -92,10 +92,13 @@
         Args:
             view: `LeasedView` of the executor.
         """
-        names = frozenset(view.late_start_tasks)
         listed = self._listed.get(view.process)
-        if names != (frozenset() if listed is None else listed.tasks):
-            self._list(view, names)
+        pins = _pins_of(view, listed)
+        if pins != listed:
+            self._listed.pop(view.process, None)
+            if pins is not None:
+                self._listed[view.process] = pins
+            self._update()
         if self._executors and view.taken_over:
             self._forget_other_instances(view)
 
@@ -129,16 +132,17 @@
         if self._executors:
             self._keep(lambda pins: pins.until is None or now < pins.until)
 
-    def _list(self, view, names):
-        self._listed.pop(view.process, None)
-        if names:
-            instance = instance_of_key(view.upstream)
-            self._listed[view.process] = _Pins(view.name, instance, names, None)
-        self._update()
-
     def _forget_other_instances(self, view):
-        instance = instance_of_key(view.upstream)
-        self._keep(lambda pins: pins.executor != view.name or pins.instance == instance)
+        """Removes what earlier processes listed; a process shortens its own list."""
+        listed = self._listed.get(view.process)
+        instances = ("", instance_of_key(view.upstream))
+        self._keep(
+            lambda pins: (
+                pins is listed
+                or pins.executor != view.name
+                or pins.instance in instances
+            )
+        )
 
     def _keep(self, is_kept):
         before = len(self._listed) + len(self._released)
@@ -154,3 +158,20 @@
         for pins in (*self._listed.values(), *self._released):
             for name in pins.tasks:
                 self._executors.setdefault(name, set()).add(pins.executor)
+
+
+def _pins_of(view, last):
+    """Returns the `_Pins` that a report lists, or None.
+
+    Args:
+        view: `LeasedView` of the executor.
+        last: `_Pins` of the report before, or None. An executor whose upstream has
+            deregistered names no instance.
+    """
+    names = frozenset(view.late_start_tasks)
+    if not names:
+        return None
+    instance = instance_of_key(view.upstream)
+    if not instance and last is not None:
+        instance = last.instance
+    return _Pins(view.name, instance, names, None)
--- a/tests/test_pinned_tasks.py
+++ b/tests/test_pinned_tasks.py
@@ -102,6 +102,26 @@
         self.connect("r1", 2, accepting=False, taken_over=True, upstream="i-2@5")
         self.assertEqual([_TASK], self.starts_after(0.02, self.other))
 
+    def test_deregistered_upstream_may_return_and_execute_the_start(self):
+        """Guards against a list that is dropped as that of another instance."""
+        self.report(self.first, [_TASK], accepting=False)
+        self.report(self.first, [_TASK], accepting=False, upstream="")
+        self.scheduler.on_link_down(self.first, self.now)
+        self.submit()
+        self.connect("r1", 2, accepting=False, taken_over=True)
+        self.assertEqual([], self.starts_after(5.0, self.other))
+
+    def test_list_names_the_instance_of_the_latest_report(self):
+        """Guards against a list dropped because the one before had the same names."""
+        values = {"accepting": False, "taken_over": True, "upstream": "i-2@5"}
+        self.report(self.first, [_TASK], accepting=False)
+        self.submit()
+        self.report(self.first, [_TASK], **values)
+        self.assertEqual([], self.starts_after(0.02, self.other))
+        self.scheduler.on_link_down(self.first, self.now)
+        self.connect("r1", 2, **values)
+        self.assertEqual([], self.starts_after(5.0, self.other))
+
     def test_job_with_a_pinned_task_is_not_answered_as_not_run(self):
         """Guards against a caller who is told that nothing runs before a late start."""
         self.report(self.first, [_TASK], accepting=False)
