List late starts also after the upstream has deregistered

What callers saw: two runs of one task at once, if an upstream that has deregistered starts again under its identifier.

Cause: an executor without an upstream reported no late starts, although it kept them. The entries released the tasks, and the next lifetime executed a request to start one.

Why this works: the list depends on the requests that were sent alone. They end with the longest delay, or when another instance has been taken over.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -517,8 +517,10 @@
 
     def _capacity(self):
         """Returns the `Capacity` that the entries are told."""
+        late_starts = tuple(self._late_starts.tasks)
         if self.state is None:
-            return Capacity(Resources(), Resources(), False, (), "", False)
+            none = Resources()
+            return Capacity(none, none, False, (), "", False, late_starts)
         session = self._current.session
         return Capacity(
             self._free(),
@@ -527,5 +529,5 @@
             self.state.labels,
             self.state.key,
             session is not None and session.taken_over,
-            tuple(self._late_starts.tasks),
+            late_starts,
         )
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -131,6 +131,21 @@
         self.wait_for(lambda: not self.executor.running, seconds=5.0)
         self.wait_for(lambda: not _last_report(other).unsettled_peer_tasks)
 
+    def test_late_start_is_listed_when_its_upstream_has_deregistered(self):
+        """Guards against a second run beside one at the next lifetime.
+
+        An upstream that has deregistered may start again under its identifier.
+        """
+        self.upstream.fail_request("start")
+        self.upstream.is_unhealthy = lambda name: (
+            name == "start" and not any(fault.times for fault in self.upstream.faults)
+        )
+        self.start()
+        self.wait_for(lambda: _last_report(self.link).late_start_tasks == [_TASK])
+        self.executor.on_upstream_deregistered("i-1", clock.now())
+        self.wait_for(lambda: not _last_report(self.link).upstream)
+        self.assertEqual([_TASK], _last_report(self.link).late_start_tasks)
+
     def test_start_that_was_not_sent_yet_is_listed(self):
         """Guards against a start that is sent after a report has confirmed it."""
         self.start()
