Count no request as executed by the list of an earlier one's run

What callers saw: two runs of one task at once, after its job was submitted again.

Cause: a run that is listed consumes one of its requests without a reply. Where a request of an earlier run of the task may be late, the run that is listed may be the one which that started: a job that is submitted again has the same numbers of runs. The request that is still under way was not counted any more, and the task was released when the time of the earlier request had passed.

Why this works: such a list no longer tells which request was executed, so that none counts as executed.

--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -135,8 +135,12 @@
             self.has_executed_unanswered = False
 
     def on_listed(self):
-        """Records that the upstream has listed the run, as active or as ended."""
-        if self.delivery is Delivery.UNANSWERED:
+        """Records that the upstream has listed the run, as active or as ended.
+
+        What is listed may have been started by a request of an earlier run, which had
+        the same number if the job was submitted again.
+        """
+        if self.delivery is Delivery.UNANSWERED and not self.earlier_start_until:
             self.has_executed_unanswered = True
 
     @property
--- a/tests/test_run_activity.py
+++ b/tests/test_run_activity.py
@@ -83,6 +83,16 @@
         run = {"unanswered": 1, "identified": True, "now": LEASED_UNTIL}
         self.assertEqual([None], self.close_each(LossEvidence.SILENT, **run))
 
+    def test_listed_run_may_be_that_of_an_earlier_request(self):
+        """Guards against a request that counts as executed and is executed later.
+
+        A job that is submitted again has the same numbers of runs.
+        """
+        run = self.add(Delivery.UNANSWERED, sent_at=NOW, unanswered=1)
+        run.earlier_start_until = NOW + 1.0
+        run.on_listed()
+        self.assertEqual(NOW + MAX_START_DELAY_S, run.late_start_until)
+
     def test_confirmed_run_is_active_until_its_lease_ends(self):
         """Guards against a second run if the upstream goes on behind its path."""
         run = self.add()
