--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -161,8 +161,10 @@
         added = self._late_starts.added_after(owner.reported_late_starts)
         owner.reported_late_starts = self._late_starts.additions
         return [
-            ttypes.LateStart(task, int((until - now) * 1000) + 1)
-            for task, until in added.items()
+            ttypes.LateStart(
+                start.task, start.instance, int((start.until - now) * 1000) + 1
+            )
+            for start in added
         ]
 
     def _run(self):
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -16,21 +16,23 @@
 
 from .run_activity import may_outlast_lifetime
 
-__all__ = ["LateStarts"]
+__all__ = ["LateStart", "LateStarts"]
 
 log = logging.getLogger(__name__)
 
 
 @dataclass(frozen=True)
-class _LateStart:
+class LateStart:
     """Requests to start a task that may still be executed.
 
     Attributes:
+        task: Name of the task.
         instance: Identifier of the upstream instance that they name.
         until: Time at which they are not executed any more, seconds.
-        number: Number of this addition to the tasks, from 1.
+        number: Number of this addition to the late starts, from 1.
     """
 
+    task: str
     instance: str
     until: float
     number: int
@@ -40,7 +42,7 @@
     """The tasks without a run of which a request to start one may be executed."""
 
     def __init__(self):
-        # `_LateStart` by the name of the task.
+        # `LateStart` by the name of the task.
         self._starts = {}
         self._additions = 0
 
@@ -52,22 +54,18 @@
 
     @property
     def additions(self):
-        """Number of additions to the tasks so far."""
+        """Number of additions so far."""
         return self._additions
 
     def added_after(self, number):
-        """Returns the time until which the latest tasks may start late, by name.
+        """Returns the `LateStart` list of the latest additions.
 
         Args:
             number: Value of `additions` before them.
         """
         if number == self._additions:
-            return {}
-        return {
-            task: start.until
-            for task, start in self._starts.items()
-            if start.number > number
-        }
+            return []
+        return [start for start in self._starts.values() if start.number > number]
 
     def on_run_accepted(self, run):
         """Has a new run of a task bear the earlier requests to start it.
@@ -90,7 +88,8 @@
         if until <= now or not may_outlast_lifetime(run.proof):
             return
         self._additions += 1
-        start = _LateStart(run.session.instance, until, self._additions)
+        instance = run.session.instance
+        start = LateStart(run.task, instance, until, self._additions)
         self._starts[run.task] = start
         log.info(
             "late_start_possible",
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -273,7 +273,8 @@
         if group.may_start_late:
             names = [task.name for task in group.tasks if task.state is LOST]
             until = lost_at + MAX_START_DELAY_S
-            self._pinned.pin(names, executor_name, group.upstream, until)
+            instance = instance_of_key(group.upstream)
+            self._pinned.pin(names, executor_name, instance, until)
 
 
 def _return_to(view, task):
--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -70,9 +70,10 @@
                 self._release(view, self._listed.pop(process), now)
 
     def _release(self, view, listed, now):
-        if instance_of_key(listed.upstream) == instance_of_key(view.upstream):
+        instance = instance_of_key(listed.upstream)
+        if instance == instance_of_key(view.upstream):
             until = listed.until or now + MAX_START_DELAY_S
-            self._pinned.pin(listed.tasks, view.name, listed.upstream, until)
+            self._pinned.pin(listed.tasks, view.name, instance, until)
 
     def on_link_down(self, view, now):
         """Keeps the list of a lost executor for the longest delay of a start."""
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -64,16 +64,15 @@
         """
         return any(job_id_of(name) == job_id for name in self._pins)
 
-    def pin(self, task_names, executor_name, upstream, until):
+    def pin(self, task_names, executor_name, instance, until):
         """Pins tasks to an executor.
 
         Args:
             task_names: Names of the tasks.
             executor_name: Name of the executor.
-            upstream: Key of the upstream instance that they were sent to.
+            instance: Identifier of the upstream instance that they were sent to.
             until: Time from which no request is executed any more, seconds.
         """
-        instance = instance_of_key(upstream)
         for name in task_names:
             pins = self._pins.setdefault(name, {})
             last = pins.get(executor_name)
@@ -92,7 +91,7 @@
         """
         for start in view.late_starts:
             until = now + start.remaining_ms / 1000.0
-            self.pin([start.task], view.name, view.upstream, until)
+            self.pin([start.task], view.name, start.instance, until)
         name, instance = view.name, instance_of_key(view.upstream)
         if view.taken_over and self._instances.get(name) != instance:
             self._instances[name] = instance
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -731,18 +731,21 @@
     """
     Attributes:
      - task
+     - instance
      - remaining_ms
 
     """
 
     __slots__ = (
         'task',
+        'instance',
         'remaining_ms',
     )
 
 
-    def __init__(self, task=None, remaining_ms=None,):
+    def __init__(self, task=None, instance=None, remaining_ms=None,):
         self.task = task
+        self.instance = instance
         self.remaining_ms = remaining_ms
 
 
@@ -1206,7 +1209,8 @@
 LateStart.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'remaining_ms', None, None, ),  # 2
+    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
 )
 all_structs.append(RoomReport)
 RoomReport.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -214,10 +214,11 @@
 }
 
 // A task without a run of which a request to start one may still be executed, by a later
-// lifetime of the upstream, for this time: it may start at this executor only.
+// lifetime of this upstream instance, for this time: it may start at this executor only.
 struct LateStart {
   1: string task
-  2: i32 remaining_ms
+  2: string instance
+  3: i32 remaining_ms
 }
 
 // last_batch is the number of the receiver's latest StartBatch that `free` takes into
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -149,6 +149,38 @@
         gevent.sleep(0.5)
         self.assertIsNone(_last_report(other).unsettled_peer_tasks)
 
+    def test_late_start_is_listed_when_its_upstream_has_deregistered(self):
+        """Guards against a second run beside one at the next lifetime.
+
+        An upstream that has deregistered may start again under its identifier.
+        """
+        self.upstream.fail_request("start")
+        self.upstream.is_unhealthy = lambda name: (
+            name == "start" and not any(fault.times for fault in self.upstream.faults)
+        )
+        self.start()
+        self.wait_for(self.link.ends)
+        self.executor.on_upstream_deregistered("i-1", clock.now())
+        self.wait_for(lambda: not _last_report(self.link).upstream)
+        other = self.connect("e2")
+        (start,) = other.sent[0].room.late_starts
+        self.assertEqual((_TASK, "i-1"), (start.task, start.instance))
+
+    def test_late_start_is_told_once_on_each_link(self):
+        """Guards against reports that grow with all late starts of 15 s."""
+        self.upstream.fail_request("start")
+        self.upstream.is_unhealthy = lambda name: (
+            name == "start" and not any(fault.times for fault in self.upstream.faults)
+        )
+        self.start()
+        self.wait_for(self.link.ends)
+        gevent.sleep(0.5)
+        reports = [batch.room for batch in self.link.of_type(EndBatch)]
+        told = [start.task for room in reports for start in room.late_starts or ()]
+        self.assertEqual([_TASK], told)
+        again = self.connect("e1", link_number=2)
+        self.assertEqual([_TASK], [s.task for s in again.sent[0].room.late_starts])
+
     def test_start_that_was_not_sent_yet_is_listed(self):
         """Guards against a start that is sent after a report has confirmed it."""
         self.start()
