Split admission, requests and listed runs from the leased executor

No change of behaviour.

The events `start_refused`, `start_failed` and `run_stopped` keep their names and fields; their `logger` names the new modules.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -13,19 +13,19 @@
 from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import Resources, resources_from_wire
-from ..state import metrics
-from ..state.crash_records import job_id_of
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .late_starts import LateStarts
-from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
+from .leased_runs import Run, isolated_jobs, unsettled_tasks
+from .listed_runs import ListedRuns
 from .run_activity import RunActivity
 from .run_owners import RunOwners
+from .run_requests import start_run, stop_run
+from .start_admission import StartConditions, log_refusals, refusal_of_start
 from .suspected_crashes import SuspectedCrashes
-from .unknown_runs import UnknownRuns
 from .upstream_crashes import crash_of_loss
-from .upstream_requests import Delivery, LossEvidence
+from .upstream_requests import LossEvidence
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -36,12 +36,6 @@
 # their lease. A caller whose entry died, or who left, submits the job again 1.3 s
 # later; killing the runs when the lease expires takes another 50 ms.
 _LEASE_S = 0.95
-# A start is refused if its entry was last known to be alive longer ago: after a pause
-# of this process the entry may have sent the task to another executor.
-_MAX_START_STALENESS_S = 0.45
-# While the closing process waits for a run, other tasks may still start if they are
-# expected to end within this fraction of the run's expected time.
-_CLOSING_RUN_SHARE = 0.9
 _TICK_S = 0.05
 
 
@@ -71,7 +65,6 @@
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
-        self._unknown = UnknownRuns()
         self._closing = False
         self._close_limit = 0.0
         self._was_accepting = False
@@ -81,6 +74,9 @@
             self._isolated_peer_jobs,
             lambda owner: unsettled_tasks(self._runs.values(), owner),
         )
+        self._listed = ListedRuns(
+            self._runs, self._activity, self._reports, lambda: self._current.session
+        )
         gevent.spawn(repeat, self._tick)
 
     @property
@@ -253,17 +249,7 @@
                     outcome = "not_run:" + reason
                     refused.setdefault(reason, []).append(start.task)
                     self._queue_end(owner, start.task, start.run, outcome, 0)
-        for reason, tasks in refused.items():
-            metrics.REJECTED_GRANTS.labels(reason).inc(len(tasks))
-            log.info(
-                "start_refused",
-                extra={
-                    "reason": reason,
-                    "tasks": len(tasks),
-                    "first_task": tasks[0],
-                    "heard_age_s": round(now - owner.last_alive_at, 3),
-                },
-            )
+        log_refusals(refused, now - owner.last_alive_at)
         self._on_capacity_changed()
 
     def _admit(self, owner, group, start, need, now):
@@ -272,23 +258,11 @@
         Returns:
             str: Reason for the refusal, empty if the start was accepted.
         """
-        reason = self.refusal_reason
+        reason = self.refusal_reason or refusal_of_start(
+            group, start, need, owner.last_alive_at, self._start_conditions(), now
+        )
         if reason:
             return reason
-        if now - owner.last_alive_at > _MAX_START_STALENESS_S:
-            return "stale"
-        if start.task in self._runs:
-            return "duplicate"
-        if self._closing and now + group.expected_ms / 1000.0 > self._latest_end(now):
-            return "closing"
-        if not self._free().covers(need):
-            return "busy"
-        job_id = job_id_of(start.task)
-        if self._crashes.records.is_exhausted(job_id):
-            return "crashing"
-        limit = group.isolation_limit
-        if limit and not may_isolate(self._runs.values(), job_id, limit):
-            return "not_isolated"
         run = Run.of_start(group, start, need, owner, now)
         run.session = self._current.session
         self._late_starts.on_run_accepted(run)
@@ -296,84 +270,18 @@
         self._used = self._used + need
         self._isolated_runs += run.isolated
         owner.runs += 1
-        gevent.spawn(self._start, run)
+        gevent.spawn(
+            start_run, run, self._reports.on_run_settled, self._activity.on_not_started
+        )
         return ""
 
-    def _latest_end(self, now):
-        """Returns the latest expected end of a task that may start while closing."""
-        ends = (
-            run.started_at + _CLOSING_RUN_SHARE * run.expected_s
-            for run in self._runs.values()
-        )
-        return min(max(ends, default=now), self._close_limit)
-
-    def _start(self, run):
-        session = run.session
-
-        def is_wanted():
-            return not run.stopping and not run.ended
-
-        def on_unanswered(count):
-            if count > run.unanswered:
-                run.sent_at = clock.now()
-            run.unanswered = count
-
-        def on_identified():
-            run.identified = True
-
-        result, number = session.start(
-            run.task,
-            run.run,
-            run.spec,
-            is_wanted,
-            run.on_start_answered,
-            on_unanswered,
-            on_identified,
-            run.earlier_start_until > 0.0,
-        )
-        run.run = number
-        if run.ended or run.session_closed:
-            return
-        if result == "started":
-            run.running = True
-            run.delivery = Delivery.STARTED
-            run.started_at = clock.now()
-            self._reports.on_run_settled(run.owner)
-            if run.stopping:
-                session.stop(run.task, run.run, lambda: not run.ended)
-            return
-        log.info(
-            "start_failed",
-            extra={"task": run.task, "request_id": run.request_id, "reason": result},
+    def _start_conditions(self):
+        return StartConditions(
+            self._runs,
+            self._free(),
+            self._close_limit if self._closing else None,
+            self._crashes.records.is_exhausted,
         )
-        # An end that did not end this run is that of an earlier submission's run with
-        # the same number, so the upstream rejected the start.
-        self._activity.on_not_started(run, result, clock.now())
-
-    def _on_ends(self, ends, now):
-        for end in ends:
-            run = self._runs.get(end.task)
-            if run is not None and end.run >= run.run:
-                run.on_listed()
-                self._activity.on_listed_end(run, end.outcome, now)
-
-    def _on_progress(self, running, now):
-        """Reports runs that take far longer than expected to their entries."""
-        for (task, number), percent in running.items():
-            run = self._runs.get(task)
-            if run is None or number < run.run:
-                self._unknown.stop(self._current.session, task, number)
-                continue
-            run.on_listed()
-            if not run.identified and not run.session_closed:
-                run.identified = True
-                self._reports.on_run_settled(run.owner)
-            if not run.is_slow(percent, now):
-                continue
-            remaining_ms = int(run.remaining_s(percent, now) * 1000)
-            elapsed_ms = int((now - run.started_at) * 1000)
-            run.owner.slow.append(ttypes.SlowRun(task, remaining_ms, elapsed_ms))
-            self._reports.wake()
 
     def _finish(self, run, outcome, now):
         del self._runs[run.task]
@@ -400,23 +308,10 @@
                 owner.add_peer_run(ratio)
 
     def _stop(self, run, reason, now):
-        if run.stopping:
-            return
-        run.stop_requested_at = now
-        log.info(
-            "run_stopped",
-            extra={
-                "task": run.task,
-                "run": run.run,
-                "request_id": run.request_id,
-                "reason": reason,
-            },
-        )
-        if run.is_unsettled:
-            # The other entries are told of it; the caller may submit the job to them.
-            self._on_capacity_changed()
-        if run.running and not run.session_closed:
-            gevent.spawn(run.session.stop, run.task, run.run, lambda: not run.ended)
+        if not run.stopping:
+            # The other entries are told of a start that may still be executed; the
+            # caller may submit the job to them.
+            stop_run(run, reason, now, on_unsettled=self._on_capacity_changed)
 
     def stop_all(self, reason, now):
         """Stops all runs.
@@ -452,8 +347,8 @@
             state,
             self._lease_until,
             lambda: bool(self._runs),
-            self._on_ends,
-            self._on_progress,
+            self._listed.on_ends,
+            self._listed.on_progress,
             self.check_accepting,
             on_lost,
             lowest_token,
--- /dev/null
+++ b/papayaward/coordination/run_requests.py
@@ -0,0 +1,95 @@
+"""
+papayaward.coordination.run_requests
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Starts and stops a run at its session, and records the replies in the run.
+"""
+
+import logging
+
+import gevent
+
+from .. import clock
+from .upstream_requests import Delivery
+
+__all__ = ["start_run", "stop_run"]
+
+log = logging.getLogger(__name__)
+
+
+def start_run(run, on_settled, on_not_started):
+    """Starts a run and waits until its start is settled.
+
+    Args:
+        run: `Run`.
+        on_settled: Function that takes the run's `Owner`, called once the run is known
+            to have started.
+        on_not_started: Function that takes the run, the outcome and the time, called
+            if the upstream did not start the run.
+    """
+    session = run.session
+
+    def is_wanted():
+        return not run.stopping and not run.ended
+
+    def on_unanswered(count):
+        if count > run.unanswered:
+            run.sent_at = clock.now()
+        run.unanswered = count
+
+    def on_identified():
+        run.identified = True
+
+    result, number = session.start(
+        run.task,
+        run.run,
+        run.spec,
+        is_wanted,
+        run.on_start_answered,
+        on_unanswered,
+        on_identified,
+        run.earlier_start_until > 0.0,
+    )
+    run.run = number
+    if run.ended or run.session_closed:
+        return
+    if result == "started":
+        run.running = True
+        run.delivery = Delivery.STARTED
+        run.started_at = clock.now()
+        on_settled(run.owner)
+        if run.stopping:
+            session.stop(run.task, run.run, lambda: not run.ended)
+        return
+    log.info(
+        "start_failed",
+        extra={"task": run.task, "request_id": run.request_id, "reason": result},
+    )
+    # An end that did not end this run is that of an earlier submission's run with the
+    # same number, so the upstream rejected the start.
+    on_not_started(run, result, clock.now())
+
+
+def stop_run(run, reason, now, on_unsettled):
+    """Requests the stop of a run, which continues until its end is known.
+
+    Args:
+        run: `Run` that is not being stopped yet.
+        reason: Reason for the log.
+        now: Time, seconds.
+        on_unsettled: Function called if the start may still be executed.
+    """
+    run.stop_requested_at = now
+    log.info(
+        "run_stopped",
+        extra={
+            "task": run.task,
+            "run": run.run,
+            "request_id": run.request_id,
+            "reason": reason,
+        },
+    )
+    if run.is_unsettled:
+        on_unsettled()
+    if run.running and not run.session_closed:
+        gevent.spawn(run.session.stop, run.task, run.run, lambda: not run.ended)
