Split early ends and moves of slow runs from the job scheduler

No change of behaviour. Each decision is a `LeasedJobOutcome` or None, and a function of the job and the time, so that it can be tested without executors. - `slow_runs` decided whether a slow run is moved; the selection of the moved runs and the penalty of slow executors are there now as well. The scheduler only sends the stops.

The event `task_moved` keeps its name and fields; its `logger` names the new module.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -9,7 +9,6 @@
 """
 
 import logging
-import random
 
 import gevent
 from gevent.event import Event
@@ -20,6 +19,7 @@
 from ..protocol.jobs import LeasedJobOutcome
 from ..state import metrics
 from .crash_relay import CrashRelay
+from .early_ends import EarlyEnds, ended_early
 from .ejection import Ejection
 from .isolation import Isolation, Verdict
 from .job_placement import Placement
@@ -28,7 +28,7 @@
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
 from .lost_upstreams import LostUpstreams
-from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
+from .slow_runs import move_slow_runs
 from .speeds import SpeedEstimates
 from .start_batches import StartBatches
 
@@ -39,19 +39,6 @@
 _TICK_S = 0.02
 # Messages that arrive during the pause are handled together in the next round.
 _ROUND_PAUSE_S = 0.002
-# Fraction of the latency objective after which a job that has not started is refused
-# if it can no longer meet the objective.
-_REFUSAL_SHARE = 0.22
-_RETRY_AFTER_S = 1.0
-# Range of the delay if upstreams have to restart first; it spreads the return of the
-# callers.
-_RESTART_RETRY_AFTER_S = (1.0, 4.0)
-# Time for which an executor gets work only if no other can take it, after at least
-# half of its runs were reported as slow.
-_SLOW_EXECUTOR_PENALTY_S = 0.6
-# During a shutdown, a job is ended early if this fraction of its expected remaining
-# time is longer than the time until the process stops.
-_CLOSING_SHARE = 0.7
 # Time between two starts of a task that no other executor may start. An executor that
 # refuses it would else be asked again at once.
 _PINNED_RETRY_S = 0.05
@@ -86,13 +73,13 @@
         self._views = {}
         self._lost = LostTasks()
         self._lost_upstreams = LostUpstreams()
-        self._closing_at = None
         self._speeds = SpeedEstimates()
         self._ejection = Ejection()
         self._placement = Placement(
             self._speeds, self._ejection, is_domain_out, self._lost
         )
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
+        self._early_ends = EarlyEnds(self._placement, self._isolation)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
         self._wakeup = Event()
@@ -138,26 +125,14 @@
         else:
             log.info("job_joined", extra=job_fields(job))
         job.callers += 1
-        if self._closing_at is not None and self._ends_after_close(job, now):
-            self._end_early(job, "closing", now)
+        outcome = self._early_ends.while_closing(job, now)
+        if outcome is not None:
+            self._end_with(job, outcome, now)
         elif not self._end_if_crashing(job, now) and not job.started:
-            self._refuse_if_unservable(job, now)
+            views = self._views.values()
+            self._end_with(job, self._early_ends.on_arrival(job, views, now), now)
         return job
 
-    def _refuse_if_unservable(self, job, now):
-        """Refuses a job at once that cannot be served."""
-        views = self._views.values()
-        reason = self._placement.unservable_reason(job, views, now)
-        retry_after_s = _RETRY_AFTER_S
-        if not reason and self._isolation.is_guarded(job, now):
-            retry_after_s = random.uniform(*_RESTART_RETRY_AFTER_S)
-            if self._isolation.is_without_executors(job, views, now):
-                reason = "upstreams crashed"
-            elif self._isolation.is_overloaded(job, views, now):
-                reason = "overload"
-        if reason:
-            self.end(job, "not_run", reason, now, retry_after_s)
-
     def remove_caller(self, job, now):
         """Removes a disconnected caller; ends the job if it was the last one."""
         job.callers -= 1
@@ -184,6 +159,11 @@
         report_end(job, now)
         job.finished.set()
 
+    def _end_with(self, job, outcome, now):
+        """Ends a job with a `LeasedJobOutcome`, unless that is None."""
+        if outcome is not None:
+            self.end(job, outcome.kind, outcome.reason, now, outcome.retry_after_s)
+
     def close_at(self, until):
         """Sets the shutdown time; jobs that would not finish before it are ended early.
 
@@ -192,12 +172,12 @@
         Args:
             until: Time at which `close` will be called, seconds.
         """
-        self._closing_at = until
+        self._early_ends.close_at(until)
 
     def close(self, now):
         """Ends the remaining jobs because the process stops."""
         for job in list(self._jobs.values()):
-            self._end_early(job, "closing", now)
+            self._end_with(job, ended_early(job, "closing"), now)
 
     # Interface for links.
 
@@ -326,43 +306,10 @@
 
     def _on_slow_runs(self, view, slow_runs, now):
         """Moves stalled and slow runs to other executors with free capacity."""
-        slow = [
-            SlowTask(
-                view.tasks[run.task], run.remaining_ms / 1000.0, run.elapsed_ms / 1000.0
-            )
-            for run in slow_runs
-            if run.task in view.tasks
-        ]
-        if is_executor_slow(view, slow):
-            view.slow_until = now + _SLOW_EXECUTOR_PENALTY_S
-        placement_round = self._placement.begin_round(self._views.values(), now)
-        stops = []
-        for slow_task in slow:
-            name = slow_task.task.name
-            if view.is_unsettled(slow_task.task) or self._lost.is_pinned(name):
-                # The next lifetime of the upstream may execute a request to start it,
-                # and nobody would know of that if the executor's process ends as well.
-                continue
-            elsewhere_s = elsewhere_s_if_moved(
-                slow_task, view, self._placement, placement_round, now
-            )
-            if elsewhere_s is None:
-                continue
-            task = slow_task.task
-            task.moves += 1
-            task.moved_run = (view, task.run)
-            task.avoided_executors.add(view.name)
-            stops.append(task.name)
-            log.info(
-                "task_moved",
-                extra={
-                    "request_id": task.job.request.request_id,
-                    "task": task.name,
-                    "executor": view.name,
-                    "remaining_s": round(slow_task.remaining_s, 3),
-                    "elsewhere_s": round(elsewhere_s, 3),
-                },
-            )
+        views = self._views.values()
+        stops = move_slow_runs(
+            view, slow_runs, views, self._placement, self._lost.is_pinned, now
+        )
         if stops:
             view.link.try_send(ttypes.StopBatch(stops))
 
@@ -490,33 +437,12 @@
         for view in self._views.values():
             view.link.relaxed = not view.tasks
         for job in list(self._jobs.values()):
-            self._check_job(job, placement_round, now)
+            is_waiting = job.request.job_id in self._waiting
+            outcome = self._early_ends.on_check(job, placement_round, is_waiting, now)
+            self._end_with(job, outcome, now)
         if self._waiting:
             self._wakeup.set()
 
-    def _check_job(self, job, placement_round, now):
-        if now >= job.deadline:
-            self._end_early(job, "deadline", now)
-        elif self._closing_at is not None and self._ends_after_close(job, now):
-            self._end_early(job, "closing", now)
-        elif not job.started:
-            waited_s = now - job.arrived_at
-            if waited_s > _REFUSAL_SHARE * job.objective_s:
-                if not placement_round.can_meet_objective(job):
-                    self.end(job, "not_run", "overload", now, _RETRY_AFTER_S)
-        elif job.request.job_id in self._waiting and self._placement.will_miss_deadline(
-            job, now
-        ):
-            self.end(job, "unknown", "cannot end before the deadline", now)
-
-    def _end_early(self, job, reason, now):
-        kind = "unknown" if job.started else "not_run"
-        self.end(job, kind, reason, now, _RETRY_AFTER_S)
-
-    def _ends_after_close(self, job, now):
-        remaining_s = self._placement.remaining_s(job, now)
-        return now + _CLOSING_SHARE * remaining_s > self._closing_at
-
     def _on_executor_lost(self, task, release, now):
         """Handles a task that runs no more at an executor that did not return."""
         task.state = WAITING
--- a/papayaward/coordination/slow_runs.py
+++ b/papayaward/coordination/slow_runs.py
@@ -2,12 +2,15 @@
 papayaward.coordination.slow_runs
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Decides whether a run that takes far longer than expected is moved.
+Moves runs that take far longer than expected to other executors.
 """
 
+import logging
 from dataclasses import dataclass
 
-__all__ = ["SlowTask", "elsewhere_s_if_moved", "is_executor_slow"]
+__all__ = ["move_slow_runs"]
+
+log = logging.getLogger(__name__)
 
 # A slow run is moved if its expected time on another executor is less than this
 # fraction of its remaining time.
@@ -16,6 +19,9 @@
 # expected time on another executor.
 _STALLED_RATIO = 10.0
 _MAX_MOVES = 2
+# Time for which an executor gets work only if no other can take it, after at least
+# half of its runs were reported as slow.
+_SLOW_EXECUTOR_PENALTY_S = 0.6
 
 
 @dataclass(frozen=True)
@@ -33,7 +39,65 @@
     elapsed_s: float
 
 
-def is_executor_slow(view, slow):
+def move_slow_runs(view, reports, views, placement, is_pinned, now):
+    """Selects the runs that are moved to other executors with free capacity.
+
+    Args:
+        view: `LeasedView` of the executor on which they run.
+        reports: `SlowRun` of each run that it reported as slow.
+        views: `LeasedView` of each connected executor.
+        placement: `Placement`.
+        is_pinned: Function that returns whether a task, by its name, may start at one
+            executor only.
+        now: Time, seconds.
+
+    Returns:
+        list: Names of the tasks whose runs must be stopped.
+    """
+    slow = [
+        SlowTask(
+            view.tasks[run.task], run.remaining_ms / 1000.0, run.elapsed_ms / 1000.0
+        )
+        for run in reports
+        if run.task in view.tasks
+    ]
+    if _is_executor_slow(view, slow):
+        view.slow_until = now + _SLOW_EXECUTOR_PENALTY_S
+    placement_round = placement.begin_round(views, now)
+    stops = []
+    for slow_task in slow:
+        task = slow_task.task
+        if view.is_unsettled(task) or is_pinned(task.name):
+            # The next lifetime of the upstream may execute a request to start it, and
+            # nobody would know of that if the executor's process ends as well.
+            continue
+        elsewhere_s = _elsewhere_s_if_moved(
+            slow_task, view, placement, placement_round, now
+        )
+        if elsewhere_s is not None:
+            _record_move(slow_task, view, elsewhere_s)
+            stops.append(task.name)
+    return stops
+
+
+def _record_move(slow_task, view, elsewhere_s):
+    task = slow_task.task
+    task.moves += 1
+    task.moved_run = (view, task.run)
+    task.avoided_executors.add(view.name)
+    log.info(
+        "task_moved",
+        extra={
+            "request_id": task.job.request.request_id,
+            "task": task.name,
+            "executor": view.name,
+            "remaining_s": round(slow_task.remaining_s, 3),
+            "elsewhere_s": round(elsewhere_s, 3),
+        },
+    )
+
+
+def _is_executor_slow(view, slow):
     """Returns whether at least half of an executor's runs are slow.
 
     Args:
@@ -43,7 +107,7 @@
     return len(slow) > 1 and 2 * len(slow) >= len(view.tasks)
 
 
-def elsewhere_s_if_moved(slow_task, view, placement, placement_round, now):
+def _elsewhere_s_if_moved(slow_task, view, placement, placement_round, now):
     """Returns the expected time of a slow run on another executor, seconds.
 
     Returns None if the run should stay where it is.
