Count lost runs for the upstream lifetime that they were sent to

What callers saw: a task that had been in three crashes was started again when its job was submitted again, because one of the crashes counted nowhere.

Cause: when a runner is killed, the entries publish the crash of its upstream in its place (`lost_upstreams`). They took the lifetime that the executor had reported last for the one that had run the tasks. An executor names the next lifetime as soon as that reports, and tells of the crash only once that has replied or the lease has ended. If it is killed in between, the entry remembered the tasks under the new lifetime, found that one running when the executor returned, and dropped them. The crashed lifetime was published without the tasks. The bound in the entry's own `Task` named the wrong lifetime as well.

The entry now keeps the upstream key with each task that it sends, and remembers lost runs by executor and key, so that the crash of each earlier lifetime is published with its own tasks. A crash that the executor has published is merged by its key, so it counts once. A run that was sent to the present lifetime is not blamed for the one before.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -228,8 +228,7 @@
                 view.on_capacity_report(message.room)
                 self._lost.on_capacity_report(view, now)
                 self._learn_from_peers(view, message.room, now)
-                crash = self._lost_upstreams.crash_of_previous(view, now)
-                if crash is not None:
+                for crash in self._lost_upstreams.crashes_of_previous(view, now):
                     self._crashes.publish(crash, now)
             self._lost.on_ends(view, message.ends)
             for end in message.ends:
@@ -434,7 +433,7 @@
                     "run": task.run,
                     "reason": reason,
                     "executor": executor.name,
-                    "upstream": executor.upstream,
+                    "upstream": task.upstream,
                     "sent_s": round(now - task.sent_at, 3),
                 },
             )
@@ -520,7 +519,7 @@
     def _on_executor_lost(self, task, release, now):
         """Handles a task that runs no more at an executor that did not return."""
         task.state = WAITING
-        task.lost_upstreams.add(task.executor.upstream)
+        task.lost_upstreams.add(task.upstream)
         if task.job.outcome is None and self._isolation.has_lost_too_many(task):
             self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
         else:
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -38,6 +38,7 @@
         "run",
         "sent_at",
         "state",
+        "upstream",
     )
 
     def __init__(self, name, job, phase_number):
@@ -55,6 +56,8 @@
         # Keys of the upstreams whose executors did not return in time.
         self.lost_upstreams = set()
         self.executor = None
+        # Key of the upstream that its executor had reported when it was sent.
+        self.upstream = ""
         # Time before which it is not started again, seconds.
         self.retry_at = 0.0
         self.sent_at = 0.0
--- a/papayaward/coordination/lost_upstreams.py
+++ b/papayaward/coordination/lost_upstreams.py
@@ -31,10 +31,14 @@
     """Upstreams of executors whose link was lost while they ran tasks of this entry."""
 
     def __init__(self):
+        # `_Lost` by the executor's name and the key of the upstream.
         self._lost = {}
 
     def remember(self, view, tasks, now):
-        """Remembers what ran on an upstream.
+        """Remembers what ran on an executor's upstreams.
+
+        The executor may have reported the next lifetime before the runs at the one that
+        crashed were over, so that each run counts for the lifetime it was sent to.
 
         Args:
             view: `LeasedView` of the executor.
@@ -42,30 +46,40 @@
             now: Time, seconds.
         """
         self._lost = {
-            name: lost
-            for name, lost in self._lost.items()
+            key: lost
+            for key, lost in self._lost.items()
             if now - lost.lost_at < _RETURN_S
         }
-        if view.upstream and len(self._lost) < _MAX_UPSTREAMS:
-            runs = tuple(_to_run(task) for task in tasks)
-            self._lost[view.name] = _Lost(view.upstream, view.service, runs, now)
+        by_upstream = {}
+        for task in tasks:
+            by_upstream.setdefault(task.upstream, []).append(_to_run(task))
+        for upstream, runs in by_upstream.items():
+            if upstream and len(self._lost) < _MAX_UPSTREAMS:
+                lost = _Lost(upstream, view.service, tuple(runs), now)
+                self._lost[view.name, upstream] = lost
 
-    def crash_of_previous(self, view, now):
-        """Returns the `Crash` of the upstream before the present one, if it crashed.
+    def crashes_of_previous(self, view, now):
+        """Returns the `Crash` of each upstream before the present one that crashed.
 
         Args:
             view: `LeasedView` of an executor that has reported its upstream.
             now: Time, seconds.
         """
-        lost = self._lost.get(view.name)
-        if lost is None or not view.upstream:
-            return None
+        if not self._lost or not view.upstream:
+            return []
+        keys = [key for key in self._lost if key[0] == view.name]
+        crashes = [self._crash_of(key, view, now) for key in keys]
+        return [crash for crash in crashes if crash is not None]
+
+    def _crash_of(self, key, view, now):
+        """Returns the `Crash` of a lost upstream, or None if it is not known to be."""
+        lost = self._lost[key]
         is_same = lost.upstream == view.upstream
         if is_same and not view.accepting:
             # The report may be a stored one. The upstream is known to be still running
             # when the executor accepts tasks for it.
             return None
-        del self._lost[view.name]
+        del self._lost[key]
         if is_same or now - lost.lost_at >= _RETURN_S:
             return None
         crash = crash_of(lost.upstream, lost.service, lost.runs, lost.lost_at)
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -44,6 +44,7 @@
         task.run += 1
         task.state = SENT
         task.executor = view
+        task.upstream = view.upstream
         task.sent_at = now
         view.reserve(task)
         if not job.started:
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -148,25 +148,31 @@
             name="r1", service="dispatch", upstream=upstream, accepting=accepting
         )
 
+    def task_at(self, upstream):
+        """Returns a task that was sent to an upstream."""
+        task = Job(job(DEADLY), job_queue(), clock.now()).tasks[0]
+        task.upstream = upstream
+        return task
+
     def test_crash_is_counted_if_the_executor_first_recalls_the_old_upstream(self):
         """Guards against a crash beside a dead executor that nobody counts."""
         lost = LostUpstreams()
-        task = Job(job(DEADLY), job_queue(), clock.now()).tasks[0]
+        task = self.task_at("u@1")
         lost.remember(self.view_after_loss("u@1", True), [task], clock.now())
         recalled = self.view_after_loss("u@1", accepting=False)
-        self.assertIsNone(lost.crash_of_previous(recalled, clock.now()))
+        self.assertEqual([], lost.crashes_of_previous(recalled, clock.now()))
         restarted = self.view_after_loss("u@2", accepting=False)
-        found = lost.crash_of_previous(restarted, clock.now())
+        (found,) = lost.crashes_of_previous(restarted, clock.now())
         self.assertEqual(("u@1", DEADLY), (found.upstream, found.jobs[0].job_id))
 
     def test_restarted_executor_of_a_running_upstream_is_no_crash(self):
         """Guards against a crash that is counted because the executor was restarted."""
         lost = LostUpstreams()
-        task = Job(job(DEADLY), job_queue(), clock.now()).tasks[0]
+        task = self.task_at("u@1")
         lost.remember(self.view_after_loss("u@1", True), [task], clock.now())
         for upstream in ("u@1", "u@2"):
             view = self.view_after_loss(upstream, accepting=True)
-            self.assertIsNone(lost.crash_of_previous(view, clock.now()))
+            self.assertEqual([], lost.crashes_of_previous(view, clock.now()))
 
     def test_job_isolated_alone_is_not_joined_by_one_that_may_have_neighbours(self):
         """Guards against crashes with two suspects, after which both start again."""
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -12,6 +12,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from papayaward import clock
+from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.upstream_requests import MAX_START_DELAY_S
 from papayaward.protocol.codec import MESSAGE_CODES, FrameError, decode
@@ -37,16 +38,18 @@
 class LostTasksCase(TestCase):
     def setUp(self):
         super().setUp()
-        self.scheduler = JobScheduler(lambda domain: False)
+        self.relay = CrashRelay()
+        self.scheduler = JobScheduler(lambda domain: False, self.relay)
         # The tests choose the time of each check.
         self.check = self.scheduler.check
         self.scheduler.check = lambda now: None
         self.now = clock.now()
 
-    def connect(self, name="r1", incarnation=1, running=()):
+    def connect(self, name="r1", incarnation=1, running=(), **values):
+        """Returns the link of an executor, which reports with values as `report`."""
         link = FakeLink(name, "runner", incarnation)
         self.scheduler.on_link_up(link, self.now)
-        self.report(link)
+        self.report(link, **values)
         running = ttypes.RunningTasks(list(running))
         self.scheduler.on_message(link, running, self.now)
         return link
