Count a crash under a start that the next lifetime executed late

What callers saw: tasks that had been in three crashes were started again, since the processes knew of two.

Cause: a runner is killed together with its upstream while starts have no answer. The next lifetime of the upstream executes them before a runner has taken it over, and crashes as well. The next process of the runner publishes that crash without tasks, since it has started none. The entry knows of the starts, but published them only with the crash of the lifetime that it had sent them to. An executor that lives through this counts its unanswered starts; nobody did in place of a dead one.

When an entry hears of a crash of another lifetime of an instance, it publishes it with its lost tasks whose start to that instance is neither confirmed nor expired. They count as possible: they bound the starts and never make a job fail, and they go with the suspicion if that is withdrawn. A lifetime that any process had taken over is left out, since it has stopped such runs and rejects the requests.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -27,7 +27,7 @@
 from .job_state import SENT, WAITING, Job
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
-from .lost_upstreams import LostUpstreams
+from .lost_upstreams import LostUpstreams, with_late_starts
 from .slow_runs import SlowTask, elsewhere_s_if_moved, is_executor_slow
 from .speeds import SpeedEstimates
 from .start_batches import StartBatches
@@ -93,6 +93,7 @@
             self._speeds, self._ejection, is_domain_out, self._lost
         )
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
+        self._crashes.on_crash(self._publish_late_starts)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
         self._wakeup = Event()
@@ -300,6 +301,20 @@
         elif not self._end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
+    def _publish_late_starts(self, crash, now):
+        """Adds the tasks of executors' ended processes that a crash may have ended.
+
+        The executor that tells of the crash does not know what was sent by its
+        predecessor, and executed by the next lifetime of the upstream.
+        """
+        tasks = [
+            task
+            for task in self._lost.started_late_at(crash.upstream)
+            if crash.upstream not in self._crashes.records.upstreams_of(task.name)
+        ]
+        if tasks:
+            self._crashes.publish(with_late_starts(crash, tasks), now)
+
     def _on_crash(self, crash, now):
         for crashed_job in crash.jobs:
             job = self._jobs.get(crashed_job.job_id)
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -73,6 +73,22 @@
     awaited: Release
     may_start_late: bool = False
 
+    def started_late_at(self, upstream):
+        """Returns the tasks that another lifetime of the instance may have started.
+
+        Args:
+            upstream: Key of the lifetime.
+        """
+        if instance_of_key(self.upstream) != instance_of_key(upstream):
+            return []
+        if self.awaited is not Release.START_EXPIRED and not self.may_start_late:
+            return []
+        return [
+            task
+            for task in self.tasks
+            if task.state is LOST and task.upstream != upstream
+        ]
+
 
 @dataclass
 class _LostProcess:
@@ -108,6 +124,8 @@
         self._pinned = PinnedTasks()
         self._peer_starts = PeerStarts(self._pinned)
         self._ending = EndingJobs()
+        # Key of the latest upstream that each executor has taken over, by its name.
+        self._taken_over = {}
 
     def holds_back(self, job_id):
         """Returns whether earlier or other runs of a job's tasks may be active."""
@@ -194,6 +212,8 @@
         """
         self._pinned.on_capacity_report(view)
         self._peer_starts.on_capacity_report(view, now)
+        if view.taken_over:
+            self._taken_over[view.name] = view.upstream
         if not self._processes or not view.taken_over:
             return
         instance = instance_of_key(view.upstream)
@@ -208,6 +228,25 @@
                 elif group.awaited is Release.START_EXPIRED:
                     group.awaited = Release.LEASE_ENDED
 
+    def started_late_at(self, upstream):
+        """Returns the tasks that a crashed lifetime of an upstream may have run.
+
+        They were sent to an earlier lifetime by a process that has ended. A lifetime
+        that was taken over has stopped such runs, and rejects the requests to start
+        them.
+
+        Args:
+            upstream: Key of the crashed lifetime.
+        """
+        if upstream in self._taken_over.values():
+            return []
+        return [
+            task
+            for lost in self._processes.values()
+            for group in lost.groups
+            for task in group.started_late_at(upstream)
+        ]
+
     def on_ends(self, view, ends):
         """Returns lost tasks to their executor's view before it handles their ends.
 
--- a/papayaward/coordination/lost_upstreams.py
+++ b/papayaward/coordination/lost_upstreams.py
@@ -12,7 +12,7 @@
 
 from .upstream_crashes import LostRun, crash_of
 
-__all__ = ["LostUpstreams"]
+__all__ = ["LostUpstreams", "with_late_starts"]
 
 # Time in which a VM is expected to return.
 _RETURN_S = 20.0
@@ -87,6 +87,18 @@
         return replace(crash, is_known=view.accepting)
 
 
+def with_late_starts(crash, tasks):
+    """Returns a `Crash` of the tasks that the upstream may have started late.
+
+    Args:
+        crash: `Crash` of which the executor has told.
+        tasks: `Task` of each start that the executor does not know.
+    """
+    runs = [_to_run(task) for task in tasks]
+    jobs = crash_of(crash.upstream, crash.service, runs, crash.at).jobs
+    return replace(crash, jobs=jobs)
+
+
 def _to_run(task):
     return LostRun(
         task.name,
--- a/tests/test_lost_upstreams.py
+++ b/tests/test_lost_upstreams.py
@@ -5,6 +5,7 @@
 Which crashes an entry counts if the process beside the upstream ended as well.
 """
 
+from papayaward.state.crash_records import Crash, CrashedJob, Withdrawal
 from tests.test_lost_tasks import LostTasksCase
 
 _TASK = "0123456789abcdef.0.0.0"
@@ -56,3 +57,79 @@
         self.lose(first)
         self.connect(incarnation=2, upstream="i-1@2")
         self.assertEqual(set(), self.upstreams_of())
+
+
+class LateStartTest(LostTasksCase):
+    def setUp(self):
+        super().setUp()
+        self.first = self.connect(upstream="i-1@1")
+        self.submit()
+
+    def lose_process(self):
+        """Loses the link, and connects a process that recalls the first lifetime."""
+        self.lose(self.first)
+        return self.connect(incarnation=2, upstream="i-1@1", accepting=False)
+
+    def crash(self, upstream, is_known=True):
+        """Tells of a crash under no known run."""
+        notice = Crash(upstream, "dispatch", self.now, (), 0.0, is_known, 5)
+        self.relay.publish(notice, self.now)
+
+    def upstreams(self):
+        """Returns the crashed upstreams that count for the task."""
+        return self.relay.records.upstreams_of(_TASK)
+
+    def test_crash_of_a_lifetime_counts_that_may_have_started_the_task_late(self):
+        """Guards against a crash of a late start that nobody counts.
+
+        The process that sent the start was killed before the upstream answered it, and
+        the next process knows nothing of it.
+        """
+        self.lose_process()
+        self.crash("i-1@2")
+        self.assertEqual({"i-1@2"}, self.upstreams())
+        self.assertFalse(self.relay.records.is_condemned_if_known(_TASK[:16]))
+
+    def test_late_start_counts_among_three_crashes(self):
+        """Guards against a job that is started after its third crash.
+
+        The order of events is that of a play of soak seed 4053: a crash elsewhere, one
+        of an upstream and its process together, and one of the next lifetime, which had
+        executed the start once more.
+        """
+        run = CrashedJob("q", (_TASK,), 5.0, (_TASK,))
+        self.relay.publish(Crash("i-3@1", "dispatch", self.now, (run,)), self.now)
+        second = self.lose_process()
+        self.crash("i-1@2")
+        self.report(second, upstream="i-1@3", accepting=False)
+        self.assertEqual({"i-3@1", "i-1@1", "i-1@2"}, self.upstreams())
+        again = self.submit()
+        self.assertEqual("upstreams crashed repeatedly", again.outcome.reason)
+
+    def test_crash_of_a_lifetime_that_was_taken_over_does_not_count(self):
+        """Guards against jobs blamed for crashes after the upstream rejects them."""
+        second = self.lose_process()
+        self.report(second, upstream="i-1@2")
+        self.crash("i-1@2")
+        self.assertEqual({"i-1@1"}, self.upstreams())
+
+    def test_crash_of_another_instance_does_not_count(self):
+        """Guards against jobs blamed for an upstream that received no start of them."""
+        self.lose_process()
+        self.crash("i-2@2")
+        self.assertEqual(set(), self.upstreams())
+
+    def test_crash_does_not_count_for_a_confirmed_run(self):
+        """Guards against jobs blamed although no request to start them is open."""
+        self.report(self.first, 1, upstream="i-1@1")
+        self.lose_process()
+        self.crash("i-1@2")
+        self.assertEqual(set(), self.upstreams())
+
+    def test_withdrawn_suspicion_does_not_count(self):
+        """Guards against jobs held back although the upstream has replied again."""
+        self.lose_process()
+        self.crash("i-1@2", is_known=False)
+        self.assertEqual({"i-1@2"}, self.upstreams())
+        self.relay.records.withdraw(Withdrawal("i-1@2", 5, self.now), self.now)
+        self.assertEqual(set(), self.upstreams())
