Leave the run of a task that was in three crashes where it is

What callers saw: after the third crash a task was started, stopped as slow, started elsewhere, stopped and started again: three starts on three upstreams where the soak allows two.

Cause: the bound on the starts of a task counts crashes. A job that is an unlikely cause of the last one may start the task once more after three. If that run makes no progress, it was moved up to twice, and each move is a further start on another upstream, although the task is one that may crash them.

A slow run is not moved any more once its task may have been in as many crashes as end a job whose executors were lost. It may still be started again after an end such as `lapsed`, and by a further submission.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -352,10 +352,7 @@
         placement_round = self._placement.begin_round(self._views.values(), now)
         stops = []
         for slow_task in slow:
-            name = slow_task.task.name
-            if view.is_unsettled(slow_task.task) or self._lost.is_pinned(name):
-                # The next lifetime of the upstream may execute a request to start it,
-                # and nobody would know of that if the executor's process ends as well.
+            if self._must_stay(view, slow_task.task):
                 continue
             elsewhere_s = elsewhere_s_if_moved(
                 slow_task, view, self._placement, placement_round, now
@@ -380,6 +377,15 @@
         if stops:
             view.link.try_send(ttypes.StopBatch(stops))
 
+    def _must_stay(self, view, task):
+        """Returns whether a slow run must not be moved to another executor."""
+        if self._isolation.has_lost_too_many(task):
+            # The starts of a task after its last crash are few, and a move is one more.
+            return True
+        # The next lifetime of the upstream may execute a request to start it, and
+        # nobody would know of that if the executor's process ends as well.
+        return view.is_unsettled(task) or self._lost.is_pinned(task.name)
+
     def _on_done(self, view, task, end, now):
         job = task.job
         expected_s = task.phase.expected_s
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -424,6 +424,27 @@
             self.scheduler.on_message(link, report, clock.now())
         self.assertEqual([start.task], link.of_type(ttypes.StopBatch)[0].tasks)
 
+    def test_slow_run_of_a_task_that_was_in_three_crashes_is_not_moved(self):
+        """Guards against two further starts of a task after its third crash.
+
+        Its job is an unlikely cause of the crashes, so that it is started once more.
+        """
+        task = "0123456789abcdef.0.0.0"
+        for number in range(3):
+            jobs = (
+                CrashedJob("q", (task,), 0.01),
+                CrashedJob("q", (f"b{number}.0.0.0",), 9.0),
+            )
+            crash = Crash(f"i-{number}@1", "dispatch", clock.now() + number, jobs)
+            self.crashes.publish(crash, clock.now() + number)
+        link = self.executor()
+        self.submit()
+        self.executor("r2")
+        slow = [ttypes.SlowRun(link.starts()[0].task, 20_000, 200)]
+        self.assertEqual(task, link.starts()[0].task)
+        self.scheduler.on_message(link, ttypes.EndBatch([], None, slow), clock.now())
+        self.assertEqual([], link.of_type(ttypes.StopBatch))
+
     def test_run_that_is_reported_again_before_it_has_stopped_moves_once(self):
         """Guards against two reports of a slow run that use up both of its moves.
 
