--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -27,7 +27,7 @@
 from .job_state import SENT, WAITING, Job
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
-from .lost_upstreams import LostUpstreams
+from .lost_upstreams import LostUpstreams, with_late_starts
 from .slow_runs import move_slow_runs
 from .speeds import SpeedEstimates
 from .start_batches import StartBatches
@@ -80,6 +80,7 @@
         )
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._early_ends = EarlyEnds(self._placement, self._isolation)
+        self._crashes.on_crash(self._publish_late_starts)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
         self._wakeup = Event()
@@ -208,8 +209,7 @@
                 view.on_capacity_report(message.room)
                 self._lost.on_capacity_report(view, now)
                 self._learn_from_peers(view, message.room, now)
-                crash = self._lost_upstreams.crash_of_previous(view, now)
-                if crash is not None:
+                for crash in self._lost_upstreams.crashes_of_previous(view, now):
                     self._crashes.publish(crash, now)
             self._lost.on_ends(view, message.ends)
             for end in message.ends:
@@ -283,6 +283,20 @@
         elif not self._end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
+    def _publish_late_starts(self, crash, now):
+        """Adds the tasks of executors' ended processes that a crash may have ended.
+
+        The executor that tells of the crash does not know what was sent by its
+        predecessor, and executed by the next lifetime of the upstream.
+        """
+        tasks = [
+            task
+            for task in self._lost.started_late_at(crash.upstream)
+            if crash.upstream not in self._crashes.records.upstreams_of(task.name)
+        ]
+        if tasks:
+            self._crashes.publish(with_late_starts(crash, tasks), now)
+
     def _on_crash(self, crash, now):
         for crashed_job in crash.jobs:
             job = self._jobs.get(crashed_job.job_id)
@@ -310,11 +324,20 @@
         """Moves stalled and slow runs to other executors with free capacity."""
         views = self._views.values()
         stops = move_slow_runs(
-            view, slow_runs, views, self._placement, self._lost.is_pinned, now
+            view, slow_runs, views, self._placement, self._must_stay, now
         )
         if stops:
             view.link.try_send(ttypes.StopBatch(stops))
 
+    def _must_stay(self, view, task):
+        """Returns whether a slow run must not be moved to another executor."""
+        if self._isolation.has_lost_too_many(task):
+            # The starts of a task after its last crash are few, and a move is one more.
+            return True
+        # The next lifetime of the upstream may execute a request to start it, and
+        # nobody would know of that if the executor's process ends as well.
+        return view.is_unsettled(task) or self._lost.is_pinned(task.name)
+
     def _on_done(self, view, task, end, now):
         job = task.job
         expected_s = task.phase.expected_s
@@ -383,7 +406,7 @@
                     "run": task.run,
                     "reason": reason,
                     "executor": executor.name,
-                    "upstream": executor.upstream,
+                    "upstream": task.upstream,
                     "sent_s": round(now - task.sent_at, 3),
                     "pinned": self._lost.is_pinned(task.name),
                 },
@@ -449,7 +472,7 @@
     def _on_executor_lost(self, task, release, now):
         """Handles a task that runs no more at an executor that did not return."""
         task.state = WAITING
-        task.lost_upstreams.add(task.executor.upstream)
+        task.lost_upstreams.add(task.upstream)
         if task.job.outcome is None and self._isolation.has_lost_too_many(task):
             self.end(task.job, "unknown", Verdict.EXHAUSTED.value, now)
         else:
--- a/papayaward/coordination/slow_runs.py
+++ b/papayaward/coordination/slow_runs.py
@@ -39,7 +39,7 @@
     elapsed_s: float
 
 
-def move_slow_runs(view, reports, views, placement, is_pinned, now):
+def move_slow_runs(view, reports, views, placement, must_stay, now):
     """Selects the runs that are moved to other executors with free capacity.
 
     Args:
@@ -47,8 +47,8 @@
         reports: `SlowRun` of each run that it reported as slow.
         views: `LeasedView` of each connected executor.
         placement: `Placement`.
-        is_pinned: Function that returns whether a task, by its name, may start at one
-            executor only.
+        must_stay: Function that takes the view and a `Task` and returns whether its
+            run must not be moved.
         now: Time, seconds.
 
     Returns:
@@ -66,17 +66,14 @@
     placement_round = placement.begin_round(views, now)
     stops = []
     for slow_task in slow:
-        task = slow_task.task
-        if view.is_unsettled(task) or is_pinned(task.name):
-            # The next lifetime of the upstream may execute a request to start it, and
-            # nobody would know of that if the executor's process ends as well.
+        if must_stay(view, slow_task.task):
             continue
         elsewhere_s = _elsewhere_s_if_moved(
             slow_task, view, placement, placement_round, now
         )
         if elsewhere_s is not None:
             _record_move(slow_task, view, elsewhere_s)
-            stops.append(task.name)
+            stops.append(slow_task.task.name)
     return stops
 
 
