--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -42,6 +42,8 @@
         self._poll = poll
         self._lease_end = lease_end
         self._last_end = last_end
+        # Greenlet of the latest poll for runs whose start had no reply.
+        self._asked = None
 
     def start(
         self,
@@ -161,13 +163,17 @@
         """Polls once and returns the state of a run whose start had no reply.
 
         The next request to start it does not wait for a poll that is not answered soon:
-        where replies are lost, that would cost more than a request too many.
+        where replies are lost, that would cost more than a request too many. Starts
+        without a reply share a poll that is under way, since each request without a
+        reply costs connections.
 
         Returns:
             str: `started`, `ended`, `never`, or empty if there was no reply in time.
         """
-        request = PollRequest(self._calls.token.value, self._last_end())
-        asked = gevent.spawn(self._poll, request)
+        if self._asked is None or self._asked.ready():
+            request = PollRequest(self._calls.token.value, self._last_end())
+            self._asked = gevent.spawn(self._poll, request)
+        asked = self._asked
         asked.join(_ASK_TIMEOUT_S)
         reply = asked.value
         if reply is None or reply.outcome != "ok":
