List tasks that may start late while a new run of them is active

What callers saw: two runs of one task at once, if an entry and an executor are lost, or the executor and then the caller submits the job to another entry.

Cause: an executor took a task off its list when it accepted the next start of it, though the run bears the earlier requests. Only the run's own entry was told that it is unsettled. The other entries dropped their pins, and one that got the job later had it started elsewhere beside a start at the next lifetime.

Why this works: whether a request may be late doesn't depend on a run that is active. The list now has every task with such a request, so that all entries know of it before the executor is lost. It holds nothing up: no other entry has the task, but one to which the job was submitted again, and for that one the task may start here only.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -51,8 +51,7 @@
         upstream: Key of the upstream instance; empty if there is none.
         taken_over: Whether the starts of earlier processes take no effect on the
             upstream any more and their runs have ended.
-        late_starts: Names of the tasks without a run that a later lifetime of the
-            upstream may start.
+        late_starts: Names of the tasks that a later lifetime of the upstream may start.
     """
 
     free: Resources
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -19,7 +19,13 @@
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .late_starts import LateStarts
-from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
+from .leased_runs import (
+    Run,
+    isolated_jobs,
+    late_start_tasks,
+    may_isolate,
+    unsettled_tasks,
+)
 from .run_activity import RunActivity
 from .run_owners import RunOwners
 from .suspected_crashes import SuspectedCrashes
@@ -517,7 +523,10 @@
 
     def _capacity(self):
         """Returns the `Capacity` that the entries are told."""
-        late_starts = tuple(self._late_starts.tasks)
+        late_starts = (
+            *self._late_starts.tasks,
+            *late_start_tasks(self._runs.values(), clock.now()),
+        )
         if self.state is None:
             none = Resources()
             return Capacity(none, none, False, (), "", False, late_starts)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -12,7 +12,14 @@
 from ..state.crash_records import job_id_of
 from .upstream_requests import MAX_START_DELAY_S, Delivery
 
-__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
+__all__ = [
+    "Owner",
+    "Run",
+    "isolated_jobs",
+    "late_start_tasks",
+    "may_isolate",
+    "unsettled_tasks",
+]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -278,6 +285,19 @@
     return own, of_peers
 
 
+def late_start_tasks(runs, now):
+    """Returns the tasks that a later lifetime of the upstream may start.
+
+    Args:
+        runs: `Run` of each run.
+        now: Time, seconds.
+
+    Returns:
+        list: Names of the tasks.
+    """
+    return [run.task for run in runs if now < run.late_start_until]
+
+
 def may_isolate(runs, job_id, limit):
     """Returns whether an isolated job may start beside some runs.
 
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -222,8 +222,8 @@
 // the executor take no effect any more and their runs have ended. unsettled_peer_tasks
 // lists tasks of other entries whose start may still be executed although they are to be
 // stopped or are undecided; missing if there are none. late_start_tasks lists the tasks of
-// all entries without a run here of which a request to start one may still be executed,
-// by a later lifetime of the upstream: they may start here only; missing if there are none.
+// all entries, with or without a run here, that a later lifetime of the upstream may start
+// by an earlier request: they may start here only; missing if there are none.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -77,6 +77,15 @@
         self.start()
         self.wait_for(lambda: _last_report(self.link).last_batch == 1)
 
+    def start_that_may_be_late(self):
+        """Sends a start without a reply, which the upstream refuses from then on."""
+        self.upstream.fail_request("start")
+        self.upstream.is_unhealthy = lambda name: (
+            name == "start" and not any(fault.times for fault in self.upstream.faults)
+        )
+        self.start()
+        self.wait_for(lambda: _last_report(self.link).late_start_tasks == [_TASK])
+
     def test_start_is_listed_until_it_is_confirmed(self):
         """Guards against tasks that wait though the entry could start them elsewhere.
 
@@ -131,17 +140,26 @@
         self.wait_for(lambda: not self.executor.running, seconds=5.0)
         self.wait_for(lambda: not _last_report(other).unsettled_peer_tasks)
 
+    def test_late_start_is_listed_while_a_new_run_of_its_task_is_active(self):
+        """Guards against a second run if the executor and the entry are lost.
+
+        The caller submits the job to another entry then, which knows only this list.
+        """
+        other = self.connect("e2")
+        self.start_that_may_be_late()
+        self.wait_for(lambda: _last_report(other).late_start_tasks == [_TASK])
+        self.upstream.is_unhealthy = lambda name: False
+        self.start(number=2)
+        self.wait_for(lambda: self.upstream.running)
+        gevent.sleep(0.5)
+        self.assertEqual([_TASK], _last_report(other).late_start_tasks)
+
     def test_late_start_is_listed_when_its_upstream_has_deregistered(self):
         """Guards against a second run beside one at the next lifetime.
 
         An upstream that has deregistered may start again under its identifier.
         """
-        self.upstream.fail_request("start")
-        self.upstream.is_unhealthy = lambda name: (
-            name == "start" and not any(fault.times for fault in self.upstream.faults)
-        )
-        self.start()
-        self.wait_for(lambda: _last_report(self.link).late_start_tasks == [_TASK])
+        self.start_that_may_be_late()
         self.executor.on_upstream_deregistered("i-1", clock.now())
         self.wait_for(lambda: not _last_report(self.link).upstream)
         self.assertEqual([_TASK], _last_report(self.link).late_start_tasks)
