--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -229,9 +229,10 @@
 // missing if there are none. taken_over tells whether the starts of earlier processes of
 // the executor take no effect any more and their runs have ended. unsettled_peer_tasks
 // lists tasks of other entries whose start may still be executed although they are to be
-// stopped or are undecided, or a request to start them had no reply; missing if there are none. late_starts lists the tasks
-// of all entries that have come to be late starts since the last report on the link, and
-// all of them in its first report; missing if there are none.
+// stopped or are undecided, or a request to start them had no reply; missing if there are
+// none. late_starts lists the tasks of all entries that have come to be late starts since
+// the last report on the link, and all of them in its first report; missing if there are
+// none.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
