Guard a queue once crashes under different jobs of it add up to one

Cause: a queue was guarded only after two crashes under the same job. Since runs wait for the end of their lease, the second one comes a second after the first, and other jobs of the queue crash further upstreams meanwhile.

Change: a queue is guarded as well when crashes with a share of 1.0 together are put down to its jobs and one of these is the likely cause of a crash that it was running in. Starts that no upstream confirmed are left out, as before.

--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -23,6 +23,9 @@
 _GUARD_S = 5.0
 # Part of a service's executors that the guarded queues share.
 _SHARD_SHARE = 0.5
+# Crashes put down to the jobs of a queue from which it is guarded if one of the jobs is
+# the likely cause of one.
+_MIN_QUEUE_CRASHES = 1.0
 # Largest part of a queue's jobs that may be lost as bystanders of its crashes.
 _BYSTANDER_SHARE = 0.1
 # Crashes and jobs that are assumed when a guard begins.
@@ -152,7 +155,7 @@
         """
         for job in crash.jobs:
             is_guarded = self.is_guarded(job.queue, now)
-            if records.is_condemned_if_known(job.job_id) or (
+            if _is_cause(job.job_id, job.queue, records, now) or (
                 is_guarded and records.is_likely(job.job_id)
             ):
                 self._guard(job, crash.service, now)
@@ -169,7 +172,7 @@
             if not self.is_guarded(queue, now):
                 continue
             causes = self._guards[queue].causes
-            if not any(records.is_condemned_if_known(job_id) for job_id in causes):
+            if not any(_is_cause(job_id, queue, records, now) for job_id in causes):
                 del self._guards[queue]
                 log.info("queue_guard_ended", extra={"queue": queue})
 
@@ -196,3 +199,15 @@
             log.warning("queue_guarded", extra={"queue": queue, "seconds": _GUARD_S})
         self._guards[queue].until = now + _GUARD_S
         self._guards[queue].causes.add(job.job_id)
+
+
+def _is_cause(job_id, queue, records, now):
+    """Returns whether a job shows that its queue crashes upstreams.
+
+    The second crash under a job follows the first one by the lease of its runs. Those
+    under other jobs of the queue show it sooner.
+    """
+    if records.is_condemned_if_known(job_id):
+        return True
+    has_crashed = records.queue_crashes(queue, now) >= _MIN_QUEUE_CRASHES
+    return has_crashed and records.is_likely_running(job_id)
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -319,6 +319,16 @@
         """Returns whether a job has probably crashed an upstream."""
         return self.probability(job_id) >= _LIKELY
 
+    def is_likely_running(self, job_id):
+        """Returns whether a job has probably crashed an upstream that was running it.
+
+        Unlike `is_likely`, this leaves out starts that may have reached no upstream.
+        """
+        record = self._jobs.get(job_id)
+        if record is None or not record.started:
+            return False
+        return self.is_likely(job_id)
+
     def is_repeatedly_likely(self, job_id):
         """Returns whether a job has probably crashed several upstreams.
 
@@ -335,6 +345,19 @@
         record = self._jobs.get(job_id)
         return 0.0 if record is None else record.probability
 
+    def queue_crashes(self, queue, now):
+        """Returns how many recent crashes are put down to the jobs of a queue.
+
+        Args:
+            queue: Name of the queue.
+            now: Time, seconds.
+
+        Returns:
+            float: Sum of the probabilities, each with a weight that falls with its age.
+        """
+        record = self._queues.get(queue)
+        return 0.0 if record is None else record.at(now)
+
     def crashes_under(self, job_id):
         """Returns the number of crashes under a job."""
         record = self._jobs.get(job_id)
@@ -382,8 +405,7 @@
         return probability / (1.0 - probability) * job.weight
 
     def _queue_probability(self, queue, now):
-        record = self._queues.get(queue)
-        crashes = 0.0 if record is None else record.at(now)
+        crashes = self.queue_crashes(queue, now)
         probability = _BASE_PROBABILITY + _PROBABILITY_PER_CRASH * crashes
         return min(_MAX_QUEUE_PROBABILITY, probability)
 
--- a/tests/test_queue_guard.py
+++ b/tests/test_queue_guard.py
@@ -10,7 +10,12 @@
 from testtools import TestCase
 
 from papayaward.coordination.queue_guard import QueueGuards
-from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
+from papayaward.state.crash_records import (
+    Crash,
+    CrashedJob,
+    CrashRecords,
+    Withdrawal,
+)
 
 
 class QueueGuardTest(TestCase):
@@ -48,6 +53,45 @@
         self.crash_twice(now=100.0, started=())
         self.assertFalse(self.guards.is_guarded("q", 100.0))
 
+    def crash_under(self, now, *job_ids, started=True):
+        """Has one upstream crash under each of some jobs, beside one of queue `o`."""
+        for number, job_id in enumerate(job_ids):
+            task, bystander = f"{job_id}.0.0.0", f"{number}.0.0.0"
+            jobs = (
+                CrashedJob("q", (task,), 100.0, (task,) if started else ()),
+                CrashedJob("o", (bystander,), 1.0, (bystander,)),
+            )
+            at = now + number
+            crash = Crash(f"u{number}", "dispatch", at, jobs)
+            self.records.add(crash, at)
+            self.guards.on_crash(crash, self.records, at)
+
+    def test_crashes_under_different_jobs_guard_their_queue(self):
+        """Guards against a queue that is recognised a lease after its first crash."""
+        self.crash_under(100.0, "a", "b")
+        self.assertTrue(self.guards.is_guarded("q", 101.0))
+        self.assertFalse(self.guards.is_guarded("o", 101.0))
+
+    def test_one_crash_guards_no_queue(self):
+        """Guards against a queue that is held back for one crash from outside."""
+        self.crash_under(100.0, "a")
+        self.assertTrue(self.records.is_likely("a"))
+        self.assertFalse(self.guards.is_guarded("q", 100.0))
+
+    def test_unconfirmed_starts_of_different_jobs_do_not_guard_their_queue(self):
+        """Guards against refusals of a queue after upstreams crashed from outside."""
+        self.crash_under(100.0, "a", "b", "c", started=False)
+        self.assertTrue(self.records.is_likely("c"))
+        self.assertFalse(self.guards.is_guarded("q", 102.0))
+
+    def test_guard_of_different_jobs_ends_with_their_suspicions(self):
+        """Guards against a queue that is held back although its upstreams reply."""
+        self.crash_under(100.0, "a", "b")
+        crash = self.records.find("u1")
+        self.records.withdraw(Withdrawal("u1", 1, 101.0), 101.0)
+        self.guards.on_withdrawn(crash, self.records, 101.0)
+        self.assertFalse(self.guards.is_guarded("q", 101.0))
+
     def test_queue_without_executors_waits_until_they_return(self):
         """Guards against a job that is accepted although no executor can run it."""
         self.crash_twice(now=100.0)
