Split the statistics of runs from the job scheduler

No change of behaviour. `run_statistics` records what the ends of runs tell of the executors (speeds, failures for the ejection, the metric of run times). It reads the end and changes only the estimates, so it needs nothing of the scheduler but the number of executors.

The event `executor_ejected` keeps its name and fields; its `logger` names the new module.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,7 +17,6 @@
 from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import LeasedJobOutcome
-from ..state import metrics
 from .crash_relay import CrashRelay
 from .early_ends import EarlyEnds, ended_early
 from .ejection import Ejection
@@ -28,6 +27,7 @@
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
 from .lost_upstreams import LostUpstreams
+from .run_statistics import RunStatistics
 from .slow_runs import move_slow_runs
 from .speeds import SpeedEstimates
 from .start_batches import StartBatches
@@ -42,8 +42,6 @@
 # Time between two starts of a task that no other executor may start. An executor that
 # refuses it would else be asked again at once.
 _PINNED_RETRY_S = 0.05
-# Class of the runs for other entries, whose queues are not reported.
-_ALL_QUEUES = ""
 # Prefix of the outcome of a start that did not lead to a run; the reason follows.
 _NOT_RUN_PREFIX = "not_run:"
 # Reasons for which no executor will ever run a task, with the reason of the outcome.
@@ -73,11 +71,9 @@
         self._views = {}
         self._lost = LostTasks()
         self._lost_upstreams = LostUpstreams()
-        self._speeds = SpeedEstimates()
-        self._ejection = Ejection()
-        self._placement = Placement(
-            self._speeds, self._ejection, is_domain_out, self._lost
-        )
+        speeds, ejection = SpeedEstimates(), Ejection()
+        self._statistics = RunStatistics(speeds, ejection)
+        self._placement = Placement(speeds, ejection, is_domain_out, self._lost)
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._early_ends = EarlyEnds(self._placement, self._isolation)
         self._crashes.on_crash(self._on_crash)
@@ -207,7 +203,7 @@
             if message.room is not None:
                 view.on_capacity_report(message.room)
                 self._lost.on_capacity_report(view, now)
-                self._learn_from_peers(view, message.room, now)
+                self._statistics.on_peer_runs(view, message.room, now)
                 crash = self._lost_upstreams.crash_of_previous(view, now)
                 if crash is not None:
                     self._crashes.publish(crash, now)
@@ -224,15 +220,6 @@
             self._wakeup.set()
         return True
 
-    def _learn_from_peers(self, view, report, now):
-        """Learns an executor's speed from its runs for other entries.
-
-        In a large fleet an entry has few runs on each executor, and would otherwise
-        know the slow ones only after seconds.
-        """
-        if report.peer_runs:
-            self._speeds.add(view.name, _ALL_QUEUES, report.peer_ratio, now)
-
     def _on_running_tasks(self, view, names, now):
         """Reconciles lost tasks with the tasks that a reconnected executor runs.
 
@@ -315,15 +302,7 @@
 
     def _on_done(self, view, task, end, now):
         job = task.job
-        expected_s = task.phase.expected_s
-        if end.service_us and expected_s:
-            self._speeds.add(
-                view.name, job.queue.name, end.service_us / 1e6 / expected_s, now
-            )
-        metrics.SERVICE_SECONDS.labels(job.queue.service, job.queue.name).observe(
-            end.service_us / 1e6
-        )
-        self._record_outcome(view, task, True, now)
+        self._statistics.on_done(view, task, end.service_us, len(self._views), now)
         if job.on_task_done(task):
             self._isolation.on_done(job, now)
             self.end(job, "completed", "", now)
@@ -333,7 +312,7 @@
 
     def _on_failed(self, view, task, now):
         job = task.job
-        self._record_outcome(view, task, False, now)
+        self._statistics.on_failed(view, task, len(self._views), now)
         task.failures += 1
         task.avoided_executors.add(view.name)
         log.info(
@@ -352,19 +331,6 @@
         else:
             self._requeue(task, "failed", now)
 
-    def _record_outcome(self, view, task, succeeded, now):
-        slots = max(1, view.capacity.cpu_millis // max(1, task.phase.need.cpu_millis))
-        ejected = self._ejection.add(
-            view.name,
-            task.job.queue.name,
-            succeeded,
-            slots,
-            len(self._views),
-            now,
-        )
-        if ejected:
-            log.warning("executor_ejected", extra={"executor": view.name})
-
     def _requeue(self, task, reason, now):
         if task.job.outcome is not None:
             self._lost.on_run_over(task)
--- /dev/null
+++ b/papayaward/coordination/run_statistics.py
@@ -0,0 +1,76 @@
+"""
+papayaward.coordination.run_statistics
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What an entry learns of the executors from the ends of their runs.
+"""
+
+import logging
+
+from ..state import metrics
+
+__all__ = ["RunStatistics"]
+
+log = logging.getLogger(__name__)
+
+# Class of the runs for other entries, whose queues are not reported.
+_ALL_QUEUES = ""
+
+
+class RunStatistics:
+    """Records the run times and failures of the executors.
+
+    Args:
+        speeds: `SpeedEstimates`.
+        ejection: `Ejection`.
+    """
+
+    def __init__(self, speeds, ejection):
+        self._speeds = speeds
+        self._ejection = ejection
+
+    def on_peer_runs(self, view, report, now):
+        """Learns an executor's speed from its runs for other entries.
+
+        In a large fleet an entry has few runs on each executor, and would otherwise
+        know the slow ones only after seconds.
+
+        Args:
+            view: `LeasedView` of the executor.
+            report: `RoomReport`.
+            now: Time, seconds.
+        """
+        if report.peer_runs:
+            self._speeds.add(view.name, _ALL_QUEUES, report.peer_ratio, now)
+
+    def on_done(self, view, task, service_us, executors, now):
+        """Records a run that was done.
+
+        Args:
+            view: `LeasedView` of the executor.
+            task: `Task`.
+            service_us: Run time, microseconds; 0 if unknown.
+            executors: Number of connected executors.
+            now: Time, seconds.
+        """
+        queue = task.job.queue
+        expected_s = task.phase.expected_s
+        if service_us and expected_s:
+            ratio = service_us / 1e6 / expected_s
+            self._speeds.add(view.name, queue.name, ratio, now)
+        metrics.SERVICE_SECONDS.labels(queue.service, queue.name).observe(
+            service_us / 1e6
+        )
+        self._add_outcome(view, task, True, executors, now)
+
+    def on_failed(self, view, task, executors, now):
+        """Records a run that failed; the arguments are as in `on_done`."""
+        self._add_outcome(view, task, False, executors, now)
+
+    def _add_outcome(self, view, task, succeeded, executors, now):
+        slots = max(1, view.capacity.cpu_millis // max(1, task.phase.need.cpu_millis))
+        ejected = self._ejection.add(
+            view.name, task.job.queue.name, succeeded, slots, executors, now
+        )
+        if ejected:
+            log.warning("executor_ejected", extra={"executor": view.name})
