--- a/benchmarks/path_faults.py
+++ b/benchmarks/path_faults.py
@@ -36,6 +36,16 @@
 _SHORT_S = (0.02, 0.5)
 _MUTE_S = (0.2, 1.5)
 _LINKS_CUT_S = (0.1, 1.5)
+# While orders are late: shares of late orders and of errors, delays of the orders, time
+# until an upstream crashes, how long it is down and its path disturbed, and how often a
+# process is killed.
+_LATE_SHARE = (0.4, 0.6)
+_LATE_ERROR_SHARE = 0.1
+_LONG_LATE_ORDER_S = (0.2, 2.5)
+_LATE_CRASH_S = (0.3, 1.5)
+_LATE_DOWNTIME_S = (0.05, 1.2)
+_LATE_PATH_S = (0.1, 2.0)
+_KILLED_SHARE = 0.2
 
 
 def submit_path_load(soak, rate, seconds):
@@ -277,6 +287,81 @@
     event.join()
 
 
+def _return_while_orders_are_late(soak):
+    """An upstream returns, and executes late what was sent to the lifetime before.
+
+    Its path is disturbed, so that such a start may precede the runner's first request.
+    """
+    rng = soak.path_rng
+    name, killed = rng.choice(soak.runners), rng.choice(soak.runners + soak.entries)
+    share, delay_s = rng.uniform(*_LATE_SHARE), rng.uniform(*_LATE_CRASH_S)
+    downtime_s, path_s = rng.uniform(*_LATE_DOWNTIME_S), rng.uniform(*_LATE_PATH_S)
+    first_report_s, kill_delay_s = rng.uniform(*_FIRST_REPORT_S), rng.uniform(0.0, 1.0)
+    is_killed, is_silent = rng.random() < _KILLED_SHARE, rng.random() < 0.5
+    silence = path_s, *_draw_silence(soak)[1:]
+    late_orders = _LateOrders(share, rng.random())
+    upstream = soak.fleet.upstreams[name]
+    for other in soak.fleet.upstreams.values():
+        late_orders.begin(other.current)
+    soak.note(
+        f"{share:.2f} of orders are late; in {delay_s:.2f} s the upstream of {name} "
+        f"crashes, and returns after {downtime_s:.2f} s"
+    )
+    gevent.sleep(delay_s)
+
+    def crash():
+        upstream.restart_silently(downtime_s, first_report_s, inherits_orders=True)
+        late_orders.begin(upstream.current)
+
+    events = [gevent.spawn(crash)]
+    if is_silent:
+        events.append(gevent.spawn(_silence_path, soak, name, *silence))
+    else:
+        events.append(gevent.spawn(_refuse, soak, [name], *silence[:2]))
+    if is_killed:
+        events.append(
+            gevent.spawn_later(kill_delay_s, soak.restart_after, killed, downtime_s)
+        )
+    gevent.joinall(events)
+    late_orders.end()
+
+
+class _LateOrders:
+    """Instances that execute orders late without a reply or answer with errors.
+
+    Args:
+        share: Share of the late orders.
+        seed: Seed of a stream for requests, whose number must not decide later faults.
+    """
+
+    def __init__(self, share, seed):
+        self._share = share
+        self._rng = random.Random(seed)
+        self._loss = self._draw_delay
+        self._instances = []
+
+    def begin(self, instance):
+        """Has an instance execute orders late."""
+        instance.order_loss = self._loss
+        instance.is_unhealthy = self._is_unhealthy
+        self._instances.append(instance)
+
+    def end(self):
+        """Ends it at all instances for which no later fault has changed it."""
+        for instance in self._instances:
+            if instance.order_loss is self._loss:
+                instance.order_loss = lambda: None
+                instance.is_unhealthy = lambda name: False
+
+    def _draw_delay(self):
+        if self._rng.random() >= self._share:
+            return None
+        return self._rng.uniform(*_LONG_LATE_ORDER_S)
+
+    def _is_unhealthy(self, name):
+        return self._rng.random() < _LATE_ERROR_SHARE
+
+
 def _cut_links(soak, entry, seconds):
     soak.note(f"links of {entry} are cut for {seconds:.2f} s")
     soak.record_fault(entry, seconds)
@@ -291,6 +376,7 @@
 PATH_FAULTS = {
     "path_crash": _refuse_and_crash,
     "path_flap": _flap,
+    "path_late": _return_while_orders_are_late,
     "path_links": _refuse_and_cut_links,
     "path_lossy": _refuse_and_lose_replies,
     "path_process": _refuse_and_restart,
