Give each run at an upstream a number above those of earlier runs

Cause, traced: the caller left, and run 2 of the task was stopped. It submitted the job again, and the entry counted from 1 again. Three requests to start run 1 had no reply; a later one was rejected as old, so that the number was raised, and after a requeue run 4 was requested, also without a reply. The upstream crashed and returned under its identifier. Its next lifetime knows no number: it executed run 1 (12.70 s) and run 4 (13.49 s) before the first request of the executor, whose path refused.

Remains: a run whose unanswered request was settled by a stop, or that ended, is followed by one with the next number at the same lifetime. If requests of both are late, the next lifetime executes both.

--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -21,6 +21,7 @@
 from .late_starts import LateStarts
 from .leased_runs import Run, isolated_jobs, may_isolate, unsettled_tasks
 from .run_activity import RunActivity
+from .run_numbers import RunNumbers
 from .run_owners import RunOwners
 from .suspected_crashes import SuspectedCrashes
 from .unknown_runs import UnknownRuns
@@ -68,6 +69,7 @@
         self._owners = RunOwners()
         self._runs = {}
         self._late_starts = LateStarts()
+        self._numbers = RunNumbers()
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
@@ -290,6 +292,7 @@
         if limit and not may_isolate(self._runs.values(), job_id, limit):
             return "not_isolated"
         run = Run.of_start(group, start, need, owner, now)
+        run.run = self._numbers.next(run.task, run.run)
         run.session = self._current.session
         self._late_starts.on_run_accepted(run)
         self._runs[start.task] = run
@@ -384,6 +387,7 @@
         if outcome == "done" and service_us > 0 and run.declared_s:
             self._add_peer_run(run, service_us / 1e6 / run.declared_s)
         self._late_starts.on_run_over(run, now)
+        self._numbers.on_run_over(run, now)
         if run.late_requests and outcome != "done":
             self._fence_off_sent_requests()
         self._queue_end(run.owner, run.task, run.run, outcome, service_us)
@@ -489,6 +493,7 @@
         self._activity.check(now)
         if self._late_starts.forget_expired(now):
             self._on_capacity_changed()
+        self._numbers.forget_old(now)
         if not self._late_starts and not self._activity.may_start_late(now):
             self._current.stop_awaiting(now)
         self._forget_deregistered()
--- /dev/null
+++ b/papayaward/coordination/run_numbers.py
@@ -0,0 +1,58 @@
+"""
+papayaward.coordination.run_numbers
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Numbers of the runs that an upstream may reject as old.
+
+A job that is submitted again begins with low numbers, which the upstream rejects as
+old. A request under such a number has to be followed by one under a higher number. If
+neither has a reply, the next lifetime of the upstream executes both.
+"""
+
+from .upstream_requests import MAX_START_DELAY_S
+
+__all__ = ["RunNumbers"]
+
+# Callers submit a job again within seconds. A number that was forgotten costs a request
+# that is rejected.
+_KEEP_S = 2 * MAX_START_DELAY_S
+
+
+class RunNumbers:
+    """The highest number of each task's recent runs."""
+
+    def __init__(self):
+        # (number, time of the end) by task, in the order of the ends.
+        self._last = {}
+
+    def next(self, task, number):
+        """Returns the lowest number from a given one on that no run of a task had.
+
+        Args:
+            task: Name of the task.
+            number: Number that its entry has given to the run.
+        """
+        last, _ = self._last.get(task, (0, 0.0))
+        return max(number, last + 1)
+
+    def on_run_over(self, run, now):
+        """Records the number of a run that is over.
+
+        Args:
+            run: `Run`.
+            now: Time, seconds.
+        """
+        last, _ = self._last.pop(run.task, (0, 0.0))
+        self._last[run.task] = max(last, run.run), now
+
+    def forget_old(self, now):
+        """Forgets the runs that ended too long ago.
+
+        Args:
+            now: Time, seconds.
+        """
+        while self._last:
+            task, (_, ended_at) = next(iter(self._last.items()))
+            if now - ended_at < _KEEP_S:
+                return
+            del self._last[task]
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -88,6 +88,26 @@
         self.check_no_overlap()
         self.assertEqual("completed", submitted.outcome.kind)
 
+    def test_job_submitted_again_is_not_started_under_a_number_that_is_old(self):
+        """Guards against two late starts of one task at the same upstream (soak 8308).
+
+        The caller left while run 1 was active, and its entry counts from 1 again. The
+        upstream rejects that number, but its next lifetime executes it.
+        """
+        first = self.submit("2000")
+        self.wait_for(lambda: self.first.records)
+        self.fleet.entries[0].end(first, "unknown", "the caller left", clock.now())
+        self.wait_for(lambda: self.first.records[0].outcome)
+        gevent.sleep(0.2)
+        losses = [_LATE_S, None, _LATE_S]
+        self.first.lifetime.order_loss = lambda: losses.pop(0) if losses else None
+        submitted = self.submit("2000")
+        gevent.sleep(0.9)
+        self.crash_before_the_late_start()
+        submitted.finished.wait(8.0)
+        self.check_no_overlap()
+        self.assertEqual("completed", submitted.outcome.kind)
+
     def test_task_that_failed_starts_nowhere_else_while_a_request_may_be_late(self):
         """Guards against a second run beside an earlier request of a run that ended.
 
