--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -20,6 +20,7 @@
 from .leased_runs import Run, isolated_jobs, unsettled_tasks
 from .listed_runs import ListedRuns
 from .run_activity import RunActivity
+from .run_numbers import RunNumbers
 from .run_owners import RunOwners
 from .run_requests import start_run, stop_run
 from .start_admission import StartConditions, log_refusals, refusal_of_start
@@ -62,6 +63,7 @@
         self._owners = RunOwners()
         self._runs = {}
         self._late_starts = LateStarts()
+        self._numbers = RunNumbers()
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
         self._isolated_runs = 0
@@ -265,6 +267,7 @@
         if reason:
             return reason
         run = Run.of_start(group, start, need, owner, now)
+        run.run = self._numbers.next(run.task, run.run)
         run.session = self._current.session
         self._late_starts.on_run_accepted(run)
         self._runs[start.task] = run
@@ -293,6 +296,7 @@
         if outcome == "done" and service_us > 0 and run.declared_s:
             self._add_peer_run(run, service_us / 1e6 / run.declared_s)
         self._late_starts.on_run_over(run, now)
+        self._numbers.on_run_over(run, now)
         if run.late_requests and outcome != "done":
             self._fence_off_sent_requests()
         self._queue_end(run.owner, run.task, run.run, outcome, service_us)
@@ -384,6 +388,7 @@
         self._suspected.check(now)
         self._activity.check(now)
         self._late_starts.forget_expired(now)
+        self._numbers.forget_old(now)
         if not self._late_starts and not self._activity.may_start_late(now):
             self._current.stop_awaiting(now)
         self._forget_deregistered()
