Give up no wanted start while a request of it may be late

What callers could see: two runs of one task at once, both at one upstream that has returned under its identifier.

Cause: after six requests, or a rejection, a start without a reply was settled by a stop and refused; the entry started the task there again, under the next number, since the upstream rejects the stopped one.

Since such a task may start at this upstream only, nothing is gained by refusing it. Its start is repeated with the same number while it is wanted: six times at once, then each 0.2 s, 0.05 s after a rejection, and not while the upstream is silent, since what is started then could not be stopped. It is settled only when it is not wanted.

Remains: a run that has ended while a request of it was open is followed by one with the next number.

--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -18,7 +18,11 @@
 
 log = logging.getLogger(__name__)
 
-_START_ATTEMPTS = 6
+# Outcomes after which the next request, with a newer token or lease, may be accepted.
+_PASSING_OUTCOMES = ("fenced", "late")
+# Number of requests without a reply after which the next ones are sent less often.
+_QUICK_ATTEMPTS = 6
+_SLOW_RETRY_S = 0.2
 _RETRY_S = 0.05
 # Time for which a start without a reply waits for the poll that may list its run.
 _ASK_TIMEOUT_S = 0.02
@@ -57,7 +61,7 @@
         has_earlier_starts=False,
     ):
         """Starts a run; see `UpstreamSession.start`."""
-        unanswered = 0
+        unanswered = rejections = 0
         expires_ms = 0
         result = "rejected"
 
@@ -67,7 +71,12 @@
         delivery = DeliveryTracker(on_delivery, on_unanswered, on_identified, may_send)
         if has_earlier_starts and not self._fence_off_earlier(task, may_send):
             return result, run
-        for _ in range(_START_ATTEMPTS):
+        while True:
+            if unanswered:
+                state = self._wait_and_ask(task, run, unanswered, may_send)
+                # The end of an earlier submission's run may be listed.
+                if state == "started" or (state == "ended" and not is_wanted()):
+                    return state, run
             request = self._request(task, run, spec, clock.now())
             # While the upstream was asked, another poll may have listed the end.
             if request is None or not may_send():
@@ -82,10 +91,6 @@
                     "start_unanswered",
                     extra={"task": task, "run": run, "error": str(error)},
                 )
-                state = self._ask(task, run)
-                # The end of an earlier submission's run may be listed.
-                if state == "started" or (state == "ended" and not is_wanted()):
-                    return state, run
                 continue
             if outcome == "started":
                 return outcome, run
@@ -96,7 +101,13 @@
                     return state, run
                 run += 1
                 unanswered = 0
-            elif outcome not in ("fenced", "late"):
+            elif outcome in _PASSING_OUTCOMES and rejections < _QUICK_ATTEMPTS:
+                rejections += 1
+            elif unanswered and outcome != "invalid":
+                # The task may start here only, and under another number the next
+                # lifetime could execute both requests.
+                gevent.sleep(_RETRY_S)
+            else:
                 result = outcome
                 break
         if unanswered:
@@ -136,6 +147,18 @@
             attempt += 1
         return state
 
+    def _wait_and_ask(self, task, run, unanswered, may_send):
+        """Polls before a request to start a run is repeated; returns as `_ask`.
+
+        While the upstream is silent, its session polls it. What is started then could
+        not be stopped.
+        """
+        if unanswered >= _QUICK_ATTEMPTS:
+            gevent.sleep(_SLOW_RETRY_S)
+        while self._calls.silent and may_send():
+            gevent.sleep(_RETRY_S)
+        return self._ask(task, run) if may_send() else ""
+
     def _fence_off_earlier(self, task, may_send):
         """Polls until the upstream has replied and runs no earlier run of a task.
 
@@ -148,7 +171,7 @@
         Returns:
             bool: Whether a start may be sent.
         """
-        for attempt in range(_START_ATTEMPTS):
+        for attempt in range(_QUICK_ATTEMPTS):
             if not may_send():
                 return False
             request = PollRequest(self._calls.token.value, self._last_end())
--- a/tests/replaced_upstream_case.py
+++ b/tests/replaced_upstream_case.py
@@ -11,7 +11,7 @@
 from papayaward import clock
 from papayaward.coordination.leased_executor import LeasedExecutor
 from papayaward.coordination.upstream_requests import NoReply, Unreachable
-from papayaward.protocol.gen.ttypes import StartBatch
+from papayaward.protocol.gen.ttypes import StartBatch, StopBatch
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import FakeLink, start_group, upstream_state
 
@@ -128,6 +128,10 @@
         batch = StartBatch(1, [start_group("j.0.0.0", work_ms=work_ms)])
         self.executor.on_message(self.link, batch, clock.now())
 
+    def stop_task(self):
+        """Tells the executor that the task is not wanted any more."""
+        self.executor.on_message(self.link, StopBatch(["j.0.0.0"]), clock.now())
+
     def crash_with_a_start_without_a_reply(self):
         """Crashes the first lifetime while no start has a reply."""
         gevent.sleep(0.3)
--- a/tests/test_silent_return.py
+++ b/tests/test_silent_return.py
@@ -126,6 +126,8 @@
         self.first.fail_request("start", times=6)
         token = self.executor._current.session.next_token - 1
         self.send_start()
+        self.wait_for(lambda: not self.first.faults[0].times)
+        self.stop_task()
         self.wait_for(self.link.ends)
         gevent.sleep(0.3)
         self.second.mute(60.0)
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -18,7 +18,12 @@
 from papayaward.coordination.leased_executor import LeasedExecutor
 from papayaward.coordination.leased_runs import Owner
 from papayaward.coordination.upstream_requests import NoReply
-from papayaward.protocol.gen.ttypes import EndBatch, RunningTasks, StartBatch
+from papayaward.protocol.gen.ttypes import (
+    EndBatch,
+    RunningTasks,
+    StartBatch,
+    StopBatch,
+)
 from papayaward.protocol.jobs import Resources
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import FakeLink, start_group, upstream_state
@@ -156,6 +161,8 @@
             name == "start" and not any(fault.times for fault in self.upstream.faults)
         )
         self.start()
+        self.wait_for(lambda: not self.upstream.faults[0].times)
+        self.executor.on_message(self.link, StopBatch([_TASK]), clock.now())
         self.wait_for(self.link.ends)
 
     def test_late_start_is_listed_while_a_new_run_of_its_task_is_active(self):
