Guard queues as soon as their upstreams refuse connections

Cause: a crash is told when the lease of its runs has ended, up to 1.05 s after connections are refused. By then jobs of the queue have crashed all upstreams.

Change: an executor whose upstream was in touch and refuses connections tells all processes at once. An upstream that refuses may run on, so the refusal goes into records of its own (CrashRelay.guard_records), which only decide which queues placement guards. Verdicts, bounds of starts and the isolation of suspects go by the crashes that are suspected or known, as before, and so does the guard on which a verdict rests. A reply of the same lifetime, or its draining, withdraws the refusal; a suspected or known crash replaces it. It travels in a new optional field of CrashNotices, since a process without the field would take a notice for a crash. The model publishes refusals as well.

--- a/benchmarks/crash_model/executor.py
+++ b/benchmarks/crash_model/executor.py
@@ -221,6 +221,7 @@
         if not lease_s:
             self._publish_crash(self._events.now)
             return
+        self._notices.publish_refusal(self._crash_at(self._events.now))
         self.report()
         noticed_at, instance = self._events.now, self.instance
         delay_s = lease_s * random.uniform(_MIN_LEASE_SHARE, 1.0)
@@ -229,11 +230,15 @@
             lambda: self.instance == instance and self._publish_crash(noticed_at),
         )
 
+    def _crash_at(self, at):
+        runs = self._runs.values()
+        received = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
+        key = f"{self.name}@{self.instance}"
+        return crash_of(key, SERVICE, received, at, witnessed=True)
+
     def _publish_crash(self, at):
         lost = list(self._runs.values())
-        received = [run for run in lost if run.delivery is not Delivery.NOT_DELIVERED]
-        key = f"{self.name}@{self.instance}"
-        crash = crash_of(key, SERVICE, received, at, witnessed=True)
+        crash = self._crash_at(at)
         self._suspected = replace(crash, is_known=not self._load.lease_s)
         self._notices.publish(self._suspected)
         for run in lost:
--- a/benchmarks/crash_model/notices.py
+++ b/benchmarks/crash_model/notices.py
@@ -34,13 +34,20 @@
 
     def publish(self, crash):
         """Tells all processes about a crash, each after the time on its link."""
-        now = self._events.now
-        self._executor_relay.publish(crash, now)
+        self._executor_relay.publish(crash, self._events.now)
+        self._tell_entries(crash, CrashRelay.publish)
+
+    def publish_refusal(self, crash):
+        """Tells the entries about an upstream that refuses connections."""
+        self._tell_entries(crash, CrashRelay.publish_refusal)
+
+    def _tell_entries(self, crash, publish):
         for entry, relay in self._relays.items():
             if self._delays_s[entry]:
-                self._events.after(self._delays_s[entry], self._tell(relay, crash))
+                later = self._tell(relay, crash, publish)
+                self._events.after(self._delays_s[entry], later)
             else:
-                relay.publish(crash, now)
+                publish(relay, crash, self._events.now)
 
     def delay_s(self, entry):
         """Returns the time that a notice takes to an entry, seconds."""
@@ -50,11 +57,11 @@
         """Returns whether the executors refuse a job because of crashes under it."""
         return self._executor_relay.records.is_exhausted(job_id)
 
-    def _tell(self, relay, crash):
+    def _tell(self, relay, crash, publish):
         # The age in a notice does not include the time on the link.
-        def publish():
+        def tell():
             late_s = self._events.now - told_at
-            relay.publish(replace(crash, at=crash.at + late_s), self._events.now)
+            publish(relay, replace(crash, at=crash.at + late_s), self._events.now)
 
         told_at = self._events.now
-        return publish
+        return tell
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -8,6 +8,10 @@
 cause from a bystander. A suspect is therefore started again only where no other suspect
 runs. If that upstream crashes too, the cause is known and the job is not started again.
 The jobs of a queue with such tasks are isolated from the start (see `queue_guard`).
+
+An upstream that refuses connections before the lease of its runs has ended counts for
+the guards of placement, but for no verdict: it may run on. Nor is a job isolated for it
+as a suspect, which in the model costs the other queues more than it spares them.
 """
 
 from enum import Enum
@@ -56,9 +60,13 @@
         self._records = relay.records
         self._placement = placement
         self._jobs = jobs
-        self._guards = QueueGuards()
+        self._guard_records = relay.guard_records
+        # Guards that decide where jobs run, and those that a verdict may rest on.
+        self._guards = QueueGuards("placement")
+        self._verdict_guards = QueueGuards("verdicts")
         relay.on_crash(self._on_crash)
         relay.on_change(self._on_change)
+        relay.on_guard_change(self._on_guard_change)
 
     def verdict(self, job, views, now):
         """Returns the `Verdict` on a job.
@@ -77,7 +85,7 @@
             return Verdict.START
         if self._records.is_condemned_if_known(job_id):
             return Verdict.GIVEN_UP
-        if not self._guards.is_guarded(job.queue.name, now):
+        if not self._verdict_guards.is_guarded(job.queue.name, now):
             return Verdict.START
         if self._records.is_repeatedly_likely(job_id):
             return Verdict.GIVEN_UP
@@ -168,15 +176,23 @@
         return self._guards.services(now)
 
     def _on_crash(self, crash, now):
-        self._guards.on_crash(crash, self._records, now)
-        for job in crash.jobs:
-            if job.job_id in self._jobs:
-                probability = self._records.probability(job.job_id)
-                self._add_outcome(job.queue, probability, now)
+        self._verdict_guards.on_crash(crash, self._records, now)
+        # The guard of a refusal is kept up when its lease has ended.
+        self._guards.on_crash(crash, self._guard_records, now)
 
     def _on_change(self, crash, now):
         if self._records.find(crash.upstream) is None:
-            self._guards.on_withdrawn(crash, self._records, now)
+            self._verdict_guards.on_withdrawn(crash, self._records, now)
+
+    def _on_guard_change(self, crash, now):
+        records = self._guard_records
+        if records.find(crash.upstream) is None:
+            self._guards.on_withdrawn(crash, records, now)
+            return
+        self._guards.on_crash(crash, records, now)
+        for job in crash.jobs:
+            if job.job_id in self._jobs:
+                self._add_outcome(job.queue, records.probability(job.job_id), now)
 
     def is_suspect(self, job):
         """Returns whether a job may have crashed an upstream."""
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -24,7 +24,7 @@
 from .run_owners import RunOwners
 from .suspected_crashes import SuspectedCrashes
 from .unknown_runs import UnknownRuns
-from .upstream_crashes import crash_of_loss
+from .upstream_crashes import crash_of_loss, log_crash
 from .upstream_requests import Delivery, LossEvidence
 from .upstream_session import UpstreamSession
 
@@ -161,6 +161,7 @@
 
     def check_accepting(self):
         """Notifies the entries when tasks may start or may no longer start."""
+        self._check_refusal(clock.now())
         session = self._current.session
         if session is not None and session.taken_over:
             now, instance = clock.now(), self.state.instance
@@ -475,12 +476,28 @@
             now: Time, seconds.
         """
         runs = self._runs.values()
+        log_crash(self.state.key, loss, runs)
         crash = crash_of_loss(self.state, loss, runs, clock.unix_ms())
         publish_at = None
         if loss.evidence is LossEvidence.REPORTED:
             publish_at = self._current.session.all_ended_at
         self._suspected.add(self.state, crash, now, publish_at)
 
+    def _check_refusal(self, now):
+        """Tells all processes whether the upstream refuses connections.
+
+        Args:
+            now: Time, seconds.
+        """
+        session = self._current.session
+        if session is None or not session.silent or self.state.draining:
+            self._suspected.withdraw_refusal(now)
+        elif session.is_refused(now):
+            loss = session.loss(LossEvidence.SILENT, "connections are refused", now)
+            runs = self._runs.values()
+            crash = crash_of_loss(self.state, loss, runs, clock.unix_ms())
+            self._suspected.on_refused(crash, now)
+
     def _tick(self):
         gevent.sleep(_TICK_S)
         now = clock.now()
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -106,10 +106,15 @@
 
 
 class QueueGuards:
-    """Guards of the queues of one entry."""
+    """Guards of the queues of one entry.
 
-    def __init__(self):
+    Args:
+        purpose: What they decide, for the log.
+    """
+
+    def __init__(self, purpose="placement"):
         self._guards = {}
+        self._purpose = purpose
 
     def is_guarded(self, queue, now):
         """Returns whether a queue is guarded."""
@@ -174,7 +179,8 @@
             causes = self._guards[queue].causes
             if not any(_is_cause(job_id, queue, records, now) for job_id in causes):
                 del self._guards[queue]
-                log.info("queue_guard_ended", extra={"queue": queue})
+                extra = {"queue": queue, "purpose": self._purpose}
+                log.info("queue_guard_ended", extra=extra)
 
     def add_outcome(self, queue, crashes, waiting, now):
         """Records the outcome of an isolated job of this entry.
@@ -196,7 +202,8 @@
                 name: guard for name, guard in self._guards.items() if now < guard.until
             }
             self._guards[queue] = _Guard(service, now + _GUARD_S, now)
-            log.warning("queue_guarded", extra={"queue": queue, "seconds": _GUARD_S})
+            extra = {"queue": queue, "seconds": _GUARD_S, "purpose": self._purpose}
+            log.warning("queue_guarded", extra=extra)
         self._guards[queue].until = now + _GUARD_S
         self._guards[queue].causes.add(job.job_id)
 
--- a/papayaward/coordination/reply_tracker.py
+++ b/papayaward/coordination/reply_tracker.py
@@ -111,6 +111,12 @@
         since = now if self._refused_since is None else self._refused_since
         return since - self.failed_at(since) < _MAX_BREAK_S
 
+    def is_refused(self, now):
+        """Returns whether connections are refused since the upstream was in touch."""
+        if self._last_reply is None or self._refused_since is None:
+            return False
+        return self.was_in_touch(now)
+
     def is_failing(self):
         """Returns whether the latest request had no reply."""
         return self._failures > 0
--- a/papayaward/coordination/suspected_crashes.py
+++ b/papayaward/coordination/suspected_crashes.py
@@ -7,6 +7,9 @@
 An upstream that does not reply until its lease has ended may have crashed, or run on
 behind a path that refuses connections. The first lifetime that replies decides it. If
 another lifetime has reported, its reply is awaited before anybody is told.
+
+While it refuses connections before the end of the lease, this counts only for the
+guards of queues.
 """
 
 from dataclasses import dataclass, replace
@@ -26,6 +29,8 @@
     crash: Crash
     # Time at which it is published, seconds; None if it has been.
     publish_at: float | None
+    # Whether all processes have been told that the upstream refuses connections.
+    is_refusal_told: bool = False
 
 
 class SuspectedCrashes:
@@ -38,6 +43,29 @@
     def __init__(self, relay):
         self._relay = relay
         self._suspected = {}
+        # `Crash` of the present session's upstream while it refuses connections.
+        self._refusal = None
+
+    def on_refused(self, crash, now):
+        """Tells all processes that the upstream refuses connections.
+
+        Args:
+            crash: `Crash` of the upstream if it does not run on.
+            now: Time, seconds.
+        """
+        if self._refusal is None:
+            self._refusal = crash
+            self._relay.publish_refusal(crash, now)
+
+    def withdraw_refusal(self, now):
+        """Withdraws a refusal: the upstream has replied, or has not crashed.
+
+        Args:
+            now: Time, seconds.
+        """
+        if self._refusal is not None:
+            refusal, self._refusal = self._refusal, None
+            self._relay.withdraw(refusal, now)
 
     def add(self, state, crash, now, publish_at=None):
         """Tells all processes of a crash.
@@ -49,10 +77,13 @@
             publish_at: Time until which a reply is awaited before, seconds.
         """
         self._suspected.pop(crash.upstream, None)
+        is_refusal_told, self._refusal = self._refusal is not None, None
         if crash.is_known:
             self._relay.publish(crash, now)
             return
-        self._suspected[crash.upstream] = _Suspected(state, crash, publish_at or now)
+        self._suspected[crash.upstream] = _Suspected(
+            state, crash, publish_at or now, is_refusal_told
+        )
         self.check(now)
         if len(self._suspected) > _MAX_SUSPECTED:
             del self._suspected[next(iter(self._suspected))]
@@ -87,5 +118,5 @@
             del self._suspected[crash.upstream]
             if not is_same or born_ms > state.born_ms:
                 self._relay.publish(replace(crash, is_known=True), now)
-            elif suspected.publish_at is None:
+            elif suspected.publish_at is None or suspected.is_refusal_told:
                 self._relay.withdraw(crash, now)
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -13,7 +13,7 @@
 from ..state.crash_records import Crash, CrashedJob, job_id_of
 from .upstream_requests import Delivery
 
-__all__ = ["LostRun", "crash_of", "crash_of_loss"]
+__all__ = ["LostRun", "crash_of", "crash_of_loss", "log_crash"]
 
 log = logging.getLogger(__name__)
 
@@ -24,15 +24,15 @@
 _MAX_LOGGED_RUNS = 20
 
 
-def _log_crash(upstream, loss, runs):
+def log_crash(upstream, loss, runs):
     """Logs the runs of an upstream that has crashed, the latest start first.
 
     Args:
         upstream: Identifier of the upstream instance.
         loss: `InstanceLoss`.
-        runs: `Run` of each run that was lost.
+        runs: `Run` of each run that the executor had there.
     """
-    latest_first = sorted(runs, key=lambda run: -run.started_at)
+    latest_first = sorted(_sent(runs), key=lambda run: -run.started_at)
     metrics.UPSTREAM_CRASHES.inc()
     log.warning(
         "upstream_crashed",
@@ -107,7 +107,7 @@
 
 
 def crash_of_loss(state, loss, runs, noticed_ms):
-    """Logs the crash of an upstream and returns its `Crash`.
+    """Returns the `Crash` of an upstream.
 
     A start that the upstream has not received cannot be the cause.
 
@@ -117,14 +117,21 @@
         runs: `Run` of each run that the executor had there.
         noticed_ms: Wall time, milliseconds.
     """
-    sent = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
-    _log_crash(state.key, loss, sent)
     crash = crash_of(
-        state.key, state.service, sent, loss.at, loss.uncertainty_s, loss.witnessed
+        state.key,
+        state.service,
+        _sent(runs),
+        loss.at,
+        loss.uncertainty_s,
+        loss.witnessed,
     )
     return replace(crash, is_known=loss.is_replaced, noticed_ms=noticed_ms)
 
 
+def _sent(runs):
+    return [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
+
+
 def _was_running(run, at):
     """Returns whether a run is known to have begun and was not being stopped at a time.
 
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -122,6 +122,19 @@
         """Local time by which every run that was started has ended, seconds."""
         return self.leased_until + _KILL_DELAY_S
 
+    @property
+    def silent(self):
+        """Whether the upstream has stopped replying."""
+        return self._calls.silent
+
+    def is_refused(self, now):
+        """Returns whether the upstream refuses connections and was up until then.
+
+        Args:
+            now: Time, seconds.
+        """
+        return self.is_up and self.silent and self._calls.replies.is_refused(now)
+
     def may_have_reached_other(self, sent_at):
         """Returns whether another lifetime may have received a request.
 
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -925,18 +925,21 @@
     Attributes:
      - notices
      - withdrawals
+     - refusals
 
     """
 
     __slots__ = (
         'notices',
         'withdrawals',
+        'refusals',
     )
 
 
-    def __init__(self, notices=None, withdrawals=None,):
+    def __init__(self, notices=None, withdrawals=None, refusals=None,):
         self.notices = notices
         self.withdrawals = withdrawals
+        self.refusals = refusals
 
 
 class DomainsPush(TBase):
@@ -1250,6 +1253,7 @@
     None,  # 0
     (1, TType.LIST, 'notices', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 1
     (2, TType.LIST, 'withdrawals', (TType.STRUCT, [CrashWithdrawal, None], False), None, ),  # 2
+    (3, TType.LIST, 'refusals', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 3
 )
 all_structs.append(DomainsPush)
 DomainsPush.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -295,6 +295,9 @@
 struct CrashNotices {
   1: list<CrashNotice> notices
   2: optional list<CrashWithdrawal> withdrawals
+  // Upstreams that refuse connections while the lease of their runs goes on. They count
+  // only for the guards of queues; a withdrawal voids them as well.
+  3: optional list<CrashNotice> refusals
 }
 
 struct DomainsPush {
--- a/tests/test_crash_model.py
+++ b/tests/test_crash_model.py
@@ -17,6 +17,8 @@
 LEASE_S = 1.05
 # Part of the other queues' jobs that have to meet their objective.
 MIN_OTHERS_IN_TIME = 0.85
+# The same while runs wait for the end of their lease after a crash.
+MIN_OTHERS_IN_TIME_WITH_LEASES = 0.82
 
 
 class CrashModelTest(TestCase):
@@ -52,6 +54,15 @@
                 self.assertEqual(0, result.late_starts)
                 self.assertEqual(0, result.condemned)
 
+    def test_queue_is_recognised_before_the_leases_have_ended(self):
+        """Guards against a queue that takes one upstream after another for a second."""
+        for all_deadly, crash_at in ((True, 0.9), (False, 0.05)):
+            options = {"share": 0.1, "all_deadly": all_deadly, "crash_at": crash_at}
+            options.update(DELAYS, lease_s=LEASE_S)
+            results = [play(Load(seed=seed, **options)) for seed in range(3)]
+            others = sum(result.others_in_time for result in results) / len(results)
+            self.assertGreaterEqual(others, MIN_OTHERS_IN_TIME_WITH_LEASES)
+
     def test_outages_that_no_task_causes(self):
         """Guards against innocent jobs that are given up or held after an outage."""
         loads = [Load(share=0.0, outage_s=7.9, seed=seed) for seed in range(6)]
