Count a crash under a late start at the executor that sent it

Cause: a run is over at one lifetime of its upstream (its end is listed), and an earlier request to start it has no reply. The next lifetime executes that request and crashes before it is taken over. The executor remembers the task (`late_starts`), but published the crash with its active runs only.

A crash of a lifetime that was not taken over now names the tasks whose late start that lifetime may have executed, as possible: they bound the starts and never make a job fail. The lifetime at which the run was over is left out, as it rejects the request, and so is one that was taken over.

--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from .run_activity import may_outlast_lifetime
+from .upstream_crashes import LostRun
 
 __all__ = ["LateStarts"]
 
@@ -27,11 +28,15 @@
 
     Attributes:
         instance: Identifier of the upstream instance that they name.
+        born_ms: Start of its lifetime that rejects them, milliseconds.
         until: Time at which they are not executed any more, seconds.
+        run: `LostRun` that one of them may have begun at a later lifetime.
     """
 
     instance: str
+    born_ms: int
     until: float
+    run: LostRun
 
 
 class LateStarts:
@@ -69,7 +74,11 @@
         until = run.late_start_until
         if until <= now or not may_outlast_lifetime(run.proof):
             return
-        self._starts[run.task] = _LateStart(run.session.instance, until)
+        lost_run = LostRun(run.task, run.queue, run.declared_s, run.started_at)
+        session = run.session
+        self._starts[run.task] = _LateStart(
+            session.instance, session.born_ms, until, lost_run
+        )
         log.info(
             "late_start_possible",
             extra={
@@ -82,6 +91,23 @@
             },
         )
 
+    def lost_runs(self, session, born_ms):
+        """Returns a `LostRun` of each task that a lost lifetime may have started.
+
+        A lifetime that was taken over has stopped such runs, and rejects the requests.
+
+        Args:
+            session: `UpstreamSession` with the lifetime.
+            born_ms: Start of the lifetime, milliseconds.
+        """
+        if session.taken_over:
+            return []
+        return [
+            start.run
+            for start in self._starts.values()
+            if start.instance == session.instance and start.born_ms != born_ms
+        ]
+
     def on_taken_over(self, instance):
         """Removes the tasks whose requests name another instance, which has ended.
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -474,12 +474,14 @@
             loss: `InstanceLoss`.
             now: Time, seconds.
         """
+        state, session = self.state, self._current.session
+        late_runs = self._late_starts.lost_runs(session, state.born_ms)
         runs = self._runs.values()
-        crash = crash_of_loss(self.state, loss, runs, clock.unix_ms())
+        crash = crash_of_loss(state, loss, runs, clock.unix_ms(), late_runs)
         publish_at = None
         if loss.evidence is LossEvidence.REPORTED:
-            publish_at = self._current.session.all_ended_at
-        self._suspected.add(self.state, crash, now, publish_at)
+            publish_at = session.all_ended_at
+        self._suspected.add(state, crash, now, publish_at)
 
     def _tick(self):
         gevent.sleep(_TICK_S)
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -106,7 +106,7 @@
     return Crash(upstream, service, at, jobs, uncertainty_s)
 
 
-def crash_of_loss(state, loss, runs, noticed_ms):
+def crash_of_loss(state, loss, runs, noticed_ms, late_runs=()):
     """Logs the crash of an upstream and returns its `Crash`.
 
     A start that the upstream has not received cannot be the cause.
@@ -116,11 +116,17 @@
         loss: `InstanceLoss`.
         runs: `Run` of each run that the executor had there.
         noticed_ms: Wall time, milliseconds.
+        late_runs: `LostRun` of each start that the instance may have executed late.
     """
     sent = [run for run in runs if run.delivery is not Delivery.NOT_DELIVERED]
     _log_crash(state.key, loss, sent)
     crash = crash_of(
-        state.key, state.service, sent, loss.at, loss.uncertainty_s, loss.witnessed
+        state.key,
+        state.service,
+        [*sent, *late_runs],
+        loss.at,
+        loss.uncertainty_s,
+        loss.witnessed,
     )
     return replace(crash, is_known=loss.is_replaced, noticed_ms=noticed_ms)
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -104,6 +104,35 @@
         self.check_no_overlap()
         self.assertEqual("failed", submitted.outcome.kind)
 
+    def test_crash_under_a_late_start_counts(self):
+        """Guards against a task that starts again after crashes that nobody counts.
+
+        The caller has left, and may submit the job to another entry. The crash of the
+        lifetime that has listed the end of the run does not count.
+        """
+        self.first.lifetime.fail_request("start", delay_s=_LATE_S)
+        submitted = self.submit("2000")
+        self.wait_for(lambda: self.first.records)
+        gevent.sleep(0.5)
+        self.fleet.entries[0].remove_caller(submitted, clock.now())
+        self.wait_for(lambda: self.first.records[0].outcome)
+        gevent.sleep(0.1)
+        self.first.refuse()
+        self.first.crash_from_outside()
+        self.wait_for(self.late_records)
+        lifetime, token = self.first.lifetime, self.first.lifetime.token
+        lifetime.is_unhealthy = lambda name: name == "stop"
+        records = self.fleet.relays[0].records
+        self.first.restore()
+        # The take-over begins, and cannot stop the run.
+        self.wait_for(lambda: lifetime.token > token)
+        gevent.sleep(0.05)
+        self.assertNotEqual([], self.late_records())
+        self.first.crash_from_outside()
+        self.wait_for(lambda: records.find("r0-1@2"))
+        self.assertEqual({"r0-1@2"}, records.upstreams_of(_TASK))
+        self.assertFalse(records.is_condemned_if_known(_JOB))
+
 
 def _end(record):
     return time.monotonic() if record.ended_at is None else record.ended_at
