Count a late start for the crashes of later lifetimes only

What callers saw: a job could be blamed for the crash of a lifetime that had ended before the job was sent.

Cause: any other lifetime of the instance counted. Notices of an earlier one may come later, as when another entry publishes its lost runs once the executor is back. The executor's own late starts had the same test.

Evidence: the new test fails on: a lost task that was sent to i-1@1 counts for the crash of i-1@0, and of keys without a start time.

Only a lifetime that began after the one that the start was sent to can execute it late. A key whose start time cannot be read, as another program may send it, counts as no later one.

--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -105,7 +105,7 @@
         return [
             start.run
             for start in self._starts.values()
-            if start.instance == session.instance and start.born_ms != born_ms
+            if start.instance == session.instance and start.born_ms < born_ms
         ]
 
     def on_taken_over(self, instance):
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -16,7 +16,11 @@
 from .job_state import LOST, SENT
 from .peer_starts import PeerStarts
 from .pinned_tasks import PinnedTasks
-from .upstream_requests import MAX_START_DELAY_S, instance_of_key
+from .upstream_requests import (
+    MAX_START_DELAY_S,
+    instance_of_key,
+    is_later_lifetime,
+)
 
 __all__ = ["LostTasks", "Release"]
 
@@ -74,19 +78,17 @@
     may_start_late: bool = False
 
     def started_late_at(self, upstream):
-        """Returns the tasks that another lifetime of the instance may have started.
+        """Returns the tasks that a later lifetime of the instance may have started.
 
         Args:
             upstream: Key of the lifetime.
         """
-        if instance_of_key(self.upstream) != instance_of_key(upstream):
-            return []
         if self.awaited is not Release.START_EXPIRED and not self.may_start_late:
             return []
         return [
             task
             for task in self.tasks
-            if task.state is LOST and task.upstream != upstream
+            if task.state is LOST and is_later_lifetime(upstream, task.upstream)
         ]
 
 
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -32,6 +32,7 @@
     "UpstreamReply",
     "UpstreamState",
     "instance_of_key",
+    "is_later_lifetime",
 ]
 
 # Time after which a start without a reply has no effect any more: an upstream may
@@ -129,6 +130,21 @@
     return key.rpartition("@")[0] or key
 
 
+def is_later_lifetime(key, other):
+    """Returns whether a lifetime of an instance has begun after another one of it.
+
+    Args:
+        key: `UpstreamState.key` of the lifetime, as another process has sent it.
+        other: That of the other one.
+    """
+    instance, _, born_ms = key.rpartition("@")
+    other_instance, _, other_born_ms = other.rpartition("@")
+    try:
+        return instance == other_instance and int(born_ms) > int(other_born_ms)
+    except ValueError:
+        return False
+
+
 @dataclass(frozen=True)
 class InstanceLoss:
     """The end of an upstream instance, as far as its requests showed it.
--- a/tests/test_lost_upstreams.py
+++ b/tests/test_lost_upstreams.py
@@ -119,6 +119,13 @@
         self.crash("i-2@2")
         self.assertEqual(set(), self.upstreams())
 
+    def test_crash_of_an_earlier_lifetime_does_not_count(self):
+        """Guards against jobs blamed for a crash that preceded their starts."""
+        self.lose_process()
+        for upstream in ("i-1@0", "i-1", "i-1@", "i-1@x", "i-1@" + "9" * 5000):
+            self.crash(upstream)
+        self.assertEqual(set(), self.upstreams())
+
     def test_crash_does_not_count_for_a_confirmed_run(self):
         """Guards against jobs blamed although no request to start them is open."""
         self.report(self.first, 1, upstream="i-1@1")
