Leave the run of a task that was in two crashes where it is

What callers saw: after its third crash a task was started, stopped as slow, moved, and moved again, although its job may crash upstreams.

Cause: the third crash was that of a lifetime that no executor had known, so that two were counted, and a slow run was still moved twice.

The next process of r1 started at 17.42 s and found a fourth lifetime: nobody had a link with i-r1-1@7. The caller had submitted the job again at the other entry, which started the task at 17.83 s, moved it at 18.20 s to r1, and stopped it to move it a second time at 18.53 s. That start would have been the third; the job ended before.

A slow run is not moved any more once its task may have been in two crashes, the number from which its job is isolated.

--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -92,8 +92,19 @@
         While the VM of an upstream is away, nobody can publish whether it crashed, so
         that the upstreams that this entry has lost count beside the known notices.
         """
-        crashed = self._records.upstreams_of(task.name)
-        return len(crashed | task.lost_upstreams) >= MAX_CRASHES_UNDER_TASK
+        return self._lost_upstreams(task) >= MAX_CRASHES_UNDER_TASK
+
+    def may_move(self, task):
+        """Returns whether a slow run of a task may be started elsewhere instead.
+
+        Each move is a start on one more upstream. A task in several crashes may have
+        been in further ones that nobody knows, at lifetimes without an executor.
+        """
+        return self._lost_upstreams(task) < _MAX_BYSTANDER_CRASHES
+
+    def _lost_upstreams(self, task):
+        """Returns the number of upstreams that may have crashed under a task."""
+        return len(self._records.upstreams_of(task.name) | task.lost_upstreams)
 
     def is_without_executors(self, job, views, now):
         """Returns whether all executors for the job's guarded queue are down."""
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -379,8 +379,7 @@
 
     def _must_stay(self, view, task):
         """Returns whether a slow run must not be moved to another executor."""
-        if self._isolation.has_lost_too_many(task):
-            # The starts of a task after its last crash are few, and a move is one more.
+        if not self._isolation.may_move(task):
             return True
         # The next lifetime of the upstream may execute a request to start it, and
         # nobody would know of that if the executor's process ends as well.
