--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from .run_activity import may_outlast_lifetime
+from .upstream_crashes import LostRun
 
 __all__ = ["LateStart", "LateStarts"]
 
@@ -28,14 +29,18 @@
     Attributes:
         task: Name of the task.
         instance: Identifier of the upstream instance that they name.
+        born_ms: Start of its lifetime that rejects them, milliseconds.
         until: Time at which they are not executed any more, seconds.
         number: Number of this addition to the late starts, from 1.
+        run: `LostRun` that one of them may have begun at a later lifetime.
     """
 
     task: str
     instance: str
+    born_ms: int
     until: float
     number: int
+    run: LostRun
 
 
 class LateStarts:
@@ -88,9 +93,15 @@
         if until <= now or not may_outlast_lifetime(run.proof):
             return
         self._additions += 1
-        instance = run.session.instance
-        start = LateStart(run.task, instance, until, self._additions)
-        self._starts[run.task] = start
+        session = run.session
+        self._starts[run.task] = LateStart(
+            run.task,
+            session.instance,
+            session.born_ms,
+            until,
+            self._additions,
+            LostRun(run.task, run.queue, run.declared_s, run.started_at),
+        )
         log.info(
             "late_start_possible",
             extra={
@@ -103,6 +114,23 @@
             },
         )
 
+    def lost_runs(self, session, born_ms):
+        """Returns a `LostRun` of each task that a lost lifetime may have started.
+
+        A lifetime that was taken over has stopped such runs, and rejects the requests.
+
+        Args:
+            session: `UpstreamSession` with the lifetime.
+            born_ms: Start of the lifetime, milliseconds.
+        """
+        if session.taken_over:
+            return []
+        return [
+            start.run
+            for start in self._starts.values()
+            if start.instance == session.instance and start.born_ms < born_ms
+        ]
+
     def on_taken_over(self, instance):
         """Removes the tasks whose requests name another instance, which has ended.
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -375,13 +375,15 @@
             loss: `InstanceLoss`.
             now: Time, seconds.
         """
+        state, session = self.state, self._current.session
+        late_runs = self._late_starts.lost_runs(session, state.born_ms)
         runs = self._runs.values()
-        log_crash(self.state.key, loss, runs)
-        crash = crash_of_loss(self.state, loss, runs, clock.unix_ms())
+        log_crash(state.key, loss, runs)
+        crash = crash_of_loss(state, loss, runs, clock.unix_ms(), late_runs)
         publish_at = None
         if loss.evidence is LossEvidence.REPORTED:
-            publish_at = self._current.session.all_ended_at
-        self._suspected.add(self.state, crash, now, publish_at)
+            publish_at = session.all_ended_at
+        self._suspected.add(state, crash, now, publish_at)
 
     def _check_refusal(self, now):
         """Tells all processes whether the upstream refuses connections.
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -106,7 +106,7 @@
     return Crash(upstream, service, at, jobs, uncertainty_s)
 
 
-def crash_of_loss(state, loss, runs, noticed_ms):
+def crash_of_loss(state, loss, runs, noticed_ms, late_runs=()):
     """Returns the `Crash` of an upstream.
 
     A start that the upstream has not received cannot be the cause.
@@ -116,11 +116,12 @@
         loss: `InstanceLoss`.
         runs: `Run` of each run that the executor had there.
         noticed_ms: Wall time, milliseconds.
+        late_runs: `LostRun` of each start that the instance may have executed late.
     """
     crash = crash_of(
         state.key,
         state.service,
-        _sent(runs),
+        [*_sent(runs), *late_runs],
         loss.at,
         loss.uncertainty_s,
         loss.witnessed,
