Show that the next lifetime starts a task under two numbers

What callers may see: two runs of one task at once, both at one upstream that has returned under its identifier.

Cause: a task whose earlier start may be late is started at the same upstream only, but under the next number if the earlier one was settled by a stop or its run has ended. If both requests are executed late, by the next lifetime and the older one first, both run until the executor's first request.

--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -108,6 +108,32 @@
         self.check_no_overlap()
         self.assertEqual("completed", submitted.outcome.kind)
 
+    def test_task_is_not_started_under_two_numbers_by_the_next_lifetime(self):
+        """Guards against two late starts of one task at the same upstream.
+
+        The start after a settled one has another number, so that the next lifetime
+        executes both unless only one of them had no reply.
+        """
+        lifetime = self.first.lifetime
+        lifetime.fail_request("start", delay_s=_LATE_S)
+        refused = []
+
+        def refuse_once(name):
+            if name != "start" or lifetime.faults[0].times or refused:
+                return False
+            lifetime.fail_request("start", delay_s=_LATE_S)
+            refused.append(name)
+            return True
+
+        lifetime.is_unhealthy = refuse_once
+        submitted = self.submit("2000")
+        self.wait_for(lambda: refused)
+        gevent.sleep(0.7)
+        self.crash_before_the_late_start()
+        submitted.finished.wait(12.0)
+        self.check_no_overlap()
+        self.assertEqual("completed", submitted.outcome.kind)
+
     def test_task_that_failed_starts_nowhere_else_while_a_request_may_be_late(self):
         """Guards against a second run beside an earlier request of a run that ended.
 
