--- a/tests/test_path_faults.py
+++ b/tests/test_path_faults.py
@@ -2,8 +2,8 @@
 tests.test_path_faults
 ~~~~~~~~~~~~~~~~~~~~~~
 
-Runs of the soak whose paths between runners and upstreams refuse connections, and the
-proxy that refuses them.
+Runs of the soak whose paths between runners and upstreams refuse connections or are
+silent, and the proxy that refuses them.
 """
 
 import errno
@@ -36,6 +36,17 @@
         self.assertEqual([], findings, "\n".join(events))
         self.assertGreater(answers["200"], 0, answers)
 
+    def test_late_start_at_the_next_lifetime_runs_no_task_twice(self):
+        """Guards against a second run beside a start that the next lifetime executes.
+
+        An end that the lifetime before had shown released the task for other upstreams.
+        """
+        findings, events, answers = run_soak(
+            8302, _SECONDS, runners=4, only="path_late"
+        )
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], 0, answers)
+
 
 class ProxyTest(TestCase):
     def setUp(self):
