Guard a queue for crashes of different jobs only if they add up to 1.5

Cause: the shares of two innocent crashes can add up to 1.0, from which a queue was guarded since today.

--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -25,7 +25,7 @@
 _SHARD_SHARE = 0.5
 # Crashes put down to the jobs of a queue from which it is guarded if one of the jobs is
 # the likely cause of one.
-_MIN_QUEUE_CRASHES = 1.0
+_MIN_QUEUE_CRASHES = 1.5
 # Largest part of a queue's jobs that may be lost as bystanders of its crashes.
 _BYSTANDER_SHARE = 0.1
 # Crashes and jobs that are assumed when a guard begins.
