Bound the time that a report may pin a task

A report of another program, or of a faulty process, could pin a task for 24 days, and a late start without fields made the next refusal of a job fail. The time is at most the longest delay of a start; an entry without a task is skipped with a log line. Two tests fail without the change.

--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -10,13 +10,16 @@
 the next one before that rejects earlier requests.
 """
 
+import logging
 from dataclasses import dataclass
 
 from ..state.crash_records import job_id_of
-from .upstream_requests import instance_of_key
+from .upstream_requests import MAX_START_DELAY_S, instance_of_key
 
 __all__ = ["PinnedTasks"]
 
+log = logging.getLogger(__name__)
+
 _EXPIRY_INTERVAL_S = 0.1
 
 
@@ -90,8 +93,11 @@
             now: Time, seconds.
         """
         for start in view.late_starts:
-            until = now + start.remaining_ms / 1000.0
-            self.pin([start.task], view.name, start.instance, until)
+            if not start.task:
+                log.warning("late_start_ignored", extra={"executor": view.name})
+                continue
+            remaining_s = min(MAX_START_DELAY_S, (start.remaining_ms or 0) / 1000.0)
+            self.pin([start.task], view.name, start.instance, now + remaining_s)
         name, instance = view.name, instance_of_key(view.upstream)
         if view.taken_over and self._instances.get(name) != instance:
             self._instances[name] = instance
--- a/tests/test_pinned_tasks.py
+++ b/tests/test_pinned_tasks.py
@@ -9,6 +9,7 @@
 
 from papayaward import clock
 from papayaward.coordination.job_scheduler import JobScheduler
+from papayaward.coordination.upstream_requests import MAX_START_DELAY_S
 from papayaward.protocol.gen import ttypes
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 
@@ -181,6 +182,23 @@
         self.assertEqual([_TASK], self.starts_after(0.02, self.first))
         self.assertEqual([_TASK, _TASK], self.starts_after(0.1, self.first))
 
+    def test_odd_time_pins_for_the_longest_delay_at_most(self):
+        """Guards against a task that another program has wait for days."""
+        self.report(self.first, [_TASK], accepting=False, seconds=2_000_000.0)
+        self.submit()
+        last_s = MAX_START_DELAY_S - 0.1
+        self.assertEqual([], self.starts_after(last_s, self.other))
+        self.assertEqual([_TASK], self.starts_after(0.2, self.other))
+
+    def test_late_start_without_fields_pins_nothing(self):
+        """Guards against a link that breaks on a report of another program."""
+        report = capacity_report()
+        report.room.late_starts = [ttypes.LateStart()]
+        self.scheduler.on_message(self.other, report, self.now)
+        job = self.submit()
+        self.scheduler.end(job, "not_run", "overload", self.now)
+        self.assertEqual("not_run", job.outcome.kind)
+
     def test_odd_names_pin_nothing(self):
         """Guards against a list of another program that stops all jobs."""
         self.report(self.first, ["", ".", "x" * (1 << 20), "\ud800"], accepting=False)
