Say in the modules what pinning does not prevent

The doc comments of late_starts and pinned_tasks said that a pinned task can't run beside a late start at the same upstream.

--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -8,7 +8,8 @@
 seen neither the stop nor the fencing token that the one before rejects the start with.
 Until the longest delay of a request has passed, such a task may start on this upstream
 only. A run there ends with the lifetime that executes it, and no start is sent to the
-next one before that rejects the earlier requests.
+next one before that rejects the earlier requests. Only if requests under two numbers of
+the task are late may the next lifetime run both.
 """
 
 import logging
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -6,8 +6,9 @@
 
 A request to start such a task may still be executed, by a later lifetime of the
 upstream that it was sent to. Elsewhere the task could run beside that. At the same
-upstream it can't: its run ends with the lifetime, and the executor starts nothing at
-the next one before that rejects earlier requests.
+upstream its run ends with the lifetime, and the executor starts nothing at the next
+one before that rejects earlier requests. Only if requests under two numbers of the task
+are late may the next lifetime run both.
 """
 
 import logging
