Start a task under one number while a request to start it may be late

A run failed while an earlier request to start it had no reply, the next run's request under the next number had none either, and the next lifetime of the upstream executed both.

Cause: a number was raised while a request under the lower one was open. An upstream runs each number of a task once, but knows of no two numbers that they are one task.

Change: a task with such a request starts under the number of that request only. The lifetime that has ended the number is sent no start of the task (late_start); a later one is, and whichever request it executes first begins the only run. What a take-over finds at a later lifetime is one of the open requests executed, so that a task waits no longer than for the requests that are left. An upstream's old_run raises a number only if no request is open. The poll before such a start is gone, as the number makes it needless.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -27,6 +27,7 @@
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
 from .lost_upstreams import LostUpstreams, with_late_starts
+from .run_starter import LATE_START
 from .run_statistics import RunStatistics
 from .slow_runs import move_slow_runs
 from .speeds import SpeedEstimates
@@ -42,6 +43,9 @@
 # Time between two starts of a task that no other executor may start. An executor that
 # refuses it would else be asked again at once.
 _PINNED_RETRY_S = 0.05
+# The same if the upstream rejects the only number that the task may start under, which
+# only its next lifetime changes.
+_LATE_START_RETRY_S = 0.2
 # Prefix of the outcome of a start that did not lead to a run; the reason follows.
 _NOT_RUN_PREFIX = "not_run:"
 # Reasons for which no executor will ever run a task, with the reason of the outcome.
@@ -263,7 +267,9 @@
                 return
             if reason not in _NO_ROOM_REASONS:
                 task.avoided_executors.add(view.name)
-            if self._lost.is_pinned(task.name):
+            if reason == LATE_START:
+                task.retry_at = now + _LATE_START_RETRY_S
+            elif self._lost.is_pinned(task.name):
                 task.retry_at = now + _PINNED_RETRY_S
             self._requeue(task, reason, now)
             task.job.on_start_refused()
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -7,13 +7,13 @@
 What ends a run at one lifetime of an upstream says nothing about the next one: that has
 seen neither the stop nor the fencing token that the one before rejects the start with.
 Until the longest delay of a request has passed, such a task may start on this upstream
-only. A run there ends with the lifetime that executes it, and no start is sent to the
-next one before that rejects the earlier requests. Only if requests under two numbers of
-the task are late may the next lifetime run both.
+only, and only under the number that the requests carry: a lifetime runs each number of
+a task once, but might run two numbers at once. A lifetime that has ended the number
+rejects it, so that the task waits for the next one or for the end of the delay.
 """
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .run_activity import may_outlast_lifetime
 from .upstream_crashes import LostRun
@@ -29,19 +29,23 @@
 
     Attributes:
         task: Name of the task.
+        run: Number of the run that they start.
+        requests: Number of them.
         instance: Identifier of the upstream instance that they name.
-        born_ms: Start of its lifetime that rejects them, milliseconds.
+        born_ms: Start of its latest lifetime that rejects them, milliseconds.
         until: Time at which they are not executed any more, seconds.
-        number: Number of this addition to the late starts, from 1.
-        run: `LostRun` that one of them may have begun at a later lifetime.
+        addition: Number of this addition to the late starts, from 1.
+        lost_run: `LostRun` that one of them may have begun at a later lifetime.
     """
 
     task: str
+    run: int
+    requests: int
     instance: str
     born_ms: int
     until: float
-    number: int
-    run: LostRun
+    addition: int
+    lost_run: LostRun
 
 
 class LateStarts:
@@ -51,6 +55,8 @@
         # `LateStart` by the name of the task.
         self._starts = {}
         self._additions = 0
+        # Names of the tasks whose runs the take-over under way has found.
+        self._found = set()
 
     def __contains__(self, task):
         return task in self._starts
@@ -71,16 +77,30 @@
         """
         if number == self._additions:
             return []
-        return [start for start in self._starts.values() if start.number > number]
+        return [start for start in self._starts.values() if start.addition > number]
+
+    def is_rejected(self, task, session):
+        """Returns whether the upstream rejects the only number a task may start under.
+
+        Args:
+            task: Name of the task.
+            session: `UpstreamSession` with the upstream.
+        """
+        start = self._starts.get(task)
+        if start is None or start.instance != session.instance:
+            return False
+        return session.born_ms <= start.born_ms
 
     def on_run_accepted(self, run):
-        """Has a new run of a task bear the earlier requests to start it.
+        """Has a new run of a task bear the number of the earlier requests to start it.
 
         Args:
             run: `Run`.
         """
         start = self._starts.pop(run.task, None)
         if start is not None:
+            run.run = start.run
+            run.earlier_requests = start.requests
             run.earlier_start_until = start.until
 
     def on_run_over(self, run, now):
@@ -97,6 +117,8 @@
         session = run.session
         self._starts[run.task] = LateStart(
             run.task,
+            run.run,
+            run.open_requests,
             session.instance,
             session.born_ms,
             until,
@@ -110,11 +132,27 @@
                 "run": run.run,
                 "request_id": run.request_id,
                 "upstream": run.session.instance,
+                "requests": run.open_requests,
                 "seconds": round(until - now, 3),
                 "reason": run.proof.value,
             },
         )
 
+    def on_listed(self, task, run, session, born_ms):
+        """Records that a take-over has found a run, which one of the requests began.
+
+        Args:
+            task: Name of the task.
+            run: Number of the run.
+            session: `UpstreamSession` that takes the upstream over.
+            born_ms: Start of the lifetime that lists the run, milliseconds.
+        """
+        start = self._starts.get(task)
+        if start is None or start.run != run or session.taken_over:
+            return
+        if start.instance == session.instance and 0 < start.born_ms < born_ms:
+            self._found.add(task)
+
     def lost_runs(self, session, born_ms):
         """Returns a `LostRun` of each task that a lost lifetime may have started.
 
@@ -127,18 +165,32 @@
         if session.taken_over:
             return []
         return [
-            start.run
+            start.lost_run
             for start in self._starts.values()
             if start.instance == session.instance and start.born_ms < born_ms
         ]
 
-    def on_taken_over(self, instance):
-        """Removes the tasks whose requests name another instance, which has ended.
+    def on_taken_over(self, session):
+        """Removes the tasks whose requests have been executed, or never will be.
+
+        The runs that were found have been stopped. No other instance executes requests
+        that name this one.
 
         Args:
-            instance: Identifier of the instance that was taken over.
+            session: `UpstreamSession` that has taken the upstream over.
         """
-        self._keep(lambda start: start.instance == instance)
+        for task in self._found:
+            start = self._starts.pop(task, None)
+            if start is not None and start.requests > 1:
+                self._starts[task] = replace(
+                    start, requests=start.requests - 1, born_ms=session.born_ms
+                )
+        self._found.clear()
+        self._keep(lambda start: start.instance == session.instance)
+
+    def on_session_closed(self):
+        """Forgets what a take-over that was not completed has found."""
+        self._found.clear()
 
     def forget_expired(self, now):
         """Removes the tasks that no request can start any more.
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -23,6 +23,7 @@
 from .run_numbers import RunNumbers
 from .run_owners import RunOwners
 from .run_requests import start_run, stop_run
+from .run_starter import LATE_START
 from .start_admission import StartConditions, log_refusals, refusal_of_start
 from .suspected_crashes import SuspectedCrashes
 from .upstream_crashes import crash_of_loss, log_crash
@@ -78,7 +79,11 @@
             self._late_starts,
         )
         self._listed = ListedRuns(
-            self._runs, self._activity, self._reports, lambda: self._current.session
+            self._runs,
+            self._activity,
+            self._reports,
+            self._late_starts,
+            lambda: self._current.session,
         )
         gevent.spawn(repeat, self._tick)
 
@@ -167,7 +172,7 @@
             # The notice of a crash precedes the ends of its runs.
             self._suspected.on_taken_over(instance, session.born_ms, now)
             self._activity.on_taken_over(session, now)
-            self._late_starts.on_taken_over(session.instance)
+            self._late_starts.on_taken_over(session)
         accepting = not self.refusal_reason
         if accepting != self._was_accepting:
             self._was_accepting = accepting
@@ -267,6 +272,8 @@
         )
         if reason:
             return reason
+        if self._late_starts.is_rejected(start.task, self._current.session):
+            return LATE_START
         run = Run.of_start(group, start, need, owner, now)
         run.run = self._numbers.next(run.task, run.run)
         run.session = self._current.session
@@ -300,7 +307,8 @@
         self._numbers.on_run_over(run, now)
         if run.late_requests and outcome != "done":
             self._fence_off_sent_requests()
-        self._queue_end(run.owner, run.task, run.run, outcome, service_us)
+        number = max(run.run, run.requested_run)
+        self._queue_end(run.owner, run.task, number, outcome, service_us)
         self._on_capacity_changed()
 
     def _fence_off_sent_requests(self):
@@ -363,6 +371,7 @@
 
     def _on_session_closed(self, session, evidence, reason):
         self._activity.on_session_closed(session, evidence, reason, clock.now())
+        self._late_starts.on_session_closed()
         self.check_accepting()
 
     def _publish_crash(self, loss, now):
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -39,16 +39,21 @@
     expected_s: float
     declared_s: float
     started_at: float
+    # Number that its entry has given to it; `run` is the one at the upstream.
+    requested_run: int = 0
     running: bool = False
     delivery: Delivery = Delivery.NOT_DELIVERED
     # Time at which the start was last sent.
     sent_at: float = 0.0
     # Number of requests to start it that had no reply, and whether one of them is known
-    # to have been executed, because the upstream has listed the run.
+    # to have been executed, because the upstream has listed the run. A lifetime may
+    # have executed one although another has confirmed the run.
     unanswered: int = 0
     has_executed_unanswered: bool = False
-    # Time until which a request to start an earlier run of the task may be executed by
-    # a later lifetime of the upstream, seconds.
+    has_executed_late: bool = False
+    # Number of earlier requests to start the task under the number of this run, and the
+    # time until which a later lifetime of the upstream may execute them, seconds.
+    earlier_requests: int = 0
     earlier_start_until: float = 0.0
     # Whether the lifetime of its session is known to have begun it, from the reply to
     # its start or from a list of the runs.
@@ -90,6 +95,7 @@
             (group.expected_ms or 0) / 1000.0,
             (group.declared_ms or 0) / 1000.0,
             now,
+            start.run,
         )
 
     @property
@@ -104,8 +110,14 @@
 
     @property
     def late_requests(self):
-        """Number of requests to start it that may still be executed."""
-        return max(0, self.unanswered - self.has_executed_unanswered)
+        """Number of its own requests that may still be executed."""
+        executed = self.has_executed_unanswered + self.has_executed_late
+        return max(0, self.unanswered - executed)
+
+    @property
+    def open_requests(self):
+        """Number of all requests under its number that may still be executed."""
+        return self.earlier_requests + self.late_requests
 
     @property
     def late_start_until(self):
@@ -143,6 +155,16 @@
         if self.delivery is Delivery.UNANSWERED and not self.earlier_start_until:
             self.has_executed_unanswered = True
 
+    def on_found(self, born_ms):
+        """Records that a later lifetime than the one that began it lists the run.
+
+        Args:
+            born_ms: Start of the lifetime that lists it, milliseconds.
+        """
+        is_later = born_ms > self.session.born_ms > 0
+        if self.session_closed and is_later and self.identified:
+            self.has_executed_late = True
+
     @property
     def last_wanted_at(self):
         """Time at which the run's entry was last known to want it, seconds."""
--- a/papayaward/coordination/listed_runs.py
+++ b/papayaward/coordination/listed_runs.py
@@ -18,13 +18,15 @@
         runs: `Run` by the name of its task; the executor changes this dict.
         activity: `RunActivity` of these runs.
         reports: `CapacityReports`, which carry slow runs to the entries.
+        late_starts: `LateStarts`.
         session: Function that returns the current `UpstreamSession`, or None.
     """
 
-    def __init__(self, runs, activity, reports, session):
+    def __init__(self, runs, activity, reports, late_starts, session):
         self._runs = runs
         self._activity = activity
         self._reports = reports
+        self._late_starts = late_starts
         self._session = session
         self._unknown = UnknownRuns()
 
@@ -41,22 +43,30 @@
                 run.on_listed()
                 self._activity.on_listed_end(run, end.outcome, now)
 
-    def on_progress(self, running, now):
+    def on_progress(self, running, born_ms, now):
         """Reports slow runs to their entries, and stops the runs that none wants.
 
         Args:
             running: Progress of each active run, percent, by (task, number).
+            born_ms: Start of the lifetime that has listed them, milliseconds.
             now: Time, seconds.
         """
         for (task, number), percent in running.items():
             run = self._runs.get(task)
             if run is None or number < run.run:
-                self._unknown.stop(self._session(), task, number)
+                self._on_unknown(task, number, born_ms)
             else:
-                self._on_listed(run, percent, now)
+                self._on_listed(run, percent, born_ms, now)
 
-    def _on_listed(self, run, percent, now):
+    def _on_unknown(self, task, number, born_ms):
+        session = self._session()
+        if session is not None:
+            self._late_starts.on_listed(task, number, session, born_ms)
+            self._unknown.stop(session, task, number)
+
+    def _on_listed(self, run, percent, born_ms, now):
         run.on_listed()
+        run.on_found(born_ms)
         if not run.identified and not run.session_closed:
             run.identified = True
             self._reports.on_run_settled(run.owner)
--- a/papayaward/coordination/run_requests.py
+++ b/papayaward/coordination/run_requests.py
@@ -48,7 +48,7 @@
         run.on_start_answered,
         on_unanswered,
         on_identified,
-        run.earlier_start_until > 0.0,
+        run.earlier_requests > 0,
     )
     run.run = number
     if run.ended or run.session_closed:
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -14,10 +14,13 @@
 from .upstream_calls import StopResult
 from .upstream_requests import NoReply, PollRequest, StartRequest
 
-__all__ = ["RunStarter"]
+__all__ = ["LATE_START", "RunStarter"]
 
 log = logging.getLogger(__name__)
 
+# Reason why a task does not start: a request to start it under the number that the
+# upstream rejects may still be executed by the next lifetime.
+LATE_START = "late_start"
 # Outcomes after which the next request, with a newer token or lease, may be accepted.
 _PASSING_OUTCOMES = ("fenced", "late")
 # Number of requests without a reply after which the next ones are sent less often.
@@ -58,7 +61,7 @@
         on_delivery,
         on_unanswered,
         on_identified,
-        has_earlier_starts=False,
+        has_earlier_requests=False,
     ):
         """Starts a run; see `UpstreamSession.start`."""
         unanswered = rejections = 0
@@ -69,8 +72,6 @@
             return not self._calls.closed and is_wanted()
 
         delivery = DeliveryTracker(on_delivery, on_unanswered, on_identified, may_send)
-        if has_earlier_starts and not self._fence_off_earlier(task, may_send):
-            return result, run
         while True:
             if unanswered:
                 state = self._wait_and_ask(task, run, unanswered, may_send)
@@ -99,8 +100,11 @@
                 # The end of an earlier submission's run may be listed under the number.
                 if state == "started" or (state == "ended" and not is_wanted()):
                     return state, run
+                if unanswered or has_earlier_requests:
+                    # The next lifetime could execute requests under two numbers.
+                    result = LATE_START
+                    break
                 run += 1
-                unanswered = 0
             elif outcome in _PASSING_OUTCOMES and rejections < _QUICK_ATTEMPTS:
                 rejections += 1
             elif unanswered and outcome != "invalid":
@@ -159,29 +163,6 @@
             gevent.sleep(_RETRY_S)
         return self._ask(task, run) if may_send() else ""
 
-    def _fence_off_earlier(self, task, may_send):
-        """Polls until the upstream has replied and runs no earlier run of a task.
-
-        From the reply on it rejects requests with the tokens of earlier runs.
-
-        Args:
-            task: Name of the task.
-            may_send: Function that returns whether its start may still be sent.
-
-        Returns:
-            bool: Whether a start may be sent.
-        """
-        for attempt in range(_QUICK_ATTEMPTS):
-            if not may_send():
-                return False
-            request = PollRequest(self._calls.token.value, self._last_end())
-            reply = self._poll(request, attempt)
-            if reply is not None and reply.outcome == "ok":
-                if not any(other == task for other, _ in reply.running):
-                    return True
-            gevent.sleep(_RETRY_S)
-        return False
-
     def _ask(self, task, run):
         """Polls once and returns the state of a run whose start had no reply.
 
--- a/papayaward/coordination/unknown_runs.py
+++ b/papayaward/coordination/unknown_runs.py
@@ -28,11 +28,11 @@
         """Stops a run, unless that is under way or the take-over will do it.
 
         Args:
-            session: `UpstreamSession`, or None.
+            session: `UpstreamSession`.
             task: Name of the task.
             number: Number of the run.
         """
-        if session is None or not session.taken_over:
+        if not session.taken_over:
             return
         if (task, number) in self._stopping:
             return
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -42,8 +42,8 @@
             lease has to end, seconds.
         has_runs: Function that returns whether the executor has runs on the upstream.
         on_ends: Function that takes a list of `RunEnd` and the current time.
-        on_progress: Function that takes the progress in percent by (task, run) and
-            the current time.
+        on_progress: Function that takes the progress in percent by (task, run), the
+            start of the lifetime that has listed it, milliseconds, and the time now.
         on_change: Function called when `ready` may have changed.
         on_lost: Function that takes an `InstanceLoss`, called when the lease has ended
             without replies, or another lifetime or instance has replied.
@@ -167,7 +167,7 @@
         on_delivery=lambda delivery: None,
         on_unanswered=lambda count: None,
         on_identified=lambda: None,
-        has_earlier_starts=False,
+        has_earlier_requests=False,
     ):
         """Starts a run.
 
@@ -186,14 +186,14 @@
                 reply whenever it changes.
             on_identified: Function called when the lifetime of this session is known to
                 have begun the run.
-            has_earlier_starts: Whether a request to start an earlier run of the task
-                may still be executed. The upstream is polled first then, so that the
-                lifetime that is there rejects that request.
+            has_earlier_requests: Whether earlier requests under the number may still be
+                executed. The run gets no other number then.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
                 number of the run, which is raised if the upstream has already received
-                the same or a higher number for the task.
+                the same or a higher number for the task, and no request under it may
+                still be executed.
         """
         return self._starter.start(
             task,
@@ -203,7 +203,7 @@
             on_delivery,
             on_unanswered,
             on_identified,
-            has_earlier_starts,
+            has_earlier_requests,
         )
 
     def stop(self, task, run, is_needed=lambda: True):
@@ -297,7 +297,7 @@
             now = clock.now()
             self._handle_ends(reply.ends, now)
             if reply.running:
-                self._on_progress(reply.running, now)
+                self._on_progress(reply.running, reply.born_ms, now)
         return reply
 
     def _handle_ends(self, ends, now):
--- a/tests/test_activity_orders.py
+++ b/tests/test_activity_orders.py
@@ -11,6 +11,7 @@
 from testtools import TestCase
 
 from papayaward.coordination import late_starts, run_activity
+from papayaward.coordination.late_starts import LateStarts
 from papayaward.coordination.leased_runs import Run
 from papayaward.coordination.run_activity import Proof
 from papayaward.coordination.upstream_requests import LossEvidence
@@ -92,3 +93,15 @@
             return Proof.OTHER_LIFETIME if is_other else None
 
         self.check_finds("_proof_at_loss", proof_at_loss)
+
+    def test_search_finds_requests_under_two_numbers(self):
+        """Guards against a search whose tasks start once only."""
+
+        def on_run_accepted(late_starts, run):
+            late_starts._starts.pop(run.task, None)
+
+        with (
+            mock.patch.object(LateStarts, "on_run_accepted", on_run_accepted),
+            mock.patch.object(LateStarts, "is_rejected", lambda *_: False),
+        ):
+            self.assertIn("under", self.find_false_proof())
