--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -6,9 +6,7 @@
 
 A request to start such a task may still be executed, by a later lifetime of the
 upstream that it was sent to. Elsewhere the task could run beside that. At the same
-upstream its run ends with the lifetime, and the executor starts nothing at the next
-one before that rejects earlier requests. Only if requests under two numbers of the task
-are late may the next lifetime run both.
+upstream it starts under the number of that request only, which the executor sees to.
 """
 
 import logging
--- a/papayaward/coordination/run_numbers.py
+++ b/papayaward/coordination/run_numbers.py
@@ -5,8 +5,8 @@
 Numbers of the runs that an upstream may reject as old.
 
 A job that is submitted again begins with low numbers, which the upstream rejects as
-old. A request under such a number has to be followed by one under a higher number. If
-neither has a reply, the next lifetime of the upstream executes both.
+old. If such a request had no reply, no request under a higher number could follow
+before it can't be executed any more: the next lifetime might execute both.
 """
 
 from .upstream_requests import MAX_START_DELAY_S
--- a/tests/test_pinned_tasks.py
+++ b/tests/test_pinned_tasks.py
@@ -182,6 +182,20 @@
         self.assertEqual([_TASK], self.starts_after(0.02, self.first))
         self.assertEqual([_TASK, _TASK], self.starts_after(0.1, self.first))
 
+    def test_start_under_a_rejected_number_is_repeated_seldom(self):
+        """Guards against an executor that is asked at once again and again.
+
+        The upstream rejects the only number that the task may start under.
+        """
+        self.report(self.first, [_TASK])
+        job = self.submit()
+        self.assertEqual([_TASK], self.starts_after(0.02, self.first))
+        refused = ttypes.TaskEnd(_TASK, 1, "not_run:late_start", 0)
+        self.report(self.first, ends=[refused], last_batch=1)
+        self.assertEqual([_TASK], self.starts_after(0.18, self.first))
+        self.assertEqual([_TASK] * 2, self.starts_after(0.04, self.first))
+        self.assertIsNone(job.outcome)
+
     def test_odd_time_pins_for_the_longest_delay_at_most(self):
         """Guards against a task that another program has wait for days."""
         self.report(self.first, [_TASK], accepting=False, seconds=2_000_000.0)
