Answer a job at once that an open request outlasts

What callers saw: a task that waits for an earlier request (late_start) held its caller and the other tasks of its job until the deadline was near, although the wait (up to 15 s) was known to be longer than the deadline.

Change: the entry ends such a job as unknown when the executor refuses the start, as only the end of that upstream could let it start sooner.

--- a/papayaward/coordination/early_ends.py
+++ b/papayaward/coordination/early_ends.py
@@ -89,6 +89,20 @@
                 reason = "overload"
         return LeasedJobOutcome("not_run", reason, retry_after_s) if reason else None
 
+    def on_late_start(self, job, until):
+        """Returns the outcome of a job with a task that waits for an earlier request.
+
+        Its upstream rejects the only number that the task may start under. Only the end
+        of that upstream could let it start sooner.
+
+        Args:
+            job: `Job`.
+            until: Time at which the request is not executed any more, seconds.
+        """
+        if not self._placement.will_miss_deadline(job, until):
+            return None
+        return LeasedJobOutcome("unknown", "an earlier start may be executed")
+
     def on_check(self, job, placement_round, is_waiting, now):
         """Returns the outcome of a job that can no longer be served in time.
 
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -273,6 +273,10 @@
                 task.retry_at = now + _PINNED_RETRY_S
             self._requeue(task, reason, now)
             task.job.on_start_refused()
+            if reason == LATE_START:
+                until = self._lost.pinned_until(task.name)
+                outcome = self._early_ends.on_late_start(task.job, until)
+                self._end_with(task.job, outcome, now)
         elif not self._end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -141,6 +141,10 @@
         """Returns whether a task may start at one executor only."""
         return task_name in self._pinned
 
+    def pinned_until(self, task_name):
+        """Returns the time until which a task is pinned, seconds; 0.0 if it is not."""
+        return self._pinned.until(task_name)
+
     def may_start_at(self, task_name, executor_name):
         """Returns whether a task may start at an executor as far as late starts go."""
         return self._pinned.may_start_at(task_name, executor_name)
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -58,6 +58,15 @@
         pins = self._pins.get(task_name)
         return pins is None or pins.keys() == {executor_name}
 
+    def until(self, task_name):
+        """Returns the time until which a task may start at one executor only, seconds.
+
+        Args:
+            task_name: Name of the task; 0.0 if it is not pinned.
+        """
+        pins = self._pins.get(task_name, {}).values()
+        return max((pin.until for pin in pins), default=0.0)
+
     def has_job(self, job_id):
         """Returns whether a task of a job may still be started by an earlier request.
 
--- a/tests/test_pinned_tasks.py
+++ b/tests/test_pinned_tasks.py
@@ -196,6 +196,16 @@
         self.assertEqual([_TASK] * 2, self.starts_after(0.04, self.first))
         self.assertIsNone(job.outcome)
 
+    def test_job_that_an_earlier_request_outlasts_is_answered_at_once(self):
+        """Guards against callers that wait in vain, and tasks that run for them."""
+        self.report(self.first, [_TASK])
+        job = self.submit(timeout_s=_REMAINING_S - 1.0)
+        self.starts_after(0.02, self.first)
+        refused = ttypes.TaskEnd(_TASK, 1, "not_run:late_start", 0)
+        self.report(self.first, ends=[refused], last_batch=1)
+        self.assertEqual("unknown", job.outcome.kind)
+        self.assertEqual("an earlier start may be executed", job.outcome.reason)
+
     def test_odd_time_pins_for_the_longest_delay_at_most(self):
         """Guards against a task that another program has wait for days."""
         self.report(self.first, [_TASK], accepting=False, seconds=2_000_000.0)
