Refuse a start under an old number instead of raising the number

A job was submitted again to a new process of an executor, the upstream rejected the first number as old, and the request under the next one had no reply. Two lifetimes later both numbers were executed.

Cause: the executor raised the number while it was starting the run, but recorded it only when the start was over. A take-over within that time listed the late start under the number before, under which the task started again. The entry never learned which number had been used, so that it cannot tell the executor's next process either.

Change: the entry alone chooses the number. An executor refuses a start whose number is not above those of the task's recent runs, or that the upstream rejects as old, and tells the number; the entry starts the task under the next one at once.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -27,7 +27,7 @@
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
 from .lost_upstreams import LostUpstreams, with_late_starts
-from .run_starter import LATE_START
+from .run_starter import LATE_START, OLD_RUN
 from .run_statistics import RunStatistics
 from .slow_runs import move_slow_runs
 from .speeds import SpeedEstimates
@@ -56,6 +56,8 @@
 _CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
 _NO_ROOM_REASONS = ("busy", "not_isolated")
+# The same, and that it accepts under the next number.
+_PASSING_REASONS = (*_NO_ROOM_REASONS, OLD_RUN)
 
 
 class JobScheduler:
@@ -265,7 +267,7 @@
             if reason == _CRASHING_REASON:
                 self._end_crashing(task.job, now)
                 return
-            if reason not in _NO_ROOM_REASONS:
+            if reason not in _PASSING_REASONS:
                 task.avoided_executors.add(view.name)
             if reason == LATE_START:
                 task.retry_at = now + _LATE_START_RETRY_S
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -23,7 +23,7 @@
 from .run_numbers import RunNumbers
 from .run_owners import RunOwners
 from .run_requests import start_run, stop_run
-from .run_starter import LATE_START
+from .run_starter import LATE_START, OLD_RUN
 from .start_admission import StartConditions, log_refusals, refusal_of_start
 from .suspected_crashes import SuspectedCrashes
 from .upstream_crashes import crash_of_loss, log_crash
@@ -257,7 +257,10 @@
                 if reason:
                     outcome = "not_run:" + reason
                     refused.setdefault(reason, []).append(start.task)
-                    self._queue_end(owner, start.task, start.run, outcome, 0)
+                    number = start.run
+                    if reason == OLD_RUN:
+                        number = self._numbers.next(start.task, number) - 1
+                    self._queue_end(owner, start.task, number, outcome, 0)
         log_refusals(refused, now - owner.last_alive_at)
         self._on_capacity_changed()
 
@@ -274,8 +277,10 @@
             return reason
         if self._late_starts.is_rejected(start.task, self._current.session):
             return LATE_START
+        is_late = start.task in self._late_starts
+        if not is_late and start.run < self._numbers.next(start.task, start.run):
+            return OLD_RUN
         run = Run.of_start(group, start, need, owner, now)
-        run.run = self._numbers.next(run.task, run.run)
         run.session = self._current.session
         self._late_starts.on_run_accepted(run)
         self._runs[start.task] = run
--- a/papayaward/coordination/run_numbers.py
+++ b/papayaward/coordination/run_numbers.py
@@ -6,7 +6,9 @@
 
 A job that is submitted again begins with low numbers, which the upstream rejects as
 old. A request under such a number has to be followed by one under a higher number. If
-neither has a reply, the next lifetime of the upstream executes both.
+neither has a reply, the next lifetime of the upstream executes both. The executor
+refuses such a start and tells the number, so that the entry always knows under which
+one a request may be open.
 """
 
 from .upstream_requests import MAX_START_DELAY_S
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -14,13 +14,17 @@
 from .upstream_calls import StopResult
 from .upstream_requests import NoReply, PollRequest, StartRequest
 
-__all__ = ["LATE_START", "RunStarter"]
+__all__ = ["LATE_START", "OLD_RUN", "RunStarter"]
 
 log = logging.getLogger(__name__)
 
 # Reason why a task does not start: a request to start it under the number that the
 # upstream rejects may still be executed by the next lifetime.
 LATE_START = "late_start"
+# Reason why a run does not start: the upstream has ended its number, or a higher one.
+# The entry starts the task under the next number, so that it knows under which one a
+# request may be open when this process dies.
+OLD_RUN = "old_run"
 # Outcomes after which the next request, with a newer token or lease, may be accepted.
 _PASSING_OUTCOMES = ("fenced", "late")
 # Number of requests without a reply after which the next ones are sent less often.
@@ -95,16 +99,15 @@
                 continue
             if outcome == "started":
                 return outcome, run
-            if outcome == "old_run":
+            if outcome == OLD_RUN:
                 state = self._state_of(task, run) if unanswered else "never"
                 # The end of an earlier submission's run may be listed under the number.
                 if state == "started" or (state == "ended" and not is_wanted()):
                     return state, run
-                if unanswered or has_earlier_requests:
-                    # The next lifetime could execute requests under two numbers.
-                    result = LATE_START
-                    break
-                run += 1
+                # The next lifetime could execute requests under two numbers.
+                is_open = unanswered or has_earlier_requests
+                result = LATE_START if is_open else OLD_RUN
+                break
             elif outcome in _PASSING_OUTCOMES and rejections < _QUICK_ATTEMPTS:
                 rejections += 1
             elif unanswered and outcome != "invalid":
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -187,13 +187,11 @@
             on_identified: Function called when the lifetime of this session is known to
                 have begun the run.
             has_earlier_requests: Whether earlier requests under the number may still be
-                executed. The run gets no other number then.
+                executed. The task may start under this number only then.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
-                number of the run, which is raised if the upstream has already received
-                the same or a higher number for the task, and no request under it may
-                still be executed.
+                number of the run.
         """
         return self._starter.start(
             task,
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -54,6 +54,23 @@
         gevent.sleep(0.1)
         self.first.restore()
 
+    def lose_orders(self, lifetime, delay_s, answered=0):
+        """Has a lifetime execute orders late and without a reply, but for some.
+
+        Returns:
+            list: Filled with the delay of each such order.
+        """
+        lost, replies = [], [None] * answered
+
+        def delay():
+            if replies:
+                return replies.pop()
+            lost.append(delay_s)
+            return delay_s
+
+        lifetime.order_loss = delay
+        return lost
+
     def late_records(self):
         """Returns the records of the runs at the next lifetime."""
         lifetime = self.first.lifetime
@@ -110,6 +127,47 @@
         self.check_no_overlap()
         self.assertEqual("completed", submitted.outcome.kind)
 
+    def test_job_submitted_again_starts_under_the_next_number(self):
+        """Guards against a resubmitted job that an upstream rejects as an old run."""
+        for restarts in (False, True):
+            submitted = self.submit("20")
+            submitted.finished.wait(2.0)
+            self.assertEqual("completed", submitted.outcome.kind)
+            if restarts:
+                self.fleet.restart_process(self.first)
+                self.wait_for(lambda: not self.first.executor.refusal_reason)
+        submitted = self.submit("20")
+        submitted.finished.wait(2.0)
+        self.assertEqual("completed", submitted.outcome.kind)
+        self.assertEqual([1, 2, 3], [record.run for record in self.first.records])
+
+    def test_request_under_the_number_after_an_old_one_is_known_by_that_number(self):
+        """Guards against two late starts of one task at the same upstream.
+
+        The executor's process is new and does not know that the first number is old.
+        """
+        first = self.submit("2000")
+        self.wait_for(lambda: self.first.records)
+        self.fleet.entries[0].end(first, "unknown", "the caller left", clock.now())
+        self.wait_for(lambda: self.first.records[0].outcome)
+        self.fleet.restart_process(self.first)
+        self.wait_for(lambda: not self.first.executor.refusal_reason)
+        lost, lost_next = self.lose_orders(self.first.lifetime, 0.6, answered=1), []
+        self.first.on_begin = lambda lifetime: lost_next.append(
+            self.lose_orders(lifetime, 0.6)
+        )
+        submitted = self.submit("2000")
+        self.wait_for(lambda: lost)
+        self.first.crash_from_outside()
+        self.wait_for(lambda: lost_next and lost_next[0])
+        self.first.on_begin = lambda lifetime: None
+        self.first.refuse()
+        self.first.crash_from_outside()
+        gevent.sleep(1.0)
+        self.first.restore()
+        submitted.finished.wait(8.0)
+        self.check_no_overlap()
+
     def test_task_is_not_started_under_two_numbers_by_the_next_lifetime(self):
         """Guards against two late starts of one task at the same upstream.
 
