--- a/papayaward/coordination/run_numbers.py
+++ b/papayaward/coordination/run_numbers.py
@@ -6,7 +6,9 @@
 
 A job that is submitted again begins with low numbers, which the upstream rejects as
 old. If such a request had no reply, no request under a higher number could follow
-before it can't be executed any more: the next lifetime might execute both.
+before it can't be executed any more: the next lifetime might execute both. The executor
+refuses such a start and tells the number, so that the entry always knows under which
+one a request may be open.
 """
 
 from .upstream_requests import MAX_START_DELAY_S
