Show what the number of a run is not known for after

Orders of events and causes:

Run 1 has a request without a reply; the executor's process restarts; the next one takes the same lifetime over; the entry releases the task (Release.TAKEN_OVER, pinned) and counts on (StartBatches.add); the request for run 2 has no reply either; the lifetime crashes; the next executes both. Cause: LateStarts and RunNumbers live in the process, and neither the pin of the entry nor the message LateStart has the number of the request.

The wrong number is kept. An upstream rejects run 1 as old (an earlier process used it), run 2 has no reply, the session is closed. Cause: RunStarter.start raises its local number, start_run sets Run.run when it returns, and RunActivity and LateStarts read it before. The next lifetime is sent run 1 while a request for run 2 is open.

Cause of 3 and 4: LateStarts.is_rejected takes the session of the run for a lifetime that rejects its number. It does not if the run was only fenced off (TAKEN_OVER of the same lifetime, after a silence of a second) or if its start was refused there (503, no room, late, not sent). Cause of 5: only active runs that a take-over lists count as executed requests (LateStarts.on_listed), not their ends (ListedRuns.on_ends), and a short task has mostly ended by then.

LeasedFleet can restart the process of an executor.

--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -52,6 +52,27 @@
         return True
 
 
+class _Process:
+    """Client of an upstream of which one process of its executor makes use.
+
+    Attributes:
+        ended: Whether the process has ended, so that nothing more is sent.
+    """
+
+    def __init__(self, upstream):
+        self.ended = False
+        self._upstream = upstream
+
+    def __getattr__(self, name):
+        def send(*args):
+            if self.ended:
+                gevent.sleep(_REFUSAL_DELAY_S)
+                raise Unreachable("the process has ended")
+            return getattr(self._upstream, name)(*args)
+
+        return send
+
+
 class LocalUpstream:
     """An executor with an upstream that restarts some time after a crash.
 
@@ -75,8 +96,8 @@
         self._keeps_instance = keeps_instance
         self._upstream = None
         self._path_refuses = Event()
-        self.crash_relay = CrashRelay()
-        self.executor = LeasedExecutor(self, lambda domain: False, self.crash_relay)
+        self.incarnation = 0
+        self._begin_process()
         self._begin()
 
     def __getattr__(self, name):
@@ -98,6 +119,13 @@
         """Ends the effect of `refuse`."""
         self._path_refuses.clear()
 
+    def restart_process(self):
+        """Replaces the process of the executor; the instance runs on."""
+        self._process.ended = True
+        self.entry_links = []
+        self._begin_process()
+        self.report()
+
     def report(self):
         """Sends the executor a report of the present instance."""
         state = upstream_state(
@@ -127,6 +155,14 @@
         self._upstream.crash()
         self._on_crash()
 
+    def _begin_process(self):
+        self.incarnation += 1
+        self.crash_relay = CrashRelay()
+        self._process = _Process(self)
+        self.executor = LeasedExecutor(
+            self._process, lambda domain: False, self.crash_relay
+        )
+
     def _begin(self):
         self.number += 1
         instance = f"{self.name}-{1 if self._keeps_instance else self.number}"
@@ -217,6 +253,17 @@
         for number, entry in enumerate(self.entries):
             self._connect(f"e{number}", entry, self.relays[number], new)
 
+    def restart_process(self, upstream):
+        """Replaces the process of an executor; its upstream runs on."""
+        old = upstream.executor
+        for entry, executor_link, entry_link in upstream.entry_links:
+            entry_link.closed = executor_link.closed = True
+            entry.on_link_down(executor_link, clock.now())
+        self._links = [link for link in self._links if link[0] is not old]
+        upstream.restart_process()
+        for number, entry in enumerate(self.entries):
+            self._connect(f"e{number}", entry, self.relays[number], upstream)
+
     def close(self):
         """Ends the heartbeats."""
         self._greenlet.kill()
@@ -233,7 +280,8 @@
                 executor.on_message(entry_link, message, clock.now())
 
         entry_link = _Link(_peer(name, "entry"), to_entry)
-        executor_link = _Link(_peer(upstream.name, "runner"), to_executor)
+        runner = _peer(upstream.name, "runner", upstream.incarnation)
+        executor_link = _Link(runner, to_executor)
         self._links.append((executor, entry_link))
         upstream.entry_links.append((entry, executor_link, entry_link))
         relay.on_link_up(executor_link, clock.now())
@@ -256,11 +304,11 @@
         return None, error
 
 
-def _peer(member, role):
+def _peer(member, role, incarnation=1):
     return SimpleNamespace(
         member=member,
         role=role,
-        incarnation=1,
+        incarnation=incarnation,
         domain="a",
         service_name="dispatch",
         config_version=0,
--- /dev/null
+++ b/tests/test_run_facts.py
@@ -0,0 +1,198 @@
+"""
+tests.test_run_facts
+~~~~~~~~~~~~~~~~~~~~
+
+What an executor may conclude of the number of a run while a request may be late.
+
+docs/notes/run-facts.md lists the facts and the tests that guard them.
+"""
+
+import time
+from itertools import combinations
+
+import gevent
+from testtools import TestCase
+
+from papayaward import clock
+from tests.leased_case import job_queue
+from tests.leased_fleet import LeasedFleet, job
+from tests.replaced_upstream_case import ReplacedUpstreamCase
+
+_JOB = "0123456789abcdef"
+_TASK = "j.0.0.0"
+# Time within which a start that nothing keeps from being accepted has begun.
+_START_S = 3.0
+_RETRY_S = 0.2
+# Time in which an executor follows the clock of an upstream that was set forward.
+_CLOCK_CHANGE_S = 1.2
+# Delay of the requests that the next lifetime executes, in the order of their tokens.
+_LATE_S = 2.0
+_SHORTEST_OVERLAP_S = 0.001
+
+
+class LateNumberCase(ReplacedUpstreamCase):
+    # The ends of leases on this clock are far ahead on that of the next lifetime.
+    first_clock_ms = 480_000
+
+    def lose_the_reply_to_a_start(self, delay_s=None):
+        """Sends a start without a reply, whose repetitions the upstream refuses.
+
+        Args:
+            delay_s: Time after which it is executed, seconds; None for never.
+        """
+        self.first.fail_request("start", delay_s)
+        fault = self.first.faults[-1]
+        self.first.is_unhealthy = lambda name: name == "start" and not fault.times
+        self.send_start()
+        self.wait_for(lambda: not fault.times)
+
+    def replace_lifetime(self):
+        self.first.next_lifetime = self.second
+        self.first.crash()
+        self.address.lifetime = self.second
+
+    def starts_within(self, upstream, seconds=_START_S):
+        """Sends a start again and again; returns whether a run begins there."""
+        before = len(upstream.records)
+        until = clock.now() + seconds
+        while clock.now() < until:
+            if len(upstream.records) > before:
+                return True
+            if not self.executor.running and not self.executor.refusal_reason:
+                self.send_start()
+            gevent.sleep(_RETRY_S)
+        return False
+
+
+class RaisedNumberTest(LateNumberCase):
+    def test_start_at_the_next_lifetime_has_the_number_that_was_raised(self):
+        """Guards against requests under two numbers after a restart of the process.
+
+        The upstream rejects the number of the entry, as an earlier process used it.
+        """
+        gevent.sleep(0.3)
+        self.first.last_runs[_TASK] = 1
+        self.lose_the_reply_to_a_start()
+        self.replace_lifetime()
+        self.report_second_lifetime()
+        self.wait_for(self.link.ends)
+        self.assertTrue(self.starts_within(self.second))
+        self.assertEqual([2], [record.run for record in self.second.records])
+
+
+class SameLifetimeTest(LateNumberCase):
+    def test_task_starts_at_the_lifetime_that_was_silent(self):
+        """Guards against tasks that wait for 15 s after each loss of an upstream.
+
+        It has neither executed the request nor stopped the run, so that it accepts the
+        number, and the request that is open has the same.
+        """
+        gevent.sleep(0.3)
+        self.first.fail_request("start", times=9)
+        self.send_start()
+        gevent.sleep(0.05)
+        self.address.lifetime = None
+        self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
+        self.first.faults.clear()
+        self.address.lifetime = self.first
+        self.wait_for(self.link.ends)
+        self.assertTrue(self.starts_within(self.first))
+
+
+class NextLifetimeTest(LateNumberCase):
+    def lose_a_start_that_is_settled(self, delay_s=None):
+        """Ends a run at the first lifetime while a request to start it is open."""
+        gevent.sleep(0.3)
+        self.lose_the_reply_to_a_start(delay_s)
+        self.stop_task()
+        self.wait_for(self.link.ends)
+
+    def test_task_starts_at_the_next_lifetime_after_a_refusal(self):
+        """Guards against tasks that wait for 15 s for one refusal (503).
+
+        The next lifetime has seen no run of the task, and accepts the number.
+        """
+        self.lose_a_start_that_is_settled()
+        self.second.is_unhealthy = lambda name: name == "start"
+        self.replace_lifetime()
+        self.report_second_lifetime()
+        self.wait_for(lambda: not self.executor.refusal_reason)
+        ends = len(self.link.ends())
+        self.send_start()
+        self.wait_for(lambda: len(self.link.ends()) > ends)
+        self.second.is_unhealthy = lambda name: False
+        self.assertTrue(self.starts_within(self.second))
+
+    def test_run_that_ended_before_the_take_over_was_the_only_request(self):
+        """Guards against tasks that wait for a request that has been executed.
+
+        The next lifetime has executed it and lists its end.
+        """
+        self.lose_a_start_that_is_settled(delay_s=0.3)
+        self.address.refuses = True
+        self.replace_lifetime()
+        self.wait_for(lambda: self.second.records)
+        self.second.end_run(_TASK, "failed")
+        self.address.refuses = False
+        self.report_second_lifetime()
+        self.wait_for(lambda: not self.executor.refusal_reason)
+        self.assertTrue(self.starts_within(self.second))
+
+
+class RestartedProcessTest(TestCase):
+    """A fleet whose executor's process restarts while a start has no reply."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet = LeasedFleet(executors=1, keeps_instance=True, restart_s=0.1)
+        self.addCleanup(self.fleet.close)
+        self.first = self.fleet.upstreams[0]
+        # The ends of leases on this clock are far ahead on that of the next lifetime.
+        self.first.lifetime.first_clock_ms = 480_000
+        gevent.sleep(_CLOCK_CHANGE_S)
+
+    def wait_for(self, condition, seconds=4.0):
+        until = clock.now() + seconds
+        while not condition():
+            self.assertLess(clock.now(), until, "the condition was not met in time")
+            gevent.sleep(0.005)
+
+    def delay_the_next_start(self, seconds):
+        """Has the next start executed late; its repetitions are refused."""
+        lifetime = self.first.lifetime
+        lifetime.fail_request("start", delay_s=seconds)
+        fault = lifetime.faults[-1]
+        lifetime.is_unhealthy = lambda name: name == "start" and not fault.times
+        return fault
+
+    def test_next_process_starts_no_task_under_another_number(self):
+        """Guards against two late starts of one task at the same upstream.
+
+        The entry counts on when the next process has taken the upstream over, and that
+        knows of no request of the process before.
+        """
+        fault = self.delay_the_next_start(_LATE_S)
+        request = job(_JOB, "2000", expected_s=0.5, timeout_s=12.0)
+        queue = job_queue(slack_s=12.0)
+        self.fleet.entries[0].submit(request, queue, clock.now())
+        self.wait_for(lambda: not fault.times)
+        gevent.sleep(0.1)
+        fault = self.delay_the_next_start(_LATE_S)
+        self.fleet.restart_process(self.first)
+        gevent.sleep(0.6)
+        self.first.refuse()
+        self.first.crash_from_outside()
+        gevent.sleep(1.8)
+        self.first.restore()
+        gevent.sleep(1.0)
+        self.check_no_overlap()
+
+    def check_no_overlap(self):
+        for one, other in combinations(self.first.records, 2):
+            ends_at = min(_end(one), _end(other))
+            overlap_s = ends_at - max(one.started_at, other.started_at)
+            self.assertLess(overlap_s, _SHORTEST_OVERLAP_S, self.first.records)
+
+
+def _end(record):
+    return time.monotonic() if record.ended_at is None else record.ended_at
