--- a/tests/test_run_facts.py
+++ b/tests/test_run_facts.py
@@ -14,10 +14,21 @@
 from testtools import TestCase
 
 from papayaward import clock
-from tests.leased_case import job_queue
+from papayaward.coordination.job_scheduler import JobScheduler
+from papayaward.protocol.gen import ttypes
+from standins.leased_upstream import LeasedUpstream
+from tests.leased_case import (
+    FakeLink,
+    capacity_report,
+    job_queue,
+    job_request,
+    upstream_state,
+)
 from tests.leased_fleet import LeasedFleet, job
 from tests.replaced_upstream_case import ReplacedUpstreamCase
 
+_BORN_MS = 1_700_000_000_000
+_SET_BACK_BORN_MS = _BORN_MS - 60_000
 _JOB = "0123456789abcdef"
 _TASK = "j.0.0.0"
 # Time within which a start that nothing keeps from being accepted has begun.
@@ -196,3 +207,79 @@
 
 def _end(record):
     return time.monotonic() if record.ended_at is None else record.ended_at
+
+
+class ClockSetBackTest(ReplacedUpstreamCase):
+    def test_lifetime_that_seems_to_be_earlier_is_used(self):
+        """Guards against an upstream that is never used again after a crash.
+
+        The time of day was set back, and its replies tell the same start.
+        """
+        gevent.sleep(0.3)
+        self.first.crash()
+        self.address.lifetime = LeasedUpstream(born_ms=_SET_BACK_BORN_MS)
+        self.wait_for(lambda: self.executor.refusal_reason == "not_reported")
+        report = upstream_state(born_ms=_SET_BACK_BORN_MS)
+        until = clock.now() + _START_S
+        while self.executor.refusal_reason and clock.now() < until:
+            self.executor.on_upstream_report(report, clock.now())
+            gevent.sleep(_RETRY_S)
+        self.assertEqual("", self.executor.refusal_reason)
+
+    def open_executor(self):
+        self.first.born_ms = _BORN_MS
+        return super().open_executor(_BORN_MS)
+
+
+class StaleListTest(LateNumberCase):
+    def test_end_at_the_lifetime_before_ends_no_run_of_the_next(self):
+        """Guards against a run that is reported as over by a reply that came late.
+
+        The list was sent before the lifetime crashed, and has the same number.
+        """
+        # The first request starts the run, and its reply is lost.
+        self.first.order_loss = lambda: None if self.first.records else 0.0
+        self.first.is_unhealthy = lambda name: name == "start" and self.first.records
+        poll = self.first.poll
+
+        def poll_slowly(instance, request, timeout_s):
+            reply = poll(instance, request, timeout_s)
+            if reply.ends:
+                self.held = not request.wait_ms and request.lease_ms is None
+                gevent.sleep(0.15)
+            return reply
+
+        self.held = False
+        self.first.poll = poll_slowly
+        # The poll that is under way ends.
+        gevent.sleep(1.2)
+        self.send_start(work_ms=5)
+        self.wait_for(lambda: self.held)
+        self.replace_lifetime()
+        self.report_second_lifetime()
+        self.wait_for(self.link.ends)
+        self.assertTrue(self.starts_within(self.second))
+        gevent.sleep(0.3)
+        self.assertEqual([(_TASK, "lost")], self.link.ends())
+
+
+class ToldPinTest(TestCase):
+    def test_end_and_pin_of_one_report(self):
+        """Guards against a task that starts elsewhere before it counts as pinned."""
+        now = clock.now()
+        scheduler = JobScheduler(lambda domain: False)
+        first, other = (FakeLink(name, "runner") for name in ("r1", "r2"))
+        scheduler.on_link_up(first, now)
+        scheduler.on_message(first, capacity_report(), now)
+        queue = job_queue(slack_s=60.0)
+        scheduler.submit(job_request(_JOB, timeout_s=60.0), queue, now)
+        scheduler.schedule(now)
+        (start,) = first.starts()
+        scheduler.on_link_up(other, now)
+        scheduler.on_message(other, capacity_report(), now)
+        report = capacity_report(last_batch=1, accepting=False)
+        report.ends.append(ttypes.TaskEnd(start.task, start.run, "lost", 0))
+        report.room.late_starts = [ttypes.LateStart(start.task, "i-1", 10_000)]
+        scheduler.on_message(first, report, now)
+        scheduler.schedule(now)
+        self.assertEqual([], other.starts())
