Show two numbers after a restart of the process at another entry, too

Order of events: an entry's start under a higher number has no reply; the executor's process restarts, and the caller submits the job to another entry; that starts run 1 at the next process, without a reply either; the next lifetime executes both. Cause as for the entry that counts on: PeerStarts and PinnedTasks name the executor, not the number that the open request has.

--- a/tests/test_run_facts.py
+++ b/tests/test_run_facts.py
@@ -155,7 +155,7 @@
 
     def setUp(self):
         super().setUp()
-        self.fleet = LeasedFleet(executors=1, keeps_instance=True, restart_s=0.1)
+        self.fleet = LeasedFleet(2, 1, keeps_instance=True, restart_s=0.1)
         self.addCleanup(self.fleet.close)
         self.first = self.fleet.upstreams[0]
         # The ends of leases on this clock are far ahead on that of the next lifetime.
@@ -176,6 +176,19 @@
         lifetime.is_unhealthy = lambda name: name == "start" and not fault.times
         return fault
 
+    def submit(self, entry):
+        request = job(_JOB, "2000", expected_s=0.5, timeout_s=12.0)
+        return entry.submit(request, job_queue(slack_s=12.0), clock.now())
+
+    def crash_before_the_late_starts(self):
+        """Has the next lifetime execute the late starts before it is taken over."""
+        gevent.sleep(0.6)
+        self.first.refuse()
+        self.first.crash_from_outside()
+        gevent.sleep(1.8)
+        self.first.restore()
+        gevent.sleep(1.0)
+
     def test_next_process_starts_no_task_under_another_number(self):
         """Guards against two late starts of one task at the same upstream.
 
@@ -183,19 +196,33 @@
         knows of no request of the process before.
         """
         fault = self.delay_the_next_start(_LATE_S)
-        request = job(_JOB, "2000", expected_s=0.5, timeout_s=12.0)
-        queue = job_queue(slack_s=12.0)
-        self.fleet.entries[0].submit(request, queue, clock.now())
+        self.submit(self.fleet.entries[0])
         self.wait_for(lambda: not fault.times)
         gevent.sleep(0.1)
+        self.delay_the_next_start(_LATE_S)
+        self.fleet.restart_process(self.first)
+        self.crash_before_the_late_starts()
+        self.check_no_overlap()
+
+    def test_next_process_starts_no_task_of_another_entry_under_a_lower_number(self):
+        """Guards against the same when the job is submitted to another entry.
+
+        That counts from 1. The request that is open has a higher number.
+        """
+        entry, other = self.fleet.entries
+        lifetime, refused = self.first.lifetime, []
+        lifetime.is_unhealthy = lambda name: name == "start" and not refused.append(1)
+        submitted = self.submit(entry)
+        self.wait_for(lambda: refused)
         fault = self.delay_the_next_start(_LATE_S)
+        self.wait_for(lambda: not fault.times)
+        # The other entry is told of the start.
+        gevent.sleep(0.4)
+        self.delay_the_next_start(_LATE_S)
         self.fleet.restart_process(self.first)
-        gevent.sleep(0.6)
-        self.first.refuse()
-        self.first.crash_from_outside()
-        gevent.sleep(1.8)
-        self.first.restore()
-        gevent.sleep(1.0)
+        entry.end(submitted, "unknown", "the caller left", clock.now())
+        self.submit(other)
+        self.crash_before_the_late_starts()
         self.check_no_overlap()
 
     def check_no_overlap(self):
