Show a late start that a stepped clock lets pass the take-over

Order of events: the time of day is ahead when a process opens its session and sends a start without a reply; it is set right; the process and its upstream restart together; the next process takes the next lifetime over with a lower token, which that has no reason to reject; the late start is executed with the higher one. The entry has released the task by then (pinned, under the next number), so that both may run there. Cause: CurrentUpstream._open takes the time of day as the only bound of earlier processes' tokens, and a rejection shows a higher one only at a lifetime that has received it.

--- a/tests/test_run_facts.py
+++ b/tests/test_run_facts.py
@@ -9,12 +9,15 @@
 
 import time
 from itertools import combinations
+from unittest import mock
 
 import gevent
 from testtools import TestCase
 
 from papayaward import clock
 from papayaward.coordination.job_scheduler import JobScheduler
+from papayaward.coordination.leased_executor import LeasedExecutor
+from papayaward.coordination.upstream_requests import StartRequest
 from papayaward.protocol.gen import ttypes
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import (
@@ -28,6 +31,8 @@
 from tests.replaced_upstream_case import ReplacedUpstreamCase
 
 _BORN_MS = 1_700_000_000_000
+# The time of day may jump by seconds and back again.
+_STEP_MS = 5000
 _SET_BACK_BORN_MS = _BORN_MS - 60_000
 _JOB = "0123456789abcdef"
 _TASK = "j.0.0.0"
@@ -290,6 +295,31 @@
         self.assertEqual([(_TASK, "lost")], self.link.ends())
 
 
+class SteppedClockTest(TestCase):
+    def test_next_process_and_lifetime_reject_a_start_from_before_the_step(self):
+        """Guards against a late start that is accepted after the take-over.
+
+        The time of day was ahead when it was sent. The executor's process and its
+        upstream have restarted together, so that neither knows of its token.
+        """
+        with mock.patch.object(clock, "unix_ms", lambda: _BORN_MS + _STEP_MS):
+            first = LeasedUpstream(born_ms=_BORN_MS)
+            self.open_executor(first)
+        late = StartRequest(_TASK, 1, "5000", 480_000, first.token)
+        first.crash()
+        with mock.patch.object(clock, "unix_ms", lambda: _BORN_MS + 1000):
+            second = LeasedUpstream(born_ms=_BORN_MS + 500)
+            self.open_executor(second)
+        self.assertEqual("fenced", second.start("i-1", late).outcome)
+
+    def open_executor(self, upstream):
+        executor = LeasedExecutor(upstream, lambda domain: False)
+        state = upstream_state(born_ms=upstream.born_ms)
+        executor.on_upstream_report(state, clock.now())
+        gevent.sleep(0.3)
+        self.assertEqual("", executor.refusal_reason)
+
+
 class ToldPinTest(TestCase):
     def test_end_and_pin_of_one_report(self):
         """Guards against a task that starts elsewhere before it counts as pinned."""
