Show ends that are taken for those of another run, or not counted

- A start is rejected as old and sent again under the next number, without a reply.
A later session lists the end of the lower number once more, if it was not acknowledged.
Run.run is the lower number until RunStarter.start returns, so that ListedRuns.on_ends ends the run, Run.on_listed counts its open request as executed, and the task is not pinned.
- A run was confirmed while a request of it was open; the next lifetime executes that and lists the end.
Run.on_found is called for active runs only, so that the task is refused (late_start) for up to 15 s.

--- a/tests/test_run_facts.py
+++ b/tests/test_run_facts.py
@@ -17,7 +17,7 @@
 from papayaward import clock
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_executor import LeasedExecutor
-from papayaward.coordination.upstream_requests import StartRequest
+from papayaward.coordination.upstream_requests import RunEnd, StartRequest
 from papayaward.protocol.gen import ttypes
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import (
@@ -95,6 +95,18 @@
         self.assertTrue(self.starts_within(self.second))
         self.assertEqual([2], [record.run for record in self.second.records])
 
+    def test_end_of_the_number_that_was_rejected_ends_no_run(self):
+        """Guards against a start that counts as executed and over while it is open.
+
+        A later session lists the end of the earlier process's run once more.
+        """
+        gevent.sleep(0.3)
+        self.first.last_runs[_TASK] = 1
+        self.lose_the_reply_to_a_start()
+        self.first.ends.append(RunEnd(1, _TASK, 1, "stopped"))
+        gevent.sleep(0.4)
+        self.assertEqual([], self.link.ends())
+
 
 class SameLifetimeTest(LateNumberCase):
     def test_task_starts_at_the_lifetime_that_was_silent(self):
@@ -154,6 +166,23 @@
         self.wait_for(lambda: not self.executor.refusal_reason)
         self.assertTrue(self.starts_within(self.second))
 
+    def test_end_of_a_confirmed_run_at_the_next_lifetime_was_its_open_request(self):
+        """Guards against the same for a run that the first lifetime has confirmed."""
+        gevent.sleep(0.3)
+        self.first.fail_request("start", delay_s=0.5)
+        self.send_start()
+        self.wait_for(lambda: self.first.records)
+        gevent.sleep(0.1)
+        self.address.refuses = True
+        self.replace_lifetime()
+        self.wait_for(lambda: self.second.records)
+        self.second.end_run(_TASK, "failed")
+        self.address.refuses = False
+        self.wait_for(self.link.ends)
+        self.assertEqual([(_TASK, "failed")], self.link.ends())
+        self.report_second_lifetime()
+        self.assertTrue(self.starts_within(self.second))
+
 
 class RestartedProcessTest(TestCase):
     """A fleet whose executor's process restarts while a start has no reply."""
