Use a lifetime that has replied although its start seems earlier

What callers saw: an upstream that restarted after its time of day was set back was never used again (not_reported), as its reports named an earlier start than that of the lifetime before.

Cause: a report counted as outdated by its start alone, although the upstream had replied with the same start.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -135,7 +135,8 @@
         if last is None:
             return False
         replied_born_ms = self._replied_born_ms if state.born_ms else 0
-        if state.born_ms < max(last.born_ms, replied_born_ms):
+        is_replied = replied_born_ms and replied_born_ms == state.born_ms
+        if not is_replied and state.born_ms < max(last.born_ms, replied_born_ms):
             return True
         if _instance_key(last) != _instance_key(state):
             return False
