Hold a task back only at a lifetime that is known to reject its number

What callers saw: since a task with an open request was refused (late_start) for up to 15 s by upstreams that would have accepted it: the same lifetime after a silence, the next one after a refused start (503), and one that had executed the open request and listed its end.

Cause: the lifetime of a run's session was taken for one that rejects its number, and only active runs that a take-over lists counted as executed requests.

Change: a lifetime rejects a number if it has listed its end or answered old_run; ends that a later lifetime lists count like active runs.

--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -32,7 +32,9 @@
         run: Number of the run that they start.
         requests: Number of them.
         instance: Identifier of the upstream instance that they name.
-        born_ms: Start of its latest lifetime that rejects them, milliseconds.
+        born_ms: Start of the lifetime that they were sent to, milliseconds.
+        rejected_by_ms: Start of the latest lifetime that is known to reject the number,
+            milliseconds; 0 if none is.
         until: Time at which they are not executed any more, seconds.
         addition: Number of this addition to the late starts, from 1.
         lost_run: `LostRun` that one of them may have begun at a later lifetime.
@@ -43,6 +45,7 @@
     requests: int
     instance: str
     born_ms: int
+    rejected_by_ms: int
     until: float
     addition: int
     lost_run: LostRun
@@ -89,7 +92,7 @@
         start = self._starts.get(task)
         if start is None or start.instance != session.instance:
             return False
-        return session.born_ms <= start.born_ms
+        return start.rejected_by_ms == session.born_ms > 0
 
     def on_run_accepted(self, run):
         """Has a new run of a task bear the number of the earlier requests to start it.
@@ -100,6 +103,7 @@
         start = self._starts.pop(run.task, None)
         if start is not None:
             run.run = start.run
+            run.rejected_by_ms = start.rejected_by_ms
             run.earlier_requests = start.requests
             run.earlier_start_until = start.until
 
@@ -121,6 +125,7 @@
             run.open_requests,
             session.instance,
             session.born_ms,
+            run.rejected_by_ms,
             until,
             self._additions,
             LostRun(run.task, run.queue, run.declared_s, run.started_at),
@@ -183,7 +188,9 @@
             start = self._starts.pop(task, None)
             if start is not None and start.requests > 1:
                 self._starts[task] = replace(
-                    start, requests=start.requests - 1, born_ms=session.born_ms
+                    start,
+                    requests=start.requests - 1,
+                    rejected_by_ms=session.born_ms,
                 )
         self._found.clear()
         self._keep(lambda start: start.instance == session.instance)
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -55,6 +55,8 @@
     # time until which a later lifetime of the upstream may execute them, seconds.
     earlier_requests: int = 0
     earlier_start_until: float = 0.0
+    # Start of the latest lifetime that is known to reject its number, milliseconds.
+    rejected_by_ms: int = 0
     # Whether the lifetime of its session is known to have begun it, from the reply to
     # its start or from a list of the runs.
     identified: bool = False
--- a/papayaward/coordination/listed_runs.py
+++ b/papayaward/coordination/listed_runs.py
@@ -30,17 +30,22 @@
         self._session = session
         self._unknown = UnknownRuns()
 
-    def on_ends(self, ends, now):
+    def on_ends(self, ends, born_ms, now):
         """Ends the runs that the upstream lists as ended.
 
         Args:
             ends: List of the ends.
+            born_ms: Start of the lifetime that has listed them, milliseconds.
             now: Time, seconds.
         """
         for end in ends:
             run = self._runs.get(end.task)
-            if run is not None and end.run >= run.run:
+            if run is None:
+                self._on_late_start(end.task, end.run, born_ms)
+            elif end.run >= run.run:
                 run.on_listed()
+                run.on_found(born_ms)
+                run.rejected_by_ms = born_ms
                 self._activity.on_listed_end(run, end.outcome, now)
 
     def on_progress(self, running, born_ms, now):
@@ -54,14 +59,19 @@
         for (task, number), percent in running.items():
             run = self._runs.get(task)
             if run is None or number < run.run:
-                self._on_unknown(task, number, born_ms)
+                self._on_late_start(task, number, born_ms)
+                self._stop_unknown(task, number, born_ms)
             else:
                 self._on_listed(run, percent, born_ms, now)
 
-    def _on_unknown(self, task, number, born_ms):
+    def _on_late_start(self, task, number, born_ms):
         session = self._session()
         if session is not None:
             self._late_starts.on_listed(task, number, session, born_ms)
+
+    def _stop_unknown(self, task, number, born_ms):
+        session = self._session()
+        if session is not None:
             self._unknown.stop(session, task, number)
 
     def _on_listed(self, run, percent, born_ms, now):
--- a/papayaward/coordination/run_requests.py
+++ b/papayaward/coordination/run_requests.py
@@ -10,6 +10,7 @@
 import gevent
 
 from .. import clock
+from .run_starter import LATE_START
 from .upstream_requests import Delivery
 
 __all__ = ["start_run", "stop_run"]
@@ -67,6 +68,8 @@
     )
     # An end that did not end this run is that of an earlier submission's run with the
     # same number, so the upstream rejected the start.
+    if result == LATE_START:
+        run.rejected_by_ms = session.born_ms
     on_not_started(run, result, clock.now())
 
 
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -41,9 +41,9 @@
         lease_until: Function of the current time that returns the time at which the
             lease has to end, seconds.
         has_runs: Function that returns whether the executor has runs on the upstream.
-        on_ends: Function that takes a list of `RunEnd` and the current time.
-        on_progress: Function that takes the progress in percent by (task, run), the
-            start of the lifetime that has listed it, milliseconds, and the time now.
+        on_ends: Function that takes a list of `RunEnd`, the start of the lifetime that
+            has listed them, milliseconds, and the current time.
+        on_progress: The same for the progress in percent by (task, run).
         on_change: Function called when `ready` may have changed.
         on_lost: Function that takes an `InstanceLoss`, called when the lease has ended
             without replies, or another lifetime or instance has replied.
@@ -293,16 +293,16 @@
         reply = self._calls.poll(request, attempt)
         if reply is not None and reply.outcome == "ok":
             now = clock.now()
-            self._handle_ends(reply.ends, now)
+            self._handle_ends(reply, now)
             if reply.running:
                 self._on_progress(reply.running, reply.born_ms, now)
         return reply
 
-    def _handle_ends(self, ends, now):
-        new_ends = [end for end in ends if end.number > self._last_end]
+    def _handle_ends(self, reply, now):
+        new_ends = [end for end in reply.ends if end.number > self._last_end]
         if new_ends:
             self._last_end = new_ends[-1].number
-            self._on_ends(new_ends, now)
+            self._on_ends(new_ends, reply.born_ms, now)
 
     def _renew(self):
         attempt = 0
