Ignore lists of another lifetime for the runs of a session

What callers saw: a run that was reported as over (done) while another lifetime was still running it, so that its capacity was given away.

Cause: a reply to a poll of a closed session was handled like one of the present session. Since a task keeps its number, the end at the lifetime before named the run at the next one.

--- a/papayaward/coordination/listed_runs.py
+++ b/papayaward/coordination/listed_runs.py
@@ -42,7 +42,7 @@
             run = self._runs.get(end.task)
             if run is None:
                 self._on_late_start(end.task, end.run, born_ms)
-            elif end.run >= run.run:
+            elif end.run >= run.run and not _is_outdated(run, born_ms):
                 run.on_listed()
                 run.on_found(born_ms)
                 run.rejected_by_ms = born_ms
@@ -61,7 +61,7 @@
             if run is None or number < run.run:
                 self._on_late_start(task, number, born_ms)
                 self._stop_unknown(task, number, born_ms)
-            else:
+            elif not _is_outdated(run, born_ms):
                 self._on_listed(run, percent, born_ms, now)
 
     def _on_late_start(self, task, number, born_ms):
@@ -71,7 +71,7 @@
 
     def _stop_unknown(self, task, number, born_ms):
         session = self._session()
-        if session is not None:
+        if session is not None and born_ms in (0, session.born_ms):
             self._unknown.stop(session, task, number)
 
     def _on_listed(self, run, percent, born_ms, now):
@@ -86,3 +86,18 @@
         elapsed_ms = int((now - run.started_at) * 1000)
         run.owner.slow.append(ttypes.SlowRun(run.task, remaining_ms, elapsed_ms))
         self._reports.wake()
+
+
+def _is_outdated(run, born_ms):
+    """Returns whether a list is of another lifetime than that which a run was sent to.
+
+    It was sent before its lifetime ended, and may name an earlier run with the number.
+
+    Args:
+        run: `Run`.
+        born_ms: Start of the lifetime that has listed it, milliseconds; 0 if it is not
+            known.
+    """
+    if run.session_closed or not born_ms:
+        return False
+    return run.session.born_ms not in (0, born_ms)
