Add pauses of several processes at once to the soak

The fault "pause" stops one process.

It has a random generator of its own, so that the faults of existing seeds stay.

--- a/benchmarks/fault_injection.py
+++ b/benchmarks/fault_injection.py
@@ -8,6 +8,7 @@
 import gevent
 
 from .path_faults import PATH_FAULTS, submit_path_load
+from .pause_faults import PAUSES, pause_several
 from .process_faults import FAULTS, LOAD_FAULTS
 from .restart_faults import RESTART_FAULTS
 from .upstream_faults import UPSTREAM_FAULTS
@@ -18,12 +19,13 @@
     "spawn_faults",
     "spawn_only",
     "spawn_path_faults",
+    "spawn_pauses",
 ]
 
 # Selects all of `PATH_FAULTS`.
 _ALL_PATH_FAULTS = "path_all"
 PATH_NAMES = (*PATH_FAULTS, _ALL_PATH_FAULTS)
-ONLY_NAMES = tuple(sorted([*RESTART_FAULTS, *PATH_NAMES]))
+ONLY_NAMES = tuple(sorted([*RESTART_FAULTS, *PATH_NAMES, PAUSES]))
 # Path faults per second, alone and beside all others, and their jobs per second.
 _PATH_RATE = 0.8
 _MIXED_PATH_RATE = 0.5
@@ -44,10 +46,12 @@
     """
     if only in RESTART_FAULTS:
         return [gevent.spawn(_repeat_fault, soak, RESTART_FAULTS[only])]
+    submit_path_load(soak, _PATH_JOBS_RATE, seconds)
+    if only == PAUSES:
+        return [spawn_pauses(soak)]
     faults = PATH_FAULTS
     if only != _ALL_PATH_FAULTS:
         faults = {only: PATH_FAULTS[only]}
-    submit_path_load(soak, _PATH_JOBS_RATE, seconds)
     return [_spawn_path_faults(soak, faults, _PATH_RATE)]
 
 
@@ -65,12 +69,24 @@
     return _spawn_path_faults(soak, PATH_FAULTS, _MIXED_PATH_RATE)
 
 
+def spawn_pauses(soak):
+    """Starts pauses of several processes, one after the other.
+
+    Args:
+        soak: The soak.
+
+    Returns:
+        Greenlet: It ends once the soak is stopped.
+    """
+    return gevent.spawn(_repeat_fault, soak, pause_several)
+
+
 def _spawn_path_faults(soak, faults, rate):
     return gevent.spawn(_inject_from, soak, faults, soak.path_rng, rate)
 
 
 def spawn_faults(soak):
-    """Starts all faults but those of `PATH_FAULTS`.
+    """Starts all faults but those of `PATH_FAULTS` and the pauses of several processes.
 
     Args:
         soak: The soak.
--- a/benchmarks/path_faults.py
+++ b/benchmarks/path_faults.py
@@ -12,7 +12,7 @@
 
 import gevent
 
-__all__ = ["PATH_FAULTS", "submit_path_load"]
+__all__ = ["PATH_FAULTS", "LateOrders", "submit_path_load"]
 
 _WORK_MS = (200, 1000, 2200)
 _TASKS = 2
@@ -299,7 +299,7 @@
     first_report_s, kill_delay_s = rng.uniform(*_FIRST_REPORT_S), rng.uniform(0.0, 1.0)
     is_killed, is_silent = rng.random() < _KILLED_SHARE, rng.random() < 0.5
     silence = path_s, *_draw_silence(soak)[1:]
-    late_orders = _LateOrders(share, rng.random())
+    late_orders = LateOrders(share, rng.random())
     upstream = soak.fleet.upstreams[name]
     for other in soak.fleet.upstreams.values():
         late_orders.begin(other.current)
@@ -326,7 +326,7 @@
     late_orders.end()
 
 
-class _LateOrders:
+class LateOrders:
     """Instances that execute orders late without a reply or answer with errors.
 
     Args:
--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -5,13 +5,14 @@
 Randomised soak test of the platform's processes under injected faults.
 
 Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]
-[--entries E] [--upstream-faults] [--path-faults] [--only FAULT]`. With `--only`, one
-fault of `RESTART_FAULTS` or `PATH_FAULTS` is injected again and again, or with
-`path_all` all of the latter, and only their jobs are submitted. The last line is
-`soak: ok` or `soak: failed`. It is preceded by the events in order of time (if the run
-failed or its logs are kept), the violations, the answers by status and the command that
-repeats the run. The seed determines the faults and the jobs, but not how the operating
-system interleaves the processes.
+[--entries E] [--upstream-faults] [--path-faults] [--pauses] [--only FAULT]`. With
+`--only`, one fault of `RESTART_FAULTS` or `PATH_FAULTS` is injected again and again,
+with `path_all` all of the latter, or with `pauses` pauses of several processes at a
+time, and only their jobs are submitted. The last line is `soak: ok` or `soak: failed`.
+It is preceded by the events in order of time (if the run failed or its logs are kept),
+the violations, the answers by status and the command that repeats the run. The seed
+determines the faults and the jobs, but not how the operating system interleaves the
+processes.
 """
 
 import argparse
@@ -36,7 +37,9 @@
     spawn_faults,
     spawn_only,
     spawn_path_faults,
+    spawn_pauses,
 )
+from .pause_faults import PAUSES
 from .process_faults import CORES, DOMAINS
 from .soak_checks import ANSWER_SLACK_S, check_run
 from .upstream_faults import WORK_MS
@@ -91,6 +94,7 @@
         self.upstream_rng = random.Random(seed + 10**6)
         self.restart_rng = random.Random(seed + 2 * 10**6)
         self.path_rng = random.Random(seed + 3 * 10**6)
+        self.pause_rng = random.Random(seed + 4 * 10**6)
         self.with_upstream_faults = with_upstream_faults
         self._work_ms = WORK_MS if with_upstream_faults else WORK_MS[:-1]
         self._requests = {}
@@ -311,6 +315,7 @@
     only=None,
     with_path_faults=False,
     entries=_ENTRIES,
+    with_pauses=False,
 ):
     """Runs the processes under faults and checks the guarantees.
 
@@ -321,11 +326,11 @@
         keep: Directory for settings and logs; None to discard them.
         with_upstream_faults: Whether to inject the faults of `UPSTREAM_FAULTS` and
             `RESTART_FAULTS` as well.
-        only: Name of the fault of `RESTART_FAULTS` or `PATH_FAULTS` that is injected
-            again and again, or `path_all`, without any other fault or load; None for
-            all faults.
+        only: One of `ONLY_NAMES`: the fault that is injected again and again, without
+            any other fault or load; None for all faults.
         with_path_faults: Whether to inject the faults of `PATH_FAULTS` as well.
         entries: Number of entries.
+        with_pauses: Whether to pause several processes at a time as well.
 
     Returns:
         tuple: Findings (list of str), events (list of str) and the number of answers by
@@ -338,7 +343,7 @@
         soak = _Soak(fleet, seed, runners, with_upstream_faults, entries)
         pauses = gevent.spawn(_record_own_pauses, soak)
         try:
-            with_slow_clocks = with_path_faults or only in PATH_NAMES
+            with_slow_clocks = with_path_faults or only in (*PATH_NAMES, PAUSES)
             _start_fleet(soak, _AMPLE_CORES if only else CORES, with_slow_clocks)
             if only:
                 faults = spawn_only(soak, only, seconds)
@@ -349,6 +354,8 @@
                 faults = spawn_faults(soak)
             if with_path_faults:
                 faults.append(spawn_path_faults(soak, seconds))
+            if with_pauses:
+                faults.append(spawn_pauses(soak))
             gevent.sleep(seconds)
             soak.stopped = True
             gevent.joinall(faults, timeout=20.0)
@@ -385,6 +392,7 @@
     parser.add_argument("--keep", help="directory for settings and logs")
     parser.add_argument("--upstream-faults", action="store_true")
     parser.add_argument("--path-faults", action="store_true")
+    parser.add_argument("--pauses", action="store_true")
     parser.add_argument("--only", choices=ONLY_NAMES)
     options = parser.parse_args(args)
     seed = options.seed
@@ -399,6 +407,7 @@
         options.only,
         options.path_faults,
         options.entries,
+        options.pauses,
     )
     if findings or options.keep:
         print("\n".join(events))
@@ -411,6 +420,7 @@
         + f" --entries {options.entries}" * (options.entries != _ENTRIES)
         + " --upstream-faults" * options.upstream_faults
         + " --path-faults" * options.path_faults
+        + " --pauses" * options.pauses
         + (f" --only {options.only}" if options.only else "")
     )
     print("soak: failed" if findings else "soak: ok")
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -20,6 +20,7 @@
 __all__ = []
 
 _SECONDS = 15.0
+_PAUSES_SECONDS = 8.0
 _MIN_COMPLETED = 20
 
 
@@ -144,6 +145,12 @@
         self.assertEqual([], findings, "\n".join(events))
         self.assertGreater(answers["200"], 0, answers)
 
+    def test_pauses_of_several_processes(self):
+        """Guards against violated guarantees when several processes stop at once."""
+        findings, events, answers = run_soak(5002, _PAUSES_SECONDS, only="pauses")
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], 0, answers)
+
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
