Start no job whose caller has left before the entry reads it

Cause: an entry that was stopped for seconds reads the requests that have come meanwhile, and looked for a disconnect of the caller only after it had submitted the job. The start went out before the disconnect was noticed, at 14 to 37 ms in the wake-up of 40 requests. The caller had left up to 3 s before and submitted the job again to another entry, where it may run. Links between processes that are stopped together are as fresh as before, so that the executor's refusal of stale starts does not help.

Change: the connection is checked, without letting other greenlets run, right before the job is submitted. The test of the deadline gives its request a real connection, since the check reads it.

--- a/papayaward/transport/http_api.py
+++ b/papayaward/transport/http_api.py
@@ -22,6 +22,7 @@
     "HttpServer",
     "Request",
     "Response",
+    "has_disconnected",
     "json_response",
     "problem_response",
     "read_body",
@@ -171,6 +172,27 @@
     return server
 
 
+def has_disconnected(environ):
+    """Returns whether the caller of a request is known to have disconnected.
+
+    Other greenlets don't run during the test.
+
+    Args:
+        environ: WSGI environment of the request.
+    """
+    sock = environ[_CONNECTION]
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout_s)
+
+
 def watch_disconnect(environ, on_disconnect):
     """Detects a disconnect of the caller while its request is processed.
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,11 +7,13 @@
 
 import io
 import json
+import socket
 import sys
 from pathlib import Path
 from unittest.mock import Mock, patch
 
 import gevent
+import gevent.socket
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
 from testtools import TestCase
@@ -36,6 +38,7 @@
 from papayaward.protocol.jobs import Resources  # noqa: E402
 from papayaward.protocol.options import OptionError  # noqa: E402
 from papayaward.protocol.store_errors import StoreConflict  # noqa: E402
+from papayaward.transport.http_api import serve_http  # noqa: E402
 from standins.fleet import free_port  # noqa: E402
 from standins.platform_fleet import HOST  # noqa: E402
 from standins.platform_store import PlatformStoreStandIn  # noqa: E402
@@ -262,6 +265,9 @@
         The deadline began only after the wait of up to 0.3 s.
         """
         body = json.dumps({"best_effort": True, "phases": [{"cpu": 1}]}).encode()
+        caller_side, entry_side = gevent.socket.socketpair()
+        self.addCleanup(caller_side.close)
+        self.addCleanup(entry_side.close)
         environ = {
             "wsgi.input": io.BytesIO(body),
             "CONTENT_LENGTH": str(len(body)),
@@ -269,7 +275,7 @@
             "HTTP_DEADLINE": "2000",
             "PATH_INFO": f"/q/{_JOB_ID}",
             "REQUEST_METHOD": "POST",
-            "papayaward.connection": None,
+            "papayaward.connection": entry_side,
         }
         job = Mock(**{"outcome.kind": "completed"})
         with patch.object(self.entry.scheduler, "submit", return_value=job) as submit:
@@ -281,6 +287,30 @@
         request, _, now = submit.call_args.args
         self.assertLess(now + request.timeout_s, configured_at + 2.0)
 
+    def test_job_of_a_caller_that_has_left_is_not_started(self):
+        """Guards against a run beside that of the entry that the job was sent to next.
+
+        An entry that was stopped for seconds reads the job only after its caller has
+        left and submitted it elsewhere.
+        """
+        self.configure()
+        address = HOST, free_port()
+        server = serve_http(address, self.api)
+        self.addCleanup(server.stop)
+        body = json.dumps({"best_effort": True, "phases": [{"cpu": 1}]}).encode()
+        head = f"POST /q/{_JOB_ID} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}"
+        job = Mock(**{"outcome.kind": "completed"})
+        with patch.object(self.entry.scheduler, "submit", return_value=job) as submit:
+            for stays in (False, True):
+                # The server does not run before the connection is closed.
+                caller = socket.create_connection(address)
+                self.addCleanup(caller.close)
+                caller.sendall(head.encode() + b"\r\n\r\n" + body)
+                if not stays:
+                    caller.close()
+                gevent.sleep(0.2)
+                self.assertEqual(stays, submit.called)
+
     def test_wait_for_the_first_configuration_is_bounded(self):
         """Guards against requests that block while the store is unavailable."""
         request = gevent.spawn(self.status)
