Tell the next process of an executor the number of a late start

A run had ended while a request to start it was open, the executor's process was killed, its next one started the task under the next number without a reply, and the next lifetime of the upstream executed both.

Cause: the entry pinned the task to the executor, but neither knew under which number the request was open once the process had died.

Change: a late start is told with its number, the number of requests and the lifetime that rejects it. The entry keeps them in the pin and tells them with a start of the task at another process of the executor (optional fields; links keep their version). That process puts them in its late starts, so that it starts the task under this number only. If its take-over has found a run under the number, that many requests are open less, and without any left the task starts under the next number at once.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -160,12 +160,7 @@
         """Returns the `LateStart` of each task that the entry was not told of yet."""
         added = self._late_starts.added_after(owner.reported_late_starts)
         owner.reported_late_starts = self._late_starts.additions
-        return [
-            ttypes.LateStart(
-                start.task, start.instance, int((start.until - now) * 1000) + 1
-            )
-            for start in added
-        ]
+        return [start.to_wire(now) for start in added]
 
     def _run(self):
         wait_s = None
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -10,13 +10,18 @@
 only, and only under the number that the requests carry: a lifetime runs each number of
 a task once, but might run two numbers at once. A lifetime that has ended the number
 rejects it, so that the task waits for the next one or for the end of the delay.
+
+What was sent by an earlier process of the executor is known from the entries, which
+tell it when they start such a task.
 """
 
 import logging
 from dataclasses import dataclass, replace
 
+from ..protocol.gen import ttypes
 from .run_activity import may_outlast_lifetime
 from .upstream_crashes import LostRun
+from .upstream_requests import MAX_START_DELAY_S
 
 __all__ = ["LateStart", "LateStarts"]
 
@@ -32,7 +37,8 @@
         run: Number of the run that they start.
         requests: Number of them.
         instance: Identifier of the upstream instance that they name.
-        born_ms: Start of its latest lifetime that rejects them, milliseconds.
+        born_ms: Start of its latest lifetime that rejects them, milliseconds; 0 if none
+            is known to do so.
         until: Time at which they are not executed any more, seconds.
         addition: Number of this addition to the late starts, from 1.
         lost_run: `LostRun` that one of them may have begun at a later lifetime.
@@ -47,6 +53,22 @@
     addition: int
     lost_run: LostRun
 
+    def to_wire(self, now):
+        """Returns the `ttypes.LateStart` that tells an entry of it.
+
+        Args:
+            now: Time, seconds.
+        """
+        remaining_ms = int((self.until - now) * 1000) + 1
+        return ttypes.LateStart(
+            self.task,
+            self.instance,
+            remaining_ms,
+            self.run,
+            self.requests,
+            self.born_ms,
+        )
+
 
 class LateStarts:
     """The tasks without a run of which a request to start one may be executed."""
@@ -57,6 +79,12 @@
         self._additions = 0
         # Names of the tasks whose runs the take-over under way has found.
         self._found = set()
+        # (task, number) of each run of an earlier process that the lifetime of the
+        # present session has executed, as its take-over showed.
+        self._executed = set()
+        # (task, number) of requests of earlier processes that entries have told of, and
+        # the time until which they may be executed, seconds.
+        self._told = {}
 
     def __contains__(self, task):
         return task in self._starts
@@ -147,12 +175,77 @@
             session: `UpstreamSession` that takes the upstream over.
             born_ms: Start of the lifetime that lists the run, milliseconds.
         """
+        if session.taken_over:
+            return
+        self._executed.add((task, run))
         start = self._starts.get(task)
-        if start is None or start.run != run or session.taken_over:
+        if start is None or start.run != run:
             return
         if start.instance == session.instance and 0 < start.born_ms < born_ms:
             self._found.add(task)
 
+    def on_listed_end(self, task, run, session):
+        """Records that a take-over has found the end of an earlier process's run.
+
+        Args:
+            task: Name of the task.
+            run: Number of the run.
+            session: `UpstreamSession` that takes the upstream over.
+        """
+        if not session.taken_over:
+            self._executed.add((task, run))
+
+    def on_told(self, late_start, lost_run, session, now):
+        """Adds requests of an earlier process, unless none of them is open any more.
+
+        If this process has been told of them before, it knows better what became of
+        them.
+
+        Args:
+            late_start: `ttypes.LateStart` of an entry that starts the task.
+            lost_run: `LostRun` that one of them may have begun.
+            session: `UpstreamSession` that has taken the upstream over.
+            now: Time, seconds.
+
+        Returns:
+            bool: Whether each of them is known to have been executed.
+        """
+        task, run = lost_run.task, late_start.run or 0
+        remaining_s = (late_start.remaining_ms or 0) / 1000.0
+        until = now + min(remaining_s, MAX_START_DELAY_S)
+        if run <= 0 or until <= now or late_start.instance != session.instance:
+            return False
+        if task in self._starts or (task, run) in self._told:
+            return False
+        self._told[task, run] = until
+        requests, born_ms = max(1, late_start.requests or 1), late_start.born_ms or 0
+        if (task, run) in self._executed and born_ms < session.born_ms:
+            requests, born_ms = requests - 1, session.born_ms
+        if not requests:
+            return True
+        self._additions += 1
+        self._starts[task] = LateStart(
+            task,
+            run,
+            requests,
+            session.instance,
+            born_ms,
+            until,
+            self._additions,
+            lost_run,
+        )
+        log.info(
+            "late_start_told",
+            extra={
+                "task": task,
+                "run": run,
+                "upstream": session.instance,
+                "requests": requests,
+                "seconds": round(until - now, 3),
+            },
+        )
+        return False
+
     def lost_runs(self, session, born_ms):
         """Returns a `LostRun` of each task that a lost lifetime may have started.
 
@@ -189,8 +282,9 @@
         self._keep(lambda start: start.instance == session.instance)
 
     def on_session_closed(self):
-        """Forgets what a take-over that was not completed has found."""
+        """Forgets what the take-over of the session has found."""
         self._found.clear()
+        self._executed.clear()
 
     def forget_expired(self, now):
         """Removes the tasks that no request can start any more.
@@ -199,6 +293,7 @@
             now: Time, seconds.
         """
         self._keep(lambda start: now < start.until)
+        self._told = {key: until for key, until in self._told.items() if now < until}
 
     def _keep(self, is_kept):
         self._starts = {
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -26,7 +26,7 @@
 from .run_starter import LATE_START, OLD_RUN
 from .start_admission import StartConditions, log_refusals, refusal_of_start
 from .suspected_crashes import SuspectedCrashes
-from .upstream_crashes import crash_of_loss, log_crash
+from .upstream_crashes import LostRun, crash_of_loss, log_crash
 from .upstream_requests import LossEvidence
 from .upstream_session import UpstreamSession
 
@@ -275,6 +275,8 @@
         )
         if reason:
             return reason
+        if start.late_start is not None:
+            self._on_late_start_told(group, start, now)
         if self._late_starts.is_rejected(start.task, self._current.session):
             return LATE_START
         is_late = start.task in self._late_starts
@@ -292,6 +294,14 @@
         )
         return ""
 
+    def _on_late_start_told(self, group, start, now):
+        """Takes over what an entry knows of the requests of an earlier process."""
+        late_start, declared_s = start.late_start, (group.declared_ms or 0) / 1000.0
+        lost_run = LostRun(start.task, group.queue or "", declared_s, now)
+        session = self._current.session
+        if self._late_starts.on_told(late_start, lost_run, session, now):
+            self._numbers.add(start.task, late_start.run, now)
+
     def _start_conditions(self):
         return StartConditions(
             self._runs,
--- a/papayaward/coordination/listed_runs.py
+++ b/papayaward/coordination/listed_runs.py
@@ -42,6 +42,8 @@
             if run is not None and end.run >= run.run:
                 run.on_listed()
                 self._activity.on_listed_end(run, end.outcome, now)
+            elif run is None and self._session() is not None:
+                self._late_starts.on_listed_end(end.task, end.run, self._session())
 
     def on_progress(self, running, born_ms, now):
         """Reports slow runs to their entries, and stops the runs that none wants.
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -15,7 +15,7 @@
 from .ending_jobs import EndingJobs
 from .job_state import LOST, SENT
 from .peer_starts import PeerStarts
-from .pinned_tasks import PinnedTasks
+from .pinned_tasks import Pin, PinnedTasks
 from .upstream_requests import (
     MAX_START_DELAY_S,
     instance_of_key,
@@ -145,6 +145,16 @@
         """Returns whether a task may start at an executor as far as late starts go."""
         return self._pinned.may_start_at(task_name, executor_name)
 
+    def late_start(self, task_name, view, now):
+        """Returns the `ttypes.LateStart` to tell with the start of a task, or None.
+
+        Args:
+            task_name: Name of the task.
+            view: `LeasedView` of the executor that it is started at.
+            now: Time, seconds.
+        """
+        return self._pinned.late_start(task_name, *view.process, now)
+
     def on_job_ended(self, job):
         """Adds the tasks of an ended job that may be running."""
         self._ending.add(job)
@@ -303,19 +313,21 @@
             for group in lost.groups:
                 if age_s >= _HOLD_S[group.awaited]:
                     over += [(task, group.awaited) for task in group.tasks]
-                    self._pin(group, process[0], lost.lost_at)
+                    self._pin(group, process, lost.lost_at)
             lost.groups = [g for g in lost.groups if age_s < _HOLD_S[g.awaited]]
             if not lost.groups:
                 del self._processes[process]
         return [(task, release) for task, release in over if task.state is LOST]
 
-    def _pin(self, group, executor_name, lost_at):
+    def _pin(self, group, process, lost_at):
         """Pins released tasks that a later lifetime may start."""
         if group.may_start_late:
-            names = [task.name for task in group.tasks if task.state is LOST]
-            until = lost_at + MAX_START_DELAY_S
+            executor_name, incarnation = process
             instance = instance_of_key(group.upstream)
-            self._pinned.pin(names, executor_name, instance, until)
+            pin = Pin(instance, lost_at + MAX_START_DELAY_S, incarnation)
+            for task in group.tasks:
+                if task.state is LOST:
+                    self._pinned.pin(task.name, executor_name, pin)
 
 
 def _return_to(view, task):
--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..state.crash_records import job_id_of
+from .pinned_tasks import Pin
 from .upstream_requests import MAX_START_DELAY_S, instance_of_key
 
 __all__ = ["PeerStarts"]
@@ -67,13 +68,14 @@
             self._listed.pop(view.process, None)
         if self._listed and view.taken_over:
             for process in view.earlier_processes(self._listed):
-                self._release(view, self._listed.pop(process), now)
+                self._release(view, process, self._listed.pop(process), now)
 
-    def _release(self, view, listed, now):
+    def _release(self, view, process, listed, now):
         instance = instance_of_key(listed.upstream)
         if instance == instance_of_key(view.upstream):
             until = listed.until or now + MAX_START_DELAY_S
-            self._pinned.pin(listed.tasks, view.name, instance, until)
+            for task in listed.tasks:
+                self._pinned.pin(task, view.name, Pin(instance, until, process[1]))
 
     def on_link_down(self, view, now):
         """Keeps the list of a lost executor for the longest delay of a start."""
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -7,17 +7,19 @@
 A request to start such a task may still be executed, by a later lifetime of the
 upstream that it was sent to. Elsewhere the task could run beside that. At the same
 upstream its run ends with the lifetime, and the executor starts nothing at the next
-one before that rejects earlier requests. Only if requests under two numbers of the task
-are late may the next lifetime run both.
+one before that rejects earlier requests. It may start under the number of the requests
+only, since the next lifetime might run two numbers at once. A later process of the
+executor does not know the number, so that the entry tells it with the start.
 """
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from ..protocol.gen import ttypes
 from ..state.crash_records import job_id_of
 from .upstream_requests import MAX_START_DELAY_S, instance_of_key
 
-__all__ = ["PinnedTasks"]
+__all__ = ["Pin", "PinnedTasks"]
 
 log = logging.getLogger(__name__)
 
@@ -25,23 +27,52 @@
 
 
 @dataclass(frozen=True)
-class _Pin:
-    """A late start of a task.
+class Pin:
+    """Requests to start a task that may still be executed.
 
     Attributes:
-        instance: Identifier of the upstream instance that executes it.
-        until: Time from which it is not executed any more, seconds.
+        instance: Identifier of the upstream instance that executes them.
+        until: Time from which they are not executed any more, seconds.
+        incarnation: Incarnation of the executor's process that sent them, or that was
+            the last to tell of them.
+        run: Number of the run that they start; 0 if it is not known.
+        requests: Number of them.
+        born_ms: Start of the latest lifetime that rejects them, milliseconds; 0 if none
+            is known to do so.
     """
 
     instance: str
     until: float
+    incarnation: int
+    run: int = 0
+    requests: int = 1
+    born_ms: int = 0
+
+    @classmethod
+    def of_wire(cls, start, incarnation, now):
+        """Returns the `Pin` of which an executor tells.
+
+        Args:
+            start: `ttypes.LateStart`.
+            incarnation: Incarnation of the executor's process.
+            now: Time, seconds.
+        """
+        remaining_s = min(MAX_START_DELAY_S, (start.remaining_ms or 0) / 1000.0)
+        return cls(
+            start.instance,
+            now + remaining_s,
+            incarnation,
+            start.run or 0,
+            start.requests or 1,
+            start.born_ms or 0,
+        )
 
 
 class PinnedTasks:
     """Which tasks may start at one executor only, and at which one."""
 
     def __init__(self):
-        # `_Pin` by the name of the task, then by that of the executor.
+        # `Pin` by the name of the task, then by that of the executor.
         self._pins = {}
         # Identifier of the latest instance taken over, by the name of its executor.
         self._instances = {}
@@ -60,6 +91,27 @@
         pins = self._pins.get(task_name)
         return pins is None or pins.keys() == {executor_name}
 
+    def late_start(self, task_name, executor_name, incarnation, now):
+        """Returns the `ttypes.LateStart` that a later process has to know of, or None.
+
+        Args:
+            task_name: Name of the task.
+            executor_name: Name of the executor that it is started at.
+            incarnation: Incarnation of its process.
+            now: Time, seconds.
+        """
+        pin = self._pins.get(task_name, {}).get(executor_name)
+        if pin is None or not pin.run or pin.incarnation == incarnation:
+            return None
+        return ttypes.LateStart(
+            task_name,
+            pin.instance,
+            int((pin.until - now) * 1000) + 1,
+            pin.run,
+            pin.requests,
+            pin.born_ms,
+        )
+
     def has_job(self, job_id):
         """Returns whether a task of a job may still be started by an earlier request.
 
@@ -68,20 +120,19 @@
         """
         return any(job_id_of(name) == job_id for name in self._pins)
 
-    def pin(self, task_names, executor_name, instance, until):
-        """Pins tasks to an executor.
+    def pin(self, task_name, executor_name, pin):
+        """Pins a task to an executor.
 
         Args:
-            task_names: Names of the tasks.
+            task_name: Name of the task.
             executor_name: Name of the executor.
-            instance: Identifier of the upstream instance that they were sent to.
-            until: Time from which no request is executed any more, seconds.
+            pin: `Pin`.
         """
-        for name in task_names:
-            pins = self._pins.setdefault(name, {})
-            last = pins.get(executor_name)
-            latest = until if last is None else max(until, last.until)
-            pins[executor_name] = _Pin(instance, latest)
+        pins = self._pins.setdefault(task_name, {})
+        last = pins.get(executor_name)
+        if last is not None:
+            pin = replace(pin, until=max(pin.until, last.until))
+        pins[executor_name] = pin
 
     def on_capacity_report(self, view, now):
         """Pins the tasks that a report adds.
@@ -97,8 +148,7 @@
             if not start.task:
                 log.warning("late_start_ignored", extra={"executor": view.name})
                 continue
-            remaining_s = min(MAX_START_DELAY_S, (start.remaining_ms or 0) / 1000.0)
-            self.pin([start.task], view.name, start.instance, now + remaining_s)
+            self.pin(start.task, view.name, Pin.of_wire(start, view.process[1], now))
         name, instance = view.name, instance_of_key(view.upstream)
         if view.taken_over and self._instances.get(name) != instance:
             self._instances[name] = instance
--- a/papayaward/coordination/run_numbers.py
+++ b/papayaward/coordination/run_numbers.py
@@ -44,8 +44,18 @@
             run: `Run`.
             now: Time, seconds.
         """
-        last, _ = self._last.pop(run.task, (0, 0.0))
-        self._last[run.task] = max(last, run.run), now
+        self.add(run.task, run.run, now)
+
+    def add(self, task, number, now):
+        """Records a number that runs of a task have had.
+
+        Args:
+            task: Name of the task.
+            number: The number.
+            now: Time, seconds.
+        """
+        last, _ = self._last.pop(task, (0, 0.0))
+        self._last[task] = max(last, number), now
 
     def forget_old(self, now):
         """Forgets the runs that ended too long ago.
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -25,10 +25,14 @@
     Args:
         run_s: Function that takes a `LeasedView` and a `Task` and returns the expected
             run time, seconds.
+        late_start: Function that takes the name of a task, a `LeasedView` and the
+            current time and returns the `ttypes.LateStart` that the executor has to
+            know of, or None.
     """
 
-    def __init__(self, run_s):
+    def __init__(self, run_s, late_start):
         self._run_s = run_s
+        self._late_start = late_start
         # `StartGroup` by view, then by the phase of a job.
         self._groups = {}
 
@@ -58,7 +62,8 @@
         key = (job.request.job_id, task.phase_number)
         if key not in groups:
             groups[key] = self._group(view, task, now)
-        groups[key].starts.append(ttypes.TaskStart(task.name, task.run))
+        late_start = self._late_start(task.name, view, now)
+        groups[key].starts.append(ttypes.TaskStart(task.name, task.run, late_start))
 
     def send(self):
         """Sends the starts.
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -608,23 +608,57 @@
         self.gpus = gpus
 
 
+class LateStart(TBase):
+    """
+    Attributes:
+     - task
+     - instance
+     - remaining_ms
+     - run
+     - requests
+     - born_ms
+
+    """
+
+    __slots__ = (
+        'task',
+        'instance',
+        'remaining_ms',
+        'run',
+        'requests',
+        'born_ms',
+    )
+
+
+    def __init__(self, task=None, instance=None, remaining_ms=None, run=None, requests=None, born_ms=None,):
+        self.task = task
+        self.instance = instance
+        self.remaining_ms = remaining_ms
+        self.run = run
+        self.requests = requests
+        self.born_ms = born_ms
+
+
 class TaskStart(TBase):
     """
     Attributes:
      - task
      - run
+     - late_start
 
     """
 
     __slots__ = (
         'task',
         'run',
+        'late_start',
     )
 
 
-    def __init__(self, task=None, run=None,):
+    def __init__(self, task=None, run=None, late_start=None,):
         self.task = task
         self.run = run
+        self.late_start = late_start
 
 
 class StartGroup(TBase):
@@ -727,28 +761,6 @@
         self.service_us = service_us
 
 
-class LateStart(TBase):
-    """
-    Attributes:
-     - task
-     - instance
-     - remaining_ms
-
-    """
-
-    __slots__ = (
-        'task',
-        'instance',
-        'remaining_ms',
-    )
-
-
-    def __init__(self, task=None, instance=None, remaining_ms=None,):
-        self.task = task
-        self.instance = instance
-        self.remaining_ms = remaining_ms
-
-
 class RoomReport(TBase):
     """
     Attributes:
@@ -1170,11 +1182,22 @@
     (2, TType.I32, 'memory_mb', None, None, ),  # 2
     (3, TType.I32, 'gpus', None, None, ),  # 3
 )
+all_structs.append(LateStart)
+LateStart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
+    (4, TType.I32, 'run', None, None, ),  # 4
+    (5, TType.I32, 'requests', None, None, ),  # 5
+    (6, TType.I64, 'born_ms', None, None, ),  # 6
+)
 all_structs.append(TaskStart)
 TaskStart.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
     (2, TType.I32, 'run', None, None, ),  # 2
+    (3, TType.STRUCT, 'late_start', [LateStart, None], None, ),  # 3
 )
 all_structs.append(StartGroup)
 StartGroup.thrift_spec = (
@@ -1208,13 +1231,6 @@
     (3, TType.STRING, 'outcome', 'UTF8', None, ),  # 3
     (4, TType.I64, 'service_us', None, None, ),  # 4
 )
-all_structs.append(LateStart)
-LateStart.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'task', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'instance', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'remaining_ms', None, None, ),  # 3
-)
 all_structs.append(RoomReport)
 RoomReport.thrift_spec = (
     None,  # 0
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -174,9 +174,24 @@
   3: i32 gpus
 }
 
+// Requests to start a task that may still be executed, by a later lifetime of this
+// upstream instance, for this time: the task may start there only, and under the number
+// `run` that they carry; missing if it is not known. born_ms is the start of the latest
+// lifetime that rejects them, 0 if none is known to do so.
+struct LateStart {
+  1: string task
+  2: string instance
+  3: i32 remaining_ms
+  4: optional i32 run
+  5: optional i32 requests
+  6: optional i64 born_ms
+}
+
+// late_start tells of requests that an earlier process of the executor has sent.
 struct TaskStart {
   1: string task
   2: i32 run
+  3: optional LateStart late_start
 }
 
 // Starts of tasks of one phase of a job. What they share is sent once: a specification
@@ -213,14 +228,6 @@
   4: i64 service_us
 }
 
-// A task without a run of which a request to start one may still be executed, by a later
-// lifetime of this upstream instance, for this time: it may start at this executor only.
-struct LateStart {
-  1: string task
-  2: string instance
-  3: i32 remaining_ms
-}
-
 // last_batch is the number of the receiver's latest StartBatch that `free` takes into
 // account. peer_runs is the number of runs for other entries that were done since the
 // last report; peer_ratio is the geometric mean of their actual over their declared run
@@ -230,8 +237,8 @@
 // the executor take no effect any more and their runs have ended. unsettled_peer_tasks
 // lists tasks of other entries whose start may still be executed although they are to be
 // stopped or are undecided, or a request to start them had no reply; missing if there are
-// none. late_starts lists the tasks of all entries that have come to be late starts since
-// the last report on the link, and all of them in its first report; missing if there are
+// none. late_starts lists the tasks of all entries without a run that have come to be late
+// starts since the last report on the link, and all of them in its first report; missing if there are
 // none.
 struct RoomReport {
   1: i64 last_batch
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -215,6 +215,28 @@
         submitted.finished.wait(12.0)
         self.check_no_overlap()
 
+    def test_next_process_starts_a_task_under_the_number_of_the_one_before(self):
+        """Guards against two late starts of one task at the same upstream.
+
+        The executor's process that knows of the first request has been killed.
+        """
+        self.first.lifetime.first_clock_ms = 480_000
+        gevent.sleep(1.2)
+        losses = [2.5, None]
+        self.first.lifetime.order_loss = lambda: losses.pop(0) if losses else _LATE_S
+        submitted = self.submit("fail:800")
+        self.wait_for(lambda: self.first.records and self.first.records[0].outcome)
+        gevent.sleep(0.1)
+        self.fleet.restart_process(self.first)
+        gevent.sleep(0.3)
+        self.first.refuse()
+        self.first.crash_from_outside()
+        gevent.sleep(1.8)
+        self.first.restore()
+        submitted.finished.wait(12.0)
+        self.check_no_overlap()
+        self.assertEqual("failed", submitted.outcome.kind)
+
     def test_task_that_failed_starts_nowhere_else_while_a_request_may_be_late(self):
         """Guards against a second run beside an earlier request of a run that ended.
 
