Show a late start that an entry knows nothing of after a restart

Order of events: a start has no reply; the executor's process restarts; the entry that sent it pins the task; the caller submits the job to an entry that has started since, which places it on another upstream; the first lifetime crashes and the next executes the request. Cause: the next process of the executor has no late starts to tell, and entries tell neither it nor each other what they have pinned.

--- a/tests/test_run_facts.py
+++ b/tests/test_run_facts.py
@@ -259,11 +259,30 @@
         self.crash_before_the_late_starts()
         self.check_no_overlap()
 
+    def test_entry_that_links_with_the_next_process_starts_the_task_nowhere_else(self):
+        """Guards against a late start beside a run on another upstream.
+
+        The caller submits the job to an entry that has just started. An earlier entry
+        knows of the start, and is still linked.
+        """
+        fault = self.delay_the_next_start(_LATE_S)
+        entry = self.fleet.entries[0]
+        submitted = self.submit(entry)
+        self.wait_for(lambda: not fault.times)
+        gevent.sleep(0.1)
+        self.fleet.restart_process(self.first)
+        entry.end(submitted, "unknown", "the caller left", clock.now())
+        self.fleet.add_executor()
+        self.submit(self.fleet.add_entry())
+        self.crash_before_the_late_starts()
+        self.check_no_overlap()
+
     def check_no_overlap(self):
-        for one, other in combinations(self.first.records, 2):
+        records = [r for upstream in self.fleet.upstreams for r in upstream.records]
+        for one, other in combinations(records, 2):
             ends_at = min(_end(one), _end(other))
             overlap_s = ends_at - max(one.started_at, other.started_at)
-            self.assertLess(overlap_s, _SHORTEST_OVERLAP_S, self.first.records)
+            self.assertLess(overlap_s, _SHORTEST_OVERLAP_S, records)
 
 
 def _end(record):
