Wait for late renewals that keep a late run active at the next lifetime

Cause: the bound of a late start (15 s from its sending) counted its own delay and its lease. A renewal may be executed late as well. At a later lifetime under the same identifier the clock starts anew, so that the end of the lease lies far ahead, and each late renewal keeps the run active for another second. They may have been sent until the lifetime began, 12 s after the start, and may be executed another 12 s later. `TOO_LATE` counted from the last lease already; the bounds of tasks without a run did not (`LateStart.until`, pins, lists of other entries, tasks of lost executors).

Change: entries count 28 s from the start, or from the loss of the executor. They are told so once, no message is added. The executor releases a task after 15 s as before if a reply to a request that was sent 13 s after the start or later comes from a lifetime that has been taken over: what executed the start has done so by then. Without such a reply it waits for 15 s after the end of the last lease that it sent, at most 28 s.

The model of orders plays late renewals and a next lifetime that refuses connections.

Changed checks: tests that play the bound at the entries use the new one. The model exempts a run from "is active" if a later lifetime has executed an earlier request under its number: the task is pinned then. In exchange it checks after each event that each active task has a run or is known as a late start, at the executor and at the entries.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -162,7 +162,9 @@
         owner.reported_late_starts = self._late_starts.additions
         return [
             ttypes.LateStart(
-                start.task, start.instance, int((start.until - now) * 1000) + 1
+                start.task,
+                start.instance,
+                int((start.renewable_until - now) * 1000) + 1,
             )
             for start in added
         ]
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -6,10 +6,15 @@
 
 What ends a run at one lifetime of an upstream says nothing about the next one: that has
 seen neither the stop nor the fencing token that the one before rejects the start with.
-Until the longest delay of a request has passed, such a task may start on this upstream
-only, and only under the number that the requests carry: a lifetime runs each number of
-a task once, but might run two numbers at once. A lifetime that has ended the number
-rejects it, so that the task waits for the next one or for the end of the delay.
+Until that is settled, such a task may start on this upstream only, and only under the
+number that the requests carry: a lifetime runs each number of a task once, but might
+run two numbers at once. A lifetime that has ended the number rejects it, so that the
+task waits for the next one or for the end of the delay.
+
+Once the longest delay of a request has passed, a start is settled if a lifetime that
+has been taken over replies. If none does, a later lifetime may have begun the run out
+of reach, and renewals that it executes late keep the run active. So the task waits
+until the longest delay since the last lease that was sent has passed as well.
 """
 
 import logging
@@ -17,11 +22,15 @@
 
 from .run_activity import may_outlast_lifetime
 from .upstream_crashes import LostRun
+from .upstream_requests import LATE_RENEWALS_S, MAX_START_DELAY_S
 
 __all__ = ["LateStart", "LateStarts"]
 
 log = logging.getLogger(__name__)
 
+# Time after which no lifetime executes a start: 12 s, and a margin.
+_MAX_EXECUTION_DELAY_S = 13.0
+
 
 @dataclass(frozen=True)
 class LateStart:
@@ -33,7 +42,8 @@
         requests: Number of them.
         instance: Identifier of the upstream instance that they name.
         born_ms: Start of its latest lifetime that rejects them, milliseconds.
-        until: Time at which they are not executed any more, seconds.
+        until: Time at which they are not executed any more, and a run that one of them
+            began is over unless its lease was renewed, seconds.
         addition: Number of this addition to the late starts, from 1.
         lost_run: `LostRun` that one of them may have begun at a later lifetime.
     """
@@ -47,6 +57,25 @@
     addition: int
     lost_run: LostRun
 
+    @property
+    def renewable_until(self):
+        """Time at which a run is over whatever renewals are executed late, seconds."""
+        return self.until + LATE_RENEWALS_S
+
+    def is_settled_by(self, session):
+        """Returns whether replies in a session show that no request starts the task.
+
+        The lifetime of the session, or an earlier one, has executed them if it was
+        there after their longest delay. It runs nothing that the take-over found.
+
+        Args:
+            session: `UpstreamSession`, None if there is none.
+        """
+        if session is None or not session.taken_over:
+            return False
+        sent_at = self.until - MAX_START_DELAY_S
+        return not session.may_have_reached_other(sent_at + _MAX_EXECUTION_DELAY_S)
+
 
 class LateStarts:
     """The tasks without a run of which a request to start one may be executed."""
@@ -57,6 +86,8 @@
         self._additions = 0
         # Names of the tasks whose runs the take-over under way has found.
         self._found = set()
+        # Time by which the leases of all closed sessions have ended, seconds.
+        self._leased_until = 0.0
 
     def __contains__(self, task):
         return task in self._starts
@@ -111,20 +142,23 @@
             now: Time, seconds.
         """
         until = run.late_start_until
-        if until <= now or not may_outlast_lifetime(run.proof):
+        if not until or not may_outlast_lifetime(run.proof):
             return
-        self._additions += 1
         session = run.session
-        self._starts[run.task] = LateStart(
+        start = LateStart(
             run.task,
             run.run,
             run.open_requests,
             session.instance,
             session.born_ms,
             until,
-            self._additions,
+            self._additions + 1,
             LostRun(run.task, run.queue, run.declared_s, run.started_at),
         )
+        if not self._may_be_active(start, session, now):
+            return
+        self._additions += 1
+        self._starts[run.task] = start
         log.info(
             "late_start_possible",
             extra={
@@ -133,7 +167,7 @@
                 "request_id": run.request_id,
                 "upstream": run.session.instance,
                 "requests": run.open_requests,
-                "seconds": round(until - now, 3),
+                "seconds": round(start.renewable_until - now, 3),
                 "reason": run.proof.value,
             },
         )
@@ -188,17 +222,34 @@
         self._found.clear()
         self._keep(lambda start: start.instance == session.instance)
 
-    def on_session_closed(self):
-        """Forgets what a take-over that was not completed has found."""
+    def on_session_closed(self, session):
+        """Forgets what a take-over that was not completed has found.
+
+        Args:
+            session: `UpstreamSession` that was closed, or None.
+        """
         self._found.clear()
+        if session is not None:
+            self._leased_until = max(self._leased_until, session.all_ended_at)
 
-    def forget_expired(self, now):
-        """Removes the tasks that no request can start any more.
+    def forget_expired(self, session, now):
+        """Removes the tasks that no request has started or can start any more.
 
         Args:
+            session: `UpstreamSession`, or None.
             now: Time, seconds.
         """
-        self._keep(lambda start: now < start.until)
+        self._keep(lambda start: self._may_be_active(start, session, now))
+
+    def _may_be_active(self, start, session, now):
+        if now < start.until:
+            return True
+        if now >= start.renewable_until or start.is_settled_by(session):
+            return False
+        leased_until = self._leased_until
+        if session is not None:
+            leased_until = max(leased_until, session.all_ended_at)
+        return now < leased_until + MAX_START_DELAY_S
 
     def _keep(self, is_kept):
         self._starts = {
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -371,7 +371,7 @@
 
     def _on_session_closed(self, session, evidence, reason):
         self._activity.on_session_closed(session, evidence, reason, clock.now())
-        self._late_starts.on_session_closed()
+        self._late_starts.on_session_closed(session)
         self.check_accepting()
 
     def _publish_crash(self, loss, now):
@@ -415,7 +415,7 @@
         self._current.check(now)
         self._suspected.check(now)
         self._activity.check(now)
-        self._late_starts.forget_expired(now)
+        self._late_starts.forget_expired(self._current.session, now)
         self._numbers.forget_old(now)
         if not self._late_starts and not self._activity.may_start_late(now):
             self._current.stop_awaiting(now)
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -17,7 +17,7 @@
 from .peer_starts import PeerStarts
 from .pinned_tasks import PinnedTasks
 from .upstream_requests import (
-    MAX_START_DELAY_S,
+    MAX_LATE_RUN_S,
     instance_of_key,
     is_later_lifetime,
 )
@@ -48,7 +48,8 @@
     # The lease of a confirmed run has ended, counted from the last moment at which the
     # executor can have heard of this entry.
     LEASE_ENDED = "its run at the lost executor is over"
-    # The longest delay of a start that nobody has confirmed is over, counted likewise.
+    # The longest delay of a start that nobody has confirmed is over, and so is that of
+    # the renewals which keep its run active, counted likewise.
     START_EXPIRED = "its start is not executed any more"
 
 
@@ -56,7 +57,7 @@
 _HOLD_S = {
     Release.TAKEN_OVER: 0.0,
     Release.LEASE_ENDED: _LOST_RUN_S,
-    Release.START_EXPIRED: MAX_START_DELAY_S,
+    Release.START_EXPIRED: MAX_LATE_RUN_S,
 }
 
 
@@ -313,7 +314,7 @@
         """Pins released tasks that a later lifetime may start."""
         if group.may_start_late:
             names = [task.name for task in group.tasks if task.state is LOST]
-            until = lost_at + MAX_START_DELAY_S
+            until = lost_at + MAX_LATE_RUN_S
             instance = instance_of_key(group.upstream)
             self._pinned.pin(names, executor_name, instance, until)
 
--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from ..state.crash_records import job_id_of
-from .upstream_requests import MAX_START_DELAY_S, instance_of_key
+from .upstream_requests import MAX_LATE_RUN_S, instance_of_key
 
 __all__ = ["PeerStarts"]
 
@@ -72,14 +72,14 @@
     def _release(self, view, listed, now):
         instance = instance_of_key(listed.upstream)
         if instance == instance_of_key(view.upstream):
-            until = listed.until or now + MAX_START_DELAY_S
+            until = listed.until or now + MAX_LATE_RUN_S
             self._pinned.pin(listed.tasks, view.name, instance, until)
 
     def on_link_down(self, view, now):
-        """Keeps the list of a lost executor for the longest delay of a start."""
+        """Keeps the list of a lost executor for as long as a late run may last."""
         listed = self._listed.get(view.process)
         if listed is not None:
-            listed.until = now + MAX_START_DELAY_S
+            listed.until = now + MAX_LATE_RUN_S
 
     def forget_expired(self, now):
         """Removes the lists whose starts have no effect any more."""
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from ..state.crash_records import job_id_of
-from .upstream_requests import MAX_START_DELAY_S, instance_of_key
+from .upstream_requests import MAX_LATE_RUN_S, instance_of_key
 
 __all__ = ["PinnedTasks"]
 
@@ -30,7 +30,7 @@
 
     Attributes:
         instance: Identifier of the upstream instance that executes it.
-        until: Time from which it is not executed any more, seconds.
+        until: Time from which no run that it began is active any more, seconds.
     """
 
     instance: str
@@ -75,7 +75,7 @@
             task_names: Names of the tasks.
             executor_name: Name of the executor.
             instance: Identifier of the upstream instance that they were sent to.
-            until: Time from which no request is executed any more, seconds.
+            until: Time from which no run of a late start is active, seconds.
         """
         for name in task_names:
             pins = self._pins.setdefault(name, {})
@@ -97,7 +97,7 @@
             if not start.task:
                 log.warning("late_start_ignored", extra={"executor": view.name})
                 continue
-            remaining_s = min(MAX_START_DELAY_S, (start.remaining_ms or 0) / 1000.0)
+            remaining_s = min(MAX_LATE_RUN_S, (start.remaining_ms or 0) / 1000.0)
             self.pin([start.task], view.name, start.instance, now + remaining_s)
         name, instance = view.name, instance_of_key(view.upstream)
         if view.taken_over and self._instances.get(name) != instance:
--- a/papayaward/coordination/run_activity.py
+++ b/papayaward/coordination/run_activity.py
@@ -14,9 +14,10 @@
 - what is active at the lifetime that confirmed it, which ends with its lease;
 - the requests to start it without a reply. The next lifetime of the upstream may
   execute them whatever became of the lease, so only another instance in the upstream's
-  place or the longest delay of a request settles them for good. A take-over, a listed
-  end or an answered stop settles them at one lifetime: the run is over, but its task
-  may start on this upstream only (see `late_starts`).
+  place or the longest delay of a request settles them for good, the latter with the
+  renewals that keep such a run active. A take-over, a listed end or an answered stop
+  settles them at one lifetime: the run is over, but its task may start on this upstream
+  only (see `late_starts`).
 """
 
 import logging
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -18,6 +18,8 @@
 from ..protocol.jobs import Resources
 
 __all__ = [
+    "LATE_RENEWALS_S",
+    "MAX_LATE_RUN_S",
     "MAX_START_DELAY_S",
     "ConnectionBroken",
     "Delivery",
@@ -38,6 +40,11 @@
 # Time after which a start without a reply has no effect any more: an upstream may
 # execute it up to 12 s later, and the lease of its run lasts for another second.
 MAX_START_DELAY_S = 15.0
+# Time after that for which renewals may keep such a run active. The lifetime that
+# executes the start has begun by then, so that the requests with a lease that the one
+# before was sent end with that. They are executed up to 12 s later as well.
+LATE_RENEWALS_S = 13.0
+MAX_LATE_RUN_S = MAX_START_DELAY_S + LATE_RENEWALS_S
 
 
 class NoReply(Exception):
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -214,7 +214,8 @@
 }
 
 // A task without a run of which a request to start one may still be executed, by a later
-// lifetime of this upstream instance, for this time: it may start at this executor only.
+// lifetime of this upstream instance. That run may last for this time, in which the task
+// may start at this executor only.
 struct LateStart {
   1: string task
   2: string instance
--- a/tests/activity_model.py
+++ b/tests/activity_model.py
@@ -5,7 +5,8 @@
 Random orders of events for `RunActivity`, against a model of an upstream.
 
 Nothing waits: the model has a clock of its own. Its requests may be executed late, also
-by a later lifetime with the same identifier, and its replies may be lost or late.
+by a later lifetime with the same identifier, and its replies may be lost or late. The
+path to that lifetime may refuse all requests while it executes the late ones.
 """
 
 import heapq
@@ -34,6 +35,16 @@
 _MAX_DELAY_S = 12.0
 _SHORT_DELAY_S = 1.5
 _TOKEN_BASE = 10**12
+# Number of late renewals before the path is lost, and the time between two polls.
+_LATE_RENEWALS = 18
+# Delay of the first of them; a start is executed immediately before it.
+_FIRST_RENEWAL_S = 10.0
+_RENEWAL_INTERVAL_S = 0.16
+_CUT_S = 40.0
+# Number of polls after which an upstream that is there is taken over.
+_RECOVERY_POLLS = 8
+# Time after which no request has an effect any more, with all the late ones.
+_SETTLED_S = 50.0
 
 
 class FalseProof(Exception):
@@ -192,6 +203,10 @@
         # Names of the tasks that had a run, the latest last.
         self._started = []
         self._trackers = {}
+        # Time until which the entries start a task at this executor only, by its name.
+        self._pinned_until = {}
+        # Time until which the path refuses requests.
+        self._cut_until = 0.0
         # Names of the tasks whose start will be answered; it is sent again otherwise.
         self._answered = set()
         self._runs = {}
@@ -228,14 +243,15 @@
                     self._crash,
                     self._return,
                     self._restart,
+                    self._lose_path,
                     self._report,
                     self._check,
                 )
             )()
-        self._advance(_MAX_DELAY_S)
-        self._check()
-        self._advance(5.0)
-        self._check()
+        self._lose_path()
+        for _ in range(int(_SETTLED_S)):
+            self._advance(1.0)
+            self._check()
 
     # Time.
 
@@ -245,8 +261,10 @@
             self._now, _, function = heapq.heappop(self._due)
             self._lifetime.enforce_lease(self._now)
             function()
+            self._check_active()
         self._now = until
         self._lifetime.enforce_lease(self._now)
+        self._check_active()
 
     def _later(self, seconds, function):
         heapq.heappush(self._due, (self._now + seconds, next(self._numbers), function))
@@ -286,15 +304,59 @@
             self._lifetime.crashed = True
             self._begin_lifetime(keeps_instance=True)
 
+    def _lose_path(self):
+        """Renewals are late; then the upstream restarts and refuses connections."""
+        for _ in range(_RECOVERY_POLLS):
+            self._return()
+            self._poll("answered")
+            self._advance(_RENEWAL_INTERVAL_S)
+        session = self._session
+        if not session.taken_over or session.failing or self._is_cut:
+            return
+        # A run that the leases are renewed for.
+        self._send_start(self._choose_run(session), "answered")
+        self._end_with_open_request(session)
+        for _ in range(_LATE_RENEWALS):
+            # After a request without a reply, the next poll carries no lease.
+            late_s = self._rng.uniform(_FIRST_RENEWAL_S, _MAX_DELAY_S)
+            for fate in (late_s, "answered", "answered"):
+                self._poll(fate)
+                self._advance(_RENEWAL_INTERVAL_S)
+        self._lifetime.crashed = True
+        self._begin_lifetime(keeps_instance=True)
+        self._cut_until = self._now + self._rng.uniform(0.0, _CUT_S)
+        self._note(f"connections are refused until {self._cut_until:.3f}")
+
+    def _end_with_open_request(self, session):
+        """A run ends while an earlier request to start it is under way."""
+        self._started.append(f"j.{next(self._numbers)}")
+        run = self._new_run(self._started[-1], session)
+        late_s = self._rng.uniform(_FIRST_RENEWAL_S - 1.0, _FIRST_RENEWAL_S)
+        for fate in (late_s, "answered"):
+            self._send_start(run, fate)
+        self._advance(_RENEWAL_INTERVAL_S)
+        if run.task in self._lifetime.active:
+            self._lifetime.end(run.task)
+
     def _end_run(self):
         if self._lifetime.active:
             self._lifetime.end(self._rng.choice(sorted(self._lifetime.active)))
 
     # Requests: each is executed now, late or never, and answered or not.
 
-    def _send(self, name, handle, on_reply, on_executed=lambda: None):
-        """Sends a request; returns whether there will be a reply."""
+    @property
+    def _is_cut(self):
+        return self._now < self._cut_until
+
+    def _send(self, name, handle, on_reply, on_executed=lambda: None, fate=None):
+        """Sends a request; returns whether there will be a reply.
+
+        If it is given, its fate is `answered`, or the delay of its execution, seconds.
+        """
         session, sent_at = self._session, self._now
+        if self._is_cut:
+            session.on_no_reply(self._now)
+            return False
 
         def execute():
             lifetime = self._lifetime
@@ -305,11 +367,14 @@
             self._note(f"{name} executed at {lifetime.born_ms}: {outcome}")
             return outcome
 
-        fate = self._rng.choice(
+        fate = fate or self._rng.choice(
             ("answered", "answered", "answered", "no reply", "late", "lost", "error")
         )
         lifetime = self._lifetime
-        if fate == "late":
+        if isinstance(fate, float):
+            self._note(f"{name} is under way")
+            self._later(fate, execute)
+        elif fate == "late":
             self._note(f"{name} is under way")
             # Many of them meet a lifetime that is about to be taken over.
             longest_s = self._rng.choice((_SHORT_DELAY_S, _MAX_DELAY_S))
@@ -375,8 +440,13 @@
         session = self._session
         if session is None or not session.taken_over or session.failing:
             return
-        run = self._choose_run(session)
-        tracker = self._trackers[id(run)]
+        if self._is_cut:
+            session.on_no_reply(self._now)
+            return
+        self._send_start(self._choose_run(session))
+
+    def _send_start(self, run, fate=None):
+        session, tracker = run.session, self._trackers[id(run)]
         if not tracker.may_send():
             return
         number, token = next(self._numbers), session.token.value
@@ -409,6 +479,7 @@
             ),
             on_reply,
             lambda: self._under_way.pop(number),
+            fate,
         )
         if is_answered:
             self._answered.add(run.task)
@@ -474,14 +545,14 @@
                 self._on_reply,
             )
 
-    def _poll(self):
+    def _poll(self, fate=None):
         session = self._session
         if session is None:
             return
         token, lease_ms = session.token.value, None
         if session.taken_over and self._runs and not session.failing:
-            until = self._now + self._rng.uniform(0.2, 0.95)
-            lease_ms = session.lease.lease_ms(until)
+            lease_s = self._rng.uniform(0.2, 0.95) if fate is None else 0.95
+            lease_ms = session.lease.lease_ms(self._now + lease_s)
 
         def on_reply(session, reply, sent_at):
             if self._on_reply(session, reply, sent_at) or session.closed:
@@ -493,6 +564,7 @@
             "poll",
             lambda lifetime: lifetime.poll(self._now, token, lease_ms),
             on_reply,
+            fate=fate,
         )
 
     def _on_lists(self, session, reply):
@@ -543,7 +615,7 @@
 
     def _check(self):
         self._activity.check(self._now)
-        self._late_starts.forget_expired(self._now)
+        self._late_starts.forget_expired(self._session, self._now)
         self._check_released()
         session = self._session
         if not session.is_up or not session.failing:
@@ -552,6 +624,17 @@
         if self._now > session.all_ended_at and (self._runs or is_long):
             self._lose(session, LossEvidence.SILENT)
 
+    def _check_active(self):
+        """Checks that no task is active that may start elsewhere."""
+        for task in self._lifetime.active:
+            if task not in self._runs and not self._is_pinned(task):
+                raise FalseProof(f"{task} is active and released")
+
+    def _is_pinned(self, task):
+        """Returns whether the executor and the entries know of a late start."""
+        is_told = self._now < self._pinned_until.get(task, 0.0)
+        return is_told and task in self._late_starts
+
     def _lose(self, session, evidence):
         if session.closed:
             return
@@ -570,13 +653,16 @@
         self._lowest_token = session.token.value + 1
         self._note(f"closed: {evidence.value}")
         self._activity.on_session_closed(session, evidence, "model", self._now)
-        self._late_starts.on_session_closed()
+        self._late_starts.on_session_closed(session)
 
     def _finish(self, run, outcome, now):
         del self._runs[run.task]
         self.proofs.append(run.proof)
         self._note(f"{run.task} is over: {run.proof.value}")
+        additions = self._late_starts.additions
         self._late_starts.on_run_over(run, now)
+        for start in self._late_starts.added_after(additions):
+            self._pinned_until[start.task] = start.renewable_until
         self._run_numbers.on_run_over(run, now)
         if run.late_requests and not self._session.closed:
             self._session.token.raise_above_sent()
@@ -586,7 +672,10 @@
     def _check_proof(self, run):
         lifetime = self._lifetime
         lifetime.enforce_lease(self._now)
-        if lifetime.active.get(run.task) == run.run:
+        # A later lifetime may have executed an earlier request, so the task is pinned.
+        is_earlier = run.earlier_requests and run.task in self._late_starts
+        is_later = lifetime.born_ms > run.session.born_ms
+        if lifetime.active.get(run.task) == run.run and not (is_earlier and is_later):
             raise FalseProof(f"{run.task} is active: {run.proof.value}")
         for started, instance, token in self._under_way.values():
             is_there = instance == lifetime.instance and not lifetime.crashed
@@ -601,7 +690,7 @@
         """Checks that no request can start a task that may start elsewhere."""
         for run, instance, _ in self._under_way.values():
             is_there = instance == self._lifetime.instance
-            if not run.ended or not is_there or run.task in self._late_starts:
+            if not run.ended or not is_there or self._is_pinned(run.task):
                 continue
             next_run = self._runs.get(run.task)
             if next_run is None:
--- a/tests/test_activity_orders.py
+++ b/tests/test_activity_orders.py
@@ -76,6 +76,11 @@
         with mock.patch.object(late_starts, "may_outlast_lifetime", lambda _: False):
             self.assertIsNotNone(self.find_false_proof())
 
+    def test_search_finds_late_renewals_that_are_not_waited_for(self):
+        """Guards against a search that keeps no late run active."""
+        with mock.patch.object(late_starts, "LATE_RENEWALS_S", 0.0):
+            self.assertIn("released", self.find_false_proof())
+
     def test_search_finds_late_starts_counted_as_executed(self):
         """Guards against a search whose lists never name a run without a reply."""
 
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -12,15 +12,27 @@
 from papayaward.coordination.late_starts import LateStarts
 from papayaward.coordination.leased_runs import Run
 from papayaward.coordination.run_activity import Proof
-from papayaward.coordination.upstream_requests import Delivery
+from papayaward.coordination.upstream_requests import (
+    MAX_LATE_RUN_S,
+    MAX_START_DELAY_S,
+    Delivery,
+)
 from papayaward.protocol.jobs import Resources
 
 _TASK = "j.0.0.0"
 _NOW = 100.0
 
 
-def _session(born_ms, instance="i-1", taken_over=True):
-    return SimpleNamespace(instance=instance, born_ms=born_ms, taken_over=taken_over)
+def _session(
+    born_ms, instance="i-1", taken_over=True, identified_at=_NOW, all_ended_at=_NOW
+):
+    return SimpleNamespace(
+        instance=instance,
+        born_ms=born_ms,
+        taken_over=taken_over,
+        all_ended_at=all_ended_at,
+        may_have_reached_other=lambda sent_at: sent_at >= identified_at,
+    )
 
 
 def _run(number=1, session=None, requests=1):
@@ -103,7 +115,7 @@
         self.end(_run())
         session = _session(2, taken_over=False)
         self.late_starts.on_listed(_TASK, 1, session, 2)
-        self.late_starts.on_session_closed()
+        self.late_starts.on_session_closed(session)
         self.take_over(_session(3), finds=())
         self.assertIn(_TASK, self.late_starts)
 
@@ -114,6 +126,61 @@
         self.assertNotIn(_TASK, self.late_starts)
 
 
+class SettledRequestsTest(TestCase):
+    """When a request is settled that no take-over has found executed."""
+
+    def setUp(self):
+        super().setUp()
+        self.late_starts = LateStarts()
+        run = _run()
+        run.proof = Proof.LISTED_END
+        self.late_starts.on_run_over(run, _NOW)
+
+    def is_open(self, session, age_s):
+        self.late_starts.forget_expired(session, _NOW + age_s)
+        return _TASK in self.late_starts
+
+    def test_reply_after_the_longest_delay_settles_it(self):
+        """Guards against tasks that wait although an upstream in touch runs nothing."""
+        leased_until = _NOW + MAX_START_DELAY_S
+        session = _session(1, identified_at=leased_until, all_ended_at=leased_until)
+        self.assertTrue(self.is_open(session, MAX_START_DELAY_S - 0.1))
+        self.assertFalse(self.is_open(session, MAX_START_DELAY_S))
+
+    def test_late_renewals_are_waited_for_while_no_lifetime_replies(self):
+        """Guards against a second run beside one that a late renewal keeps active."""
+        self.late_starts.on_session_closed(_session(1, all_ended_at=_NOW + 10.0))
+        waiting = _session(0, taken_over=False)
+        self.assertTrue(self.is_open(waiting, 10.0 + MAX_START_DELAY_S - 0.1))
+        self.assertFalse(self.is_open(waiting, 10.0 + MAX_START_DELAY_S))
+
+    def test_reply_before_the_longest_delay_settles_nothing(self):
+        """Guards against a lifetime that replies, and is replaced before the start."""
+        leased_until = _NOW + MAX_START_DELAY_S
+        session = _session(1, identified_at=_NOW + 12.0, all_ended_at=leased_until)
+        self.assertTrue(self.is_open(session, MAX_START_DELAY_S))
+
+    def test_lifetime_that_is_not_taken_over_settles_nothing(self):
+        """Guards against a reply of the lifetime that executes the late start."""
+        leased_until = _NOW + MAX_START_DELAY_S
+        session = _session(2, "i-1", False, leased_until, leased_until)
+        self.assertTrue(self.is_open(session, MAX_START_DELAY_S))
+
+    def test_renewals_that_go_on_hold_a_task_for_some_time_only(self):
+        """Guards against a task that waits for an upstream no reply identifies."""
+        session = _session(1, all_ended_at=_NOW + 1000.0)
+        self.assertTrue(self.is_open(session, MAX_LATE_RUN_S - 0.1))
+        self.assertFalse(self.is_open(session, MAX_LATE_RUN_S))
+
+    def test_run_that_is_over_later_may_have_an_open_request(self):
+        """Guards against a request forgotten because its run ends after the delay."""
+        run = _run(session=_session(1, all_ended_at=_NOW + 12.0))
+        run.proof = Proof.LEASE_ENDED
+        late_starts = LateStarts()
+        late_starts.on_run_over(run, _NOW + MAX_START_DELAY_S)
+        self.assertIn(_TASK, late_starts)
+
+
 class FoundRunTest(TestCase):
     """A run that was confirmed although a request to start it had no reply."""
 
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -14,7 +14,7 @@
 from papayaward import clock
 from papayaward.coordination.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
-from papayaward.coordination.upstream_requests import MAX_START_DELAY_S
+from papayaward.coordination.upstream_requests import MAX_LATE_RUN_S
 from papayaward.protocol.codec import MESSAGE_CODES, FrameError, decode
 from papayaward.protocol.gen import ttypes
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
@@ -87,7 +87,7 @@
         self.lose(first)
         other = self.connect("r2")
         self.assertEqual([], self.starts_after(_LOST_RUN_S, other))
-        self.assertEqual([], self.starts_after(MAX_START_DELAY_S - 1.2, other))
+        self.assertEqual([], self.starts_after(MAX_LATE_RUN_S - 1.2, other))
         self.assertEqual([_TASK], self.starts_after(0.2, other))
 
     def test_confirmed_start_is_repeated_when_the_lease_has_ended(self):
@@ -250,7 +250,7 @@
         """Guards against a second run beside a start at the lifetime after that."""
         link, other = self.take_over_by_the_next_process()
         self.lose(link)
-        last_s = MAX_START_DELAY_S - 0.3
+        last_s = MAX_LATE_RUN_S - 0.3
         self.assertEqual([_OTHER_TASK], self.starts_after(last_s, other))
         self.assertEqual([_TASK, _OTHER_TASK], self.starts_after(0.2, other))
 
@@ -367,7 +367,7 @@
         again = FakeLink("r1", "runner")
         self.scheduler.on_link_up(again, self.now)
         self.lose(again)
-        self.assertEqual([], self.starts_after(MAX_START_DELAY_S - 0.1, other))
+        self.assertEqual([], self.starts_after(MAX_LATE_RUN_S - 0.1, other))
         self.assertEqual([_TASK], self.starts_after(0.2, other))
 
     def submit_to_lost(self):
@@ -418,7 +418,7 @@
         other = self.connect("r2")
         job = self.submit()
         self.assertEqual([], self.starts_after(_LOST_RUN_S, other))
-        self.assertEqual([_TASK], self.starts_after(MAX_START_DELAY_S, other))
+        self.assertEqual([_TASK], self.starts_after(MAX_LATE_RUN_S, other))
         self.assertTrue(job.started)
 
 
--- a/tests/test_peer_starts.py
+++ b/tests/test_peer_starts.py
@@ -10,7 +10,7 @@
 
 from papayaward import clock
 from papayaward.coordination.job_scheduler import JobScheduler
-from papayaward.coordination.upstream_requests import MAX_START_DELAY_S
+from papayaward.coordination.upstream_requests import MAX_LATE_RUN_S
 from papayaward.protocol.gen import ttypes
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 
@@ -79,7 +79,7 @@
         self.report(self.first, [_TASK])
         self.scheduler.on_link_down(self.first, self.now)
         self.submit()
-        self.assertEqual(0, self.starts_after(MAX_START_DELAY_S - 0.1))
+        self.assertEqual(0, self.starts_after(MAX_LATE_RUN_S - 0.1))
         self.assertEqual(1, self.starts_after(0.2))
 
     def take_over_by_the_next_process(self, **values):
--- a/tests/test_pinned_tasks.py
+++ b/tests/test_pinned_tasks.py
@@ -9,7 +9,7 @@
 
 from papayaward import clock
 from papayaward.coordination.job_scheduler import JobScheduler
-from papayaward.coordination.upstream_requests import MAX_START_DELAY_S
+from papayaward.coordination.upstream_requests import MAX_LATE_RUN_S
 from papayaward.protocol.gen import ttypes
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 
@@ -186,7 +186,7 @@
         """Guards against a task that another program has wait for days."""
         self.report(self.first, [_TASK], accepting=False, seconds=2_000_000.0)
         self.submit()
-        last_s = MAX_START_DELAY_S - 0.1
+        last_s = MAX_LATE_RUN_S - 0.1
         self.assertEqual([], self.starts_after(last_s, self.other))
         self.assertEqual([_TASK], self.starts_after(0.2, self.other))
 
