--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -276,7 +276,7 @@
             self._requeue(task, reason, now)
             task.job.on_start_refused()
             if reason == LATE_START:
-                until = self._lost.pinned_until(task.name)
+                until = self._lost.executable_until(task.name)
                 outcome = self._early_ends.on_late_start(task.job, until)
                 self._end_with(task.job, outcome, now)
         elif not self._end_if_crashing(task.job, now):
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -17,7 +17,7 @@
 from .peer_starts import PeerStarts
 from .pinned_tasks import Pin, PinnedTasks
 from .upstream_requests import (
-    MAX_START_DELAY_S,
+    MAX_LATE_RUN_S,
     instance_of_key,
     is_later_lifetime,
 )
@@ -48,7 +48,8 @@
     # The lease of a confirmed run has ended, counted from the last moment at which the
     # executor can have heard of this entry.
     LEASE_ENDED = "its run at the lost executor is over"
-    # The longest delay of a start that nobody has confirmed is over, counted likewise.
+    # The longest delay of a start that nobody has confirmed is over, and so is that of
+    # the renewals which keep its run active, counted likewise.
     START_EXPIRED = "its start is not executed any more"
 
 
@@ -56,7 +57,7 @@
 _HOLD_S = {
     Release.TAKEN_OVER: 0.0,
     Release.LEASE_ENDED: _LOST_RUN_S,
-    Release.START_EXPIRED: MAX_START_DELAY_S,
+    Release.START_EXPIRED: MAX_LATE_RUN_S,
 }
 
 
@@ -141,9 +142,9 @@
         """Returns whether a task may start at one executor only."""
         return task_name in self._pinned
 
-    def pinned_until(self, task_name):
-        """Returns the time until which a task is pinned, seconds; 0.0 if it is not."""
-        return self._pinned.until(task_name)
+    def executable_until(self, task_name):
+        """Returns the time until which requests to start a task may be executed."""
+        return self._pinned.executable_until(task_name)
 
     def may_start_at(self, task_name, executor_name):
         """Returns whether a task may start at an executor as far as late starts go."""
@@ -328,7 +329,7 @@
         if group.may_start_late:
             executor_name, incarnation = process
             instance = instance_of_key(group.upstream)
-            pin = Pin(instance, lost_at + MAX_START_DELAY_S, incarnation)
+            pin = Pin(instance, lost_at + MAX_LATE_RUN_S, incarnation)
             for task in group.tasks:
                 if task.state is LOST:
                     self._pinned.pin(task.name, executor_name, pin)
--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -9,7 +9,7 @@
 
 from ..state.crash_records import job_id_of
 from .pinned_tasks import Pin
-from .upstream_requests import MAX_START_DELAY_S, instance_of_key
+from .upstream_requests import MAX_LATE_RUN_S, instance_of_key
 
 __all__ = ["PeerStarts"]
 
@@ -73,15 +73,15 @@
     def _release(self, view, process, listed, now):
         instance = instance_of_key(listed.upstream)
         if instance == instance_of_key(view.upstream):
-            until = listed.until or now + MAX_START_DELAY_S
+            until = listed.until or now + MAX_LATE_RUN_S
             for task in listed.tasks:
                 self._pinned.pin(task, view.name, Pin(instance, until, process[1]))
 
     def on_link_down(self, view, now):
-        """Keeps the list of a lost executor for the longest delay of a start."""
+        """Keeps the list of a lost executor for as long as a late run may last."""
         listed = self._listed.get(view.process)
         if listed is not None:
-            listed.until = now + MAX_START_DELAY_S
+            listed.until = now + MAX_LATE_RUN_S
 
     def forget_expired(self, now):
         """Removes the lists whose starts have no effect any more."""
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -15,7 +15,7 @@
 
 from ..protocol.gen import ttypes
 from ..state.crash_records import job_id_of
-from .upstream_requests import MAX_START_DELAY_S, instance_of_key
+from .upstream_requests import LATE_RENEWALS_S, MAX_LATE_RUN_S, instance_of_key
 
 __all__ = ["Pin", "PinnedTasks"]
 
@@ -30,7 +30,7 @@
 
     Attributes:
         instance: Identifier of the upstream instance that executes them.
-        until: Time from which they are not executed any more, seconds.
+        until: Time from which no run that they began is active any more, seconds.
         incarnation: Incarnation of the executor's process that sent them, or that was
             the last to tell of them.
         run: Number of the run that they start; 0 if it is not known.
@@ -55,7 +55,7 @@
             incarnation: Incarnation of the executor's process.
             now: Time, seconds.
         """
-        remaining_s = min(MAX_START_DELAY_S, (start.remaining_ms or 0) / 1000.0)
+        remaining_s = min(MAX_LATE_RUN_S, (start.remaining_ms or 0) / 1000.0)
         return cls(
             start.instance,
             now + remaining_s,
@@ -89,14 +89,14 @@
         pins = self._pins.get(task_name)
         return pins is None or pins.keys() == {executor_name}
 
-    def until(self, task_name):
-        """Returns the time until which a task may start at one executor only, seconds.
+    def executable_until(self, task_name):
+        """Returns the time in seconds until which a task may be started by a request.
 
         Args:
             task_name: Name of the task; 0.0 if it is not pinned.
         """
         pins = self._pins.get(task_name, {}).values()
-        return max((pin.until for pin in pins), default=0.0)
+        return max((pin.until - LATE_RENEWALS_S for pin in pins), default=0.0)
 
     def late_start(self, task_name, executor_name, incarnation, now):
         """Returns the `ttypes.LateStart` that a later process has to know of, or None.
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -175,8 +175,8 @@
 }
 
 // Requests to start a task that may still be executed, by a later lifetime of this
-// upstream instance, for this time: the task may start there only, and under the number
-// `run` that they carry; missing if it is not known. born_ms is the start of the lifetime
+// upstream instance. Their run may last for this time, in which the task may start there
+// only, and under the number `run` that they carry; missing if it is not known. born_ms is the start of the lifetime
 // that they were sent to, 0 if it is not known.
 struct LateStart {
   1: string task
