Stop the other runs of a job that has probably crashed an upstream

Cause: a job with deadly tasks on several upstreams went on there when the first of them refused connections, and a waiting task of it could start at once on one more.

It starts nothing until the leases of its runs on the upstreams that refuse connections have ended (at most 1.05 s); the verdict on it follows then, and its lost tasks can't start sooner either. Refusals count here, since a stop decides no answer and bounds no start. A run is left alone if a request to start it is unsettled or its task pinned.

--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -10,7 +10,7 @@
 
 An upstream that refuses connections may run on, so that nobody may be given up for it
 before the lease of its runs has ended. Until then it counts only for the guards that
-decide where the jobs of a queue run.
+decide where the jobs of a queue run, and for stops of the runs of a likely cause.
 """
 
 import logging
@@ -33,7 +33,8 @@
     Attributes:
         records: `CrashRecords` of the crashes that are suspected or known.
         guard_records: `CrashRecords` that hold upstreams which refuse connections
-            as well. They guard queues, but bound no starts and decide no answer.
+            as well. They guard queues and stop runs, but bound no starts and decide no
+            answer.
     """
 
     def __init__(self):
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -11,13 +11,15 @@
 
 An upstream that refuses connections before the lease of its runs has ended counts for
 the guards of placement, but for no verdict: it may run on. Nor is a job isolated for it
-as a suspect, which in the model costs the other queues more than it spares them.
+as a suspect, which in the model costs the other queues more than it spares them. The
+likely cause has its other runs stopped, and is held back until the lease has ended.
 """
 
 from enum import Enum
 
 from ..state.crash_records import MAX_CRASHES_UNDER_TASK
 from .isolated_placement import place_isolated
+from .job_state import SENT
 from .queue_guard import QueueGuards, shard
 
 __all__ = ["Isolation", "IsolationRound", "Verdict"]
@@ -30,6 +32,8 @@
 _SUSPECT = 0.1
 _MAX_BYSTANDER_CRASHES = 2
 _MIN_RUN_S = 0.001
+# Longest time from refused connections until the lease of the runs there has ended.
+_LEASE_S = 1.05
 
 
 class Verdict(Enum):
@@ -110,6 +114,49 @@
         """
         return self._lost_upstreams(task) < _MAX_BYSTANDER_CRASHES
 
+    def tasks_to_stop(self, job, now):
+        """Returns the tasks of a job whose runs may each crash one more upstream.
+
+        Runs at upstreams that seem to have crashed are out of reach.
+
+        Args:
+            job: `Job`.
+            now: Time, seconds.
+        """
+        if not self._is_likely_cause(job, now):
+            return []
+        return [
+            task
+            for task in job.tasks
+            if task.state is SENT
+            and task.upstream not in self._guard_records.upstreams_of(task.name)
+        ]
+
+    def holds_back(self, job, now):
+        """Returns whether a job starts nothing until the leases of its runs have ended.
+
+        The `Verdict` on the job follows then. Its runs on the upstreams that seem to
+        have crashed cannot start again sooner either.
+
+        Args:
+            job: `Job`.
+            now: Time, seconds.
+        """
+        return self._is_likely_cause(job, now) and any(
+            self._records.find(upstream) is None
+            and now - self._guard_records.find(upstream).at < _LEASE_S
+            for task in job.tasks
+            for upstream in self._guard_records.upstreams_of(task.name)
+        )
+
+    def _is_likely_cause(self, job, now):
+        """Returns whether a job of a guarded queue has probably crashed an upstream.
+
+        Refused connections suffice, so that this decides no answer.
+        """
+        is_likely = self._guard_records.is_likely_running(job.request.job_id)
+        return is_likely and self._guards.is_guarded(job.queue.name, now)
+
     def _lost_upstreams(self, task):
         """Returns the number of upstreams that may have crashed under a task."""
         return len(self._records.upstreams_of(task.name) | task.lost_upstreams)
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -83,6 +83,7 @@
         self._crashes.on_crash(self._publish_late_starts)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
+        self._crashes.on_guard_change(self._stop_causes)
         self._wakeup = Event()
         gevent.spawn(repeat, self._run)
         gevent.spawn(repeat, self._tick)
@@ -296,6 +297,22 @@
             if job is not None:
                 self._end_if_crashing(job, now)
 
+    def _stop_causes(self, crash, now):
+        """Stops the other runs of the jobs that have probably crashed an upstream.
+
+        Each of them may crash one more upstream. A stop costs only the time of a run.
+        """
+        stops = {}
+        for crashed_job in crash.jobs:
+            job = self._jobs.get(crashed_job.job_id)
+            for task in self._isolation.tasks_to_stop(job, now) if job else ():
+                view = task.executor
+                if not self._may_start_again(view, task):
+                    stops.setdefault(view, []).append(task.name)
+        for view, names in stops.items():
+            log.info("runs_stopped", extra={"executor": view.name, "tasks": names})
+            view.link.try_send(ttypes.StopBatch(names))
+
     def _end_crashing(self, job, now):
         """Ends a job that an executor refuses because of crashes under it.
 
@@ -324,10 +341,14 @@
 
     def _must_stay(self, view, task):
         """Returns whether a slow run must not be moved to another executor."""
-        if not self._isolation.may_move(task):
-            return True
-        # The next lifetime of the upstream may execute a request to start it, and
-        # nobody would know of that if the executor's process ends as well.
+        return not self._isolation.may_move(task) or self._may_start_again(view, task)
+
+    def _may_start_again(self, view, task):
+        """Returns whether a request to start a run may be executed after its end.
+
+        The next lifetime of the upstream may execute it, and nobody would know of that
+        if the executor's process ends as well.
+        """
         return view.is_unsettled(task) or self._lost.is_pinned(task.name)
 
     def _on_done(self, view, task, end, now):
@@ -406,8 +427,8 @@
         placement_round = self._isolation.begin_round(self._views.values(), now)
         jobs = [
             job
-            for job_id, job in self._waiting.items()
-            if not self._lost.holds_back(job_id) and placement_round.may_place(job)
+            for job in self._waiting.values()
+            if not self._is_held_back(job, now) and placement_round.may_place(job)
         ]
         for job in self._placement.order(jobs, now):
             for number in job.ready_phases():
@@ -418,6 +439,10 @@
         for job, error in batches.send():
             self.end(job, "failed", f"cannot be sent: {error}", now)
 
+    def _is_held_back(self, job, now):
+        job_id = job.request.job_id
+        return self._lost.holds_back(job_id) or self._isolation.holds_back(job, now)
+
     def _tick(self):
         gevent.sleep(_TICK_S)
         self.check(clock.now())
--- a/tests/test_refusal_guards.py
+++ b/tests/test_refusal_guards.py
@@ -19,7 +19,7 @@
 from papayaward.protocol import codec
 from papayaward.protocol.gen import ttypes
 from papayaward.state.crash_records import Crash, CrashedJob
-from tests.leased_case import FakeLink, job_queue, job_request
+from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 from tests.leased_fleet import LeasedFleet, job
 
 JOB = "0123456789abcdef"
@@ -170,6 +170,106 @@
         self.assertEqual("START", verdict.name)
 
 
+class CauseStopTest(TestCase):
+    """A job with a task on each of three upstreams, two of which refuse connections."""
+
+    def setUp(self):
+        super().setUp()
+        self.relay = CrashRelay()
+        self.entry = JobScheduler(lambda domain: False, self.relay)
+        self.links = [FakeLink(f"r{number}", "runner") for number in range(3)]
+        for link in self.links:
+            self.entry.on_link_up(link, clock.now())
+            self.entry.on_message(link, ttypes.RunningTasks([]), clock.now())
+            self.report(link)
+
+    def report(self, link, unsettled=()):
+        report = capacity_report(len(link.of_type(ttypes.StartBatch)), cores=1)
+        report.room.upstream = f"{link.peer.member}@1"
+        report.room.unsettled = unsettled
+        self.entry.on_message(link, report, clock.now())
+
+    def start(self):
+        request = job_request(JOB, tasks=3)
+        self.job = self.entry.submit(request, job_queue(), clock.now())
+        gevent.sleep(0.01)
+        for link in self.links:
+            self.assertEqual(1, len(link.starts()))
+
+    def refuse(self, weight, *others):
+        """Has two of the upstreams refuse connections.
+
+        Args:
+            weight: Weight of the job there.
+            others: `CrashedJob` of each other job.
+        """
+        for link in self.links[:2]:
+            task = link.starts()[0].task
+            jobs = (CrashedJob("q", (task,), weight, (task,)), *others)
+            upstream = f"{link.peer.member}@1"
+            refusal = Crash(upstream, "dispatch", clock.now(), jobs, noticed_ms=1)
+            self.relay.publish_refusal(refusal, clock.now())
+
+    def stopped(self):
+        """Returns the names of the stopped tasks by executor."""
+        return {
+            link.peer.member: stop.tasks
+            for link in self.links
+            for stop in link.of_type(ttypes.StopBatch)
+        }
+
+    def test_run_of_a_likely_cause_on_one_more_upstream_is_stopped(self):
+        """Guards against a job that takes the upstream of each of its tasks.
+
+        A stop at an upstream that refuses connections would have no effect.
+        """
+        self.start()
+        self.refuse(1e5)
+        self.assertEqual({"r2": [self.links[2].starts()[0].task]}, self.stopped())
+        self.assertIsNone(self.job.outcome)
+
+    def stop_third_run(self):
+        """Has the upstreams of the other two runs refuse connections."""
+        self.start()
+        self.refuse(1e5)
+        start = self.links[2].starts()[0]
+        end = ttypes.TaskEnd(start.task, start.run, "stopped", 1000)
+        self.entry.on_message(self.links[2], ttypes.EndBatch([end], None), clock.now())
+        self.report(self.links[2])
+        gevent.sleep(0.01)
+
+    def test_stopped_task_waits_for_the_end_of_the_leases(self):
+        """Guards against an upstream lost to a job that is about to be given up."""
+        self.stop_third_run()
+        self.assertEqual(1, len(self.links[2].starts()))
+        self.entry.schedule(clock.now() + 1.1)
+        self.assertEqual(2, len(self.links[2].starts()))
+
+    def test_stopped_task_starts_when_the_upstreams_reply(self):
+        """Guards against a job that is held back though it has crashed nothing."""
+        self.stop_third_run()
+        for refusal in self.relay.guard_records.all():
+            self.relay.withdraw(refusal, clock.now())
+        self.entry.schedule(clock.now())
+        self.assertEqual(2, len(self.links[2].starts()))
+
+    def test_runs_of_a_bystander_go_on(self):
+        """Guards against work thrown away because it ran beside the cause."""
+        self.start()
+        task = f"{OTHER_JOB}.0.0.0"
+        self.refuse(0.1, CrashedJob("q", (task,), 1e5, (task,)))
+        self.assertTrue(self.entry._isolation.is_guarded(self.job, clock.now()))
+        self.assertEqual({}, self.stopped())
+
+    def test_run_whose_start_may_be_executed_late_is_not_stopped(self):
+        """Guards against a late start beside the run that has taken its place."""
+        self.start()
+        link = self.links[2]
+        self.report(link, unsettled=[link.starts()[0].task])
+        self.refuse(1e5)
+        self.assertEqual({}, self.stopped())
+
+
 class RefusingUpstreamTest(TestCase):
     """Upstreams that refuse connections, seen by the processes of a fleet."""
 
