Send no start whose lease has ended meanwhile

What callers saw: nothing was observed; the fault was found by reading.

Cause: the lease of a start is determined before the connection is made. A process that can't run for longer than the lease in between sends the start afterwards. Its lifetime rejects it as late. If the upstream has started again under its identifier meanwhile, the clock of the next lifetime starts anew, so that it accepts the start, seconds after the entry was last known to be alive: its caller may have submitted the job to another entry.

Change: when a start is about to be sent, its lease must not have ended.

Evidence: test_start_is_not_sent_once_its_lease_has_ended failed before (a run at the next lifetime 3 s after the start was read), and passes. A start that was read before the stall and handled after it was not sent before either; a test keeps that.

--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -66,23 +66,32 @@
         """Starts a run; see `UpstreamSession.start`."""
         unanswered = rejections = 0
         expires_ms = 0
+        leased_until = 0.0
         result = "rejected"
 
         def may_send():
             return not self._calls.closed and is_wanted()
 
-        delivery = DeliveryTracker(on_delivery, on_unanswered, on_identified, may_send)
+        def may_send_request():
+            # The process may have been stopped since the lease was determined. The next
+            # lifetime would accept it.
+            return may_send() and clock.now() < leased_until
+
+        delivery = DeliveryTracker(
+            on_delivery, on_unanswered, on_identified, may_send_request
+        )
         while True:
             if unanswered:
                 state = self._wait_and_ask(task, run, unanswered, may_send)
                 # The end of an earlier submission's run may be listed.
                 if state == "started" or (state == "ended" and not is_wanted()):
                     return state, run
-            request = self._request(task, run, spec, clock.now())
+            leased_until = self._lease_end(clock.now())
             # While the upstream was asked, another poll may have listed the end.
-            if request is None or not may_send():
+            if not may_send_request():
                 result = "cancelled"
                 break
+            request = self._request(task, run, spec, leased_until)
             try:
                 outcome = self._calls.start(request, unanswered, delivery)
             except NoReply as error:
@@ -120,11 +129,7 @@
                 return settled, run
         return result, run
 
-    def _request(self, task, run, spec, now):
-        """Returns the `StartRequest`, None if its lease would end at once."""
-        until = self._lease_end(now)
-        if until <= now:
-            return None
+    def _request(self, task, run, spec, until):
         lease_ms = self._calls.lease.lease_ms(until)
         return StartRequest(task, run, spec, lease_ms, self._calls.token.value)
 
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,75 @@
+"""
+tests.test_stalls
+~~~~~~~~~~~~~~~~~
+
+A process that can't run for a while between two steps of an action.
+"""
+
+from unittest import mock
+
+import gevent
+
+from papayaward import clock
+from papayaward.protocol.gen.ttypes import StartBatch
+from standins.leased_upstream import LeasedUpstream
+from tests.leased_case import start_group
+from tests.replaced_upstream_case import ReplacedUpstreamCase
+
+_TASK = "j.0.0.0"
+# Longer than any lease.
+_STALL_S = 3.0
+
+
+class StallTest(ReplacedUpstreamCase):
+    """An executor whose upstream is replaced while the process can't run."""
+
+    first_clock_ms = 50
+
+    def setUp(self):
+        self.stalled_s = 0.0
+        real_now = clock.now
+        patch = mock.patch.object(clock, "now", lambda: real_now() + self.stalled_s)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.is_entry_alive = True
+        super().setUp()
+
+    def send_heartbeat(self):
+        if self.is_entry_alive:
+            super().send_heartbeat()
+
+    def stall(self, seconds):
+        self.stalled_s += seconds
+        for lifetime in (self.first, self.second):
+            lifetime._started -= seconds
+
+    def replace_upstream(self):
+        self.first.crash()
+        self.second = LeasedUpstream(born_ms=2, first_clock_ms=0)
+        self.address.lifetime = self.second
+
+    def test_start_is_not_sent_once_its_lease_has_ended(self):
+        """Guards against a run at a later lifetime that nobody waits for any more."""
+
+        def start(*args):
+            self.stall(_STALL_S)
+            self.replace_upstream()
+            return self.second.start(*args)
+
+        self.address.start = start
+        self.send_start()
+        gevent.sleep(0.2)
+        self.assertEqual([], self.second.records)
+
+    def test_start_that_was_read_before_a_stall_is_not_sent_after_it(self):
+        """Guards against a second run beside one for another entry.
+
+        The caller of an entry that was killed submits its job again 1.3 s later.
+        """
+        self.send_heartbeat()
+        self.is_entry_alive = False
+        batch, read_at = StartBatch(1, [start_group(_TASK)]), clock.now()
+        self.stall(_STALL_S)
+        self.executor.on_message(self.link, batch, read_at)
+        gevent.sleep(0.2)
+        self.assertEqual([], self.first.records)
