Split the records of crashes by what they answer

Cause: state/crash_records had 554 lines with five jobs in one class: the data, what is remembered, the counts under each task, the probabilities, and the decisions.

Change: crashes holds the data of notices, recent_crashes what is remembered and for how long, crash_counts the crashed upstreams under each task, queue_crashes and crash_causes the probabilities, crash_records the decisions that follow (180 lines, the largest of the six).

--- a/papayaward/coordination/crash_notices.py
+++ b/papayaward/coordination/crash_notices.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from ..protocol.gen import ttypes
-from ..state.crash_records import Crash, CrashedJob, Withdrawal
+from ..state.crashes import Crash, CrashedJob, Withdrawal
 
 __all__ = ["CrashUpdate", "from_message", "to_message"]
 
--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -16,7 +16,8 @@
 import logging
 
 from ..protocol.gen import ttypes
-from ..state.crash_records import CrashRecords, Withdrawal
+from ..state.crash_records import CrashRecords
+from ..state.crashes import Withdrawal
 from .crash_notices import CrashUpdate, from_message, to_message
 
 __all__ = ["CrashRelay"]
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from ..protocol.jobs import Resources
-from ..state.crash_records import job_id_of
+from ..state.crashes import job_id_of
 from .upstream_requests import MAX_START_DELAY_S, Delivery
 
 __all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
--- a/papayaward/coordination/start_admission.py
+++ b/papayaward/coordination/start_admission.py
@@ -11,7 +11,7 @@
 
 from ..protocol.jobs import Resources
 from ..state import metrics
-from ..state.crash_records import job_id_of
+from ..state.crashes import job_id_of
 from .leased_runs import may_isolate
 
 __all__ = ["StartConditions", "log_refusals", "refusal_of_start"]
--- a/papayaward/coordination/suspected_crashes.py
+++ b/papayaward/coordination/suspected_crashes.py
@@ -14,7 +14,7 @@
 
 from dataclasses import dataclass, replace
 
-from ..state.crash_records import Crash
+from ..state.crashes import Crash
 from .upstream_requests import UpstreamState
 
 __all__ = ["SuspectedCrashes"]
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/upstream_crashes.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 
 from ..state import metrics
-from ..state.crash_records import Crash, CrashedJob, job_id_of
+from ..state.crashes import Crash, CrashedJob, job_id_of
 from .upstream_requests import Delivery
 
 __all__ = ["LostRun", "crash_of", "crash_of_loss", "log_crash"]
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -16,7 +16,8 @@
 )
 from papayaward.coordination.upstream_session import UpstreamSession
 from papayaward.protocol.gen import ttypes
-from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
+from papayaward.state.crash_records import CrashRecords
+from papayaward.state.crashes import Crash, CrashedJob
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import FakeLink, job_queue, start_group, upstream_state
 from tests.leased_fleet import LeasedFleet, LocalUpstream, job
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -17,7 +17,8 @@
 from papayaward.coordination.job_state import Job
 from papayaward.coordination.lost_upstreams import LostUpstreams
 from papayaward.protocol.gen import ttypes
-from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
+from papayaward.state.crash_records import CrashRecords
+from papayaward.state.crashes import Crash, CrashedJob
 from tests.leased_case import FakeLink, job_queue, start_group
 from tests.leased_fleet import LeasedFleet, LocalUpstream, job
 
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -15,7 +15,7 @@
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import Phase, Resources
-from papayaward.state.crash_records import Crash, CrashedJob
+from papayaward.state.crashes import Crash, CrashedJob
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 
 # Probability density of a crash just after the start of a short task, for each second.
--- a/tests/test_lost_upstreams.py
+++ b/tests/test_lost_upstreams.py
@@ -5,7 +5,7 @@
 Which crashes an entry counts if the process beside the upstream ended as well.
 """
 
-from papayaward.state.crash_records import Crash, CrashedJob, Withdrawal
+from papayaward.state.crashes import Crash, CrashedJob, Withdrawal
 from tests.test_lost_tasks import LostTasksCase
 
 _TASK = "0123456789abcdef.0.0.0"
--- a/tests/test_queue_guard.py
+++ b/tests/test_queue_guard.py
@@ -10,12 +10,8 @@
 from testtools import TestCase
 
 from papayaward.coordination.queue_guard import QueueGuards
-from papayaward.state.crash_records import (
-    Crash,
-    CrashedJob,
-    CrashRecords,
-    Withdrawal,
-)
+from papayaward.state.crash_records import CrashRecords
+from papayaward.state.crashes import Crash, CrashedJob, Withdrawal
 
 
 class QueueGuardTest(TestCase):
--- a/tests/test_refusal_guards.py
+++ b/tests/test_refusal_guards.py
@@ -18,7 +18,7 @@
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol import codec
 from papayaward.protocol.gen import ttypes
-from papayaward.state.crash_records import Crash, CrashedJob
+from papayaward.state.crashes import Crash, CrashedJob
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 from tests.leased_fleet import LeasedFleet, job
 
--- a/tests/test_suspected_crashes.py
+++ b/tests/test_suspected_crashes.py
@@ -19,12 +19,8 @@
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol import codec
 from papayaward.protocol.gen import ttypes
-from papayaward.state.crash_records import (
-    Crash,
-    CrashedJob,
-    CrashRecords,
-    Withdrawal,
-)
+from papayaward.state.crash_records import CrashRecords
+from papayaward.state.crashes import Crash, CrashedJob, Withdrawal
 from tests.leased_case import FakeLink, job_queue, job_request
 from tests.leased_fleet import LeasedFleet, job
 
