--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from ..state.crash_records import job_id_of
+from ..state.crashes import job_id_of
 from .pinned_tasks import Pin
 from .upstream_requests import MAX_LATE_RUN_S, instance_of_key
 
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, replace
 
 from ..protocol.gen import ttypes
-from ..state.crash_records import job_id_of
+from ..state.crashes import job_id_of
 from .upstream_requests import LATE_RENEWALS_S, MAX_LATE_RUN_S, instance_of_key
 
 __all__ = ["Pin", "PinnedTasks"]
