Send no renewal whose lease has ended meanwhile

What callers saw: nothing was observed; the fault was found by reading.

Cause: as for starts, the lease of a renewal is determined before the connection is made. A process that can't run for longer than the lease in between sends it afterwards, maybe to the next lifetime under the same identifier. That accepts the lease and keeps a late run active, longer than the bounds of a late run allow for.

Change: clients of an upstream ask `may_send` before a poll, too. A renewal whose lease has ended is not sent, and counts as one without a reply. Stand-ins follow.

--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -164,12 +164,14 @@
             return StopResult.NOT_EXECUTED
         return StopResult.EXECUTED
 
-    def poll(self, request, attempt=0):
+    def poll(self, request, attempt=0, leased_until=None):
         """Sends one request to list the runs.
 
         Args:
             request: `PollRequest`.
             attempt: Number of earlier attempts without a reply.
+            leased_until: Time at which its lease ends, seconds; None if it has none.
+                It is not sent later: the next lifetime would accept the lease.
 
         Returns:
             UpstreamReply: The reply, with the outcome `ok` or `fenced`; None if there
@@ -178,10 +180,14 @@
         if self.closed:
             # A lease that is renewed now would outlast the time that was told.
             return None
+
+        def may_send():
+            return leased_until is None or clock.now() < leased_until
+
         try:
             reply = self._call(
                 lambda timeout_s: self._upstream.poll(
-                    self.state.instance, request, timeout_s
+                    self.state.instance, request, timeout_s, may_send
                 ),
                 attempt,
                 request.wait_ms / 1000.0,
--- a/papayaward/coordination/upstream_requests.py
+++ b/papayaward/coordination/upstream_requests.py
@@ -7,9 +7,10 @@
 The client of an upstream has three methods:
 `start(instance, request, timeout_s, may_send)`,
 `stop(instance, task, run, fencing_token, timeout_s)` and
-`poll(instance, request, timeout_s)`. They return an `UpstreamReply`, or raise `NoReply`
-or `Unreachable`. `may_send` is called when a connection is made, immediately before the
-request is sent; the request is not sent if it returns False, and `NoReply` is raised.
+`poll(instance, request, timeout_s, may_send)`. They return an `UpstreamReply`, or raise
+`NoReply` or `Unreachable`. `may_send` is called when a connection is made, immediately
+before the request is sent; the request is not sent if it returns False, and `NoReply`
+is raised.
 """
 
 from dataclasses import dataclass, field
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -291,8 +291,8 @@
             gevent.sleep(_RETRY_S if self._calls.is_up else _RETURN_POLL_S)
             self.check(clock.now())
 
-    def _poll_once(self, request, attempt=0):
-        reply = self._calls.poll(request, attempt)
+    def _poll_once(self, request, attempt=0, leased_until=None):
+        reply = self._calls.poll(request, attempt, leased_until)
         if reply is not None and reply.outcome == "ok":
             now = clock.now()
             self._handle_ends(reply.ends, now)
@@ -319,7 +319,8 @@
                 is_renewed = has_lease and not self._calls.silent
                 lease_ms = self._calls.lease.lease_ms(until) if is_renewed else None
                 request = PollRequest(self._calls.token.value, self._last_end, lease_ms)
-                reply = self._poll_once(request, attempt)
+                leased_until = until if is_renewed else None
+                reply = self._poll_once(request, attempt, leased_until)
                 attempt = attempt + 1 if reply is None else 0
             self.check(clock.now())
 
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -167,10 +167,10 @@
             timeout_s,
         )
 
-    def poll(self, instance, request, timeout_s=0.0):
+    def poll(self, instance, request, timeout_s=0.0, may_send=lambda: True):
         times_out_at = time.monotonic() + timeout_s
         reply = self._handle_request(
-            "poll", lambda upstream: upstream._poll(request), timeout_s
+            "poll", lambda upstream: upstream._poll(request), timeout_s, may_send
         )
         if reply.outcome != "ok":
             return reply
--- a/tests/order_path.py
+++ b/tests/order_path.py
@@ -193,13 +193,13 @@
             self._process, "stop", instance, handle, timeout_s, _always
         )
 
-    def poll(self, instance, request, timeout_s=0.0):
+    def poll(self, instance, request, timeout_s=0.0, may_send=lambda: True):
         def handle(lifetime):
             return lifetime.poll(instance, replace(request, wait_ms=0))
 
         wait_s = request.wait_ms / 1000.0
         return self._path.send(
-            self._process, "poll", instance, handle, timeout_s, _always, wait_s
+            self._process, "poll", instance, handle, timeout_s, may_send, wait_s
         )
 
 
--- a/tests/replaced_upstream_case.py
+++ b/tests/replaced_upstream_case.py
@@ -54,11 +54,11 @@
         self._wait(timeout_s, self.reached_by_starts_only)
         return self.lifetime.stop(instance, task, run, fencing_token, timeout_s)
 
-    def poll(self, instance, request, timeout_s):
+    def poll(self, instance, request, timeout_s, may_send=lambda: True):
         self._connect()
         self._wait(timeout_s, self.reached_by_starts_only)
         is_replaced_next = self._is_asked_next and self.next_lifetime is not None
-        reply = self.lifetime.poll(instance, request, timeout_s)
+        reply = self.lifetime.poll(instance, request, timeout_s, may_send)
         if is_replaced_next:
             self._replace_lifetime()
         return reply
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -143,9 +143,9 @@
         """Guards against the first reset of a connection taken for the crash."""
         poll = self.upstream.poll
 
-        def reset(instance, request, timeout_s):
+        def reset(*args):
             if self.upstream.crashed:
-                return poll(instance, request, timeout_s)
+                return poll(*args)
             raise ConnectionBroken("connection reset")
 
         self.upstream.poll = reset
--- a/tests/test_fencing_token.py
+++ b/tests/test_fencing_token.py
@@ -24,8 +24,8 @@
         self.second.token = 4000
         poll = self.second.poll
 
-        def poll_with_equal_clock(instance, request, timeout_s):
-            reply = poll(instance, request, timeout_s)
+        def poll_with_equal_clock(instance, request, *args):
+            reply = poll(instance, request, *args)
             return reply if request.fencing_token else replace(reply, clock_ms=4000)
 
         self.second.poll = poll_with_equal_clock
--- a/tests/test_late_renewals.py
+++ b/tests/test_late_renewals.py
@@ -65,12 +65,12 @@
         upstream, poll = self.first.lifetime, self.first.lifetime.poll
         late_at = 0.0
 
-        def poll_or_lose(instance, request, timeout_s):
+        def poll_or_lose(instance, request, *args):
             nonlocal late_at
             if request.lease_ms is not None and clock.now() >= late_at:
                 late_at = clock.now() + _RENEWAL_INTERVAL_S
                 upstream.fail_request("poll", next(delays_s))
-            return poll(instance, request, timeout_s)
+            return poll(instance, request, *args)
 
         upstream.poll = poll_or_lose
 
--- a/tests/test_refused_connections.py
+++ b/tests/test_refused_connections.py
@@ -106,9 +106,9 @@
         self.start_run()
         poll, leases = self.first.poll, []
 
-        def record(instance, request, timeout_s):
+        def record(instance, request, *args):
             leases.append(request.lease_ms)
-            return poll(instance, request, timeout_s)
+            return poll(instance, request, *args)
 
         self.first.poll = record
         self.wait_for(lambda: any(leases))
@@ -143,7 +143,7 @@
         self.address.poll = poll
         self.wait_for(lambda: not self.executor.refusal_reason)
 
-    def break_connection(self, instance, request, timeout_s):
+    def break_connection(self, *args):
         raise self.error
 
     def test_upstream_is_used_again_as_soon_as_it_replies(self):
--- a/tests/test_returned_entry.py
+++ b/tests/test_returned_entry.py
@@ -120,8 +120,8 @@
         poll = self.upstream.poll
         self.upstream._end_count = 1
 
-        def list_end(instance, request, timeout_s):
-            reply = poll(instance, request, timeout_s)
+        def list_end(*args):
+            reply = poll(*args)
             return replace(reply, ends=(RunEnd(1, "j.0.0.0", 1, "done"), *reply.ends))
 
         self.upstream.poll = list_end
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -61,6 +61,23 @@
         gevent.sleep(0.2)
         self.assertEqual([], self.second.records)
 
+    def test_renewal_is_not_sent_once_its_lease_has_ended(self):
+        """Guards against a late run at a later lifetime that is kept active."""
+        self.send_start()
+        self.wait_for(lambda: self.first.records)
+        poll = self.address.poll
+
+        def poll_after_stall(instance, request, *args):
+            if request.lease_ms is not None and not self.stalled_s:
+                self.stall(_STALL_S)
+                self.replace_upstream()
+            return poll(instance, request, *args)
+
+        self.address.poll = poll_after_stall
+        self.wait_for(lambda: self.stalled_s)
+        gevent.sleep(0.2)
+        self.assertEqual(0, self.second._lease_ms)
+
     def test_start_that_was_read_before_a_stall_is_not_sent_after_it(self):
         """Guards against a second run beside one for another entry.
 
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -297,7 +297,7 @@
         self.executor.on_link_up(self.link, clock.now())
         self.assertFalse(_last_report(self.link).taken_over)
 
-    def no_reply(self, instance, request, timeout_s):
+    def no_reply(self, instance, request, timeout_s, may_send):
         gevent.sleep(timeout_s)
         raise NoReply("no reply")
 
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -158,12 +158,12 @@
             sent.append(bool(self.ends))
             return send_start(instance, request, timeout_s, may_send)
 
-        def poll(instance, request, timeout_s):
+        def poll(instance, request, *args):
             while (
                 sent and not request.wait_ms and not (self.ends and not upstream.ends)
             ):
                 gevent.sleep(0.005)
-            return send_poll(instance, request, timeout_s)
+            return send_poll(instance, request, *args)
 
         upstream.start, upstream.poll = start, poll
         upstream.fail_request("start", delay_s=0.0)
@@ -260,9 +260,9 @@
         upstream.fail_request("start", delay_s=0.0)
         poll = upstream.poll
 
-        def delayed_poll(instance, request, timeout_s):
+        def delayed_poll(*args):
             gevent.sleep(0.02)
-            return poll(instance, request, timeout_s)
+            return poll(*args)
 
         upstream.poll = delayed_poll
         self.assertEqual("started", self.start(session, work_ms=500)[0])
