Compare a clock reading with the earlier ones, not with itself

What callers saw: nothing was observed; the fault was found by reading.

Cause: a reply to a start tells no lifetime, so that it is known to come from the session's lifetime if its reading of the clock continues the earlier ones. The reading was taken into account before that was checked, and so compared with itself. Any reading above the last one passed, also that of a next lifetime which is older by now than the one before was at its last reply. A run that this lifetime had begun was then confirmed: its end was taken for proven with a lease of the lifetime before.

Change: the check comes first; `UpstreamCalls._call` returns its result.

Evidence: test_clock_that_started_anew_is_that_of_another_lifetime failed before and passes.

--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -110,9 +110,9 @@
         Raises:
             NoReply: The upstream did not reply; the start may take effect later.
         """
-        instance, sent_at = self.state.instance, clock.now()
+        instance = self.state.instance
         try:
-            reply = self._call(
+            reply, is_same_lifetime = self._call(
                 lambda timeout_s: self._upstream.start(
                     instance, request, timeout_s, delivery.may_send
                 ),
@@ -123,9 +123,7 @@
             return "unreachable"
         # Another lifetime may have executed the start, another instance has not.
         if not self._is_other_lifetime(reply) or reply.outcome == "other_instance":
-            delivery.on_reply(
-                reply.outcome == "ok", self._is_same_lifetime(reply, sent_at)
-            )
+            delivery.on_reply(reply.outcome == "ok", is_same_lifetime)
         if self._is_lost(reply):
             return "lost"
         if reply.outcome == "fenced":
@@ -147,7 +145,7 @@
             return StopResult.CLOSED
         token = self.token.value
         try:
-            reply = self._call(
+            reply, _ = self._call(
                 lambda timeout_s: self._upstream.stop(
                     self.state.instance, task, run, token, timeout_s
                 ),
@@ -185,7 +183,7 @@
             return leased_until is None or clock.now() < leased_until
 
         try:
-            reply = self._call(
+            reply, _ = self._call(
                 lambda timeout_s: self._upstream.poll(
                     self.state.instance, request, timeout_s, may_send
                 ),
@@ -245,6 +243,10 @@
             wait_s: Time for which the upstream was asked to wait, seconds.
             may_refuse: Whether to return a reply that nothing was done.
 
+        Returns:
+            tuple: The reply, and whether it is known to come from the session's
+                lifetime.
+
         Raises:
             NoReply: There was no reply, or it was a refusal.
             Unreachable: No connection was made.
@@ -262,9 +264,9 @@
             if attempt:
                 gevent.sleep(max(0.0, sent_at + timeout_s - clock.now()))
             raise
-        if reply.outcome not in ("unhealthy", "other_instance"):
-            self._on_reply(reply, sent_at, wait_s, clock.now())
-        return reply
+        if reply.outcome in ("unhealthy", "other_instance"):
+            return reply, False
+        return reply, self._on_reply(reply, sent_at, wait_s, clock.now())
 
     def _on_no_reply(self, error, now):
         is_refused = isinstance(error, Unreachable)
@@ -275,18 +277,21 @@
             self._set_silent(True)
 
     def _on_reply(self, reply, sent_at, wait_s, now):
+        """Returns whether a reply is known to come from the session's lifetime."""
         self.is_up = True
         if self._is_other_lifetime(reply):
-            return
+            return False
         if wait_s:
             self.replies.on_delayed_reply(now)
         else:
             self.replies.on_reply(now - sent_at, now)
         self._set_silent(False)
         self.born_ms = self.born_ms or reply.born_ms
-        if self._is_same_lifetime(reply, sent_at):
+        is_same_lifetime = self._is_same_lifetime(reply, sent_at)
+        if is_same_lifetime:
             self._identified_at = max(self._identified_at, sent_at)
         self.lease.on_reply(reply.clock_ms, now)
+        return is_same_lifetime
 
     def _set_silent(self, silent):
         if silent == self.silent:
@@ -314,6 +319,8 @@
     def _is_same_lifetime(self, reply, sent_at):
         """Returns whether a reply shows that the session's lifetime has sent it.
 
+        Its reading of the upstream's clock must not have been taken into account yet.
+
         Args:
             reply: `UpstreamReply`.
             sent_at: Time at which its request was sent, seconds.
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -43,9 +43,10 @@
         for lifetime in (self.first, self.second):
             lifetime._started -= seconds
 
-    def replace_upstream(self):
+    def replace_upstream(self, age_ms=0):
         self.first.crash()
-        self.second = LeasedUpstream(born_ms=2, first_clock_ms=0)
+        self.second = LeasedUpstream(born_ms=2, first_clock_ms=age_ms)
+        self.second.names_lifetime_in_lists_only = True
         self.address.lifetime = self.second
 
     def test_start_is_not_sent_once_its_lease_has_ended(self):
--- a/tests/test_upstream_session.py
+++ b/tests/test_upstream_session.py
@@ -5,13 +5,18 @@
 Leased sessions with an upstream: lost replies, fencing, take-over, lease expiry.
 """
 
+from unittest import mock
+
 import gevent
 from testtools import TestCase
 
 from papayaward import clock
+from papayaward.coordination.delivery_tracker import DeliveryTracker
+from papayaward.coordination.upstream_calls import UpstreamCalls
 from papayaward.coordination.upstream_requests import (
     Delivery,
     NoReply,
+    PollRequest,
     StartRequest,
     UpstreamReply,
 )
@@ -341,3 +346,45 @@
         self.assertGreaterEqual(self.lost[0], session.all_ended_at)
         # The kill at the end of a lease takes up to 50 ms.
         self.assertGreaterEqual(session.all_ended_at, session.leased_until + 0.05)
+
+
+class ClockReadingTest(TestCase):
+    """Replies that tell the upstream's clock, but not the start of its lifetime."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = clock.now()
+        patch = mock.patch.object(clock, "now", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.calls = UpstreamCalls(self, upstream_state(born_ms=1), None, None, 1)
+
+    def poll(self, *args):
+        return UpstreamReply("ok", 1000, born_ms=1)
+
+    def start(self, instance, request, timeout_s, may_send):
+        may_send()
+        return UpstreamReply("ok", self.clock_ms)
+
+    def is_identified(self, clock_ms):
+        """Returns whether a reply 2 s after the last one is of the same lifetime."""
+        self.calls.poll(PollRequest(1, 0))
+        self.now += 2.0
+        self.clock_ms = clock_ms
+        found = []
+        tracker = DeliveryTracker(
+            lambda delivery: None,
+            lambda count: None,
+            lambda: found.append(True),
+            lambda: True,
+        )
+        self.calls.start(StartRequest("j.0.0.0", 1, "50", 3900, 1), 0, tracker)
+        return bool(found)
+
+    def test_clock_that_started_anew_is_that_of_another_lifetime(self):
+        """Guards against a reading that is compared with itself."""
+        self.assertFalse(self.is_identified(1500))
+
+    def test_clock_that_goes_on_is_that_of_the_same_lifetime(self):
+        """Guards against starts that stay unsettled until a poll lists them."""
+        self.assertTrue(self.is_identified(2961))
