Set up the JSON log of both kinds of processes in one place

Cause: daemon and bounded_log held the same formatter and the same set-up of the root logger.

Change: json_log.log_json_to does it for both; lines and options are unchanged. test_bounded_log, test_adapter, test_examples, test_config_writes (fleets of the daemon) and test_docs pass.

--- a/papayaward/bounded_log.py
+++ b/papayaward/bounded_log.py
@@ -11,7 +11,8 @@
 import gevent
 from gevent import os as gevent_os
 from gevent.event import Event
-from pythonjsonlogger.json import JsonFormatter
+
+from .json_log import log_json_to
 
 __all__ = ["BoundedHandler", "set_up_logging"]
 
@@ -92,15 +93,5 @@
         BoundedHandler: The handler in use.
     """
     handler = BoundedHandler(fd)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(levelname)s %(name)s %(message)s",
-            rename_fields={"levelname": "level", "name": "logger", "message": "event"},
-            timestamp="time",
-            static_fields={"member": member},
-        )
-    )
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(level.upper())
+    log_json_to(handler, member, level)
     return handler
--- a/papayaward/daemon.py
+++ b/papayaward/daemon.py
@@ -12,9 +12,9 @@
 
 import gevent
 from gevent.event import Event
-from pythonjsonlogger.json import JsonFormatter
 
 from . import __version__
+from .json_log import log_json_to
 from .protocol import mechanisms
 from .protocol.settings import SettingsError, load_settings, settings_reference
 
@@ -52,7 +52,7 @@
         return 2
     if options.check:
         return 0
-    _set_up_logging(settings)
+    log_json_to(logging.StreamHandler(sys.stderr), settings.member, settings.log_level)
     mechanisms.disable(settings.disabled_mechanisms)
     # All addresses are numeric, so name resolution never blocks. gevent's default
     # resolver would start a thread pool, which costs each process a thread and
@@ -83,18 +83,3 @@
     from .runner import Runner
 
     return Runner(settings)
-
-
-def _set_up_logging(settings):
-    handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(levelname)s %(name)s %(message)s",
-            rename_fields={"levelname": "level", "name": "logger", "message": "event"},
-            timestamp="time",
-            static_fields={"member": settings.member},
-        )
-    )
-    root = logging.getLogger()
-    root.handlers[:] = [handler]
-    root.setLevel(settings.log_level.upper())
