Hold what the entry and the runner have in common in one class

Cause: entry and runner each set up the same state, hello and routes for health, readiness and metrics.

Change: node.Node holds them; the role comes from the settings, and each role says when it is ready. Messages, routes and names outside are unchanged. test_drain, test_operator_tool, test_odd_values, test_examples, test_hostile_input, test_kills and test_docs pass.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -6,27 +6,25 @@
 """
 
 import logging
-import secrets
 
 import gevent
 
 from . import clock
 from .caller_api import CallerApi
 from .config_api import ConfigApi
-from .coordination.config_sync import ConfigHolder
 from .coordination.config_writer import ConfigWriter
 from .coordination.coordinator_client import CoordinatorClient, CoordinatorUnavailable
 from .coordination.evidence import EntryEvidence, age_ms
 from .coordination.membership import Membership, cell_of
 from .loops import repeat
+from .node import Node
 from .operator_api import OperatorApi
 from .protocol.codec import encode
-from .protocol.gen.ttypes import ConfigPush, Heartbeat, Hello, Member, Members
+from .protocol.gen.ttypes import ConfigPush, Heartbeat, Member, Members
 from .protocol.options import get_address
 from .protocol.store_errors import StoreError
-from .state import invariants, metrics
-from .transport.http_api import HttpApi, Response, json_response, serve_http
-from .transport.link import PROTOCOL_VERSION, LinkStats
+from .state import invariants
+from .transport.http_api import serve_http
 from .transport.peers import serve_links
 from .transport.store_client import StoreClient
 
@@ -41,7 +39,7 @@
 _COORDINATOR_RETENTION_S = 1200.0
 
 
-class Entry:
+class Entry(Node):
     """One entry process.
 
     Args:
@@ -49,14 +47,7 @@
     """
 
     def __init__(self, settings):
-        self.settings = settings
-        self.incarnation = secrets.randbits(44) | 1
-        self.draining = False
-        self.heartbeat_interval_s = settings.heartbeat_interval_s
-        self.heartbeat_misses = settings.heartbeat_misses
-        self.stats = LinkStats()
-        metrics.export_link_stats(self.stats)
-        self.config = ConfigHolder()
+        super().__init__(settings, service="")
         self.evidence = EntryEvidence()
         self.members = Membership()
         addresses = [get_address({"store": a}, "store") for a in settings.store]
@@ -77,10 +68,7 @@
         settings = self.settings
         self.config.on_change(self._push_config)
         self._server = serve_links(settings.listen, self)
-        api = HttpApi(settings.max_body_bytes)
-        api.add("GET", "/healthz", lambda request: Response(200, b"ok\n"))
-        api.add("GET", "/readyz", self._ready)
-        api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
+        api = self.http_api(settings.max_body_bytes)
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
         ConfigApi(self, clock.now()).add_routes(api)
@@ -104,6 +92,11 @@
         )
         log.info("drain_finished", extra={"open": len(self._http.open_requests)})
 
+    @property
+    def is_ready(self):
+        """Whether the process serves new requests."""
+        return not self.draining and self.config.version > 0
+
     def activate_coordinator(self, view):
         """Sends a coordinator its cell's members before it gets its first job."""
         key = (view.hello.member, view.hello.incarnation)
@@ -113,23 +106,6 @@
 
     # Node interface of `Link`.
 
-    def hello(self):
-        """Returns the `Hello` of this process."""
-        settings = self.settings
-        host, port = settings.listen
-        return Hello(
-            PROTOCOL_VERSION,
-            settings.member,
-            self.incarnation,
-            "entry",
-            settings.region,
-            settings.domain,
-            "",
-            settings.advertise or f"{host}:{port}",
-            self.config.version,
-            self.draining,
-        )
-
     def heartbeat(self, link, now):
         """Returns the next heartbeat for a link."""
         return Heartbeat(
@@ -276,7 +252,3 @@
                 log.info("store_reachable")
             self._store_reachable = True
         gevent.sleep(self.settings.store_poll_s)
-
-    def _ready(self, request):
-        ready = not self.draining and self.config.version > 0
-        return json_response(200 if ready else 503, {"ready": ready})
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -6,19 +6,18 @@
 """
 
 import logging
-import secrets
 from functools import partial
 
 import gevent
 
 from . import clock
-from .coordination.config_sync import ConfigHolder
 from .coordination.coordinator import Coordinator
 from .coordination.evidence import RunnerEvidence, age_ms
 from .coordination.executor import Executor, Upstream
 from .coordination.member_lists import read_members
 from .loops import repeat
-from .protocol.gen.ttypes import Heartbeat, Hello, Members
+from .node import Node
+from .protocol.gen.ttypes import Heartbeat, Members
 from .protocol.options import (
     OptionError,
     get_address,
@@ -29,8 +28,7 @@
 )
 from .rejection_log import RejectionLog
 from .state import invariants, metrics
-from .transport.http_api import HttpApi, Response, json_response, serve_http
-from .transport.link import PROTOCOL_VERSION, LinkStats
+from .transport.http_api import json_response, serve_http
 from .transport.loopback import LoopbackLink
 from .transport.peers import Dialler, serve_links
 
@@ -42,9 +40,11 @@
 # that expire, after 2 s or more.
 _TICK_S = 0.25
 _DRAIN_POLL_S = 0.05
+# Largest body of an upstream's announcement.
+_MAX_BODY_BYTES = 64 * 1024
 
 
-class Runner:
+class Runner(Node):
     """One runner process.
 
     Args:
@@ -52,15 +52,8 @@
     """
 
     def __init__(self, settings):
-        self.settings = settings
-        self.incarnation = secrets.randbits(44) | 1
+        super().__init__(settings, settings.service)
         self.domain = settings.domain
-        self.draining = False
-        self.heartbeat_interval_s = settings.heartbeat_interval_s
-        self.heartbeat_misses = settings.heartbeat_misses
-        self.stats = LinkStats()
-        metrics.export_link_stats(self.stats)
-        self.config = ConfigHolder()
         self.evidence = RunnerEvidence()
         self.executor = Executor(self)
         self.coordinator = Coordinator(self)
@@ -86,11 +79,8 @@
             address = get_address({"entry": settings.entries[index]}, "entry")
             Dialler(address, self)
         self.config.on_change(self._on_config)
-        api = HttpApi(64 * 1024)
+        api = self.http_api(_MAX_BODY_BYTES)
         api.add("POST", "/announce", self._announce)
-        api.add("GET", "/healthz", lambda request: Response(200, b"ok\n"))
-        api.add("GET", "/readyz", self._ready)
-        api.add("GET", "/metrics", lambda request: Response(200, metrics.export()))
         self._http = serve_http(settings.http, api)
         gevent.spawn(repeat, self._tick)
         log.info("runner_started", extra={"member": settings.member})
@@ -116,24 +106,12 @@
         gevent.sleep(2 * _DRAIN_POLL_S)
         log.info("drain_finished", extra={"running": self.executor.running})
 
-    # Node interface of `Link`.
+    @property
+    def is_ready(self):
+        """Whether the process starts new tasks."""
+        return self.executor.accepting and not self.draining
 
-    def hello(self):
-        """Returns the `Hello` of this process."""
-        settings = self.settings
-        host, port = settings.listen
-        return Hello(
-            PROTOCOL_VERSION,
-            settings.member,
-            self.incarnation,
-            "runner",
-            settings.region,
-            settings.domain,
-            settings.service,
-            settings.advertise or f"{host}:{port}",
-            self.config.version,
-            self.draining,
-        )
+    # Node interface of `Link`.
 
     def heartbeat(self, link, now):
         """Returns the next heartbeat for a link."""
@@ -289,7 +267,3 @@
         self.executor.announce(upstream, clock.now())
         self._check_accepting()
         return json_response(200, {"slots": self.executor.slots})
-
-    def _ready(self, request):
-        ready = self.executor.accepting and not self.draining
-        return json_response(200 if ready else 503, {"ready": ready})
