Name the executors for guarded queues and missing capacity as what they are

Cause: "shard" said nothing of what the executors are for, "room" is capacity everywhere else, and _end_crashing was one of four similar names.

Change: queue_guard.shard is executors_for_guarded, _NO_ROOM_REASONS is _NO_CAPACITY_REASONS, _end_crashing is _end_refused_as_crashing. Names only. test_queue_guard, test_refusal_guards, test_job_scheduler and test_crashing_tasks pass.

--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -20,7 +20,7 @@
 from ..state.crash_records import MAX_CRASHES_UNDER_TASK
 from .isolated_placement import place_isolated
 from .job_state import SENT
-from .queue_guard import QueueGuards, shard
+from .queue_guard import QueueGuards, executors_for_guarded
 
 __all__ = ["Isolation", "IsolationRound", "Verdict"]
 
@@ -93,7 +93,9 @@
             return Verdict.START
         if self._records.is_repeatedly_likely(job_id):
             return Verdict.GIVEN_UP
-        accepting = [view.accepting for view in _shard_views(job.queue.service, views)]
+        accepting = [
+            view.accepting for view in _views_for_guarded(job.queue.service, views)
+        ]
         if sum(accepting) < _RETRY_SHARE * len(accepting):
             return Verdict.GIVEN_UP
         return Verdict.START
@@ -166,7 +168,7 @@
         if not self._guards.is_guarded(job.queue.name, now):
             return False
         return not any(
-            view.accepting for view in _shard_views(job.queue.service, views)
+            view.accepting for view in _views_for_guarded(job.queue.service, views)
         )
 
     def is_overloaded(self, job, views, now):
@@ -179,7 +181,7 @@
         """
         name, run_s = job.queue.name, job.critical_path_s()
         accepting = sum(
-            view.accepting for view in _shard_views(job.queue.service, views)
+            view.accepting for view in _views_for_guarded(job.queue.service, views)
         )
         capacity_per_s = (
             accepting * self._guards.limit(name, now) / max(run_s, _MIN_RUN_S)
@@ -281,7 +283,7 @@
             reserved = [
                 view
                 for service in isolation.guarded_services(now)
-                for view in _shard_views(service, views)
+                for view in _views_for_guarded(service, views)
             ]
             safe = [
                 view
@@ -324,7 +326,7 @@
         return self._guarded
 
 
-def _shard_views(service, views):
+def _views_for_guarded(service, views):
     of_service = [v for v in views if v.service == service and v.capacity_known]
-    names = shard([view.name for view in of_service])
+    names = executors_for_guarded([view.name for view in of_service])
     return [view for view in of_service if view.name in names]
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -55,7 +55,7 @@
 # Reason for which an executor refuses a job after too many crashes under it.
 _CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
-_NO_ROOM_REASONS = ("busy", "not_isolated")
+_NO_CAPACITY_REASONS = ("busy", "not_isolated")
 
 
 class JobScheduler:
@@ -264,9 +264,9 @@
                 self.end(task.job, "failed", _FINAL_REASONS[reason], now)
                 return
             if reason == _CRASHING_REASON:
-                self._end_crashing(task.job, now)
+                self._end_refused_as_crashing(task.job, now)
                 return
-            if reason not in _NO_ROOM_REASONS:
+            if reason not in _NO_CAPACITY_REASONS:
                 task.avoided_executors.add(view.name)
             if reason == LATE_START:
                 task.retry_at = now + _LATE_START_RETRY_S
@@ -313,7 +313,7 @@
             log.info("runs_stopped", extra={"executor": view.name, "tasks": names})
             view.link.try_send(ttypes.StopBatch(names))
 
-    def _end_crashing(self, job, now):
+    def _end_refused_as_crashing(self, job, now):
         """Ends a job that an executor refuses because of crashes under it.
 
         If this entry does not know the crashes, it cannot say that the job caused them.
@@ -389,7 +389,7 @@
         executor = task.executor
         task.state = WAITING
         task.executor = None
-        if reason not in _NO_ROOM_REASONS:
+        if reason not in _NO_CAPACITY_REASONS:
             log.info(
                 "task_requeued",
                 extra={
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/queue_guard.py
@@ -15,14 +15,14 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["QueueGuards", "shard"]
+__all__ = ["QueueGuards", "executors_for_guarded"]
 
 log = logging.getLogger(__name__)
 
 # Time for which a queue stays guarded after one of its jobs has crashed an upstream.
 _GUARD_S = 5.0
 # Part of a service's executors that the guarded queues share.
-_SHARD_SHARE = 0.5
+_GUARDED_EXECUTOR_SHARE = 0.5
 # Crashes put down to the jobs of a queue from which it is guarded if one of the jobs is
 # the likely cause of one.
 _MIN_QUEUE_CRASHES = 1.5
@@ -37,7 +37,7 @@
 _HALF_LIFE_S = 5.0
 
 
-def shard(names):
+def executors_for_guarded(names):
     """Returns the executors that the guarded queues of a service use.
 
     Every entry ranks the executors alike, so that entries with different views choose
@@ -50,7 +50,7 @@
         frozenset: At least one name, if there is any.
     """
     ranked = sorted(names, key=lambda name: hashlib.sha256(name.encode()).digest())
-    return frozenset(ranked[: math.ceil(_SHARD_SHARE * len(ranked))])
+    return frozenset(ranked[: math.ceil(_GUARDED_EXECUTOR_SHARE * len(ranked))])
 
 
 @dataclass
