Name the records that hold refusals so

Cause: guard_records and on_guard_change named one use of the records; stops of runs rest on them as well, and what tells them from `records` is that they hold refusals.

Change: records_with_refusals and on_change_with_refusals, also in the notes. Names only. test_queue_guard, test_refusal_guards, test_suspected_crashes, test_job_scheduler and test_docs pass.

--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -33,17 +33,17 @@
 
     Attributes:
         records: `CrashRecords` of the crashes that are suspected or known.
-        guard_records: `CrashRecords` that hold upstreams which refuse connections
-            as well. They guard queues and stop runs, but bound no starts and decide no
-            answer.
+        records_with_refusals: `CrashRecords` that hold upstreams which refuse
+            connections as well. They guard queues and stop runs, but bound no starts
+            and decide no answer.
     """
 
     def __init__(self):
         self.records = CrashRecords()
-        self.guard_records = CrashRecords()
+        self.records_with_refusals = CrashRecords()
         self._links = []
         self._crash_listeners = []
-        self._guard_listeners = []
+        self._refusal_listeners = []
         self._change_listeners = []
 
     def on_crash(self, listener):
@@ -58,13 +58,13 @@
         """
         self._change_listeners.append(listener)
 
-    def on_guard_change(self, listener):
-        """Registers a function called when `guard_records` gain or lose a crash.
+    def on_change_with_refusals(self, listener):
+        """Registers a function called when `records_with_refusals` change.
 
         Args:
             listener: Function that takes the `Crash` and the current time.
         """
-        self._guard_listeners.append(listener)
+        self._refusal_listeners.append(listener)
 
     def on_link_up(self, link, now):
         """Sends the recent crashes and withdrawals to a new peer."""
@@ -115,11 +115,11 @@
 
     def _recent(self, now):
         """Returns a `CrashUpdate` with what a new peer has to know."""
-        for records in (self.records, self.guard_records):
+        for records in (self.records, self.records_with_refusals):
             records.expire(now)
         refusals = (
             crash
-            for crash in self.guard_records.all()
+            for crash in self.records_with_refusals.all()
             if self.records.find(crash.upstream) is None
         )
         return CrashUpdate(
@@ -131,21 +131,21 @@
     def _add(self, update, now, source):
         withdrawals, withdrawn = _withdraw(self.records, update.withdrawals, now)
         new, changed = _record(self.records, update.crashes, now)
-        _, freed = _withdraw(self.guard_records, update.withdrawals, now)
-        suspected, _ = _record(self.guard_records, update.crashes, now)
-        refusals = _record(self.guard_records, update.refusals, now)
+        _, freed = _withdraw(self.records_with_refusals, update.withdrawals, now)
+        suspected, _ = _record(self.records_with_refusals, update.crashes, now)
+        refusals = _record(self.records_with_refusals, update.refusals, now)
         forwarded = CrashUpdate(new + changed, withdrawals, sum(refusals, ()))
         if forwarded:
             message = to_message(forwarded, now)
             for link in self._links:
                 if link is not source:
                     link.try_send(message)
-        self._log("refusal_recorded", refusals[0], self.guard_records, now)
-        self._log("refusal_withdrawn", freed, self.guard_records, now)
+        self._log("refusal_recorded", refusals[0], self.records_with_refusals, now)
+        self._log("refusal_withdrawn", freed, self.records_with_refusals, now)
         self._log("crash_withdrawn", withdrawn, self.records, now)
         self._log("crash_changed", changed, self.records, now)
         self._log("crash_recorded", new, self.records, now)
-        _call(self._guard_listeners, freed + suspected + refusals[0], now)
+        _call(self._refusal_listeners, freed + suspected + refusals[0], now)
         _call(self._change_listeners, withdrawn + changed, now)
         _call(self._crash_listeners, new, now)
 
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -64,13 +64,13 @@
         self._records = relay.records
         self._placement = placement
         self._jobs = jobs
-        self._guard_records = relay.guard_records
+        self._with_refusals = relay.records_with_refusals
         # Guards that decide where jobs run, and those that a verdict may rest on.
         self._guards = QueueGuards("placement")
         self._verdict_guards = QueueGuards("verdicts")
         relay.on_crash(self._on_crash)
         relay.on_change(self._on_change)
-        relay.on_guard_change(self._on_guard_change)
+        relay.on_change_with_refusals(self._on_change_with_refusals)
 
     def verdict(self, job, views, now):
         """Returns the `Verdict` on a job.
@@ -131,7 +131,7 @@
             task
             for task in job.tasks
             if task.state is SENT
-            and task.upstream not in self._guard_records.upstreams_of(task.name)
+            and task.upstream not in self._with_refusals.upstreams_of(task.name)
         ]
 
     def holds_back(self, job, now):
@@ -146,9 +146,9 @@
         """
         return self._is_likely_cause(job, now) and any(
             self._records.find(upstream) is None
-            and now - self._guard_records.find(upstream).at < _LEASE_S
+            and now - self._with_refusals.find(upstream).at < _LEASE_S
             for task in job.tasks
-            for upstream in self._guard_records.upstreams_of(task.name)
+            for upstream in self._with_refusals.upstreams_of(task.name)
         )
 
     def _is_likely_cause(self, job, now):
@@ -156,7 +156,7 @@
 
         Refused connections suffice, so that this decides no answer.
         """
-        is_likely = self._guard_records.is_likely_running(job.request.job_id)
+        is_likely = self._with_refusals.is_likely_running(job.request.job_id)
         return is_likely and self._guards.is_guarded(job.queue.name, now)
 
     def _lost_upstreams(self, task):
@@ -238,14 +238,14 @@
     def _on_crash(self, crash, now):
         self._verdict_guards.on_crash(crash, self._records, now)
         # The guard of a refusal is kept up when its lease has ended.
-        self._guards.on_crash(crash, self._guard_records, now)
+        self._guards.on_crash(crash, self._with_refusals, now)
 
     def _on_change(self, crash, now):
         if self._records.find(crash.upstream) is None:
             self._verdict_guards.on_withdrawn(crash, self._records, now)
 
-    def _on_guard_change(self, crash, now):
-        records = self._guard_records
+    def _on_change_with_refusals(self, crash, now):
+        records = self._with_refusals
         if records.find(crash.upstream) is None:
             self._guards.on_withdrawn(crash, records, now)
             return
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -83,7 +83,7 @@
         self._crashes.on_crash(self._publish_late_starts)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
-        self._crashes.on_guard_change(self._stop_causes)
+        self._crashes.on_change_with_refusals(self._stop_causes)
         self._wakeup = Event()
         gevent.spawn(repeat, self._run)
         gevent.spawn(repeat, self._tick)
--- a/tests/test_refusal_guards.py
+++ b/tests/test_refusal_guards.py
@@ -53,7 +53,7 @@
             self.receiver.on_message(FakeLink("r1"), received, clock.now())
 
     def refused(self, relay):
-        return [crash.upstream for crash in relay.guard_records.all()]
+        return [crash.upstream for crash in relay.records_with_refusals.all()]
 
     def test_refusals_bound_no_starts(self):
         """Guards against a job given up while its upstreams run on."""
@@ -248,7 +248,7 @@
     def test_stopped_task_starts_when_the_upstreams_reply(self):
         """Guards against a job that is held back though it has crashed nothing."""
         self.stop_third_run()
-        for refusal in self.relay.guard_records.all():
+        for refusal in self.relay.records_with_refusals.all():
             self.relay.withdraw(refusal, clock.now())
         self.entry.schedule(clock.now())
         self.assertEqual(2, len(self.links[2].starts()))
@@ -297,7 +297,8 @@
         """Returns the number of refusals and crashes that each entry knows."""
         relays = self.fleet.relays
         return {
-            (len(one.guard_records.all()), len(one.records.all())) for one in relays
+            (len(one.records_with_refusals.all()), len(one.records.all()))
+            for one in relays
         }
 
     def test_refusal_is_known_at_once_and_withdrawn_with_a_reply(self):
@@ -305,7 +306,7 @@
         upstream = self.start()
         upstream.refuse()
         self.wait_for(lambda: self.refusals() == {(1, 0)}, 0.1)
-        (refusal,) = self.fleet.relays[0].guard_records.all()
+        (refusal,) = self.fleet.relays[0].records_with_refusals.all()
         self.assertEqual((f"{JOB}.0.0.0",), refusal.jobs[0].started)
         upstream.restore()
         self.wait_for(lambda: self.refusals() == {(0, 0)}, 0.5)
@@ -328,10 +329,10 @@
         gevent.sleep(0.2)
         self.assertEqual({(1, 0)}, self.refusals())
         relay = self.fleet.relays[0]
-        (refusal,) = relay.guard_records.all()
+        (refusal,) = relay.records_with_refusals.all()
         upstream.restore()
         key = refusal.upstream
-        self.wait_for(lambda: relay.guard_records.find(key) is None, 1.0)
+        self.wait_for(lambda: relay.records_with_refusals.find(key) is None, 1.0)
         self.assertIsNone(relay.records.find(key))
 
     def test_upstream_that_leaves_is_not_told_as_refusing(self):
