--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/isolation.py
@@ -20,7 +20,7 @@
 from ..state.crash_records import MAX_CRASHES_UNDER_TASK
 from .isolated_placement import place_isolated
 from .job_state import SENT
-from .queue_guard import QueueGuards, shard
+from .queue_guard import QueueGuards, executors_for_guarded
 
 __all__ = ["Isolation", "IsolationRound", "Verdict"]
 
@@ -64,13 +64,13 @@
         self._records = relay.records
         self._placement = placement
         self._jobs = jobs
-        self._guard_records = relay.guard_records
+        self._with_refusals = relay.records_with_refusals
         # Guards that decide where jobs run, and those that a verdict may rest on.
         self._guards = QueueGuards("placement")
         self._verdict_guards = QueueGuards("verdicts")
         relay.on_crash(self._on_crash)
         relay.on_change(self._on_change)
-        relay.on_guard_change(self._on_guard_change)
+        relay.on_change_with_refusals(self._on_change_with_refusals)
 
     def verdict(self, job, views, now):
         """Returns the `Verdict` on a job.
@@ -93,7 +93,9 @@
             return Verdict.START
         if self._records.is_repeatedly_likely(job_id):
             return Verdict.GIVEN_UP
-        accepting = [view.accepting for view in _shard_views(job.queue.service, views)]
+        accepting = [
+            view.accepting for view in _views_for_guarded(job.queue.service, views)
+        ]
         if sum(accepting) < _RETRY_SHARE * len(accepting):
             return Verdict.GIVEN_UP
         return Verdict.START
@@ -129,7 +131,7 @@
             task
             for task in job.tasks
             if task.state is SENT
-            and task.upstream not in self._guard_records.upstreams_of(task.name)
+            and task.upstream not in self._with_refusals.upstreams_of(task.name)
         ]
 
     def holds_back(self, job, now):
@@ -144,9 +146,9 @@
         """
         return self._is_likely_cause(job, now) and any(
             self._records.find(upstream) is None
-            and now - self._guard_records.find(upstream).at < _LEASE_S
+            and now - self._with_refusals.find(upstream).at < _LEASE_S
             for task in job.tasks
-            for upstream in self._guard_records.upstreams_of(task.name)
+            for upstream in self._with_refusals.upstreams_of(task.name)
         )
 
     def _is_likely_cause(self, job, now):
@@ -154,7 +156,7 @@
 
         Refused connections suffice, so that this decides no answer.
         """
-        is_likely = self._guard_records.is_likely_running(job.request.job_id)
+        is_likely = self._with_refusals.is_likely_running(job.request.job_id)
         return is_likely and self._guards.is_guarded(job.queue.name, now)
 
     def _lost_upstreams(self, task):
@@ -166,7 +168,7 @@
         if not self._guards.is_guarded(job.queue.name, now):
             return False
         return not any(
-            view.accepting for view in _shard_views(job.queue.service, views)
+            view.accepting for view in _views_for_guarded(job.queue.service, views)
         )
 
     def is_overloaded(self, job, views, now):
@@ -179,7 +181,7 @@
         """
         name, run_s = job.queue.name, job.critical_path_s()
         accepting = sum(
-            view.accepting for view in _shard_views(job.queue.service, views)
+            view.accepting for view in _views_for_guarded(job.queue.service, views)
         )
         capacity_per_s = (
             accepting * self._guards.limit(name, now) / max(run_s, _MIN_RUN_S)
@@ -236,14 +238,14 @@
     def _on_crash(self, crash, now):
         self._verdict_guards.on_crash(crash, self._records, now)
         # The guard of a refusal is kept up when its lease has ended.
-        self._guards.on_crash(crash, self._guard_records, now)
+        self._guards.on_crash(crash, self._with_refusals, now)
 
     def _on_change(self, crash, now):
         if self._records.find(crash.upstream) is None:
             self._verdict_guards.on_withdrawn(crash, self._records, now)
 
-    def _on_guard_change(self, crash, now):
-        records = self._guard_records
+    def _on_change_with_refusals(self, crash, now):
+        records = self._with_refusals
         if records.find(crash.upstream) is None:
             self._guards.on_withdrawn(crash, records, now)
             return
@@ -281,7 +283,7 @@
             reserved = [
                 view
                 for service in isolation.guarded_services(now)
-                for view in _shard_views(service, views)
+                for view in _views_for_guarded(service, views)
             ]
             safe = [
                 view
@@ -324,7 +326,7 @@
         return self._guarded
 
 
-def _shard_views(service, views):
+def _views_for_guarded(service, views):
     of_service = [v for v in views if v.service == service and v.capacity_known]
-    names = shard([view.name for view in of_service])
+    names = executors_for_guarded([view.name for view in of_service])
     return [view for view in of_service if view.name in names]
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -55,9 +55,9 @@
 # Reason for which an executor refuses a job after too many crashes under it.
 _CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
-_NO_ROOM_REASONS = ("busy", "not_isolated")
+_NO_CAPACITY_REASONS = ("busy", "not_isolated")
 # The same, and that it accepts under the next number.
-_PASSING_REASONS = (*_NO_ROOM_REASONS, OLD_RUN)
+_PASSING_REASONS = (*_NO_CAPACITY_REASONS, OLD_RUN)
 
 
 class JobScheduler:
@@ -85,7 +85,7 @@
         self._crashes.on_crash(self._publish_late_starts)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
-        self._crashes.on_guard_change(self._stop_causes)
+        self._crashes.on_change_with_refusals(self._stop_causes)
         self._wakeup = Event()
         gevent.spawn(repeat, self._run)
         gevent.spawn(repeat, self._tick)
@@ -266,7 +266,7 @@
                 self.end(task.job, "failed", _FINAL_REASONS[reason], now)
                 return
             if reason == _CRASHING_REASON:
-                self._end_crashing(task.job, now)
+                self._end_refused_as_crashing(task.job, now)
                 return
             if reason not in _PASSING_REASONS:
                 task.avoided_executors.add(view.name)
@@ -319,7 +319,7 @@
             log.info("runs_stopped", extra={"executor": view.name, "tasks": names})
             view.link.try_send(ttypes.StopBatch(names))
 
-    def _end_crashing(self, job, now):
+    def _end_refused_as_crashing(self, job, now):
         """Ends a job that an executor refuses because of crashes under it.
 
         If this entry does not know the crashes, it cannot say that the job caused them.
@@ -395,7 +395,7 @@
         executor = task.executor
         task.state = WAITING
         task.executor = None
-        if reason not in _NO_ROOM_REASONS:
+        if reason not in _NO_CAPACITY_REASONS:
             log.info(
                 "task_requeued",
                 extra={
--- a/tests/leased_case.py
+++ b/tests/leased_case.py
@@ -101,11 +101,11 @@
     """
     polls, poll = SimpleNamespace(waiting=0, failed=[]), upstream.poll
 
-    def recorded_poll(instance, request, timeout_s):
+    def recorded_poll(instance, request, timeout_s, may_send):
         sent_at, waits = clock.now(), bool(request.wait_ms)
         polls.waiting += waits
         try:
-            return poll(instance, request, timeout_s)
+            return poll(instance, request, timeout_s, may_send)
         except (NoReply, Unreachable):
             polls.failed.append(FailedPoll(sent_at, clock.now()))
             raise
--- a/tests/test_run_facts.py
+++ b/tests/test_run_facts.py
@@ -325,8 +325,8 @@
         self.first.is_unhealthy = lambda name: name == "start" and self.first.records
         poll = self.first.poll
 
-        def poll_slowly(instance, request, timeout_s):
-            reply = poll(instance, request, timeout_s)
+        def poll_slowly(instance, request, timeout_s, may_send):
+            reply = poll(instance, request, timeout_s, may_send)
             if reply.ends:
                 self.held = not request.wait_ms and request.lease_ms is None
                 gevent.sleep(0.15)
