Take no reply after a pause for one of the same lifetime by an old time of sending

What callers saw: nothing was observed; the fault was found by reading.

Cause: whether a reading of the clock continues the earlier ones was judged by the time before the connection was made. A process that can't run in between sends the request later, and the next lifetime's clock may have passed the expected reading by then.

Change: a reply that comes after its time to wait was sent for by a request that may have been sent after the pause; the latest such time counts for the reading. What is derived from the reply for other requests still counts from the earliest time of sending.

--- a/papayaward/coordination/upstream_calls.py
+++ b/papayaward/coordination/upstream_calls.py
@@ -266,7 +266,12 @@
             raise
         if reply.outcome in ("unhealthy", "other_instance"):
             return reply, False
-        return reply, self._on_reply(reply, sent_at, wait_s, clock.now())
+        now = clock.now()
+        # A reply that comes after its time shows that the process could not run. It may
+        # have sent the request after that.
+        latest_sent_at = max(sent_at, now - timeout_s - wait_s)
+        is_same_lifetime = self._on_reply(reply, sent_at, latest_sent_at, wait_s, now)
+        return reply, is_same_lifetime
 
     def _on_no_reply(self, error, now):
         is_refused = isinstance(error, Unreachable)
@@ -276,7 +281,7 @@
         if is_refused or self.replies.is_silent(now):
             self._set_silent(True)
 
-    def _on_reply(self, reply, sent_at, wait_s, now):
+    def _on_reply(self, reply, sent_at, latest_sent_at, wait_s, now):
         """Returns whether a reply is known to come from the session's lifetime."""
         self.is_up = True
         if self._is_other_lifetime(reply):
@@ -287,7 +292,7 @@
             self.replies.on_reply(now - sent_at, now)
         self._set_silent(False)
         self.born_ms = self.born_ms or reply.born_ms
-        is_same_lifetime = self._is_same_lifetime(reply, sent_at)
+        is_same_lifetime = self._is_same_lifetime(reply, latest_sent_at)
         if is_same_lifetime:
             self._identified_at = max(self._identified_at, sent_at)
         self.lease.on_reply(reply.clock_ms, now)
@@ -323,7 +328,7 @@
 
         Args:
             reply: `UpstreamReply`.
-            sent_at: Time at which its request was sent, seconds.
+            sent_at: Latest time at which its request was sent, seconds.
         """
         if not self.born_ms:
             return False
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -18,6 +18,7 @@
 _TASK = "j.0.0.0"
 # Longer than any lease.
 _STALL_S = 3.0
+_SHORT_STALL_S = 0.8
 
 
 class StallTest(ReplacedUpstreamCase):
@@ -79,6 +80,24 @@
         gevent.sleep(0.2)
         self.assertEqual(0, self.second._lease_ms)
 
+    def test_reply_after_a_stall_is_not_taken_for_one_of_the_same_lifetime(self):
+        """Guards against a confirmed run that a later lifetime has begun.
+
+        The clock of that lifetime may have passed a reading from before the stall.
+        """
+
+        def start(*args):
+            self.stall(_SHORT_STALL_S)
+            self.replace_upstream(age_ms=int(_SHORT_STALL_S * 1000) - 50)
+            return self.second.start(*args)
+
+        self.address.start = start
+        self.send_start()
+        run = self.executor._runs[_TASK]
+        self.wait_for(lambda: self.second.records)
+        gevent.sleep(0.01)
+        self.assertFalse(run.identified)
+
     def test_start_that_was_read_before_a_stall_is_not_sent_after_it(self):
         """Guards against a second run beside one for another entry.
 
