Count a start from the latest time at which it may have been sent

What callers saw: nothing was observed; the fault was found by reading.

Cause: the longest delay of a start without a reply counted from the check before it is sent. A process that can't run for some seconds between that and the write has the start executed as much later.

--- a/papayaward/coordination/delivery_tracker.py
+++ b/papayaward/coordination/delivery_tracker.py
@@ -16,7 +16,7 @@
     Args:
         on_delivery: Function that takes each new `Delivery`.
         on_unanswered: Function that takes the number of requests without a reply
-            whenever it changes.
+            whenever it changes, and again when the latest of them has got none in time.
         on_identified: Function called when the lifetime of the session is known to have
             begun the run.
         is_open: Function that returns whether the session is open and the run wanted.
@@ -39,6 +39,13 @@
         self._on_delivery(Delivery.UNANSWERED)
         return True
 
+    def on_no_reply(self):
+        """Records that an attempt got no reply in time.
+
+        It may have been sent as late as now if the process could not run meanwhile.
+        """
+        self._add_unanswered(0)
+
     def on_reply(self, started, is_identified=False):
         """Records the reply to an attempt; earlier ones may remain unanswered.
 
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -43,7 +43,7 @@
     requested_run: int = 0
     running: bool = False
     delivery: Delivery = Delivery.NOT_DELIVERED
-    # Time at which the start was last sent.
+    # Latest time at which the start may have been sent.
     sent_at: float = 0.0
     # Number of requests to start it that had no reply, and whether one of them is known
     # to have been executed, because the upstream has listed the run. A lifetime may
--- a/papayaward/coordination/run_requests.py
+++ b/papayaward/coordination/run_requests.py
@@ -33,7 +33,7 @@
         return not run.stopping and not run.ended
 
     def on_unanswered(count):
-        if count > run.unanswered:
+        if count and count >= run.unanswered:
             run.sent_at = clock.now()
         run.unanswered = count
 
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -95,6 +95,7 @@
             try:
                 outcome = self._calls.start(request, unanswered, delivery)
             except NoReply as error:
+                delivery.on_no_reply()
                 unanswered += 1
                 expires_ms = max(expires_ms, request.lease_ms)
                 log.info(
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -183,7 +183,8 @@
             on_delivery: Function that takes the `Delivery` of the start whenever it
                 changes.
             on_unanswered: Function that takes the number of its requests without a
-                reply whenever it changes.
+                reply whenever it changes, and again when the latest of them has got
+                none in time.
             on_identified: Function called when the lifetime of this session is known to
                 have begun the run.
             has_earlier_requests: Whether earlier requests under the number may still be
--- a/tests/activity_model.py
+++ b/tests/activity_model.py
@@ -519,7 +519,7 @@
 
     def _tracker(self, run, session):
         def on_unanswered(count):
-            if count > run.unanswered:
+            if count and count >= run.unanswered:
                 run.sent_at = self._now
             run.unanswered = count
 
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -10,6 +10,7 @@
 import gevent
 
 from papayaward import clock
+from papayaward.coordination.upstream_requests import NoReply
 from papayaward.protocol.gen.ttypes import StartBatch
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import start_group
@@ -98,6 +99,26 @@
         gevent.sleep(0.01)
         self.assertFalse(run.identified)
 
+    def test_start_without_a_reply_counts_from_the_end_of_a_stall(self):
+        """Guards against a start that is executed later than its run is waited for.
+
+        The process could not run when it had decided to send the start.
+        """
+
+        def start(instance, request, timeout_s, may_send):
+            may_send()
+            self.stall(_STALL_S)
+            self.stop_task()
+            raise NoReply("no reply")
+
+        self.address.start = start
+        self.send_start()
+        run = self.executor._runs[_TASK]
+        self.wait_for(lambda: self.stalled_s)
+        stalled_until = clock.now()
+        gevent.sleep(0.01)
+        self.assertLess(stalled_until - 0.1, run.sent_at)
+
     def test_start_that_was_read_before_a_stall_is_not_sent_after_it(self):
         """Guards against a second run beside one for another entry.
 
