--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -10,6 +10,7 @@
 import gevent
 
 from papayaward import clock
+from papayaward.coordination.upstream_requests import NoReply
 from papayaward.protocol.gen.ttypes import StartBatch
 from standins.leased_upstream import LeasedUpstream
 from tests.leased_case import start_group
@@ -18,6 +19,7 @@
 _TASK = "j.0.0.0"
 # Longer than any lease.
 _STALL_S = 3.0
+_SHORT_STALL_S = 0.8
 
 
 class StallTest(ReplacedUpstreamCase):
@@ -79,6 +81,44 @@
         gevent.sleep(0.2)
         self.assertEqual(0, self.second._lease_ms)
 
+    def test_reply_after_a_stall_is_not_taken_for_one_of_the_same_lifetime(self):
+        """Guards against a confirmed run that a later lifetime has begun.
+
+        The clock of that lifetime may have passed a reading from before the stall.
+        """
+
+        def start(*args):
+            self.stall(_SHORT_STALL_S)
+            self.replace_upstream(age_ms=int(_SHORT_STALL_S * 1000) - 50)
+            return self.second.start(*args)
+
+        self.address.start = start
+        self.send_start()
+        run = self.executor._runs[_TASK]
+        self.wait_for(lambda: self.second.records)
+        gevent.sleep(0.01)
+        self.assertFalse(run.identified)
+
+    def test_start_without_a_reply_counts_from_the_end_of_a_stall(self):
+        """Guards against a start that is executed later than its run is waited for.
+
+        The process could not run when it had decided to send the start.
+        """
+
+        def start(instance, request, timeout_s, may_send):
+            may_send()
+            self.stall(_STALL_S)
+            self.stop_task()
+            raise NoReply("no reply")
+
+        self.address.start = start
+        self.send_start()
+        run = self.executor._runs[_TASK]
+        self.wait_for(lambda: self.stalled_s)
+        stalled_until = clock.now()
+        gevent.sleep(0.01)
+        self.assertLess(stalled_until - 0.1, run.sent_at)
+
     def test_start_that_was_read_before_a_stall_is_not_sent_after_it(self):
         """Guards against a second run beside one for another entry.
 
