Wait for events instead of times in four tests of the executor

Cause: each of the tests failed once at a load of 25 to 46. Each fails with certainty when its process, which also runs the executor and the stand-in, is blocked at one place: - crash of an idle upstream: for 0.03 s between the crash and the next look of the stand-in's open poll, which takes up to 5 ms; the crash is dated later by as much. - capacity of a stopping run: for 0.1 s after the stop, as the test slept for 0.1 s; for 0.5 s before the second start, which is then refused as stale, as it should be. - closing executor: for 0.5 s before the starts (stale), or during the sleep of 0.3 s. - regained capacity: for 0.3 s while the runs of 150 ms last, since they end before the report of zero free cores. The product is not involved.

Change: the tests wait for the condition with the same bounds, counted by holds_within. Runs end when the test ends them. An entry sends a heartbeat right before a start that follows a wait. The time of the crash is compared with that of the first poll that failed, which must have been sent before the crash; the bound of 0.02 s stays. The relations of the expected times to each other and to the shutdown stay the same.

--- a/tests/leased_case.py
+++ b/tests/leased_case.py
@@ -5,10 +5,15 @@
 Fake links and sample messages, for tests of leased tasks.
 """
 
+from dataclasses import dataclass
 from types import SimpleNamespace
 
 from papayaward import clock
-from papayaward.coordination.upstream_requests import UpstreamState
+from papayaward.coordination.upstream_requests import (
+    NoReply,
+    Unreachable,
+    UpstreamState,
+)
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import LeasedJobRequest, Phase, Queue, Resources
 
@@ -17,6 +22,7 @@
     "capacity_report",
     "job_queue",
     "job_request",
+    "record_failed_polls",
     "start_group",
     "upstream_state",
 ]
@@ -75,6 +81,41 @@
         ]
 
 
+@dataclass(frozen=True)
+class FailedPoll:
+    """A poll without a reply, and when it was sent and failed, seconds."""
+
+    sent_at: float
+    failed_at: float
+
+
+def record_failed_polls(upstream):
+    """Records the polls of a stand-in from now on.
+
+    Args:
+        upstream: `LeasedUpstream`.
+
+    Returns:
+        SimpleNamespace: Number of polls that wait for an end (`waiting`) and each
+            `FailedPoll` (`failed`).
+    """
+    polls, poll = SimpleNamespace(waiting=0, failed=[]), upstream.poll
+
+    def recorded_poll(instance, request, timeout_s):
+        sent_at, waits = clock.now(), bool(request.wait_ms)
+        polls.waiting += waits
+        try:
+            return poll(instance, request, timeout_s)
+        except (NoReply, Unreachable):
+            polls.failed.append(FailedPoll(sent_at, clock.now()))
+            raise
+        finally:
+            polls.waiting -= waits
+
+    upstream.poll = recorded_poll
+    return polls
+
+
 def upstream_state(instance="i-1", cores=4, **changes):
     """Returns a state report of an upstream with the given number of cores."""
     values = {
--- a/tests/test_leased_executor.py
+++ b/tests/test_leased_executor.py
@@ -19,7 +19,13 @@
     StopBatch,
 )
 from standins.leased_upstream import LeasedUpstream
-from tests.leased_case import FakeLink, start_group, upstream_state
+from tests.leased_case import (
+    FakeLink,
+    record_failed_polls,
+    start_group,
+    upstream_state,
+)
+from tests.waiting import holds_within
 
 
 class LeasedExecutorTest(TestCase):
@@ -33,10 +39,8 @@
         self.batches = 0
 
     def wait_for(self, condition, seconds=2.0):
-        until = clock.now() + seconds
-        while not condition():
-            self.assertLess(clock.now(), until, "the condition was not met in time")
-            gevent.sleep(0.005)
+        met = holds_within(condition, seconds)
+        self.assertTrue(met, "the condition was not met in time")
 
     def link(self, member="e1", **options):
         link = FakeLink(member, **options)
@@ -48,14 +52,21 @@
 
         def repeat():
             while True:
-                link.mark_alive()
-                self.executor.on_heartbeat(link, queued, clock.now())
+                self.send_heartbeat(link, queued)
                 gevent.sleep(0.05)
 
         task = gevent.spawn(repeat)
         self.addCleanup(task.kill)
         return task
 
+    def send_heartbeat(self, link, queued=0):
+        """Sends a heartbeat, so that the next starts are not refused as stale.
+
+        This process may have been stopped since the last one.
+        """
+        link.mark_alive()
+        self.executor.on_heartbeat(link, queued, clock.now())
+
     def send(self, link, *groups):
         self.batches += 1
         self.executor.on_message(
@@ -85,10 +96,11 @@
         link = self.link()
         self.send_heartbeats(link)
         self.send(link, start_group(work_ms=5000, cores=4))
-        gevent.sleep(0.05)
+        self.wait_for(lambda: self.upstream.running, seconds=0.05)
+        self.send_heartbeat(link)
         self.executor.on_message(link, StopBatch(["j.0.0.0"]), clock.now())
         self.send(link, start_group("k.0.0.0"))
-        gevent.sleep(0.1)
+        self.wait_for(lambda: len(link.ends()) == 2, seconds=0.1)
         self.assertIn(("k.0.0.0", "not_run:busy"), link.ends())
         self.assertIn(("j.0.0.0", "stopped"), link.ends())
 
@@ -127,15 +139,21 @@
 
     def test_crash_of_an_idle_upstream_is_noticed_without_a_start(self):
         """Guards against starts that are sent to an upstream that is long gone."""
+        self.upstream = LeasedUpstream()
+        polls = record_failed_polls(self.upstream)
+        self.executor = LeasedExecutor(self.upstream, self.domains_out.__contains__)
+        self.executor.on_upstream_report(upstream_state(), clock.now())
         crashes = []
         self.executor._crashes.on_crash(lambda crash, now: crashes.append(crash))
-        gevent.sleep(0.1)
+        self.wait_for(lambda: polls.waiting, seconds=0.2)
         crashed_at = clock.now()
         self.upstream.crash()
         self.wait_for(lambda: self.executor.refusal_reason, seconds=0.2)
         self.wait_for(lambda: crashes, seconds=1.5)
         self.assertEqual([()], [crash.jobs for crash in crashes])
-        self.assertLess(abs(crashes[0].at - crashed_at), 0.02)
+        # The poll that waited when the upstream crashed is the first that shows it.
+        self.assertLess(polls.failed[0].sent_at, crashed_at)
+        self.assertLess(abs(crashes[0].at - polls.failed[0].failed_at), 0.02)
 
     def resize(self, cores, sequence):
         state = upstream_state(cores=cores, sequence=sequence)
@@ -315,12 +333,15 @@
         """Guards against an idle upstream while the shutdown waits for a long run."""
         link = self.link()
         self.send_heartbeats(link)
-        self.send(link, start_group(work_ms=1000, expected_ms=1000))
-        gevent.sleep(0.05)
+        self.send(link, start_group(work_ms=2000, expected_ms=2000))
+        self.wait_for(lambda: self.upstream.running, seconds=0.05)
+        self.send_heartbeat(link)
         self.executor.close(clock.now() + 5.0)
-        self.send(link, start_group("k.0.0.0", work_ms=100, expected_ms=100))
-        self.send(link, start_group("l.0.0.0", work_ms=2000, expected_ms=2000))
-        gevent.sleep(0.3)
+        self.send(link, start_group("k.0.0.0", work_ms=9000, expected_ms=100))
+        self.send(link, start_group("l.0.0.0", work_ms=4000, expected_ms=4000))
+        self.wait_for(lambda: len(self.upstream.running) == 2, seconds=0.3)
+        self.upstream.end_run("k.0.0.0", "done")
+        self.wait_for(lambda: len(link.ends()) == 2, seconds=0.3)
         self.assertEqual(
             [("l.0.0.0", "not_run:closing"), ("k.0.0.0", "done")], link.ends()
         )
@@ -374,9 +395,11 @@
         busy, other = self.link("e1"), self.link("e2")
         self.send_heartbeats(busy)
         self.send_heartbeats(other, queued=1)
-        starts = [start_group(f"j.0.0.{number}", work_ms=150) for number in range(4)]
+        starts = [start_group(f"j.0.0.{number}", work_ms=9000) for number in range(4)]
         self.send(busy, *starts)
         self.wait_for(lambda: self.free_cores(other)[-1] == 0)
+        for number in range(4):
+            self.upstream.end_run(f"j.0.0.{number}", "done")
         self.wait_for(lambda: busy.ends())
         # Reports of consecutive ends may be delayed by 20 ms.
         self.wait_for(lambda: self.free_cores(other)[-1] > 0, 0.06)
