Wait for the condemnation of a job in the test of another entry

Cause: test_resubmitted_job_that_crashed_upstreams_fails_at_another_entry ignored whether its wait of 2 s for the first outcome was over; that outcome takes 1.08 s. When the process, which also runs the fleet, did not run for 0.95 s of it, the job was submitted to the other entries before its second crash was known: it had no outcome yet. Two more ways: a job that waits for 31 ms is refused for its latency objective, and a crash without a witness, as the process was stopped, does not condemn the job. The product is not involved.

Change: the test waits for 2 s of running time, with a job whose declared time does not lead to a refusal, and submits it again to the same entry if it was not condemned. The other entries have to know of it within the same 0.05 s. That one submission is enough is guarded by test_task_that_crashes_upstreams_does_not_take_the_whole_fleet.

--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -20,8 +20,10 @@
 from papayaward.state.crash_records import Crash, CrashedJob, CrashRecords
 from tests.leased_case import FakeLink, job_queue, start_group
 from tests.leased_fleet import LeasedFleet, LocalUpstream, job
+from tests.waiting import holds_within
 
 DEADLY = "d" * 16
+_SUBMISSIONS = 3
 
 
 class CrashingTaskTest(TestCase):
@@ -81,11 +83,20 @@
     def test_resubmitted_job_that_crashed_upstreams_fails_at_another_entry(self):
         """Guards against a count of crashes that begins anew at each entry."""
         fleet = self.fleet(entries=2, executors=8)
-        request = job(DEADLY, "deadly:30:0")
-        self.submit(fleet.entries[0], request).finished.wait(2.0)
+        # Without an end in sight for the job, whatever the machine does meanwhile.
+        request = job(DEADLY, "deadly:30:0", expected_s=60.0, timeout_s=600.0)
+        for _ in range(_SUBMISSIONS):
+            first = self.submit(fleet.entries[0], request)
+            self.wait_for(lambda: first.outcome)
+            # Unless this process was stopped at a crash, which then has no witness.
+            if first.outcome.kind == "failed":
+                break
         crashes = fleet.crashes
         late_entry = fleet.add_entry()
-        gevent.sleep(0.05)
+        relays = fleet.relays[1:]
+        self.wait_for(
+            lambda: all(relay.records.is_condemned(DEADLY) for relay in relays), 0.05
+        )
         for entry in (fleet.entries[1], late_entry):
             again = self.submit(entry, request)
             self.assertEqual(("failed", "crashes upstreams"), _outcome(again))
@@ -290,11 +301,9 @@
         for job_id in ("a", "b"):
             self.assertEqual(1, relay.records.crashes_under(job_id))
 
-    def wait_for(self, condition):
-        until = clock.now() + 2.0
-        while not condition():
-            self.assertLess(clock.now(), until, "condition not met in time")
-            gevent.sleep(0.005)
+    def wait_for(self, condition, seconds=2.0):
+        met = holds_within(condition, seconds)
+        self.assertTrue(met, "condition not met in time")
 
     def test_notice_that_cannot_be_read_is_skipped(self):
         """Guards against a notice that closes each link on which it is sent."""
