Test stopped runs of a likely cause with real executors

The other tests of it use fake links. A job with tasks on four upstreams, three of which refuse connections, runs on the fourth no more within 0.5 s, starts nothing in the meantime, and runs again when they reply.

--- a/tests/test_refusal_guards.py
+++ b/tests/test_refusal_guards.py
@@ -335,6 +335,27 @@
         self.wait_for(lambda: relay.records_with_refusals.find(key) is None, 1.0)
         self.assertIsNone(relay.records.find(key))
 
+    def test_likely_cause_runs_on_no_further_upstream_until_one_replies(self):
+        """Guards against a job that takes the upstreams of all its tasks."""
+        fleet = LeasedFleet(entries=1, executors=4, cores=2)
+        self.addCleanup(fleet.close)
+        gevent.sleep(0.1)
+        request = job(JOB, "9000", tasks=8, timeout_s=9.0)
+        running = fleet.entries[0].submit(request, job_queue(), clock.now())
+        names = [f"{JOB}.0.0.{number}" for number in range(8)]
+        self.wait_for(lambda: all(fleet.running(name) for name in names))
+        *refusing, last = fleet.upstreams
+        for upstream in refusing:
+            upstream.refuse()
+        self.wait_for(lambda: not any(last.runs(name) for name in names), 0.5)
+        starts = sum(fleet.starts(name) for name in names)
+        gevent.sleep(0.2)
+        self.assertEqual(starts, sum(fleet.starts(name) for name in names))
+        for upstream in refusing:
+            upstream.restore()
+        self.wait_for(lambda: all(fleet.running(name) for name in names))
+        self.assertIsNone(running.outcome)
+
     def test_upstream_that_leaves_is_not_told_as_refusing(self):
         """Guards against queues guarded while upstreams are shut down as planned."""
         upstream = self.start()
