Refuse a start as late at once when its number is rejected

Cause: a start without a reply whose number the upstream rejects as old was stopped and polled for before the refusal, and reported as not_run:ended if an earlier end with the number was listed.

Replaced test: the upstream has ended the number, and a request under it is open, so that the start under the next number that the test asked for could be executed beside it. It asks instead that the start is refused (late_start), uses no capacity and begins no run.

--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -127,7 +127,8 @@
             else:
                 result = outcome
                 break
-        if unanswered:
+        # A lifetime that has ended the number rejects its requests.
+        if unanswered and result != LATE_START:
             settled = self._settle(task, run, expires_ms)
             if settled != "never":
                 return settled, run
