Tell entries the numbers of unsettled starts

A request to start an active run had had no reply, the executor's process was killed, the take-over of its next one stopped the run, and the task was started under the next number; the next lifetime of the upstream executed both. The same for a job that was submitted again to another entry.

Cause: an entry pins unconfirmed tasks of an ended process, and those listed for other entries, without knowing under which number requests are open, nor how many.

Change: reports tell the number and the requests of unsettled starts as far as the receiver can't know them (unsettled_starts, optional), at once when a request is sent again. Without such a report the entry's own number and one request are assumed. The next process is told these, and the ends that its take-over finds count as executed requests like the runs. A task whose number nobody knows waits for the longest delay: that happens beside processes of an older version, and if a pinned task was sent and its executor's process died before it acknowledged the start.

Replaced test: after a take-over a listed task starts with the number that was listed; a test of its own shows that it waits without one.

--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -71,11 +71,12 @@
         isolated: Number of isolated jobs of other entries.
         now: Time, seconds.
     """
-    if owner.ends or owner.slow:
+    if owner.ends or owner.slow or owner.has_unanswered:
         return 0.0
     if not owner.capacity_changed:
         return None
-    if owner.reported_accepting != _accepts_from(owner, capacity):
+    is_urgent = owner.reported_accepting != _accepts_from(owner, capacity)
+    if is_urgent or owner.has_unanswered_peers:
         return owner.capacity_sent_at + _URGENT_REPORT_INTERVAL_S
     if not owner.expects_reports(now):
         return owner.capacity_sent_at + _IDLE_REPORT_INTERVAL_S
@@ -102,14 +103,25 @@
             isolated jobs of other entries.
         unsettled: Function that takes an `Owner` and returns the names of its tasks
             whose start may still be executed, and of such tasks of other entries.
+        unsettled_starts: Function that takes an `Owner` and the current time and
+            returns the `ttypes.LateStart` list of such tasks.
         late_starts: `LateStarts`.
     """
 
-    def __init__(self, owners, capacity, isolated_peer_jobs, unsettled, late_starts):
+    def __init__(
+        self,
+        owners,
+        capacity,
+        isolated_peer_jobs,
+        unsettled,
+        unsettled_starts,
+        late_starts,
+    ):
         self._owners = owners
         self._capacity = capacity
         self._isolated_peer_jobs = isolated_peer_jobs
         self._unsettled = unsettled
+        self._unsettled_starts = unsettled_starts
         self._late_starts = late_starts
         # Resources needed by the most recent kinds of tasks, the oldest first.
         self._needs = {}
@@ -132,6 +144,19 @@
             owner.has_settled = True
             self.on_capacity_changed([owner])
 
+    def on_unanswered(self, owner):
+        """Reports that a request had no reply and is sent again.
+
+        An entry must not count too few requests if this process dies.
+
+        Args:
+            owner: `Owner` of the run.
+        """
+        for other in self._owners.values():
+            other.has_unanswered_peers = True
+        owner.has_unanswered = True
+        self.on_capacity_changed(self._owners.values())
+
     def record_need(self, need):
         """Records the resources that a task of some kind needs."""
         self._needs.pop(need, None)
@@ -152,8 +177,10 @@
         unsettled, of_peers = self._unsettled(owner)
         owner.reported_unsettled, owner.has_settled = bool(unsettled), False
         owner.reported_batch = owner.last_batch
+        owner.has_unanswered = owner.has_unanswered_peers = False
         late_starts = self._new_late_starts(owner, now)
         report = _capacity_report(owner, capacity, unsettled, of_peers, late_starts)
+        report.unsettled_starts = self._unsettled_starts(owner, now) or None
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
     def _new_late_starts(self, owner, now):
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -165,7 +165,7 @@
 
         These are late starts elsewhere, labels, the limit per upstream and ejection.
         """
-        if not self._lost.may_start_at(task.name, view.name):
+        if not self._lost.may_start_at(task.name, view):
             return False
         phase = task.phase
         if phase.label and phase.label not in view.labels:
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -404,7 +404,7 @@
         Args:
             now: Time, seconds.
         """
-        batches = StartBatches(self._placement.run_s, self._lost.late_start)
+        batches = StartBatches(self._placement.run_s, self._lost)
         placement_round = self._isolation.begin_round(self._views.values(), now)
         jobs = [
             job
--- a/papayaward/coordination/job_state.py
+++ b/papayaward/coordination/job_state.py
@@ -39,6 +39,7 @@
         "sent_at",
         "state",
         "upstream",
+        "was_pinned",
     )
 
     def __init__(self, name, job, phase_number):
@@ -58,6 +59,8 @@
         self.executor = None
         # Key of the upstream that its executor had reported when it was sent.
         self.upstream = ""
+        # Whether it was pinned to its executor when it was sent.
+        self.was_pinned = False
         # Time before which it is not started again, seconds.
         self.retry_at = 0.0
         self.sent_at = 0.0
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -184,17 +184,6 @@
         if start.instance == session.instance and 0 < start.born_ms < born_ms:
             self._found.add(task)
 
-    def on_listed_end(self, task, run, session):
-        """Records that a take-over has found the end of an earlier process's run.
-
-        Args:
-            task: Name of the task.
-            run: Number of the run.
-            session: `UpstreamSession` that takes the upstream over.
-        """
-        if not session.taken_over:
-            self._executed.add((task, run))
-
     def on_told(self, late_start, lost_run, session, now):
         """Adds requests of an earlier process, unless none of them is open any more.
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -17,7 +17,7 @@
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .late_starts import LateStarts
-from .leased_runs import Run, isolated_jobs, unsettled_tasks
+from .leased_runs import Run, isolated_jobs, unsettled_starts, unsettled_tasks
 from .listed_runs import ListedRuns
 from .run_activity import RunActivity
 from .run_numbers import RunNumbers
@@ -76,6 +76,7 @@
             self._capacity,
             self._isolated_peer_jobs,
             lambda owner: unsettled_tasks(self._runs.values(), owner),
+            lambda owner, now: unsettled_starts(self._runs.values(), owner, now),
             self._late_starts,
         )
         self._listed = ListedRuns(
@@ -290,7 +291,11 @@
         self._isolated_runs += run.isolated
         owner.runs += 1
         gevent.spawn(
-            start_run, run, self._reports.on_run_settled, self._activity.on_not_started
+            start_run,
+            run,
+            self._reports.on_run_settled,
+            self._activity.on_not_started,
+            self._reports.on_unanswered,
         )
         return ""
 
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -8,11 +8,19 @@
 import math
 from dataclasses import dataclass, field
 
+from ..protocol.gen import ttypes
 from ..protocol.jobs import Resources
 from ..state.crash_records import job_id_of
 from .upstream_requests import MAX_START_DELAY_S, Delivery
 
-__all__ = ["Owner", "Run", "isolated_jobs", "may_isolate", "unsettled_tasks"]
+__all__ = [
+    "Owner",
+    "Run",
+    "isolated_jobs",
+    "may_isolate",
+    "unsettled_starts",
+    "unsettled_tasks",
+]
 
 # Time after its latest start in which an entry is expected to send further ones.
 _ACTIVE_S = 1.0
@@ -236,6 +244,10 @@
     reported_batch: int = 0
     # `LateStarts.additions` at the last report on the present link.
     reported_late_starts: int = 0
+    # Whether a request to start a run for it, or for another entry, had no reply since
+    # the last report.
+    has_unanswered: bool = False
+    has_unanswered_peers: bool = False
 
     def add_peer_run(self, ratio):
         """Adds a run for another entry that was done.
@@ -303,6 +315,49 @@
     return own, of_peers
 
 
+def unsettled_starts(runs, owner, now):
+    """Returns what an entry has to know of the requests to start unsettled tasks.
+
+    It has to tell the next process of the executor if this one dies. Of its own tasks
+    it knows the number, and that at most one request is under way, unless it is told.
+
+    Args:
+        runs: `Run` of each run.
+        owner: `Owner` of the entry.
+        now: Time, seconds.
+
+    Returns:
+        list: `ttypes.LateStart` of each of them.
+    """
+    own, of_peers = unsettled_tasks(runs, owner)
+    names = {*own, *of_peers}
+    return [
+        _to_wire(run, now)
+        for run in runs
+        if run.task in names and (run.owner is not owner or _has_more_requests(run))
+    ]
+
+
+def _has_more_requests(run):
+    """Returns whether another request than the first one may be executed."""
+    expected = 0 if run.running else 1
+    return run.open_requests > expected or run.run != run.requested_run
+
+
+def _to_wire(run, now):
+    until = max(run.late_start_until, now + MAX_START_DELAY_S)
+    # The first request may be under way next. The one that was confirmed is not open.
+    requests = run.open_requests if run.running else max(1, run.open_requests)
+    return ttypes.LateStart(
+        run.task,
+        run.session.instance,
+        int((until - now) * 1000),
+        run.run,
+        requests,
+        run.session.born_ms if run.running else 0,
+    )
+
+
 def may_isolate(runs, job_id, limit):
     """Returns whether an isolated job may start beside some runs.
 
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -35,6 +35,8 @@
         self.taken_over = False
         # Names of the tasks of other entries whose start may still be executed.
         self.unsettled_peer_tasks = ()
+        # `LateStart` of unsettled tasks by name, as far as the entry has to be told.
+        self.unsettled_starts = {}
         # `LateStart` of the tasks that the last report has added.
         self.late_starts = ()
         # Number of isolated jobs of other entries.
@@ -129,6 +131,26 @@
         """
         return task.name in self._unsettled
 
+    def requests_to_start(self, task):
+        """Returns what may be executed of an unconfirmed task if the process dies.
+
+        The executor starts a task under the number that its entry has chosen, unless it
+        knows of late starts, and reports when a request had no reply.
+
+        Args:
+            task: `Task` that was sent there.
+
+        Returns:
+            tuple: Number of the run, 0 if it is not known, number of requests, and
+                start of the lifetime that has executed another one, 0 if none has.
+        """
+        start = self.unsettled_starts.get(task.name)
+        if start is not None and task.batch <= self._acknowledged_batch:
+            return start.run or 0, start.requests or 1, start.born_ms or 0
+        if task.was_pinned and task.batch > self._acknowledged_batch:
+            return 0, 1, 0
+        return task.run, 1, 0
+
     def next_batch(self):
         """Returns the number of the next batch of starts."""
         self._last_batch += 1
@@ -167,4 +189,7 @@
         self._acknowledged_batch = report.last_batch or 0
         self._unsettled = frozenset(report.unsettled or ())
         self.unsettled_peer_tasks = report.unsettled_peer_tasks or ()
+        self.unsettled_starts = {
+            start.task: start for start in report.unsettled_starts or ()
+        }
         self.late_starts = report.late_starts or ()
--- a/papayaward/coordination/listed_runs.py
+++ b/papayaward/coordination/listed_runs.py
@@ -43,7 +43,8 @@
                 run.on_listed()
                 self._activity.on_listed_end(run, end.outcome, now)
             elif run is None and self._session() is not None:
-                self._late_starts.on_listed_end(end.task, end.run, self._session())
+                session = self._session()
+                self._late_starts.on_listed(end.task, end.run, session, session.born_ms)
 
     def on_progress(self, running, born_ms, now):
         """Reports slow runs to their entries, and stops the runs that none wants.
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -9,7 +9,7 @@
 """
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from .ending_jobs import EndingJobs
@@ -70,12 +70,14 @@
         awaited: `Release` that ends the wait for them unless another one comes first.
         may_start_late: Whether a later lifetime of the upstream may execute requests to
             start them when they are released.
+        requests: What `LeasedView.requests_to_start` tells of them, by name.
     """
 
     tasks: list
     upstream: str
     awaited: Release
     may_start_late: bool = False
+    requests: dict = field(default_factory=dict)
 
     def started_late_at(self, upstream):
         """Returns the tasks that a later lifetime of the instance may have started.
@@ -141,9 +143,14 @@
         """Returns whether a task may start at one executor only."""
         return task_name in self._pinned
 
-    def may_start_at(self, task_name, executor_name):
-        """Returns whether a task may start at an executor as far as late starts go."""
-        return self._pinned.may_start_at(task_name, executor_name)
+    def may_start_at(self, task_name, view):
+        """Returns whether a task may start at an executor as far as late starts go.
+
+        Args:
+            task_name: Name of the task.
+            view: `LeasedView` of the executor.
+        """
+        return self._pinned.may_start_at(task_name, *view.process)
 
     def late_start(self, task_name, view, now):
         """Returns the `ttypes.LateStart` to tell with the start of a task, or None.
@@ -199,7 +206,9 @@
             (unconfirmed, Release.START_EXPIRED),
         ):
             if members:
-                lost.groups.append(_Group(members, view.upstream, awaited))
+                requests = {t.name: view.requests_to_start(t) for t in members}
+                group = _Group(members, view.upstream, awaited, requests=requests)
+                lost.groups.append(group)
         log.warning(
             "tasks_out_of_reach",
             extra={
@@ -324,9 +333,10 @@
         if group.may_start_late:
             executor_name, incarnation = process
             instance = instance_of_key(group.upstream)
-            pin = Pin(instance, lost_at + MAX_START_DELAY_S, incarnation)
+            until = lost_at + MAX_START_DELAY_S
             for task in group.tasks:
                 if task.state is LOST:
+                    pin = Pin(instance, until, incarnation, *group.requests[task.name])
                     self._pinned.pin(task.name, executor_name, pin)
 
 
--- a/papayaward/coordination/peer_starts.py
+++ b/papayaward/coordination/peer_starts.py
@@ -5,7 +5,7 @@
 Starts for other entries that executors report as unsettled.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..state.crash_records import job_id_of
 from .pinned_tasks import Pin
@@ -20,6 +20,7 @@
 
     Attributes:
         tasks: Names of the tasks.
+        starts: `ttypes.LateStart` by name of those whose requests are known.
         job_ids: Identifiers of their jobs.
         upstream: Key of the upstream instance.
         until: Time at which their starts have no effect any more, seconds; None while
@@ -27,6 +28,7 @@
     """
 
     tasks: frozenset
+    starts: dict
     job_ids: frozenset
     upstream: str
     until: float | None = None
@@ -63,7 +65,8 @@
         if view.unsettled_peer_tasks:
             tasks = frozenset(view.unsettled_peer_tasks)
             job_ids = frozenset(map(job_id_of, tasks))
-            self._listed[view.process] = _Listed(tasks, job_ids, view.upstream)
+            starts = view.unsettled_starts
+            self._listed[view.process] = _Listed(tasks, starts, job_ids, view.upstream)
         else:
             self._listed.pop(view.process, None)
         if self._listed and view.taken_over:
@@ -75,7 +78,16 @@
         if instance == instance_of_key(view.upstream):
             until = listed.until or now + MAX_START_DELAY_S
             for task in listed.tasks:
-                self._pinned.pin(task, view.name, Pin(instance, until, process[1]))
+                pin = Pin(instance, until, process[1])
+                start = listed.starts.get(task)
+                if start is not None:
+                    pin = replace(
+                        pin,
+                        run=start.run or 0,
+                        requests=start.requests or 1,
+                        born_ms=start.born_ms or 0,
+                    )
+                self._pinned.pin(task, view.name, pin)
 
     def on_link_down(self, view, now):
         """Keeps the list of a lost executor for the longest delay of a start."""
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -81,15 +81,24 @@
     def __contains__(self, task_name):
         return task_name in self._pins
 
-    def may_start_at(self, task_name, executor_name):
-        """Returns whether no late start at another executor keeps a task from one.
+    def may_start_at(self, task_name, executor_name, incarnation):
+        """Returns whether no late start keeps a task from starting at an executor.
+
+        One at another executor does, and one of an earlier process whose number is not
+        known.
 
         Args:
             task_name: Name of the task.
             executor_name: Name of the executor.
+            incarnation: Incarnation of its process.
         """
         pins = self._pins.get(task_name)
-        return pins is None or pins.keys() == {executor_name}
+        if pins is None:
+            return True
+        if pins.keys() != {executor_name}:
+            return False
+        pin = pins[executor_name]
+        return pin.run > 0 or pin.incarnation == incarnation
 
     def late_start(self, task_name, executor_name, incarnation, now):
         """Returns the `ttypes.LateStart` that a later process has to know of, or None.
--- a/papayaward/coordination/run_requests.py
+++ b/papayaward/coordination/run_requests.py
@@ -17,7 +17,7 @@
 log = logging.getLogger(__name__)
 
 
-def start_run(run, on_settled, on_not_started):
+def start_run(run, on_settled, on_not_started, on_unanswered):
     """Starts a run and waits until its start is settled.
 
     Args:
@@ -26,16 +26,22 @@
             to have started.
         on_not_started: Function that takes the run, the outcome and the time, called
             if the upstream did not start the run.
+        on_unanswered: Function that takes the run's `Owner`, called when a request had
+            no reply and is sent again.
     """
     session = run.session
 
     def is_wanted():
         return not run.stopping and not run.ended
 
-    def on_unanswered(count):
-        if count > run.unanswered:
-            run.sent_at = clock.now()
+    def count_unanswered(count):
+        # A request counts from when it is sent.
+        is_more = count > run.unanswered
         run.unanswered = count
+        if is_more:
+            run.sent_at = clock.now()
+        if is_more and count > 1:
+            on_unanswered(run.owner)
 
     def on_identified():
         run.identified = True
@@ -46,7 +52,7 @@
         run.spec,
         is_wanted,
         run.on_start_answered,
-        on_unanswered,
+        count_unanswered,
         on_identified,
         run.earlier_requests > 0,
     )
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -25,14 +25,12 @@
     Args:
         run_s: Function that takes a `LeasedView` and a `Task` and returns the expected
             run time, seconds.
-        late_start: Function that takes the name of a task, a `LeasedView` and the
-            current time and returns the `ttypes.LateStart` that the executor has to
-            know of, or None.
+        lost: `LostTasks`.
     """
 
-    def __init__(self, run_s, late_start):
+    def __init__(self, run_s, lost):
         self._run_s = run_s
-        self._late_start = late_start
+        self._lost = lost
         # `StartGroup` by view, then by the phase of a job.
         self._groups = {}
 
@@ -50,6 +48,7 @@
         task.executor = view
         task.upstream = view.upstream
         task.sent_at = now
+        task.was_pinned = self._lost.is_pinned(task.name)
         view.reserve(task)
         if not job.started:
             job.first_start_at = now
@@ -62,7 +61,7 @@
         key = (job.request.job_id, task.phase_number)
         if key not in groups:
             groups[key] = self._group(view, task, now)
-        late_start = self._late_start(task.name, view, now)
+        late_start = self._lost.late_start(task.name, view, now)
         groups[key].starts.append(ttypes.TaskStart(task.name, task.run, late_start))
 
     def send(self):
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -777,6 +777,7 @@
      - taken_over
      - unsettled_peer_tasks
      - late_starts
+     - unsettled_starts
 
     """
 
@@ -794,10 +795,11 @@
         'taken_over',
         'unsettled_peer_tasks',
         'late_starts',
+        'unsettled_starts',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_starts=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_starts=None, unsettled_starts=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -811,6 +813,7 @@
         self.taken_over = taken_over
         self.unsettled_peer_tasks = unsettled_peer_tasks
         self.late_starts = late_starts
+        self.unsettled_starts = unsettled_starts
 
 
 class SlowRun(TBase):
@@ -1247,6 +1250,7 @@
     (11, TType.BOOL, 'taken_over', None, None, ),  # 11
     (12, TType.LIST, 'unsettled_peer_tasks', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.LIST, 'late_starts', (TType.STRUCT, [LateStart, None], False), None, ),  # 13
+    (14, TType.LIST, 'unsettled_starts', (TType.STRUCT, [LateStart, None], False), None, ),  # 14
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -239,7 +239,9 @@
 // stopped or are undecided, or a request to start them had no reply; missing if there are
 // none. late_starts lists the tasks of all entries without a run that have come to be late
 // starts since the last report on the link, and all of them in its first report; missing if there are
-// none.
+// none. unsettled_starts tells of the requests to start the tasks of unsettled_peer_tasks,
+// and of those of unsettled that had a request without a reply or have another number than
+// the receiver has chosen; a request that is not answered yet counts.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -254,6 +256,7 @@
   11: optional bool taken_over
   12: optional list<string> unsettled_peer_tasks
   13: optional list<LateStart> late_starts
+  14: optional list<LateStart> unsettled_starts
 }
 
 // A run that takes far longer than expected.
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -150,6 +150,8 @@
         self.wait_for(lambda: self.first.records)
         self.fleet.entries[0].end(first, "unknown", "the caller left", clock.now())
         self.wait_for(lambda: self.first.records[0].outcome)
+        # The entry is told of the end before the process ends.
+        gevent.sleep(0.2)
         self.fleet.restart_process(self.first)
         self.wait_for(lambda: not self.first.executor.refusal_reason)
         lost, lost_next = self.lose_orders(self.first.lifetime, 0.6, answered=1), []
@@ -237,6 +239,65 @@
         self.check_no_overlap()
         self.assertEqual("failed", submitted.outcome.kind)
 
+    def lose_the_process_of_an_open_request(self, answered=1):
+        """Kills the executor's process while a task runs that had a lost request.
+
+        Orders of the next process are lost but for some, the first of which is the stop
+        of its take-over.
+        """
+        self.first.lifetime.first_clock_ms = 480_000
+        gevent.sleep(1.2)
+        self.first.lifetime.fail_request("start", delay_s=_LATE_S)
+        submitted = self.submit("2000")
+        self.wait_for(lambda: self.first.records)
+        gevent.sleep(0.3)
+        self.lose_orders(self.first.lifetime, _LATE_S, answered)
+        self.fleet.restart_process(self.first)
+        return submitted
+
+    def crash_after_the_next_start(self, seconds=0.3):
+        gevent.sleep(seconds)
+        self.first.refuse()
+        self.first.crash_from_outside()
+        gevent.sleep(2.0)
+        self.first.restore()
+
+    def test_task_that_was_running_starts_under_its_number_at_the_next_process(self):
+        """Guards against two late starts of one task at the same upstream.
+
+        The take-over of the next process has stopped the run.
+        """
+        submitted = self.lose_the_process_of_an_open_request()
+        self.crash_after_the_next_start()
+        submitted.finished.wait(8.0)
+        self.check_no_overlap()
+        self.assertEqual("completed", submitted.outcome.kind)
+
+    def test_job_submitted_to_another_entry_starts_under_its_number(self):
+        """Guards against the same if the caller submits the job elsewhere."""
+        other = self.fleet.add_entry()
+        submitted = self.lose_the_process_of_an_open_request(answered=2)
+        self.fleet.entries[0].remove_caller(submitted, clock.now())
+        queue = job_queue(slack_s=12.0)
+        request = job(_JOB, "2000", expected_s=0.5, timeout_s=12.0)
+        submitted = other.submit(request, queue, clock.now())
+        self.crash_after_the_next_start()
+        submitted.finished.wait(8.0)
+        self.check_no_overlap()
+        self.assertEqual("completed", submitted.outcome.kind)
+
+    def test_task_without_an_open_request_starts_at_once_at_the_next_process(self):
+        """Guards against a killed process that costs the jobs it has just started.
+
+        Their runs are not confirmed. The take-over shows what has been executed.
+        """
+        submitted = self.submit("300", timeout_s=3.0)
+        self.wait_for(lambda: self.first.records)
+        self.fleet.restart_process(self.first)
+        submitted.finished.wait(2.0)
+        self.assertEqual("completed", submitted.outcome.kind)
+        self.assertEqual([1, 2], [record.run for record in self.first.records])
+
     def test_task_that_failed_starts_nowhere_else_while_a_request_may_be_late(self):
         """Guards against a second run beside an earlier request of a run that ended.
 
--- a/tests/test_peer_starts.py
+++ b/tests/test_peer_starts.py
@@ -82,8 +82,9 @@
         self.assertEqual(0, self.starts_after(MAX_START_DELAY_S - 0.1))
         self.assertEqual(1, self.starts_after(0.2))
 
-    def take_over_by_the_next_process(self, **values):
-        self.report(self.first, [_TASK])
+    def take_over_by_the_next_process(self, numbers=(3,), **values):
+        starts = [ttypes.LateStart(_TASK, "i-1", 15_000, n, 2, 7) for n in numbers]
+        self.report(self.first, [_TASK], unsettled_starts=starts)
         self.scheduler.on_link_down(self.first, self.now)
         self.submit()
         link = self.connect("r1", incarnation=2, accepting=False)
@@ -97,7 +98,18 @@
         self.assertEqual(0, self.starts_after(0.02))
         self.report(link)
         self.assertEqual(0, self.starts_after(0.02))
-        self.assertEqual([_TASK], [start.task for start in link.starts()])
+        (start,) = link.starts()
+        told = start.late_start
+        self.assertEqual((_TASK, 1), (start.task, start.run))
+        self.assertEqual((3, 2, 7), (told.run, told.requests, told.born_ms))
+
+    def test_task_with_a_request_under_an_unknown_number_waits(self):
+        """Guards against requests under two numbers if an old process told none."""
+        link = self.take_over_by_the_next_process(numbers=())
+        self.report(link)
+        self.starts_after(MAX_START_DELAY_S - 1.0)
+        self.assertEqual([], link.starts())
+        self.assertEqual(1, self.starts_after(1.0) + len(link.starts()))
 
     def test_take_over_of_another_instance_forgets_the_list(self):
         """Guards against a job that waits for an upstream that executes nothing."""
--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -251,6 +251,7 @@
             lambda: capacity,
             lambda owner: 0,
             lambda owner: (list(unsettled), []),
+            lambda owner, now: [],
             LateStarts(),
         )
         reports.send(owner, _NOW)
