--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -45,7 +45,8 @@
         run: Number of the run that they start.
         requests: Number of them.
         instance: Identifier of the upstream instance that they name.
-        born_ms: Start of the lifetime that they were sent to, milliseconds.
+        born_ms: Start of the latest lifetime that has executed none of them, or whose
+            run under the number has been counted, milliseconds.
         rejected_by_ms: Start of the latest lifetime that is known to reject the number,
             milliseconds; 0 if none is.
         until: Time at which they are not executed any more, and a run that one of them
@@ -149,6 +150,8 @@
         start = self._starts.get(task)
         if start is None or start.instance != session.instance:
             return False
+        if (task, start.run) in self._executed:
+            return True
         return start.rejected_by_ms == session.born_ms > 0
 
     def on_run_accepted(self, run):
@@ -246,8 +249,9 @@
         self._told[task, run] = now + remaining_s
         requests, born_ms = max(1, late_start.requests or 1), late_start.born_ms or 0
         rejected_by_ms = 0
-        if (task, run) in self._executed and 0 < born_ms < session.born_ms:
-            requests, rejected_by_ms = requests - 1, session.born_ms
+        if (task, run) in self._executed and born_ms < session.born_ms:
+            requests -= 1
+            born_ms = rejected_by_ms = session.born_ms
         if not requests:
             return True
         self._additions += 1
@@ -306,6 +310,7 @@
                 self._starts[task] = replace(
                     start,
                     requests=start.requests - 1,
+                    born_ms=session.born_ms,
                     rejected_by_ms=session.born_ms,
                 )
         self._found.clear()
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -35,8 +35,8 @@
             the last to tell of them.
         run: Number of the run that they start; 0 if it is not known.
         requests: Number of them.
-        born_ms: Start of the lifetime that they were sent to, milliseconds; 0 if it is
-            not known.
+        born_ms: Start of the latest lifetime that has executed none of them, or whose
+            run under the number has been counted, milliseconds; 0 if there is none.
     """
 
     instance: str
@@ -79,15 +79,24 @@
     def __contains__(self, task_name):
         return task_name in self._pins
 
-    def may_start_at(self, task_name, executor_name):
-        """Returns whether no late start at another executor keeps a task from one.
+    def may_start_at(self, task_name, executor_name, incarnation):
+        """Returns whether no late start keeps a task from starting at an executor.
+
+        One at another executor does, and one of an earlier process whose number is not
+        known.
 
         Args:
             task_name: Name of the task.
             executor_name: Name of the executor.
+            incarnation: Incarnation of its process.
         """
         pins = self._pins.get(task_name)
-        return pins is None or pins.keys() == {executor_name}
+        if pins is None:
+            return True
+        if pins.keys() != {executor_name}:
+            return False
+        pin = pins[executor_name]
+        return pin.run > 0 or pin.incarnation == incarnation
 
     def executable_until(self, task_name):
         """Returns the time in seconds until which a task may be started by a request.
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -176,8 +176,9 @@
 
 // Requests to start a task that may still be executed, by a later lifetime of this
 // upstream instance. Their run may last for this time, in which the task may start there
-// only, and under the number `run` that they carry; missing if it is not known. born_ms is the start of the lifetime
-// that they were sent to, 0 if it is not known.
+// only, and under the number `run` that they carry; missing if it is not known. born_ms is the start of the latest
+// lifetime that has executed none of them, or whose run under the number has been counted,
+// 0 if there is none.
 struct LateStart {
   1: string task
   2: string instance
@@ -239,7 +240,9 @@
 // stopped or are undecided, or a request to start them had no reply; missing if there are
 // none. late_starts lists the tasks of all entries without a run that have come to be late
 // starts since the last report on the link, and all of them in its first report; missing if there are
-// none.
+// none. unsettled_starts tells of the requests to start the tasks of unsettled_peer_tasks,
+// and of those of unsettled that had a request without a reply or have another number than
+// the receiver has chosen; a request that is not answered yet counts.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -254,6 +257,7 @@
   11: optional bool taken_over
   12: optional list<string> unsettled_peer_tasks
   13: optional list<LateStart> late_starts
+  14: optional list<LateStart> unsettled_starts
 }
 
 // A run that takes far longer than expected.
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -94,6 +94,7 @@
         self.end(_run(requests=2))
         self.take_over(_session(2))
         self.assertTrue(self.late_starts.is_rejected(_TASK, _session(2)))
+        self.late_starts.on_session_closed(None)
         self.assertFalse(self.late_starts.is_rejected(_TASK, _session(3)))
 
     def test_run_is_counted_once_in_each_take_over(self):
