Search orders in which an entry and an executor's process end together

The search did not know worlds in which the knowledge of an open request dies with both processes, nor entries that are linked with a part of the executors. `--sparse` plays them; worlds without it are as before.

--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -208,14 +208,19 @@
         records = [r for upstream in self.upstreams for r in upstream.records]
         return sum(record.task == task for record in records)
 
-    def add_entry(self):
-        """Adds an entry and returns its scheduler."""
+    def add_entry(self, upstreams=None):
+        """Adds an entry and returns its scheduler.
+
+        Args:
+            upstreams: `LocalUpstream` of each executor that it is linked with, all by
+                default.
+        """
         relay = CrashRelay()
         entry = JobScheduler(lambda domain: False, relay)
         name = f"e{len(self.entries)}"
         self.entries.append(entry)
         self.relays.append(relay)
-        for upstream in self.upstreams:
+        for upstream in self.upstreams if upstreams is None else upstreams:
             self._connect(name, entry, relay, upstream)
         return entry
 
@@ -243,6 +248,18 @@
         for number, entry in enumerate(self.entries):
             self._connect(f"e{number}", entry, self.relays[number], upstream)
 
+    def lose_entries(self, upstream):
+        """Ends all entries together with the process beside an upstream.
+
+        A new process of the executor starts, which no entry is linked with.
+        """
+        for other in self.upstreams:
+            self._disconnect(other)
+        self.entries.clear()
+        self.relays.clear()
+        upstream.start_process()
+        upstream.report()
+
     def _disconnect(self, upstream):
         for entry, executor_link, entry_link in upstream.entry_links:
             executor_link.closed = entry_link.closed = True
--- a/tests/order_faults.py
+++ b/tests/order_faults.py
@@ -11,7 +11,7 @@
 
 from tests.order_path import RequestFault
 
-__all__ = ["BURST_FAULTS", "FAULTS"]
+__all__ = ["BURST_FAULTS", "FAULTS", "SPARSE_FAULTS"]
 
 _RETURN_S = (0.03, 1.5)
 # Parts of the requests that a fault hits, and their names.
@@ -162,8 +162,13 @@
     if process is None:
         return
     _disturb_before_end(world, machine, rng)
-    if not process.alive:
-        return
+    if process.alive:
+        _kill_executor(world, machine, rng)
+        _return_executor(world, machine, rng)
+
+
+def _kill_executor(world, machine, rng):
+    process = machine.process
     world.note(f"{machine.name}: process {process.incarnation} killed")
     connections = world.connections(process)
     process.end()
@@ -172,6 +177,9 @@
         connection.cut()
         delay_s = rng.choice((0.0, rng.uniform(0.0, 0.8)))
         gevent.spawn_later(delay_s, connection.close_at_entry)
+
+
+def _return_executor(world, machine, rng):
     gevent.sleep(rng.uniform(0.05, 1.0))
     machine.start_process(recalls=rng.random() < 0.7)
     started = machine.process
@@ -187,9 +195,13 @@
 def _replace_entry(world, machine, rng):
     """The process of an entry is killed and started again."""
     number = rng.randrange(len(world.entries))
+    if world.entries[number] is not None:
+        _kill_entry(world, number, rng)
+        _return_entry(world, number, rng)
+
+
+def _kill_entry(world, number, rng):
     entry = world.entries[number]
-    if entry is None:
-        return
     world.note(f"{entry.name}: process {entry.incarnation} killed")
     connections = world.connections(entry)
     entry.end()
@@ -198,11 +210,26 @@
         connection.cut()
         delay_s = rng.choice((0.0, rng.uniform(0.0, 0.8)))
         gevent.spawn_later(delay_s, connection.close_at_executor)
+
+
+def _return_entry(world, number, rng):
     gevent.sleep(rng.uniform(0.05, 1.0))
-    world.note(f"{entry.name}: started again")
+    world.note(f"e{number}: started again")
     world.start_entry(number)
 
 
+def _replace_both(world, machine, rng):
+    """The process beside an upstream and an entry are killed in one step."""
+    _disturb_before_end(world, machine, rng)
+    number, process = rng.randrange(len(world.entries)), machine.process
+    if process is None or not process.alive or world.entries[number] is None:
+        return
+    _kill_executor(world, machine, rng)
+    _kill_entry(world, number, rng)
+    gevent.spawn(_return_entry, world, number, rng)
+    _return_executor(world, machine, rng)
+
+
 def _break_link(world, machine, rng):
     """A link breaks in one or both directions, which its ends notice when they do."""
     process = machine.process
@@ -251,6 +278,9 @@
     "delay": _delay_link,
 }
 
+# Those of worlds in which each executor is linked with a part of the entries.
+SPARSE_FAULTS = {**FAULTS, "both": _replace_both}
+
 # Those of which a burst consists.
 BURST_FAULTS = (
     "refuse",
--- a/tests/order_search.py
+++ b/tests/order_search.py
@@ -5,9 +5,11 @@
 Searches the orders of events of many fleets for two runs of one task at once.
 
 Usage: `python -m tests.order_search --seeds FIRST LAST [--worlds N] [--seconds S]
-[--without FAULT ...] [--bursts] [--verbose]`. Up to N worlds run side by side. With
-`--bursts`, all faults come in bursts at one machine. The first finding of each seed is
-printed with the events near it and both runs, with `--verbose` each.
+[--without FAULT ...] [--bursts] [--sparse] [--verbose]`. Up to N worlds run side by
+side. With `--bursts`, all faults come in bursts at one machine. With `--sparse`, each
+executor is linked with a part of the entries, and processes of both end in one step.
+The first finding of each seed is printed with the events near it and both runs, with
+`--verbose` each.
 """
 
 import argparse
@@ -257,6 +259,7 @@
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--without", nargs="*", default=(), choices=sorted(FAULTS))
     parser.add_argument("--bursts", action="store_true")
+    parser.add_argument("--sparse", action="store_true")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args(args)
     first, last = options.seeds
@@ -265,7 +268,13 @@
         seeds = range(start, min(last + 1, start + options.worlds))
         result = search(
             [
-                World(seed, options.seconds, options.without, options.bursts)
+                World(
+                    seed,
+                    options.seconds,
+                    options.without,
+                    options.bursts,
+                    options.sparse,
+                )
                 for seed in seeds
             ]
         )
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -22,7 +22,7 @@
 from papayaward.coordination.leased_executor import LeasedExecutor
 from tests.leased_case import job_queue, upstream_state
 from tests.leased_fleet import job
-from tests.order_faults import BURST_FAULTS, FAULTS
+from tests.order_faults import BURST_FAULTS, FAULTS, SPARSE_FAULTS
 from tests.order_links import Connection
 from tests.order_path import Lifetime, Path
 
@@ -40,6 +40,9 @@
 _BURST_GAPS_S = (0.7, 1.2, 1.8)
 # Numbers of kinds of faults in one world.
 _FAULT_KINDS = (1, 2, 3, 4, 6, 9)
+# Numbers of entries of a sparse world, and of those that an executor is linked with.
+_SPARSE_ENTRIES = 3
+_SPARSE_LINKS = 2
 _JOBS_PER_S = 7.0
 _REPORT_INTERVAL_S = 1.0
 # Readings of an upstream's clock when its executor first sees it, milliseconds.
@@ -283,6 +286,8 @@
         seconds: Time in which faults occur and jobs are submitted, seconds.
         excluded: Names of the faults that don't occur.
         in_bursts: Whether all faults come in bursts at one machine.
+        is_sparse: Whether each executor is linked with a part of the entries, and also
+            ends together with an entry.
 
     Attributes:
         events: (time, text) of each event.
@@ -294,7 +299,9 @@
         work_s: Run time of the tasks by job, seconds.
     """
 
-    def __init__(self, seed, seconds=4.0, excluded=(), in_bursts=False):
+    def __init__(
+        self, seed, seconds=4.0, excluded=(), in_bursts=False, is_sparse=False
+    ):
         self.seed = seed
         self.events = []
         self.rng = random.Random(seed)
@@ -321,6 +328,19 @@
         if in_bursts:
             self._fault_names = ["burst"]
             self._fault_gap_s = self.rng.choice(_BURST_GAPS_S)
+        # Names of the entries that each executor is linked with, all if there are none.
+        self._linked = {}
+        if is_sparse:
+            self._make_sparse()
+
+    def _make_sparse(self):
+        self.entries = [None] * _SPARSE_ENTRIES
+        names = [f"e{number}" for number in range(_SPARSE_ENTRIES)]
+        for machine in self.machines:
+            self._linked[machine.name] = self.rng.sample(names, _SPARSE_LINKS)
+        if self._fault_names != ["burst"]:
+            self._fault_names.append("both")
+        self._burst_names.append("both")
 
     @property
     def is_running(self):
@@ -389,6 +409,8 @@
             self._connect(entry, executor)
 
     def _connect(self, entry, executor):
+        if entry.name not in self._linked.get(executor.name, (entry.name,)):
+            return
         key = entry.name, executor.name
         old = self._connections.get(key)
         if old is not None and old.entry is entry:
@@ -430,7 +452,7 @@
 
     def _begin_fault(self, name, machine, rng, delay_s):
         gevent.sleep(delay_s)
-        FAULTS[name](self, machine, rng)
+        SPARSE_FAULTS[name](self, machine, rng)
 
     # The callers.
 
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -286,6 +286,30 @@
         self.check_no_overlap()
         self.assertEqual("completed", submitted.outcome.kind)
 
+    def test_entry_without_a_link_does_not_start_a_task_that_may_start_late(self):
+        """Guards against a second run if the executor's process dies with the entry.
+
+        The entry that gets the job again is linked with other executors only.
+        """
+        self.first.lifetime.first_clock_ms = 480_000
+        gevent.sleep(1.2)
+        self.first.lifetime.fail_request("start", delay_s=2.0)
+        self.submit("2000")
+        self.wait_for(lambda: self.first.records)
+        self.first.refuse()
+        self.fleet.lose_entries(self.first)
+        self.first.crash_from_outside()
+        self.fleet.add_executor()
+        other = self.fleet.upstreams[-1]
+        self.wait_for(lambda: not other.executor.refusal_reason)
+        entry = self.fleet.add_entry([other])
+        gevent.sleep(1.3)
+        request = job(_JOB, "2000", expected_s=0.5, timeout_s=12.0)
+        entry.submit(request, job_queue(slack_s=12.0), clock.now())
+        self.wait_for(self.late_records)
+        gevent.sleep(0.3)
+        self.check_no_overlap()
+
     def test_task_without_an_open_request_starts_at_once_at_the_next_process(self):
         """Guards against a killed process that costs the jobs it has just started.
 
