Tell all processes of late starts at executors out of reach

An entry and the process of an executor ended together while a request to start the task was open; the job was submitted again to an entry without a link to that executor, which started it elsewhere, and the next lifetime of the upstream executed the request.

Cause: executors tell only the entries that they are linked with, ten at most.

Change: an entry that loses an executor sends what it was told of late starts there, and of unsettled starts of other entries, with the notices that reach all processes. An entry pins the task, unless it has sent it there itself.

--- a/papayaward/coordination/crash_notices.py
+++ b/papayaward/coordination/crash_notices.py
@@ -26,6 +26,7 @@
     Attributes:
         crashes: Each `Crash` that is suspected or known.
         withdrawals: Each `Withdrawal`.
+        late_starts: `ttypes.LateStart` of each request of an executor out of reach.
         refusals: `Crash` of each upstream that refuses connections while the lease of
             its runs goes on. Older processes skip them: to them each notice is a crash.
     """
@@ -33,9 +34,12 @@
     crashes: tuple = ()
     withdrawals: tuple = ()
     refusals: tuple = ()
+    late_starts: tuple = ()
 
     def __bool__(self):
-        return bool(self.crashes or self.withdrawals or self.refusals)
+        return bool(
+            self.crashes or self.withdrawals or self.refusals or self.late_starts
+        )
 
 
 def to_message(update, now):
@@ -49,6 +53,7 @@
         [_to_notice(crash, now) for crash in update.crashes],
         [_from_withdrawal(one, now) for one in update.withdrawals] or None,
         [_to_notice(crash, now) for crash in update.refusals] or None,
+        list(update.late_starts) or None,
     )
 
 
@@ -63,6 +68,7 @@
         _read(message.notices, _from_notice, now),
         _read(message.withdrawals, _to_withdrawal, now),
         _read(message.refusals, _from_notice, now),
+        _read(message.late_starts, _checked_late_start, now),
     )
 
 
@@ -139,6 +145,12 @@
     return Withdrawal(notice.upstream, notice.noticed_ms, _time_of(notice, now))
 
 
+def _checked_late_start(start, now):
+    if not start.task or not start.executor or start.incarnation is None:
+        raise ValueError("a late start is incomplete")
+    return start
+
+
 def _time_of(notice, now):
     if notice.age_ms < 0:
         raise ValueError(f"age {notice.age_ms} ms is negative")
--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crash_relay.py
@@ -2,7 +2,8 @@
 papayaward.coordination.crash_relay
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Spreads the knowledge of crashed upstreams over the links between the processes.
+Spreads the knowledge of crashed upstreams over the links between the processes, and
+that of late starts at executors out of reach.
 
 The entry that sent a task may fail, and its caller submits the job to another entry,
 which must not begin to count the crashes anew. Each process forwards a notice once, and
@@ -18,6 +19,7 @@
 from ..protocol.gen import ttypes
 from ..state.crash_records import CrashRecords, Withdrawal
 from .crash_notices import CrashUpdate, from_message, to_message
+from .late_start_notices import LateStartNotices
 
 __all__ = ["CrashRelay"]
 
@@ -39,7 +41,9 @@
     def __init__(self):
         self.records = CrashRecords()
         self.guard_records = CrashRecords()
+        self._late_starts = LateStartNotices()
         self._links = []
+        self._late_start_listeners = []
         self._crash_listeners = []
         self._guard_listeners = []
         self._change_listeners = []
@@ -64,6 +68,14 @@
         """
         self._guard_listeners.append(listener)
 
+    def on_late_start(self, listener):
+        """Registers a function that takes each new late start and the current time.
+
+        Args:
+            listener: Function that takes a `ttypes.LateStart` and the current time.
+        """
+        self._late_start_listeners.append(listener)
+
     def on_link_up(self, link, now):
         """Sends the recent crashes and withdrawals to a new peer."""
         self._links.append(link)
@@ -101,6 +113,15 @@
         """
         self._add(CrashUpdate(refusals=(crash,)), now, None)
 
+    def publish_late_starts(self, starts, now):
+        """Records late starts of an executor out of reach and tells all peers.
+
+        Args:
+            starts: `ttypes.LateStart` of each, with the process that sent it.
+            now: Time, seconds.
+        """
+        self._add(CrashUpdate(late_starts=tuple(starts)), now, None)
+
     def withdraw(self, crash, now):
         """Forgets a suspected crash or a refusal and tells all peers.
 
@@ -124,6 +145,7 @@
             self.records.all()[-_MAX_NOTICES:],
             self.records.withdrawals()[-_MAX_NOTICES:],
             tuple(refusals)[-_MAX_NOTICES:],
+            self._late_starts.recent(now),
         )
 
     def _add(self, update, now, source):
@@ -132,7 +154,10 @@
         _, freed = _withdraw(self.guard_records, update.withdrawals, now)
         suspected, _ = _record(self.guard_records, update.crashes, now)
         refusals = _record(self.guard_records, update.refusals, now)
-        forwarded = CrashUpdate(new + changed, withdrawals, sum(refusals, ()))
+        late_starts = self._late_starts.add(update.late_starts, now)
+        forwarded = CrashUpdate(
+            new + changed, withdrawals, sum(refusals, ()), late_starts
+        )
         if forwarded:
             message = to_message(forwarded, now)
             for link in self._links:
@@ -146,6 +171,7 @@
         _call(self._guard_listeners, freed + suspected + refusals[0], now)
         _call(self._change_listeners, withdrawn + changed, now)
         _call(self._crash_listeners, new, now)
+        _call(self._late_start_listeners, late_starts, now)
 
     def _log(self, event, crashes, records, now):
         for crash in crashes:
@@ -192,7 +218,7 @@
     return tuple(new), tuple(changed)
 
 
-def _call(listeners, crashes, now):
-    for crash in crashes:
+def _call(listeners, notices, now):
+    for notice in notices:
         for listener in listeners:
-            listener(crash, now)
+            listener(notice, now)
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,6 +17,7 @@
 from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import LeasedJobOutcome
+from ..state.crash_records import job_id_of
 from .crash_relay import CrashRelay
 from .early_ends import EarlyEnds, ended_early
 from .ejection import Ejection
@@ -85,6 +86,7 @@
         self._crashes.on_crash(self._publish_late_starts)
         self._crashes.on_crash(self._on_crash)
         self._crashes.on_change(self._on_crash)
+        self._crashes.on_late_start(self._on_late_start_notice)
         self._wakeup = Event()
         gevent.spawn(repeat, self._run)
         gevent.spawn(repeat, self._tick)
@@ -200,6 +202,9 @@
         self._lost.on_link_down(view, tasks, now)
         if tasks:
             self._lost_upstreams.remember(view, tasks, now)
+        late_starts = self._lost.late_starts_of_peers(view, now)
+        if late_starts:
+            self._crashes.publish_late_starts(late_starts, now)
 
     def on_message(self, link, message, now):
         """Handles a message from an executor; returns whether it was handled."""
@@ -292,6 +297,19 @@
         if tasks:
             self._crashes.publish(with_late_starts(crash, tasks), now)
 
+    def _on_late_start_notice(self, start, now):
+        """Keeps a task from starting beside a late start that this entry was not told.
+
+        What this entry has sent itself is in `LostTasks`.
+        """
+        job = self._jobs.get(job_id_of(start.task))
+        tasks = job.tasks if job is not None else ()
+        if not any(
+            task.name == start.task and task.may_run_on(start.executor)
+            for task in tasks
+        ):
+            self._lost.on_late_start_notice(start, now)
+
     def _on_crash(self, crash, now):
         for crashed_job in crash.jobs:
             job = self._jobs.get(crashed_job.job_id)
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -162,6 +162,36 @@
         """
         return self._pinned.late_start(task_name, *view.process, now)
 
+    def late_starts_of_peers(self, view, now):
+        """Returns what entries have to know that an executor can't tell any more.
+
+        These are late starts, and unsettled starts for other entries.
+
+        Args:
+            view: `LeasedView` of the executor.
+            now: Time, seconds.
+
+        Returns:
+            list: `ttypes.LateStart` of each of them.
+        """
+        pinned = self._pinned.late_starts_at(view.name, now)
+        unsettled = [
+            Pin.of_wire(start, view.process[1], now).to_wire(task, view.name, now)
+            for task, start in view.unsettled_starts.items()
+            if task in view.unsettled_peer_tasks
+        ]
+        return pinned + unsettled
+
+    def on_late_start_notice(self, start, now):
+        """Pins a task to an executor out of reach of an entry.
+
+        Args:
+            start: `ttypes.LateStart` of a notice.
+            now: Time, seconds.
+        """
+        pin = Pin.of_wire(start, start.incarnation, now)
+        self._pinned.pin(start.task, start.executor, pin)
+
     def on_job_ended(self, job):
         """Adds the tasks of an ended job that may be running."""
         self._ending.add(job)
--- a/papayaward/coordination/pinned_tasks.py
+++ b/papayaward/coordination/pinned_tasks.py
@@ -67,6 +67,25 @@
             start.born_ms or 0,
         )
 
+    def to_wire(self, task_name, executor_name, now):
+        """Returns the `ttypes.LateStart` that tells another process of it.
+
+        Args:
+            task_name: Name of the task.
+            executor_name: Name of the executor.
+            now: Time, seconds.
+        """
+        return ttypes.LateStart(
+            task_name,
+            self.instance,
+            int((self.until - now) * 1000) + 1,
+            self.run,
+            self.requests,
+            self.born_ms,
+            executor_name,
+            self.incarnation,
+        )
+
 
 class PinnedTasks:
     """Which tasks may start at one executor only, and at which one."""
@@ -112,14 +131,20 @@
         pin = self._pins.get(task_name, {}).get(executor_name)
         if pin is None or not pin.run or pin.incarnation == incarnation:
             return None
-        return ttypes.LateStart(
-            task_name,
-            pin.instance,
-            int((pin.until - now) * 1000) + 1,
-            pin.run,
-            pin.requests,
-            pin.born_ms,
-        )
+        return pin.to_wire(task_name, executor_name, now)
+
+    def late_starts_at(self, executor_name, now):
+        """Returns the `ttypes.LateStart` of each task that is pinned to an executor.
+
+        Args:
+            executor_name: Name of the executor.
+            now: Time, seconds.
+        """
+        return [
+            pins[executor_name].to_wire(task_name, executor_name, now)
+            for task_name, pins in self._pins.items()
+            if executor_name in pins
+        ]
 
     def has_job(self, job_id):
         """Returns whether a task of a job may still be started by an earlier request.
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -617,6 +617,8 @@
      - run
      - requests
      - born_ms
+     - executor
+     - incarnation
 
     """
 
@@ -627,16 +629,20 @@
         'run',
         'requests',
         'born_ms',
+        'executor',
+        'incarnation',
     )
 
 
-    def __init__(self, task=None, instance=None, remaining_ms=None, run=None, requests=None, born_ms=None,):
+    def __init__(self, task=None, instance=None, remaining_ms=None, run=None, requests=None, born_ms=None, executor=None, incarnation=None,):
         self.task = task
         self.instance = instance
         self.remaining_ms = remaining_ms
         self.run = run
         self.requests = requests
         self.born_ms = born_ms
+        self.executor = executor
+        self.incarnation = incarnation
 
 
 class TaskStart(TBase):
@@ -963,6 +969,7 @@
      - notices
      - withdrawals
      - refusals
+     - late_starts
 
     """
 
@@ -970,13 +977,15 @@
         'notices',
         'withdrawals',
         'refusals',
+        'late_starts',
     )
 
 
-    def __init__(self, notices=None, withdrawals=None, refusals=None,):
+    def __init__(self, notices=None, withdrawals=None, refusals=None, late_starts=None,):
         self.notices = notices
         self.withdrawals = withdrawals
         self.refusals = refusals
+        self.late_starts = late_starts
 
 
 class DomainsPush(TBase):
@@ -1194,6 +1203,8 @@
     (4, TType.I32, 'run', None, None, ),  # 4
     (5, TType.I32, 'requests', None, None, ),  # 5
     (6, TType.I64, 'born_ms', None, None, ),  # 6
+    (7, TType.STRING, 'executor', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'incarnation', None, None, ),  # 8
 )
 all_structs.append(TaskStart)
 TaskStart.thrift_spec = (
@@ -1303,6 +1314,7 @@
     (1, TType.LIST, 'notices', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 1
     (2, TType.LIST, 'withdrawals', (TType.STRUCT, [CrashWithdrawal, None], False), None, ),  # 2
     (3, TType.LIST, 'refusals', (TType.STRUCT, [CrashNotice, None], False), None, ),  # 3
+    (4, TType.LIST, 'late_starts', (TType.STRUCT, [LateStart, None], False), None, ),  # 4
 )
 all_structs.append(DomainsPush)
 DomainsPush.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -177,7 +177,8 @@
 // Requests to start a task that may still be executed, by a later lifetime of this
 // upstream instance, for this time: the task may start there only, and under the number
 // `run` that they carry; missing if it is not known. born_ms is the start of the latest
-// lifetime that rejects them, 0 if none is known to do so.
+// lifetime that rejects them, 0 if none is known to do so. executor and incarnation name
+// the process that has sent them; they are set in notices only.
 struct LateStart {
   1: string task
   2: string instance
@@ -185,6 +186,8 @@
   4: optional i32 run
   5: optional i32 requests
   6: optional i64 born_ms
+  7: optional string executor
+  8: optional i64 incarnation
 }
 
 // late_start tells of requests that an earlier process of the executor has sent.
@@ -317,6 +320,8 @@
   // Upstreams that refuse connections while the lease of their runs goes on. They count
   // only for the guards of queues; a withdrawal voids them as well.
   3: optional list<CrashNotice> refusals
+  // Requests that executors which are out of reach have told of.
+  4: optional list<LateStart> late_starts
 }
 
 struct DomainsPush {
