Count crashed upstreams of a task by its name alone

Cause: CrashCounts.upstreams_of took the job's identifier beside the task only so that crash_records went on to import job_id_of for modules that were being changed; they import it from crashes now.

Change: the argument is gone.

--- a/papayaward/state/crash_counts.py
+++ b/papayaward/state/crash_counts.py
@@ -10,6 +10,8 @@
 
 from dataclasses import dataclass, field
 
+from .crashes import job_id_of
+
 __all__ = ["CrashCounts"]
 
 
@@ -71,9 +73,9 @@
         """Returns the keys of the crashed upstreams that were running any task."""
         return set().union(*self._counts(job_id).running.values())
 
-    def upstreams_of(self, job_id, task):
+    def upstreams_of(self, task):
         """Returns the keys of the crashed upstreams that may have run a task."""
-        return self._counts(job_id).possible.get(task, set())
+        return self._counts(job_id_of(task)).possible.get(task, set())
 
     def _counts(self, job_id):
         return self._jobs.get(job_id, _NONE)
--- a/papayaward/state/crash_records.py
+++ b/papayaward/state/crash_records.py
@@ -12,7 +12,7 @@
 
 from .crash_causes import CrashCauses
 from .crash_counts import CrashCounts
-from .crashes import job_id_of, merge_crashes
+from .crashes import merge_crashes
 from .recent_crashes import RecentCrashes
 
 __all__ = ["MAX_CRASHES_UNDER_TASK", "CrashRecords"]
@@ -177,4 +177,4 @@
 
     def upstreams_of(self, task):
         """Returns the keys of the crashed upstreams that may have run a task."""
-        return self._counts.upstreams_of(job_id_of(task), task)
+        return self._counts.upstreams_of(task)
