Prolong the worlds of the order search by the stalls of their process

Cause: test_most_jobs_are_answered failed once with a share of 0.117 (load 32). All worlds share one process, which submits jobs and injects faults for 4 s and settles for 2 s. A stall of the process uses these times up, so that few jobs are submitted, most of them just before the stall, and their deadlines pass in it. The product is not involved.

Change: the stalls that the search records anyway prolong the time of jobs and faults and the time to settle. Without a stall the worlds are as before.

--- a/tests/order_search.py
+++ b/tests/order_search.py
@@ -140,7 +140,7 @@
     logger.propagate = False
     before = set(_greenlets())
     stalls = []
-    gevent.spawn(_watch, stalls)
+    gevent.spawn(_watch, stalls, worlds)
     try:
         with track_processes():
             runs = [gevent.spawn(world.run) for world in worlds]
@@ -232,13 +232,15 @@
     )
 
 
-def _watch(stalls):
+def _watch(stalls, worlds):
     while True:
         expected_at = time.monotonic() + _STALL_POLL_S
         gevent.sleep(_STALL_POLL_S)
         late_s = time.monotonic() - expected_at
         if late_s > _STALL_S:
             stalls.append((time.monotonic(), late_s))
+            for world in worlds:
+                world.stalled_s += late_s
 
 
 def _greenlets():
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -30,6 +30,7 @@
 
 # Time without new faults or jobs at the end.
 SETTLE_S = 2.0
+_SETTLE_POLL_S = 0.05
 _CORES = 8
 _WORK_S = (0.05, 0.2, 0.4, 0.8, 1.4)
 _RETRY_DELAY_S = 1.3
@@ -292,6 +293,8 @@
         counts: `Counts`.
         errors: Texts of the exceptions that ended a greenlet.
         work_s: Run time of the tasks by job, seconds.
+        stalled_s: Time in which this process did not run, seconds, which prolongs the
+            run.
     """
 
     def __init__(self, seed, seconds=4.0, excluded=(), in_bursts=False):
@@ -300,6 +303,7 @@
         self.rng = random.Random(seed)
         self.counts = Counts()
         self.work_s = {}
+        self.stalled_s = 0.0
         self.lists_progress = self.rng.random() < 0.7
         self._seconds = seconds
         self._jobs_rng = random.Random(-seed - 1)
@@ -325,7 +329,11 @@
     @property
     def is_running(self):
         """Whether faults and jobs may begin."""
-        return time.monotonic() - self.started_at < self._seconds
+        return self._running_s < self._seconds
+
+    @property
+    def _running_s(self):
+        return time.monotonic() - self.started_at - self.stalled_s
 
     def note(self, text):
         """Records an event."""
@@ -356,7 +364,9 @@
             gevent.sleep(self.rng.expovariate(1.0 / self._fault_gap_s))
             self._inject()
         self.note("no more faults")
-        gevent.sleep(SETTLE_S)
+        settled_s = self._running_s + SETTLE_S
+        while self._running_s < settled_s:
+            gevent.sleep(_SETTLE_POLL_S)
 
     def start_entry(self, number):
         """Starts a process of an entry and links it with the executors."""
