Prolong a run of the soak by the pauses of its own process

Cause: the soak submits jobs and injects faults for a time on its own clock. When its process cannot run for seconds, less of both takes place, and cases that ask for a number of answered jobs fail although nothing is wrong (test_returning_upstream asks for more than 10; with one of three faults there are no more than 10 jobs).

Change: the pauses of the soak's process, which it records, prolong the run.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -113,6 +113,8 @@
         self.domain_spans = []
         self.version = 1
         self.deadly_share = 0.0
+        # Time in which this process could not run, seconds, which prolongs the run.
+        self.own_pauses_s = 0.0
         self.stopped = False
 
     def note(self, text):
@@ -303,9 +305,17 @@
         gevent.sleep(_OWN_PAUSE_POLL_S)
         pause_s = time.monotonic() - due_at
         if pause_s > _OWN_PAUSE_S:
+            soak.own_pauses_s += pause_s
             soak.note(f"the soak itself could not run for {pause_s:.2f} s")
 
 
+def _inject_for(soak, seconds):
+    """Waits while faults are injected and jobs submitted."""
+    ends_at = time.monotonic() + seconds - soak.own_pauses_s
+    while (remaining_s := ends_at + soak.own_pauses_s - time.monotonic()) > 0.0:
+        gevent.sleep(min(remaining_s, _OWN_PAUSE_POLL_S))
+
+
 def run_soak(
     seed,
     seconds,
@@ -356,7 +366,7 @@
                 faults.append(spawn_path_faults(soak, seconds))
             if with_pauses:
                 faults.append(spawn_pauses(soak))
-            gevent.sleep(seconds)
+            _inject_for(soak, seconds)
             soak.stopped = True
             gevent.joinall(faults, timeout=20.0)
             gevent.joinall(soak.callers, timeout=20.0)
