Don't count pauses of the soak itself as late answers

Cause: the check of answers compares the time at which the soak receives an answer with the job's deadline. While the soak's own process cannot run, it receives none; such pauses were noted among the events, but not taken into account.

Change: pauses of more than 0.2 s are recorded with begin and end, and the part of them that lies within a request is subtracted from its lateness. The bound of 0.7 s stays.

The new test fails without the change in the check.

--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -113,8 +113,9 @@
         self.domain_spans = []
         self.version = 1
         self.deadly_share = 0.0
-        # Time in which this process could not run, seconds, which prolongs the run.
-        self.own_pauses_s = 0.0
+        # Begin and end of each time in which this process could not run, which prolongs
+        # the run, seconds.
+        self.own_pauses = []
         self.stopped = False
 
     def note(self, text):
@@ -125,6 +126,13 @@
         now = time.monotonic()
         self.fault_spans[name].append((now, now + seconds))
 
+    def own_pause_s(self, start, end):
+        """Returns for how long this process could not run within a time, seconds."""
+        return sum(
+            max(0.0, min(end, until) - max(start, begin))
+            for begin, until in self.own_pauses
+        )
+
     def had_fault(self, name, start, end):
         return any(
             begin < end and start < until + _FAULT_EFFECT_S
@@ -305,15 +313,16 @@
         gevent.sleep(_OWN_PAUSE_POLL_S)
         pause_s = time.monotonic() - due_at
         if pause_s > _OWN_PAUSE_S:
-            soak.own_pauses_s += pause_s
+            soak.own_pauses.append((due_at, due_at + pause_s))
             soak.note(f"the soak itself could not run for {pause_s:.2f} s")
 
 
 def _inject_for(soak, seconds):
     """Waits while faults are injected and jobs submitted."""
-    ends_at = time.monotonic() + seconds - soak.own_pauses_s
-    while (remaining_s := ends_at + soak.own_pauses_s - time.monotonic()) > 0.0:
-        gevent.sleep(min(remaining_s, _OWN_PAUSE_POLL_S))
+    began_at = now = time.monotonic()
+    while now < began_at + seconds + soak.own_pause_s(began_at, now):
+        gevent.sleep(_OWN_PAUSE_POLL_S)
+        now = time.monotonic()
 
 
 def run_soak(
--- a/benchmarks/soak_checks.py
+++ b/benchmarks/soak_checks.py
@@ -141,6 +141,8 @@
         ):
             found.append(f"job {attempt.job_id} was refused although a task started")
         late_s = attempt.ended_at - attempt.sent_at - attempt.deadline_s
+        # An answer that came while the soak itself could not run is seen late.
+        late_s -= soak.own_pause_s(attempt.sent_at, attempt.ended_at)
         if late_s > ANSWER_SLACK_S and not soak.had_fault(
             attempt.entry, attempt.sent_at, attempt.ended_at
         ):
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -14,6 +14,7 @@
 
 from benchmarks import platform_soak
 from benchmarks.platform_soak import run_soak
+from benchmarks.soak_checks import check_run
 from benchmarks.upstream_faults import UPSTREAM_FAULTS
 from standins import platform_fleet
 
@@ -104,6 +105,16 @@
             fleet.kill("e0")
         self.assertTrue(caller.dead)
 
+    def test_answer_during_a_pause_of_the_soak_is_not_late(self):
+        """Guards against late answers that only the soak itself received late."""
+        fleet = Mock(processes={}, upstreams={}, **{"log.return_value": ""})
+        for pause_s, late in ((0.0, 1), (1.0, 1), (3.5, 0)):
+            soak = platform_soak._Soak(fleet, 1, 1)
+            attempt = platform_soak._Attempt("ab", 1, "e0", 10.0, 2.0, 16.0, 504)
+            soak.attempts.append(attempt)
+            soak.own_pauses.append((11.0, 11.0 + pause_s))
+            self.assertEqual(late, len(check_run(soak)), pause_s)
+
     def test_jobs_do_not_change_the_faults_of_a_seed(self):
         """Guards against runs of a seed that have different faults.
 
