Handle crashes in modules of their own at entries and executors

What an entry does with its jobs at a notice (ends, stops, late starts) and what an executor tells of a lost lifetime are jobs of their own.

Behaviour is unchanged. test_job_scheduler, test_leased_executor, test_crashing_tasks, test_suspected_crashes, test_refusal_guards, test_queue_guard, test_lost_upstreams, test_pinned_tasks, test_crash_evidence, test_order_search and test_docs pass.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,8 +17,8 @@
 from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import LeasedJobOutcome
-from ..state.crashes import job_id_of
 from .crash_relay import CrashRelay
+from .crashed_jobs import CrashedJobs
 from .early_ends import EarlyEnds, ended_early
 from .ejection import Ejection
 from .isolation import Isolation, Verdict
@@ -27,7 +27,7 @@
 from .job_state import SENT, WAITING, Job
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
-from .lost_upstreams import LostUpstreams, with_late_starts
+from .lost_upstreams import LostUpstreams
 from .run_starter import LATE_START, OLD_RUN
 from .run_statistics import RunStatistics
 from .slow_runs import move_slow_runs
@@ -83,11 +83,14 @@
         self._placement = Placement(speeds, ejection, is_domain_out, self._lost)
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._early_ends = EarlyEnds(self._placement, self._isolation)
-        self._crashes.on_crash(self._publish_late_starts)
-        self._crashes.on_crash(self._on_crash)
-        self._crashes.on_change(self._on_crash)
-        self._crashes.on_change_with_refusals(self._stop_causes)
-        self._crashes.on_late_start(self._on_late_start_notice)
+        self._crashed_jobs = CrashedJobs(
+            self._crashes,
+            self._isolation,
+            self._lost,
+            self._jobs,
+            self._views,
+            self.end,
+        )
         self._wakeup = Event()
         gevent.spawn(repeat, self._run)
         gevent.spawn(repeat, self._tick)
@@ -134,7 +137,7 @@
         outcome = self._early_ends.while_closing(job, now)
         if outcome is not None:
             self._end_with(job, outcome, now)
-        elif not self._end_if_crashing(job, now) and not job.started:
+        elif not self._crashed_jobs.end_if_crashing(job, now) and not job.started:
             views = self._views.values()
             self._end_with(job, self._early_ends.on_arrival(job, views, now), now)
         return job
@@ -267,92 +270,29 @@
             self._on_failed(view, task, now)
         elif is_refusal:
             reason = end.outcome.removeprefix(_NOT_RUN_PREFIX)
-            if reason in _FINAL_REASONS:
-                self.end(task.job, "failed", _FINAL_REASONS[reason], now)
-                return
-            if reason == _CRASHING_REASON:
-                self._end_refused_as_crashing(task.job, now)
-                return
-            if reason not in _PASSING_REASONS:
-                task.avoided_executors.add(view.name)
-            if reason == LATE_START:
-                task.retry_at = now + _LATE_START_RETRY_S
-            elif self._lost.is_pinned(task.name):
-                task.retry_at = now + _PINNED_RETRY_S
-            self._requeue(task, reason, now)
-            task.job.on_start_refused()
-            if reason == LATE_START:
-                until = self._lost.executable_until(task.name)
-                outcome = self._early_ends.on_late_start(task.job, until)
-                self._end_with(task.job, outcome, now)
-        elif not self._end_if_crashing(task.job, now):
+            self._on_start_refused(view, task, reason, now)
+        elif not self._crashed_jobs.end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
-    def _publish_late_starts(self, crash, now):
-        """Adds the tasks of executors' ended processes that a crash may have ended.
-
-        The executor that tells of the crash does not know what was sent by its
-        predecessor, and executed by the next lifetime of the upstream.
-        """
-        tasks = [
-            task
-            for task in self._lost.started_late_at(crash.upstream)
-            if crash.upstream not in self._crashes.records.upstreams_of(task.name)
-        ]
-        if tasks:
-            self._crashes.publish(with_late_starts(crash, tasks), now)
-
-    def _on_late_start_notice(self, start, now):
-        """Keeps a task from starting beside a late start that this entry was not told.
-
-        What this entry has sent itself is in `LostTasks`.
-        """
-        job = self._jobs.get(job_id_of(start.task))
-        tasks = job.tasks if job is not None else ()
-        if not any(
-            task.name == start.task and task.may_run_on(start.executor)
-            for task in tasks
-        ):
-            self._lost.on_late_start_notice(start, now)
-
-    def _on_crash(self, crash, now):
-        for crashed_job in crash.jobs:
-            job = self._jobs.get(crashed_job.job_id)
-            if job is not None:
-                self._end_if_crashing(job, now)
-
-    def _stop_causes(self, crash, now):
-        """Stops the other runs of the jobs that have probably crashed an upstream.
-
-        Each of them may crash one more upstream. A stop costs only the time of a run.
-        """
-        stops = {}
-        for crashed_job in crash.jobs:
-            job = self._jobs.get(crashed_job.job_id)
-            for task in self._isolation.tasks_to_stop(job, now) if job else ():
-                view = task.executor
-                if not self._may_start_again(view, task):
-                    stops.setdefault(view, []).append(task.name)
-        for view, names in stops.items():
-            log.info("runs_stopped", extra={"executor": view.name, "tasks": names})
-            view.link.try_send(ttypes.StopBatch(names))
-
-    def _end_refused_as_crashing(self, job, now):
-        """Ends a job that an executor refuses because of crashes under it.
-
-        If this entry does not know the crashes, it cannot say that the job caused them.
-        """
-        if not self._end_if_crashing(job, now):
-            self.end(job, "unknown", Verdict.EXHAUSTED.value, now)
-
-    def _end_if_crashing(self, job, now):
-        """Ends a job that must not be started again; returns whether it was ended."""
-        verdict = self._isolation.verdict(job, self._views.values(), now)
-        if verdict is Verdict.START:
-            return False
-        kind = "failed" if verdict is Verdict.CONDEMNED else "unknown"
-        self.end(job, kind, verdict.value, now)
-        return True
+    def _on_start_refused(self, view, task, reason, now):
+        if reason in _FINAL_REASONS:
+            self.end(task.job, "failed", _FINAL_REASONS[reason], now)
+            return
+        if reason == _CRASHING_REASON:
+            self._crashed_jobs.end_refused(task.job, now)
+            return
+        if reason not in _PASSING_REASONS:
+            task.avoided_executors.add(view.name)
+        if reason == LATE_START:
+            task.retry_at = now + _LATE_START_RETRY_S
+        elif self._lost.is_pinned(task.name):
+            task.retry_at = now + _PINNED_RETRY_S
+        self._requeue(task, reason, now)
+        task.job.on_start_refused()
+        if reason == LATE_START:
+            until = self._lost.executable_until(task.name)
+            outcome = self._early_ends.on_late_start(task.job, until)
+            self._end_with(task.job, outcome, now)
 
     def _on_slow_runs(self, view, slow_runs, now):
         """Moves stalled and slow runs to other executors with free capacity."""
@@ -365,15 +305,8 @@
 
     def _must_stay(self, view, task):
         """Returns whether a slow run must not be moved to another executor."""
-        return not self._isolation.may_move(task) or self._may_start_again(view, task)
-
-    def _may_start_again(self, view, task):
-        """Returns whether a request to start a run may be executed after its end.
-
-        The next lifetime of the upstream may execute it, and nobody would know of that
-        if the executor's process ends as well.
-        """
-        return view.is_unsettled(task) or self._lost.is_pinned(task.name)
+        may_start_again = self._lost.may_start_again(view, task)
+        return may_start_again or not self._isolation.may_move(task)
 
     def _on_done(self, view, task, end, now):
         job = task.job
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -19,6 +19,7 @@
 from .late_starts import LateStarts
 from .leased_runs import Run, isolated_jobs, unsettled_starts, unsettled_tasks
 from .listed_runs import ListedRuns
+from .lost_lifetimes import LostLifetimes
 from .run_activity import RunActivity
 from .run_numbers import RunNumbers
 from .run_owners import RunOwners
@@ -26,8 +27,7 @@
 from .run_starter import LATE_START, OLD_RUN
 from .start_admission import StartConditions, log_refusals, refusal_of_start
 from .suspected_crashes import SuspectedCrashes
-from .upstream_crashes import LostRun, crash_of_loss, log_crash
-from .upstream_requests import LossEvidence
+from .upstream_crashes import LostRun
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
@@ -59,11 +59,14 @@
         self._upstream = upstream
         self._is_domain_out = is_domain_out
         self._current = CurrentUpstream(
-            self._open_session, self._publish_crash, self._on_session_closed
+            self._open_session, self._on_lifetime_lost, self._on_session_closed
         )
         self._owners = RunOwners()
         self._runs = {}
         self._late_starts = LateStarts()
+        self._lost_lifetimes = LostLifetimes(
+            self._suspected, self._runs, self._late_starts
+        )
         self._numbers = RunNumbers()
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
@@ -166,8 +169,8 @@
 
     def check_accepting(self):
         """Notifies the entries when tasks may start or may no longer start."""
-        self._check_refusal(clock.now())
         session = self._current.session
+        self._lost_lifetimes.check_refusal(self.state, session, clock.now())
         if session is not None and session.taken_over:
             now, instance = clock.now(), self.state.instance
             # The notice of a crash precedes the ends of its runs.
@@ -394,40 +397,8 @@
         self._late_starts.on_session_closed(session)
         self.check_accepting()
 
-    def _publish_crash(self, loss, now):
-        """Tells all processes what the upstream may have been running.
-
-        The notice precedes the ends of the runs, so that an entry knows why they were
-        lost. A crash without runs is published as well, since it shows an outage.
-
-        Args:
-            loss: `InstanceLoss`.
-            now: Time, seconds.
-        """
-        state, session = self.state, self._current.session
-        late_runs = self._late_starts.lost_runs(session, state.born_ms)
-        runs = self._runs.values()
-        log_crash(state.key, loss, runs)
-        crash = crash_of_loss(state, loss, runs, clock.unix_ms(), late_runs)
-        publish_at = None
-        if loss.evidence is LossEvidence.REPORTED:
-            publish_at = session.all_ended_at
-        self._suspected.add(state, crash, now, publish_at)
-
-    def _check_refusal(self, now):
-        """Tells all processes whether the upstream refuses connections.
-
-        Args:
-            now: Time, seconds.
-        """
-        session = self._current.session
-        if session is None or not session.silent or self.state.draining:
-            self._suspected.withdraw_refusal(now)
-        elif session.is_refused(now):
-            loss = session.loss(LossEvidence.SILENT, "connections are refused", now)
-            runs = self._runs.values()
-            crash = crash_of_loss(self.state, loss, runs, clock.unix_ms())
-            self._suspected.on_refused(crash, now)
+    def _on_lifetime_lost(self, loss, now):
+        self._lost_lifetimes.on_lost(self.state, self._current.session, loss, now)
 
     def _tick(self):
         gevent.sleep(_TICK_S)
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -140,6 +140,18 @@
         """Returns whether an earlier request may still start a task of a job."""
         return self.holds_back(job_id) or self._pinned.has_job(job_id)
 
+    def may_start_again(self, view, task):
+        """Returns whether a request to start a run may be executed after its end.
+
+        The next lifetime of the upstream may execute it, and nobody would know of that
+        if the executor's process ends as well.
+
+        Args:
+            view: `LeasedView` of the executor.
+            task: `Task` that runs there.
+        """
+        return view.is_unsettled(task) or task.name in self._pinned
+
     def is_pinned(self, task_name):
         """Returns whether a task may start at one executor only."""
         return task_name in self._pinned
