Tell all processes of late starts that nobody wants any more

What callers saw: two runs of a task at once, 0.30 s in three plays of the test. An entry ended while a request to start a task was open, its job was submitted again to an entry without a link to the executor, which started it elsewhere, and the next lifetime of the upstream executed the request.

Cause: the executor told the entries that it was linked with, and nobody else.

Change: an executor marks the requests of a run that was to be stopped as unwanted (optional field), and the entries that are told spread them with the notices of late starts. An entry that is linked with the process ignores such a notice, since its reports tell more.

Evidence: test_entry_without_a_link_knows_what_a_living_executor_knows failed before in three of three runs and passes in three of three.

--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -203,8 +203,7 @@
         if tasks:
             self._lost_upstreams.remember(view, tasks, now)
         late_starts = self._lost.late_starts_of_peers(view, now)
-        if late_starts:
-            self._crashes.publish_late_starts(late_starts, now)
+        self._spread_late_starts(late_starts, now)
 
     def on_message(self, link, message, now):
         """Handles a message from an executor; returns whether it was handled."""
@@ -215,6 +214,9 @@
             if message.room is not None:
                 view.on_capacity_report(message.room)
                 self._lost.on_capacity_report(view, now)
+                self._spread_late_starts(
+                    self._lost.unwanted_late_starts(view, now), now
+                )
                 self._statistics.on_peer_runs(view, message.room, now)
                 for crash in self._lost_upstreams.crashes_of_previous(view, now):
                     self._crashes.publish(crash, now)
@@ -297,11 +299,20 @@
         if tasks:
             self._crashes.publish(with_late_starts(crash, tasks), now)
 
+    def _spread_late_starts(self, starts, now):
+        """Tells the entries without a link to an executor, which may get the jobs."""
+        if starts:
+            self._crashes.publish_late_starts(starts, now)
+
     def _on_late_start_notice(self, start, now):
         """Keeps a task from starting beside a late start that this entry was not told.
 
-        What this entry has sent itself is in `LostTasks`.
+        What this entry has sent itself is in `LostTasks`, and a linked executor tells
+        it more.
         """
+        view = self._views.get(start.executor)
+        if view is not None and view.process[1] == start.incarnation:
+            return
         job = self._jobs.get(job_id_of(start.task))
         tasks = job.tasks if job is not None else ()
         if not any(
--- a/papayaward/coordination/late_start_notices.py
+++ b/papayaward/coordination/late_start_notices.py
@@ -2,7 +2,8 @@
 papayaward.coordination.late_start_notices
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Late starts of executors out of reach, which all processes are told of.
+Late starts that nobody wants any more, or at executors out of reach, which all
+processes are told of.
 
 An entry that has no link with the executor may get the job again. What is spread is
 bounded: beyond that an entry may start such a task elsewhere.
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -42,6 +42,7 @@
         until: Time at which they are not executed any more, seconds.
         addition: Number of this addition to the late starts, from 1.
         lost_run: `LostRun` that one of them may have begun at a later lifetime.
+        unwanted: Whether the run was to be stopped.
     """
 
     task: str
@@ -52,6 +53,7 @@
     until: float
     addition: int
     lost_run: LostRun
+    unwanted: bool = False
 
     def to_wire(self, now):
         """Returns the `ttypes.LateStart` that tells an entry of it.
@@ -67,6 +69,7 @@
             self.run,
             self.requests,
             self.born_ms,
+            unwanted=self.unwanted,
         )
 
 
@@ -152,6 +155,7 @@
             until,
             self._additions,
             LostRun(run.task, run.queue, run.declared_s, run.started_at),
+            run.stopping,
         )
         log.info(
             "late_start_possible",
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -355,6 +355,7 @@
         run.run,
         requests,
         run.session.born_ms if run.running else 0,
+        unwanted=run.stopping and run.open_requests > 0,
     )
 
 
--- a/papayaward/coordination/lost_tasks.py
+++ b/papayaward/coordination/lost_tasks.py
@@ -182,6 +182,19 @@
         ]
         return pinned + unsettled
 
+    def unwanted_late_starts(self, view, now):
+        """Returns the `ttypes.LateStart` of each unwanted request that a report tells.
+
+        Args:
+            view: `LeasedView` of the executor.
+            now: Time, seconds.
+        """
+        return [
+            Pin.of_wire(start, view.process[1], now).to_wire(start.task, view.name, now)
+            for start in (*view.unsettled_starts.values(), *view.late_starts)
+            if start.unwanted
+        ]
+
     def on_late_start_notice(self, start, now):
         """Pins a task to an executor out of reach of an entry.
 
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -619,6 +619,7 @@
      - born_ms
      - executor
      - incarnation
+     - unwanted
 
     """
 
@@ -631,10 +632,11 @@
         'born_ms',
         'executor',
         'incarnation',
+        'unwanted',
     )
 
 
-    def __init__(self, task=None, instance=None, remaining_ms=None, run=None, requests=None, born_ms=None, executor=None, incarnation=None,):
+    def __init__(self, task=None, instance=None, remaining_ms=None, run=None, requests=None, born_ms=None, executor=None, incarnation=None, unwanted=None,):
         self.task = task
         self.instance = instance
         self.remaining_ms = remaining_ms
@@ -643,6 +645,7 @@
         self.born_ms = born_ms
         self.executor = executor
         self.incarnation = incarnation
+        self.unwanted = unwanted
 
 
 class TaskStart(TBase):
@@ -1205,6 +1208,7 @@
     (6, TType.I64, 'born_ms', None, None, ),  # 6
     (7, TType.STRING, 'executor', 'UTF8', None, ),  # 7
     (8, TType.I64, 'incarnation', None, None, ),  # 8
+    (9, TType.BOOL, 'unwanted', None, None, ),  # 9
 )
 all_structs.append(TaskStart)
 TaskStart.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -179,6 +179,7 @@
 // `run` that they carry; missing if it is not known. born_ms is the start of the latest
 // lifetime that rejects them, 0 if none is known to do so. executor and incarnation name
 // the process that has sent them; they are set in notices only.
+// unwanted tells that the run was to be stopped, so that the job may be submitted again.
 struct LateStart {
   1: string task
   2: string instance
@@ -188,6 +189,7 @@
   6: optional i64 born_ms
   7: optional string executor
   8: optional i64 incarnation
+  9: optional bool unwanted
 }
 
 // late_start tells of requests that an earlier process of the executor has sent.
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -253,15 +253,20 @@
         for number, entry in enumerate(self.entries):
             self._connect(f"e{number}", entry, self.relays[number], upstream)
 
+    def lose_entry(self, entry):
+        """Ends an entry."""
+        for upstream in self.upstreams:
+            for links in list(upstream.entry_links):
+                if links[0] is entry:
+                    # The executor is not told, and finds the entry silent.
+                    self._disconnect(upstream, [links])
+
     def lose_with_entry(self, upstream, entry):
         """Ends an entry together with the process beside an upstream.
 
         A new process of the executor starts, which no entry is linked with.
         """
-        for other in self.upstreams:
-            for links in list(other.entry_links):
-                if links[0] is entry:
-                    self._disconnect(other, [links])
+        self.lose_entry(entry)
         self._disconnect(upstream)
         upstream.start_process()
         upstream.report()
--- a/tests/test_late_starts.py
+++ b/tests/test_late_starts.py
@@ -286,10 +286,13 @@
         self.check_no_overlap()
         self.assertEqual("completed", submitted.outcome.kind)
 
-    def run_at_an_entry_without_a_link(self):
+    def run_at_an_entry_without_a_link(self, loses_process=True):
         """Ends the entry of a task with the executor's process, and runs the job again.
 
         The entry that gets it is linked with another executor only.
+
+        Args:
+            loses_process: Whether the executor's process ends as well.
         """
         self.first.lifetime.first_clock_ms = 480_000
         gevent.sleep(1.2)
@@ -299,7 +302,10 @@
         # The other entries are told of the request.
         gevent.sleep(0.1)
         self.first.refuse()
-        self.fleet.lose_with_entry(self.first, self.fleet.entries[0])
+        if loses_process:
+            self.fleet.lose_with_entry(self.first, self.fleet.entries[0])
+        else:
+            self.fleet.lose_entry(self.fleet.entries[0])
         self.first.crash_from_outside()
         other = self.fleet.upstreams[1]
         entry = self.fleet.add_entry([other])
@@ -331,6 +337,12 @@
         self.add_executor_for([])
         self.run_at_an_entry_without_a_link()
 
+    def test_entry_without_a_link_knows_what_a_living_executor_knows(self):
+        """Guards against the same if only the entry ends."""
+        self.fleet.add_entry()
+        self.add_executor_for([1])
+        self.run_at_an_entry_without_a_link(loses_process=False)
+
     def test_task_without_an_open_request_starts_at_once_at_the_next_process(self):
         """Guards against a killed process that costs the jobs it has just started.
 
