--- a/papayaward/coordination/crashed_jobs.py
+++ b/papayaward/coordination/crashed_jobs.py
@@ -86,8 +86,12 @@
     def _on_late_start_notice(self, start, now):
         """Keeps a task from starting beside a late start that this entry was not told.
 
-        What this entry has sent itself is in `LostTasks`.
+        What this entry has sent itself is in `LostTasks`, and a linked executor tells
+        it more.
         """
+        view = self._views.get(start.executor)
+        if view is not None and view.process[1] == start.incarnation:
+            return
         job = self._jobs.get(job_id_of(start.task))
         tasks = job.tasks if job is not None else ()
         if not any(
--- a/papayaward/coordination/entry_selection.py
+++ b/papayaward/coordination/entry_selection.py
@@ -14,10 +14,10 @@
 from dataclasses import dataclass
 from hashlib import blake2b
 
-__all__ = ["EntryAddress", "select_entries"]
+__all__ = ["MAX_LINKED_ENTRIES", "EntryAddress", "select_entries"]
 
 # Number of entries to which a runner keeps links.
-_MAX_ENTRIES = 10
+MAX_LINKED_ENTRIES = 10
 # Largest number of these in the runner's own failure domain: enough for an
 # entry to find most executors nearby, and few enough that it keeps the others if its
 # failure domain is taken out of service.
@@ -48,17 +48,17 @@
         entries: `EntryAddress` of each entry that is available.
 
     Returns:
-        list: At most `_MAX_ENTRIES` of the entries.
+        list: At most `MAX_LINKED_ENTRIES` of the entries.
     """
     ranked = sorted(entries, key=lambda entry: _weight(runner, entry), reverse=True)
-    if len(ranked) <= _MAX_ENTRIES:
+    if len(ranked) <= MAX_LINKED_ENTRIES:
         return ranked
     local = [entry for entry in ranked if entry.domain == domain]
     selected = local[:_MAX_LOCAL_ENTRIES]
     remote = [entry for entry in ranked if entry.domain != domain]
-    selected += remote[: _MAX_ENTRIES - len(selected)]
+    selected += remote[: MAX_LINKED_ENTRIES - len(selected)]
     # Only if there are too few entries in other failure domains.
-    selected += local[_MAX_LOCAL_ENTRIES:][: _MAX_ENTRIES - len(selected)]
+    selected += local[_MAX_LOCAL_ENTRIES:][: MAX_LINKED_ENTRIES - len(selected)]
     return selected
 
 
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -68,10 +68,13 @@
         is_domain_out: Function that returns whether a failure domain is out of
             service.
         crashes: `CrashRelay` of this process; a new one if not given.
+        has_unlinked_entries: Function that returns whether there may be entries without
+            a link to some executor.
     """
 
-    def __init__(self, is_domain_out, crashes=None):
+    def __init__(self, is_domain_out, crashes=None, has_unlinked_entries=lambda: True):
         self._crashes = crashes or CrashRelay()
+        self._has_unlinked_entries = has_unlinked_entries
         self._jobs = {}
         # Jobs that may have tasks without an executor, by identifier.
         self._waiting = {}
@@ -219,6 +222,7 @@
             if message.room is not None:
                 view.on_capacity_report(message.room)
                 self._lost.on_capacity_report(view, now)
+                self._publish_unwanted(view, now)
                 self._statistics.on_peer_runs(view, message.room, now)
                 for crash in self._lost_upstreams.crashes_of_previous(view, now):
                     self._crashes.publish(crash, now)
@@ -294,6 +298,13 @@
             outcome = self._early_ends.on_late_start(task.job, until)
             self._end_with(task.job, outcome, now)
 
+    def _publish_unwanted(self, view, now):
+        """Tells the entries without a link to an executor, which may get the jobs."""
+        if self._has_unlinked_entries():
+            late_starts = self._lost.unwanted_late_starts(view, now)
+            if late_starts:
+                self._crashes.publish_late_starts(late_starts, now)
+
     def _on_slow_runs(self, view, slow_runs, now):
         """Moves stalled and slow runs to other executors with free capacity."""
         views = self._views.values()
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -53,6 +53,7 @@
             began is over unless its lease was renewed, seconds.
         addition: Number of this addition to the late starts, from 1.
         lost_run: `LostRun` that one of them may have begun at a later lifetime.
+        unwanted: Whether the run was to be stopped.
     """
 
     task: str
@@ -64,6 +65,7 @@
     until: float
     addition: int
     lost_run: LostRun
+    unwanted: bool = False
 
     def to_wire(self, now):
         """Returns the `ttypes.LateStart` that tells an entry of it.
@@ -79,6 +81,7 @@
             self.run,
             self.requests,
             self.born_ms,
+            unwanted=self.unwanted,
         )
 
     @property
@@ -188,6 +191,7 @@
             until,
             self._additions + 1,
             LostRun(run.task, run.queue, run.declared_s, run.started_at),
+            run.stopping,
         )
         if not self._may_be_active(start, session, now):
             return
--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -12,7 +12,7 @@
 from gevent.event import Event
 
 from .coordination.config_relay import entry_fetch_delay_s
-from .coordination.entry_selection import EntryAddress
+from .coordination.entry_selection import MAX_LINKED_ENTRIES, EntryAddress
 from .coordination.job_scheduler import JobScheduler
 from .coordination.store_sync import Presence, watch_prefix
 from .leased_node import LeasedNode
@@ -91,7 +91,11 @@
         self._entries = ()
         self._rejections = entry_rejections()
         self._presence = None
-        self.scheduler = JobScheduler(self.domains.is_out, self.crashes)
+        self.scheduler = JobScheduler(
+            self.domains.is_out,
+            self.crashes,
+            lambda: len(self._entries) > MAX_LINKED_ENTRIES,
+        )
         self._configured = Event()
         self.config.on_change(lambda now: self._configured.set())
         self.domains.on_change(self._on_domains_change)
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -180,6 +180,7 @@
 // the start of the latest lifetime that has executed none of them, or whose run under the
 // number has been counted, 0 if there is none. executor and incarnation name the process
 // that has sent them; they are set in notices only.
+// unwanted tells that the run was to be stopped, so that the job may be submitted again.
 struct LateStart {
   1: string task
   2: string instance
@@ -189,6 +190,7 @@
   6: optional i64 born_ms
   7: optional string executor
   8: optional i64 incarnation
+  9: optional bool unwanted
 }
 
 // late_start tells of requests that an earlier process of the executor has sent.
