Count a run at a later lifetime once, also for the next process

Cause: a take-over counts a run that it finds as one open request executed. The next process of the executor was told the lifetime before, and counted the end of the same run once more, so that one request too few was open.

Evidence: test_next_process_counts_no_run_that_was_counted fails without the change. test_late_requests and test_activity_orders pass.

--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -186,7 +186,7 @@
             run.run,
             run.open_requests,
             session.instance,
-            session.born_ms,
+            max(session.born_ms, run.listed_by_ms),
             run.rejected_by_ms,
             until,
             self._additions + 1,
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -59,6 +59,8 @@
     unanswered: int = 0
     has_executed_unanswered: bool = False
     has_executed_late: bool = False
+    # Start of the latest lifetime that has listed it after its session, milliseconds.
+    listed_by_ms: int = 0
     # Number of earlier requests to start the task under the number of this run, and the
     # time until which a later lifetime of the upstream may execute them, seconds.
     earlier_requests: int = 0
@@ -171,8 +173,10 @@
         Args:
             born_ms: Start of the lifetime that lists it, milliseconds.
         """
-        is_later = born_ms > self.session.born_ms > 0
-        if self.session_closed and is_later and self.identified:
+        if not self.session_closed or not born_ms > self.session.born_ms > 0:
+            return
+        self.listed_by_ms = born_ms
+        if self.identified:
             self.has_executed_late = True
 
     @property
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -181,6 +181,25 @@
         late_starts.on_run_over(run, _NOW + MAX_START_DELAY_S)
         self.assertIn(_TASK, late_starts)
 
+    def test_next_process_counts_no_run_that_was_counted(self):
+        """Guards against two processes that take one run for two requests.
+
+        A take-over has found the run at the lifetime of the next process.
+        """
+        run = _run(requests=2)
+        run.on_start_answered(Delivery.STARTED)
+        run.identified = run.session_closed = True
+        run.on_found(2)
+        run.proof = Proof.TAKEN_OVER
+        self.late_starts.on_run_over(run, _NOW)
+        (start,) = self.late_starts.added_after(0)
+        told, successor = start.to_wire(_NOW), LateStarts()
+        session = _session(2, taken_over=False)
+        successor.on_listed(_TASK, 1, session, 2)
+        session.taken_over = True
+        self.assertFalse(successor.on_told(told, start.lost_run, session, _NOW))
+        self.assertIn(_TASK, successor)
+
 
 class FoundRunTest(TestCase):
     """A run that was confirmed although a request to start it had no reply."""
