--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -113,8 +113,8 @@
         self._additions = 0
         # Names of the tasks whose runs the take-over under way has found.
         self._found = set()
-        # (task, number) of each run of an earlier process that the lifetime of the
-        # present session has executed, as its take-over showed.
+        # (task, number) of each run that the take-over of the present session has
+        # found, active or ended. Its lifetime rejects these numbers.
         self._executed = set()
         # (task, number) of requests of earlier processes that entries have told of, and
         # the time until which they may be executed, seconds.
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -53,10 +53,10 @@
     delivery: Delivery = Delivery.NOT_DELIVERED
     # Latest time at which the start may have been sent.
     sent_at: float = 0.0
-    # Number of requests to start it that had no reply, and whether one of them is known
-    # to have been executed, because the upstream has listed the run. A lifetime may
-    # have executed one although another has confirmed the run.
+    # Number of requests to start it that had no reply.
     unanswered: int = 0
+    # Whether one of them is known to have been executed: by the lifetime that lists the
+    # run although no request was answered, or by a later one than that which began it.
     has_executed_unanswered: bool = False
     has_executed_late: bool = False
     # Start of the latest lifetime that has listed it after its session, milliseconds.
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -35,7 +35,8 @@
         self.taken_over = False
         # Names of the tasks of other entries whose start may still be executed.
         self.unsettled_peer_tasks = ()
-        # `LateStart` of unsettled tasks by name, as far as the entry has to be told.
+        # `LateStart` by name of the unsettled tasks of which the entry can't know the
+        # number, or the number of requests, by itself.
         self.unsettled_starts = {}
         # `LateStart` of the tasks that the last report has added.
         self.late_starts = ()
