--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A liveness report of another writer arrives beside each runner; later a final fault."""
+"""A report of another writer arrives beside each runner; later a final fault."""
 
 import asyncio
 import random
@@ -8,7 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from fleet2 import BOUNDS, SERVICE, TROUBLE, http, new_id, play
+from fleet2 import BOUNDS, TROUBLE, http, new_id, play
 
 
 async def foreign_report(fleet, server):
@@ -18,7 +18,9 @@
     document.update(born=int(time.time() * 1000), seq_no=1)
     path = "/papayaward/instances/x-%08x" % random.getrandbits(32)
     status, _ = await http(server.machine.control, "PUT", path, document)
-    fleet.record(f"report of another writer to {server.machine.name}, no address: {status}")
+    fleet.record(
+        f"report of another writer to {server.machine.name}, no address: {status}"
+    )
 
 
 async def served(fleet, seconds):
@@ -41,7 +43,7 @@
         for server in fleet.servers:
             await foreign_report(fleet, server)
     await asyncio.sleep(4.0)
-    between = await served(fleet, 3.0)
+    await served(fleet, 3.0)
     fleet.configure(9)
     for machine in fleet.machines:
         await machine.kill()
@@ -51,7 +53,9 @@
     await asyncio.sleep(BOUNDS["recovery_s"])
     after = await served(fleet, 3.0)
     if before >= 0.25 and after < 0.25:
-        return [f"RECOVER: {after:.0%} served after the final fault, {before:.0%} before it"]
+        return [
+            f"RECOVER: {after:.0%} served after the final fault, {before:.0%} before it"
+        ]
     return []
 
 
--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -1,8 +1,8 @@
 """Small deployment for the scripts of the second review.
 
 The entry and runner processes are started with the commands of the deploy file. The
-platform's store, the servers that run tasks, the clients and the TCP relays are stand-ins
-in this process. They use the standard library only and follow PROTOCOL.md. Each machine
+platform's store, the servers that run tasks and the clients are stand-ins in this
+process. They use the standard library only and follow PROTOCOL.md. Each machine
 has a loopback address of its own, so that the ports are the same on all machines.
 """
 
@@ -13,7 +13,6 @@
 import random
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -161,7 +160,9 @@
 
     def put(self, key, value, lease=0):
         self.revision += 1
-        created = self._items[key]["created_rev"] if key in self._items else self.revision
+        created = (
+            self._items[key]["created_rev"] if key in self._items else self.revision
+        )
         item = {
             "key": key,
             "value": base64.b64encode(value).decode(),
@@ -208,11 +209,19 @@
                 return 404, {"at_rev": self.revision}
             return 200, {**item, "at_rev": self.revision}
         if name == "kv-range":
-            items = [self._items[k] for k in sorted(self._items) if k.startswith(query["prefix"])]
+            items = [
+                self._items[k]
+                for k in sorted(self._items)
+                if k.startswith(query["prefix"])
+            ]
             after = query.get("after", "")
             items = [item for item in items if item["key"] > after]
             more = len(items) > 500
-            return 200, {"items": items[:500], "has_more": more, "at_rev": self.revision}
+            return 200, {
+                "items": items[:500],
+                "has_more": more,
+                "at_rev": self.revision,
+            }
         if name == "kv-watch":
             return await self._watch(query)
         if name == "kv-lease":
@@ -235,7 +244,10 @@
         return 404, {}
 
     async def _watch(self, query):
-        after, until = int(query["after"]), time.monotonic() + int(query["wait_ms"]) / 1000
+        after, until = (
+            int(query["after"]),
+            time.monotonic() + int(query["wait_ms"]) / 1000,
+        )
         while True:
             changed = self._changed
             events = [
@@ -257,14 +269,18 @@
             item = self._items.get(row["key"])
             if (item["rev"] if item else 0) != row["rev"]:
                 keys = [r["key"] for r in document["expect"]]
-                return 412, {"items": [self._items[k] for k in keys if k in self._items]}
+                return 412, {
+                    "items": [self._items[k] for k in keys if k in self._items]
+                }
         for write in document.get("writes", ()):
             if write["key"].startswith(("op/", "servers/")):
                 return 403, {}
             if write.get("lease_id") and write["lease_id"] not in self._leases:
                 return 404, {}
         for write in document.get("writes", ()):
-            self.put(write["key"], base64.b64decode(write["value"]), write.get("lease_id", 0))
+            self.put(
+                write["key"], base64.b64decode(write["value"]), write.get("lease_id", 0)
+            )
         for key in document.get("deletes", ()):
             self.delete(key)
         return 200, {"rev": self.revision}
@@ -281,7 +297,7 @@
 
 
 class Server:
-    """A runner of the platform: one lifetime of the application beside a `side` machine.
+    """A runner of the platform: the application beside a `side` machine.
 
     Attributes:
         runs: Every `Run` of every lifetime.
@@ -315,7 +331,10 @@
         self._end_number = 0
         self._last, self.running = {}, {}
         self._ended = asyncio.Event()
-        self._server = await serve_http(self._handle, self.machine.ip, self.machine.app_port)
+        self._gone = False
+        self._server = await serve_http(
+            self._handle, self.machine.ip, self.machine.app_port
+        )
         self._reporter = asyncio.create_task(self._report_always())
         self._lease_task = asyncio.create_task(self._enforce_lease())
         self.record(f"server {self.instance} begins beside {self.machine.name}")
@@ -351,9 +370,15 @@
             document,
             timeout_s=1.0,
         )
-        if status is not None and 200 <= status < 300 and document["state"] == "draining":
+        if (
+            status is not None
+            and 200 <= status < 300
+            and document["state"] == "draining"
+        ):
             if self.acked_draining_at is None:
-                self.acked_draining_at = self.record(f"{self.instance}: draining acknowledged")
+                self.acked_draining_at = self.record(
+                    f"{self.instance}: draining acknowledged"
+                )
         return status
 
     async def drain(self):
@@ -364,6 +389,24 @@
             await self.report()
             await asyncio.sleep(0.2)
 
+    async def leave(self):
+        """Deregisters and ends, with all that runs on it."""
+        path = f"/papayaward/instances/{self.instance}"
+        self._reporter.cancel()
+        status, _ = await http(self.machine.control, "DELETE", path, timeout_s=1.0)
+        self.record(f"{self.instance}: leaves ({status})")
+        self._gone = True
+        self._server.close()
+        self._lease_task.cancel()
+        for run in list(self.running.values()):
+            run.timer.cancel()
+            run.ended, run.how = self.record.now, "terminated"
+            self.record(
+                f"{self.instance}: task {run.task} run {run.run} is lost with it"
+            )
+        self.running.clear()
+        self._ended.set()
+
     async def _enforce_lease(self):
         while True:
             await asyncio.sleep(0.005)
@@ -388,6 +431,8 @@
         return {"clock_ms": self.clock_ms, "born": self.born, **fields}
 
     async def _handle(self, method, path, headers, body):
+        if self._gone:
+            return None, None
         if headers.get("expect-instance", self.instance) != self.instance:
             return 421, self._reply()
         name = path.removeprefix("/papayaward/")
@@ -403,7 +448,9 @@
             self._last[task] = max(run, self._last.get(task, 0))
             found = self.running.get((task, run))
             if found:
-                asyncio.get_running_loop().call_later(KILL_S, self._end, found, "stopped")
+                asyncio.get_running_loop().call_later(
+                    KILL_S, self._end, found, "stopped"
+                )
             return 200, self._reply()
         if name == "hold":
             return await self._hold(document)
@@ -466,7 +513,13 @@
     """A machine of the platform with one process of the system."""
 
     def __init__(self, fleet, name, role, zone, ip):
-        self.fleet, self.name, self.role, self.zone, self.ip = fleet, name, role, zone, ip
+        self.fleet, self.name, self.role, self.zone, self.ip = (
+            fleet,
+            name,
+            role,
+            zone,
+            ip,
+        )
         self.app_port = 8165
         self.control = (ip, 8166)
         self.front = (ip, 8161)
@@ -515,7 +568,9 @@
         path = folder / f"{self.name}.json"
         path.write_text(json.dumps(self.settings()))
         log = open(folder / f"{self.name}.log", "ab")
-        variables = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
+        variables = {
+            k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ
+        }
         self.process = await asyncio.create_subprocess_exec(
             "python3",
             "platform",
@@ -554,11 +609,23 @@
         self.store = Store(self.record)
         zones = ("rosenheim", "weilheim")
         self.entries = [
-            Machine(self, f"front-{zones[i % 2]}-{i // 2 + 1}", "entry", zones[i % 2], f"{self._net}.{10 + i}")
+            Machine(
+                self,
+                f"front-{zones[i % 2]}-{i // 2 + 1}",
+                "entry",
+                zones[i % 2],
+                f"{self._net}.{10 + i}",
+            )
             for i in range(entries)
         ]
         self.runners = [
-            Machine(self, f"side-{zones[i % 2]}-{i // 2 + 1}", "runner", zones[i % 2], f"{self._net}.{50 + i}")
+            Machine(
+                self,
+                f"side-{zones[i % 2]}-{i // 2 + 1}",
+                "runner",
+                zones[i % 2],
+                f"{self._net}.{50 + i}",
+            )
             for i in range(runners)
         ]
         self.machines = [*self.entries, *self.runners]
@@ -621,16 +688,25 @@
                     raise CannotRun(f"{entry.name} serves no job")
                 await asyncio.sleep(0.2)
 
-    async def submit(self, entry, job_id, work_ms, count=1, cpu=1600, wait_s=5.0, est_ms=None):
+    async def submit(
+        self, entry, job_id, work_ms, count=1, cpu=1600, wait_s=5.0, est_ms=None
+    ):
         """Submits a best-effort job as a client and returns the status and the body."""
         body = {
             "spec": str(work_ms),
             "best_effort": True,
             "phases": [
-                {"count": count, "cpu": cpu, "mem_mb": 64, "est_runtime_ms": est_ms or work_ms}
+                {
+                    "count": count,
+                    "cpu": cpu,
+                    "mem_mb": 64,
+                    "est_runtime_ms": est_ms or work_ms,
+                }
             ],
         }
-        self.record(f"client sends job {job_id} to {entry.name} ({count} x {work_ms} ms)")
+        self.record(
+            f"client sends job {job_id} to {entry.name} ({count} x {work_ms} ms)"
+        )
         headers = {
             "Host": HOST_NAME,
             "Content-Type": "application/json",
@@ -648,7 +724,9 @@
         status, reply = await http(
             entry.front, "DELETE", PREFIX + job_id, None, {"Host": HOST_NAME}
         )
-        self.record(f"client gets for the DELETE of {job_id} from {entry.name}: {status} {reply}")
+        self.record(
+            f"client gets for DELETE of {job_id} from {entry.name}: {status} {reply}"
+        )
         return status
 
     async def end(self):
@@ -668,7 +746,7 @@
 
 
 def play(folder, case, **options):
-    """Plays a case and exits with 1 if the rule was broken, 0 if not, 2 if it can't run.
+    """Plays a case; exits with 1 if it broke the rule, 0 if not, 2 if it can't run.
 
     Args:
         folder: Folder for `record.txt`.
