--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -27,6 +27,8 @@
 HEARTBEAT_S = 1.5
 MAX_HOLD_MS = 1000
 KILL_S = 0.02
+# Exit code of a script that broke the rule, for `run.sh`.
+BROKEN_EXIT = 10
 BOUNDS = {
     "seed_lag_s": 3,
     "addr_reuse_s": 2,
@@ -773,4 +775,5 @@
 
     code = asyncio.run(run())
     print({0: "held", 1: "broken", 2: "could not run"}[code])
-    sys.exit(code)
+    # An exception in a script ends Python with 1, so that `run.sh` asks for another one.
+    sys.exit(BROKEN_EXIT if code == 1 else code)
