--- a/review/fleet2.py
+++ b/review/fleet2.py
@@ -775,5 +775,5 @@
 
     code = asyncio.run(run())
     print({0: "held", 1: "broken", 2: "could not run"}[code])
-    # An exception in a script ends Python with 1, so that `run.sh` asks for another one.
+    # Python itself ends with 1 after an exception, so that `run.sh` gets another code.
     sys.exit(BROKEN_EXIT if code == 1 else code)
