--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -49,6 +49,8 @@
         self._is_awaiting = False
         # Time until which an upstream without replies is expected back, seconds.
         self._awaited_until = 0.0
+        # Key of the state and of the outdated report that was logged last.
+        self._logged_outdated = None
 
     @property
     def refusal_reason(self):
@@ -84,6 +86,7 @@
             now: Time, seconds.
         """
         if self._is_outdated(state):
+            self._log_outdated(state)
             return False
         if self._is_current_lifetime(state):
             self.is_deregistered = False
@@ -142,6 +145,26 @@
             return False
         return state.sequence < last.sequence or self.is_deregistered
 
+    def _log_outdated(self, state):
+        """Logs that a report is ignored, once for each pair of instances.
+
+        An instance goes on reporting for as long as it runs.
+        """
+        keys = self.state.key, state.key
+        if keys == self._logged_outdated:
+            return
+        self._logged_outdated = keys
+        log.info(
+            "report_outdated",
+            extra={
+                "upstream": state.key,
+                "sequence": state.sequence,
+                "latest": self.state.key,
+                "latest_sequence": self.state.sequence,
+                "latest_is_up": self.session is not None and self.session.is_up,
+            },
+        )
+
     def _is_current_lifetime(self, state):
         """Returns whether a report is that of the lifetime which the session is for."""
         last = self.state
