--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -21,6 +21,7 @@
     "PEER_ADDRESSES",
     "TEXTS",
     "TEXT_VALUES",
+    "incomplete_texts",
     "mutated_texts",
     "not_rejected",
     "odd_texts",
@@ -142,6 +143,22 @@
             yield f"{path}: {name}", with_fragment(document, path, fragment)
 
 
+def incomplete_texts(document, paths):
+    """Yields (description, text) of a document without one value each.
+
+    Args:
+        document: JSON document that the reader accepts.
+        paths: Keys and indices that lead to each of the values.
+    """
+    for path in paths:
+        copy = json.loads(json.dumps(document))
+        inner = copy
+        for step in path[:-1]:
+            inner = inner[step]
+        del inner[path[-1]]
+        yield f"{path}: missing", json.dumps(copy).encode()
+
+
 def mutated_texts(document, seed, count):
     """Yields texts of a document with random changes.
 
--- a/tests/test_odd_fuzz.py
+++ b/tests/test_odd_fuzz.py
@@ -78,8 +78,12 @@
 }
 _REPORT = {
     "service": "s",
+    "address": "10.0.0.9:8080",
     "zone": "a",
+    "version": "v1",
+    "slots": 8,
     "state": "ready",
+    "cold_left_ms": 0,
     "capacity": {"cpu": 1000, "mem_mb": 64, "gpus": 0},
     "labels": ["a", "r1-3"],
     "seq_no": 1,
--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -375,8 +375,12 @@
 def _report():
     return {
         "service": "s",
+        "address": "10.0.0.9:8080",
         "zone": "a",
+        "version": "v1",
+        "slots": 8,
         "state": "ready",
+        "cold_left_ms": 0,
         "capacity": {"cpu": 1000, "mem_mb": 64, "gpus": 0},
         "labels": ["a"],
         "seq_no": 1,
@@ -386,12 +390,17 @@
 
 _REPORT_FIELDS = {
     ("service",): odd_values.TEXT_VALUES,
+    ("address",): odd_values.ADDRESSES,
     ("zone",): odd_values.TEXT_VALUES,
+    ("version",): odd_values.TEXT_VALUES,
+    ("slots",): odd_values.NUMBERS,
     ("state",): odd_values.TEXT_VALUES,
+    ("cold_left_ms",): {n: f for n, f in odd_values.NUMBERS.items() if n != "fraction"},
     ("capacity",): odd_values.OBJECTS,
     ("capacity", "cpu"): odd_values.NUMBERS,
     ("capacity", "mem_mb"): odd_values.NUMBERS,
     ("capacity", "gpus"): odd_values.NUMBERS,
+    ("labels",): {n: f for n, f in odd_values.OBJECTS.items() if n != "list"},
     ("labels", 0): odd_values.TEXT_VALUES,
     ("seq_no",): odd_values.NUMBERS,
     ("born",): {**odd_values.NUMBERS, "far future": str(2**53)},
@@ -408,6 +417,33 @@
 
         self.assertEqual([], odd_values.not_rejected(read, OptionError, cases))
 
+    def test_incomplete_reports_are_rejected(self):
+        """Guards against a report of another program that is taken for the upstream's.
+
+        Its later start would hide the upstream (review/9).
+        """
+        paths = [path for path in _REPORT_FIELDS if path != ("labels", 0)]
+        cases = odd_values.incomplete_texts(_report(), paths)
+
+        def read(text):
+            return read_state("i-1", read_object(text))
+
+        self.assertEqual([], odd_values.not_rejected(read, OptionError, cases))
+
+    def test_incomplete_report_changes_nothing_that_is_known_of_the_upstream(self):
+        """Guards against an upstream that is hidden by a report of another program."""
+        runner = LeasedRunner(_settings("runner", "s"), _Snapshots({}), None)
+        registry = Registry(runner)
+        self.assertEqual("200 OK", _put_report(registry, json.dumps(_report())))
+        known = runner.executor.state
+        later = {**_report(), "seq_no": 9, "born": 1_800_000_000_000}
+        paths = [path for path in _REPORT_FIELDS if path != ("labels", 0)]
+        for instance in ("i-1", "x-1"):
+            for name, text in odd_values.incomplete_texts(later, paths):
+                status = _put_report(registry, text, instance)
+                self.assertEqual("400 Bad Request", status, name)
+                self.assertIs(known, runner.executor.state, name)
+
     def test_registry_refuses_odd_reports_and_logs_each_upstream_once(self):
         """Guards against a registry that fails, and a line for each report."""
         runner = LeasedRunner(_settings("runner", "s"), _Snapshots({}), None)
@@ -497,9 +533,10 @@
     }
 
 
-def _put_report(registry, text):
+def _put_report(registry, text, instance="i-1"):
     statuses = []
-    environ = _environ("PUT", "/papayaward/instances/i-1", text)
+    content = text if isinstance(text, bytes) else text.encode()
+    environ = _environ("PUT", "/papayaward/instances/" + instance, content)
     registry(environ, lambda status, headers: statuses.append(status))
     return statuses[0]
 
--- a/tests/test_poisonous_input.py
+++ b/tests/test_poisonous_input.py
@@ -86,17 +86,24 @@
         """Guards against an executor that cannot tell the entries its capacity."""
         report = {
             "service": "s",
+            "address": "10.0.0.9:8080",
             "zone": "a",
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
-            "capacity": {"cpu": 1000},
+            "cold_left_ms": 0,
+            "capacity": {"cpu": 1000, "mem_mb": 64, "gpus": 0},
+            "labels": [],
             "seq_no": 1,
+            "born": 1_700_000_000_000,
         }
         read_state("i-1", report)
+        capacity = report["capacity"]
         for changes in (
             {"labels": [NO_TEXT]},
             {"service": NO_TEXT},
-            {"capacity": {"cpu": HUGE}},
-            {"capacity": {"cpu": 1000, "mem_mb": HUGE}},
+            {"capacity": {**capacity, "cpu": HUGE}},
+            {"capacity": {**capacity, "mem_mb": HUGE}},
         ):
             self.assertRaises(OptionError, read_state, "i-1", {**report, **changes})
         self.assertRaises(OptionError, read_state, NO_TEXT, report)
