Let no instance that is not there hide the upstream

Cause, second of two: a report with a later start replaces the upstream, and all reports with an earlier start are ignored from then on, although the instance that answers at the address denies the name (log of the case: upstream_lost 'another upstream instance replied', then report_outdated with no session). The stored report repeats that after a restart.

Now the start counts only while there is a session with the instance that has the later one, or while that is awaited. Once another one has answered in its place, reports of any other instance are used; a late one of an instance that has ended costs a request that is rejected, and starts nothing. The same cause kept an upstream out whose clock was set back before it restarted under another name.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -137,6 +137,9 @@
         last = self.state
         if last is None:
             return False
+        if self.session is None and state.instance != last.instance:
+            # Another instance is in the place of the last one, or none returned there.
+            return False
         replied_born_ms = self._replied_born_ms if state.born_ms else 0
         is_replied = replied_born_ms and replied_born_ms == state.born_ms
         if not is_replied and state.born_ms < max(last.born_ms, replied_born_ms):
