Recall no stored report of another service

The key of the stored report may have been written by another program. A runner took over the upstream that it names whatever its service, where a report to the process itself is rejected. test_stored_report_of_another_service_is_not_recalled fails before this change. Seen in reading all readers of documents that others may write.

--- a/papayaward/leased_runner.py
+++ b/papayaward/leased_runner.py
@@ -137,9 +137,14 @@
 
     def _restore_upstream(self):
         state = self._state_store.load()
-        if state is not None and self.executor.state is None:
+        if state is None or self.executor.state is not None:
+            return
+        if state.service == self.settings.service:
             log.info("upstream_recalled", extra={"upstream": state.instance})
             self.executor.recall_upstream(state)
+        else:
+            extra = {"upstream": state.instance, "service": state.service}
+            log.warning("stored_report_ignored", extra=extra)
 
     def _discover_entries(self):
         """Reads the entries' addresses from the store while no entry is linked."""
