--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -155,6 +155,17 @@
         for content in (b"", b"{}", b'{"running":[],"ended":[]}'):
             self.assertRaises(NoReply, self.reply, 200, content)
 
+    def test_reply_without_a_list_is_none(self):
+        """Guards against runs that count as over since no list names them."""
+        lists = {"running": [], "ended": []}
+        for name in lists:
+            document = {"clock_ms": 5, **lists}
+            del document[name]
+            content = json.dumps(document).encode()
+            self.assertRaises(NoReply, self.reply, 200, content)
+        document = {"clock_ms": 5, **lists}
+        self.assertEqual("ok", self.reply(200, json.dumps(document).encode()).outcome)
+
     def test_refusal_without_a_body_is_told_from_a_list_of_runs(self):
         """Guards against an unhealthy upstream that is taken for an idle one."""
         for status in (429, 503):
--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -494,8 +494,6 @@
             ("ended", 0, 3): odd_values.TEXT_VALUES,
         }
         cases = list(odd_values.odd_texts(document, fields))
-        # An empty reply is one without lists.
-        cases = [case for case in cases if case[0] != "empty"]
         self.assertEqual([], odd_values.not_rejected(poll, NoReply, cases))
         server.status = "409 Conflict"
         cases = [
@@ -510,7 +508,8 @@
         upstream = PlatformUpstream(server.address)
         for percent in (-(10**12), 10**12):
             row = ["a.0.0.0", 1, "", percent]
-            server.content = json.dumps({"clock_ms": 5, "running": [row]}).encode()
+            document = {"clock_ms": 5, "running": [row], "ended": []}
+            server.content = json.dumps(document).encode()
             reply = upstream.poll("i-1", PollRequest(1, 0), odd_values.ALIVE_S)
             self.assertIn(reply.running["a.0.0.0", 1], (0, 100))
 
--- a/tests/test_poisonous_input.py
+++ b/tests/test_poisonous_input.py
@@ -125,15 +125,16 @@
         upstream = PlatformUpstream(("127.0.0.1", server.server_port))
         for reply in (
             {"clock_ms": "soon"},
-            {"clock_ms": 5, "ended": [["first", "a.0.0.0", 1, "done"]]},
-            {"clock_ms": 5, "ended": [[1, "a.0.0.0", None, "done"]]},
-            {"clock_ms": 5, "running": [["a.0.0.0", [], "", 0]]},
-            {"clock_ms": 5, "running": [[["a"], 1, "", "half"]]},
+            {"ended": [["first", "a.0.0.0", 1, "done"]]},
+            {"ended": [[1, "a.0.0.0", None, "done"]]},
+            {"running": [["a.0.0.0", [], "", 0]]},
+            {"running": [[["a"], 1, "", "half"]]},
         ):
-            replies.append(reply)
+            replies.append({"clock_ms": 5, "running": [], "ended": [], **reply})
             poll = partial(upstream.poll, "i-1", PollRequest(1, 0), 1.0)
             self.assertRaises(NoReply, poll)
-        replies.append({"clock_ms": 5, "ended": [[1, "a.0.0.0", 1, "done", ""]]})
+        ends = [[1, "a.0.0.0", 1, "done", ""]]
+        replies.append({"clock_ms": 5, "running": [], "ended": ends})
         reply = upstream.poll("i-1", PollRequest(1, 0), 1.0)
         self.assertEqual((RunEnd(1, "a.0.0.0", 1, "done"),), reply.ends)
 
