--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -68,7 +68,7 @@
     return EntryAddress(
         get_string({"member": key.removeprefix(ENTRIES_PREFIX)}, "member"),
         get_peer_address(document, "link"),
-        get_string(document, "domain", ""),
+        get_string(document, "domain"),
     )
 
 
--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -12,6 +12,7 @@
 from functools import partial
 from pathlib import Path
 from tempfile import NamedTemporaryFile
+from types import SimpleNamespace
 
 import gevent
 from gevent.pywsgi import WSGIServer
@@ -257,13 +258,17 @@
             ("link",): odd_values.PEER_ADDRESSES,
             ("domain",): odd_values.TEXT_VALUES,
         }
-        cases = odd_values.odd_texts(document, fields)
+        cases = list(odd_values.odd_texts(document, fields))
+        cases += odd_values.incomplete_texts(document, fields)
         odd = {f"{PREFIX}{number}": value for number, (_, value) in enumerate(cases)}
         return {**odd, PREFIX: self.good, PREFIX + "\ud800": self.good}
 
     def entry(self):
         entry = LeasedEntry(_settings("entry"), parse_routing, None, None)
-        entry._presence = type("NoPresence", (), {"republish": lambda self: None})()
+        self.republished = []
+        entry._presence = SimpleNamespace(
+            republish=lambda: self.republished.append("e1")
+        )
         return entry
 
     def test_entry_tells_the_runners_all_other_entries(self):
