Register an entry again if its key names another address

An entry wrote its key again only when it had vanished. If another program had written the key, with an address of its own, no runner that starts could find the entry, for as long as it ran. It now compares the whole address.

--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -100,6 +100,12 @@
         self.config.on_change(lambda now: self._configured.set())
         self.domains.on_change(self._on_domains_change)
 
+    @property
+    def _own_address(self):
+        """`EntryAddress` under which this entry is registered."""
+        settings = self.settings
+        return EntryAddress(settings.member, settings.link_address, settings.domain)
+
     @property
     def ready(self):
         """Whether the load balancer may send callers to this entry."""
@@ -188,7 +194,8 @@
         entries = entry_addresses(snapshot, self._rejections)
         names = [entry.member for entry in entries]
         log.info("entries_changed", extra={"entries": names})
-        if self.settings.member not in names and not self.draining:
+        if self._own_address not in entries and not self.draining:
+            # The key has vanished, or another program has written it.
             self._presence.republish()
         if entries != self._entries:
             self._entries = entries
--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -271,6 +271,16 @@
         )
         return entry
 
+    def test_entry_registers_again_if_its_key_names_another_address(self):
+        """Guards against an entry that no runner finds since its key was replaced."""
+        entry = self.entry()
+        own = {"link": f"{HOST}:7000", "domain": "a"}
+        for changes, republished in (({}, 0), ({"link": "10.0.0.9:1"}, 1), ({}, 1)):
+            value = json.dumps({**own, **changes}).encode()
+            store = _Snapshots({PREFIX + "e1": value})
+            entry._on_entries(store.read(PREFIX), 0.0)
+            self.assertEqual(republished, len(self.republished), changes)
+
     def test_entry_tells_the_runners_all_other_entries(self):
         """Guards against runners that do not learn of entries because of an odd one."""
         entry = self.entry()
