--- a/tests/test_odd_platform_values.py
+++ b/tests/test_odd_platform_values.py
@@ -356,6 +356,14 @@
         cases = odd_values.odd_texts(document, fields)
         self.assertEqual([], odd_values.not_rejected(parse_routing, ConfigError, cases))
 
+    def test_incomplete_configurations_are_rejected(self):
+        """Guards against routes that vanish since another program wrote a version."""
+        document = {"version": 1, "routes": [self.route]}
+        paths = [("version",), ("routes",)]
+        paths += [("routes", 0, name) for name in self.route]
+        cases = odd_values.incomplete_texts(document, paths)
+        self.assertEqual([], odd_values.not_rejected(parse_routing, ConfigError, cases))
+
     def test_domains_are_followed_beside_an_odd_configuration(self):
         """Guards against a domain that stays in service, and a line for each read."""
         text = json.dumps({"version": 3, "routes": [self.route]}).encode()
