Ask before each request of a start whether it may still be sent

Cause: whether an executor may start tasks was asked when a start arrived, and never again.

Now the executor is asked immediately before each request, the first included. A wanted start that may not be sent is withdrawn: the upstream is asked for the run, which goes on if it is there; if not, it is stopped. A lifetime that has executed the stop rejects the number, so that the executor answers `late_start` and the entry ends the job as unknown at once if the open request may outlast its deadline. If the capacity has shrunk, starts give way in the order in which they came. Where the upstream refuses stops as well, the entry ends a pinned job whose executor gives a lasting reason.

--- a/papayaward/coordination/current_upstream.py
+++ b/papayaward/coordination/current_upstream.py
@@ -55,14 +55,20 @@
     @property
     def refusal_reason(self):
         """Reason why no task may start on the upstream, empty if one may."""
+        reason = self.reported_refusal
+        if not reason and (self.session is None or not self.session.ready):
+            return "upstream_silent"
+        return reason
+
+    @property
+    def reported_refusal(self):
+        """The same as far as the reports tell, whether the upstream replies or not."""
         if self.state is None:
             return "no_upstream"
         if self.state.draining:
             return "draining"
         if not self._is_reported or not self._is_session_reported:
             return "not_reported"
-        if self.session is None or not self.session.ready:
-            return "upstream_silent"
         return ""
 
     def recall(self, state):
--- a/papayaward/coordination/delivery_tracker.py
+++ b/papayaward/coordination/delivery_tracker.py
@@ -31,6 +31,11 @@
         self._is_open = is_open
         self._unanswered = 0
 
+    @property
+    def unanswered(self):
+        """Number of requests that were sent and have no reply."""
+        return self._unanswered
+
     def may_send(self):
         """Records that an attempt is about to be sent; returns whether it may be."""
         if not self._is_open():
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -53,6 +53,8 @@
 _FINAL_REASONS = {
     "invalid": "rejected by the upstream",
 }
+# Reasons for which an executor accepts no task for a long time.
+_LASTING_REASONS = ("draining", "domain_out", "no_upstream")
 # Reason for which an executor refuses a job after too many crashes under it.
 _CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
@@ -287,13 +289,14 @@
             return
         if reason not in _PASSING_REASONS:
             task.avoided_executors.add(view.name)
+        is_pinned = self._lost.is_pinned(task.name)
         if reason == LATE_START:
             task.retry_at = now + _LATE_START_RETRY_S
-        elif self._lost.is_pinned(task.name):
+        elif is_pinned:
             task.retry_at = now + _PINNED_RETRY_S
         self._requeue(task, reason, now)
         task.job.on_start_refused()
-        if reason == LATE_START:
+        if reason == LATE_START or (is_pinned and reason in _LASTING_REASONS):
             until = self._lost.executable_until(task.name)
             outcome = self._early_ends.on_late_start(task.job, until)
             self._end_with(task.job, outcome, now)
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -25,7 +25,7 @@
 from .run_owners import RunOwners
 from .run_requests import start_run, stop_run
 from .run_starter import LATE_START, OLD_RUN
-from .start_admission import StartConditions, log_refusals, refusal_of_start
+from .start_admission import StartAdmission, log_refusals
 from .suspected_crashes import SuspectedCrashes
 from .upstream_crashes import LostRun
 from .upstream_session import UpstreamSession
@@ -57,7 +57,6 @@
         self._crashes = crashes or CrashRelay()
         self._suspected = SuspectedCrashes(self._crashes)
         self._upstream = upstream
-        self._is_domain_out = is_domain_out
         self._current = CurrentUpstream(
             self._open_session, self._on_lifetime_lost, self._on_session_closed
         )
@@ -70,9 +69,14 @@
         self._numbers = RunNumbers()
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
+        self._admission = StartAdmission(
+            self._current,
+            self._runs,
+            self._free,
+            is_domain_out,
+            lambda job_id: self._crashes.records.is_exhausted(job_id),
+        )
         self._isolated_runs = 0
-        self._closing = False
-        self._close_limit = 0.0
         self._was_accepting = False
         self._reports = CapacityReports(
             self._owners.by_member,
@@ -104,14 +108,7 @@
     @property
     def refusal_reason(self):
         """Reason why no task may start now, empty if one may."""
-        if self._closing and not self._runs:
-            return "closing"
-        reason = self._current.refusal_reason
-        if reason:
-            return reason
-        if self._is_domain_out(self.state.domain):
-            return "domain_out"
-        return ""
+        return self._admission.refusal_reason
 
     def close(self, until):
         """Begins the shutdown: only tasks that do not delay it may still start.
@@ -119,8 +116,7 @@
         Args:
             until: Time by which every run must have ended, seconds.
         """
-        self._closing = True
-        self._close_limit = until
+        self._admission.close(until)
         self.check_accepting()
 
     # The upstream's reports.
@@ -274,9 +270,7 @@
         Returns:
             str: Reason for the refusal, empty if the start was accepted.
         """
-        reason = self.refusal_reason or refusal_of_start(
-            group, start, need, owner.last_alive_at, self._start_conditions(), now
-        )
+        reason = self._admission.of_start(group, start, need, owner.last_alive_at, now)
         if reason:
             return reason
         if start.late_start is not None:
@@ -296,6 +290,7 @@
         gevent.spawn(
             start_run,
             run,
+            lambda: self._admission.of_accepted(run, clock.now()),
             self._reports.on_run_settled,
             self._activity.on_not_started,
             self._reports.on_unanswered,
@@ -310,14 +305,6 @@
         if self._late_starts.on_told(late_start, lost_run, session, now):
             self._numbers.add(start.task, late_start.run, now)
 
-    def _start_conditions(self):
-        return StartConditions(
-            self._runs,
-            self._free(),
-            self._close_limit if self._closing else None,
-            self._crashes.records.is_exhausted,
-        )
-
     def _finish(self, run, outcome, now):
         del self._runs[run.task]
         self._used = self._used - run.need
--- a/papayaward/coordination/run_requests.py
+++ b/papayaward/coordination/run_requests.py
@@ -18,11 +18,13 @@
 log = logging.getLogger(__name__)
 
 
-def start_run(run, on_settled, on_not_started, on_unanswered):
+def start_run(run, refusal, on_settled, on_not_started, on_unanswered):
     """Starts a run and waits until its start is settled.
 
     Args:
         run: `Run`.
+        refusal: Function that returns why no request to start the run may be sent now,
+            empty if one may.
         on_settled: Function that takes the run's `Owner`, called once the run is known
             to have started.
         on_not_started: Function that takes the run, the outcome and the time, called
@@ -55,6 +57,7 @@
         count_unanswered,
         on_identified,
         run.earlier_requests > 0,
+        refusal,
     )
     run.run = number
     if run.ended or run.session_closed:
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -27,6 +27,8 @@
 OLD_RUN = "old_run"
 # Outcomes after which the next request, with a newer token or lease, may be accepted.
 _PASSING_OUTCOMES = ("fenced", "late")
+# States of a start that is settled and has not begun a run (see `RunStarter._settle`).
+_NOT_STARTED = ("never", "rejected")
 # Number of requests without a reply after which the next ones are sent less often.
 _QUICK_ATTEMPTS = 6
 _SLOW_RETRY_S = 0.2
@@ -66,15 +68,15 @@
         on_unanswered,
         on_identified,
         has_earlier_requests=False,
+        refusal=lambda: "",
     ):
         """Starts a run; see `UpstreamSession.start`."""
         unanswered = rejections = 0
         expires_ms = 0
         leased_until = 0.0
-        result = "rejected"
 
         def may_send():
-            return not self._calls.closed and is_wanted()
+            return not self._calls.closed and is_wanted() and not refusal()
 
         def may_send_request():
             # The process may have been stopped since the lease was determined. The next
@@ -93,31 +95,27 @@
             leased_until = self._lease_end(clock.now())
             # While the upstream was asked, another poll may have listed the end.
             if not may_send_request():
-                result = "cancelled"
-                break
+                is_withdrawn = is_wanted() and not self._calls.closed
+                reason = refusal() if is_withdrawn else ""
+                if reason:
+                    requests = delivery.unanswered
+                    return self._withdraw(task, run, requests, expires_ms, reason)
+                return self._give_up(task, run, unanswered, expires_ms, "cancelled")
             request = self._request(task, run, spec, leased_until)
-            try:
-                outcome = self._calls.start(request, unanswered, delivery)
-            except NoReply as error:
-                delivery.on_no_reply()
+            outcome = self._send(request, unanswered, delivery)
+            if outcome is None:
                 unanswered += 1
                 expires_ms = max(expires_ms, request.lease_ms)
-                log.info(
-                    "start_unanswered",
-                    extra={"task": task, "run": run, "error": str(error)},
-                )
-                continue
-            if outcome == "started":
+            elif outcome == "started":
                 return outcome, run
-            if outcome == OLD_RUN:
+            elif outcome == OLD_RUN:
+                is_open = unanswered or has_earlier_requests
                 state = self._state_of(task, run) if unanswered else "never"
                 # The end of an earlier submission's run may be listed under the number.
                 if state == "started" or (state == "ended" and not is_wanted()):
                     return state, run
                 # The next lifetime could execute requests under two numbers.
-                is_open = unanswered or has_earlier_requests
-                result = LATE_START if is_open else OLD_RUN
-                break
+                return LATE_START if is_open else OLD_RUN, run
             elif outcome in _PASSING_OUTCOMES and rejections < _QUICK_ATTEMPTS:
                 rejections += 1
             elif unanswered and outcome != "invalid":
@@ -125,15 +123,58 @@
                 # lifetime could execute both requests.
                 gevent.sleep(_RETRY_S)
             else:
-                result = outcome
-                break
-        # A lifetime that has ended the number rejects its requests.
-        if unanswered and result != LATE_START:
+                return self._give_up(task, run, unanswered, expires_ms, outcome)
+
+    def _send(self, request, attempt, delivery):
+        """Sends one request; returns the outcome, None if there was no reply."""
+        try:
+            return self._calls.start(request, attempt, delivery)
+        except NoReply as error:
+            delivery.on_no_reply()
+            extra = {"task": request.task, "run": request.run, "error": str(error)}
+            log.info("start_unanswered", extra=extra)
+            return None
+
+    def _give_up(self, task, run, unanswered, expires_ms, result):
+        """Settles a start that is not wanted any more or was rejected for good.
+
+        Returns:
+            tuple: As for `start`; the outcome is the result if the run has not begun.
+        """
+        if unanswered:
             settled = self._settle(task, run, expires_ms)
-            if settled != "never":
+            if settled not in _NOT_STARTED:
                 return settled, run
         return result, run
 
+    def _withdraw(self, task, run, unanswered, expires_ms, reason):
+        """Settles a start that is wanted and may not be sent any more.
+
+        A run that an earlier request has begun goes on. If the upstream has stopped the
+        number instead, only a later lifetime may execute an earlier request.
+
+        Returns:
+            tuple: As for `start`; the outcome is `late_start` in that case, and the
+                reason if the upstream may still accept the number.
+        """
+        log.info(
+            "start_withdrawn",
+            extra={
+                "task": task,
+                "run": run,
+                "unanswered": unanswered,
+                "reason": reason,
+            },
+        )
+        if not unanswered:
+            return reason, run
+        if self._state_of(task, run) == "started":
+            return "started", run
+        settled = self._settle(task, run, expires_ms)
+        if settled == "rejected":
+            return LATE_START, run
+        return reason if settled == "never" else settled, run
+
     def _request(self, task, run, spec, until):
         lease_ms = self._calls.lease.lease_ms(until)
         return StartRequest(task, run, spec, lease_ms, self._calls.token.value)
@@ -146,20 +187,20 @@
         state that the next poll reports is final.
 
         Returns:
-            str: `started` if the run is active or being stopped, `ended`, `never`, or
-                `closed` if no more requests are sent, so that its state is not known.
+            str: `started` if the run is active or being stopped, `ended`, `rejected` if
+                the upstream has stopped the number before a request arrived, `never` if
+                the lease of each request has ended, or `closed` if no more requests are
+                sent, so that its state is not known.
         """
         state = "never"
         attempt = 0
-        is_final = False
-        while state == "never" and not is_final:
-            result = self._calls.stop(task, run, attempt)
-            is_final = (
-                result is StopResult.EXECUTED or self._calls.lease.clock_ms > expires_ms
-            )
+        is_stopped = is_expired = False
+        while state == "never" and not is_stopped and not is_expired:
+            is_stopped = self._calls.stop(task, run, attempt) is StopResult.EXECUTED
+            is_expired = self._calls.lease.clock_ms > expires_ms
             state = self._state_of(task, run)
             attempt += 1
-        return state
+        return "rejected" if state == "never" and is_stopped else state
 
     def _wait_and_ask(self, task, run, unanswered, may_send):
         """Polls before a request to start a run is repeated; returns as `_ask`.
--- a/papayaward/coordination/start_admission.py
+++ b/papayaward/coordination/start_admission.py
@@ -2,7 +2,11 @@
 papayaward.coordination.start_admission
 ~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
-Decides whether an executor begins a run for a start that it received.
+Decides whether an executor begins a run for a start that it received, and whether it
+sends a request to start an accepted run.
+
+What is decided on can change between the two, and while a request without a reply is
+repeated.
 """
 
 import logging
@@ -14,7 +18,13 @@
 from ..state.crashes import job_id_of
 from .leased_runs import may_isolate
 
-__all__ = ["StartConditions", "log_refusals", "refusal_of_start"]
+__all__ = [
+    "StartAdmission",
+    "StartConditions",
+    "log_refusals",
+    "refusal_of_accepted_start",
+    "refusal_of_start",
+]
 
 log = logging.getLogger(__name__)
 
@@ -31,8 +41,9 @@
     """State of an executor that decides whether a start may begin a run.
 
     Attributes:
-        runs: `Run` by the name of its task.
-        free: Free `Resources` of the upstream.
+        runs: `Run` by the name of its task, in the order in which they were accepted.
+        capacity: `Resources` of the upstream.
+        free: The part of them that no run uses; negative if the capacity has shrunk.
         close_limit: Time by which every run must have ended, seconds; None unless the
             process is closing.
         is_exhausted: Function that returns whether a job, by its identifier, must not
@@ -40,11 +51,80 @@
     """
 
     runs: Mapping
+    capacity: Resources
     free: Resources
     close_limit: float | None
     is_exhausted: Callable
 
 
+class StartAdmission:
+    """Whether the tasks of one executor may start at present.
+
+    Args:
+        current: `CurrentUpstream`.
+        runs: `Run` by the name of its task; the executor changes this dict.
+        free: Function that returns the free `Resources` of the upstream.
+        is_domain_out: Function that returns whether a failure domain is out of
+            service.
+        is_exhausted: As in `StartConditions`.
+    """
+
+    def __init__(self, current, runs, free, is_domain_out, is_exhausted):
+        self._current = current
+        self._runs = runs
+        self._free = free
+        self._is_domain_out = is_domain_out
+        self._is_exhausted = is_exhausted
+        self._close_limit = None
+
+    @property
+    def refusal_reason(self):
+        """Reason why no task may start now, empty if one may."""
+        if self._close_limit is not None and not self._runs:
+            return "closing"
+        return self._current.refusal_reason or self._domain_refusal
+
+    def close(self, until):
+        """Refuses the tasks that would delay the shutdown from now on.
+
+        Args:
+            until: Time by which every run must have ended, seconds.
+        """
+        self._close_limit = until
+
+    def of_start(self, group, start, need, alive_at, now):
+        """Returns why a start is refused; arguments as for `refusal_of_start`."""
+        return self.refusal_reason or refusal_of_start(
+            group, start, need, alive_at, self._conditions(), now
+        )
+
+    def of_accepted(self, run, now):
+        """Returns why no request to start a run may be sent now, empty if one may.
+
+        A silent upstream is no reason: a start without a reply waits until it replies.
+
+        Args:
+            run: `Run` that was accepted.
+            now: Time, seconds.
+        """
+        reason = self._current.reported_refusal or self._domain_refusal
+        return reason or refusal_of_accepted_start(run, self._conditions(), now)
+
+    @property
+    def _domain_refusal(self):
+        domain = self._current.state.domain
+        return "domain_out" if self._is_domain_out(domain) else ""
+
+    def _conditions(self):
+        return StartConditions(
+            self._runs,
+            self._current.state.capacity,
+            self._free(),
+            self._close_limit,
+            self._is_exhausted,
+        )
+
+
 def refusal_of_start(group, start, need, alive_at, conditions, now):
     """Returns the reason for which a start is refused, empty if it is accepted.
 
@@ -74,6 +154,42 @@
     return ""
 
 
+def refusal_of_accepted_start(run, conditions, now):
+    """Returns the reason for which a run may not be started any more, or empty.
+
+    A limit on isolated jobs is not asked again, since each later start keeps to the
+    limits of the runs that were accepted before it.
+
+    Args:
+        run: `Run` that the upstream has not confirmed.
+        conditions: `StartConditions`; its `runs` contain the run.
+        now: Time, seconds.
+    """
+    limit = conditions.close_limit
+    if limit is not None and now + run.expected_s > limit:
+        return "closing"
+    if not conditions.free.covers(Resources()) and not _is_covered(run, conditions):
+        return "busy"
+    if conditions.is_exhausted(job_id_of(run.task)):
+        return "crashing"
+    return ""
+
+
+def _is_covered(run, conditions):
+    """Returns whether the capacity holds a run besides those that precede it.
+
+    These are the runs that have started and those that were accepted earlier, so that
+    not every start gives way when the capacity shrinks.
+    """
+    used, is_earlier = run.need, True
+    for other in conditions.runs.values():
+        if other is run:
+            is_earlier = False
+        elif is_earlier or other.running:
+            used = used + other.need
+    return conditions.capacity.covers(used)
+
+
 def _latest_end(conditions, now):
     """Returns the latest expected end of a task that may start while closing."""
     ends = (
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -168,6 +168,7 @@
         on_unanswered=lambda count: None,
         on_identified=lambda: None,
         has_earlier_requests=False,
+        refusal=lambda: "",
     ):
         """Starts a run.
 
@@ -203,6 +204,7 @@
             on_unanswered,
             on_identified,
             has_earlier_requests,
+            refusal,
         )
 
     def stop(self, task, run, is_needed=lambda: True):
