Soak: upstreams taken out of use while starts have no reply, and foreign reports

Also: a clearer name and an argument's description in the starter of runs, and no_upstream is no lasting reason (the next instance may be there in time).

--- a/benchmarks/fault_injection.py
+++ b/benchmarks/fault_injection.py
@@ -12,6 +12,7 @@
 from .process_faults import FAULTS, LOAD_FAULTS
 from .restart_faults import RESTART_FAULTS
 from .upstream_faults import UPSTREAM_FAULTS
+from .withdrawal_faults import WITHDRAWAL_FAULTS
 
 __all__ = [
     "ONLY_NAMES",
@@ -25,7 +26,9 @@
 # Selects all of `PATH_FAULTS`.
 _ALL_PATH_FAULTS = "path_all"
 PATH_NAMES = (*PATH_FAULTS, _ALL_PATH_FAULTS)
-ONLY_NAMES = tuple(sorted([*RESTART_FAULTS, *PATH_NAMES, PAUSES]))
+# Faults that submit jobs of their own and are repeated without a pause.
+_REPEATED_FAULTS = {**RESTART_FAULTS, **WITHDRAWAL_FAULTS}
+ONLY_NAMES = tuple(sorted([*_REPEATED_FAULTS, *PATH_NAMES, PAUSES]))
 # Path faults per second, alone and beside all others, and their jobs per second.
 _PATH_RATE = 0.8
 _MIXED_PATH_RATE = 0.5
@@ -44,8 +47,8 @@
     Returns:
         list of Greenlet: They end once the soak is stopped.
     """
-    if only in RESTART_FAULTS:
-        return [gevent.spawn(_repeat_fault, soak, RESTART_FAULTS[only])]
+    if only in _REPEATED_FAULTS:
+        return [gevent.spawn(_repeat_fault, soak, _REPEATED_FAULTS[only])]
     submit_path_load(soak, _PATH_JOBS_RATE, seconds)
     if only == PAUSES:
         return [spawn_pauses(soak)]
--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -6,13 +6,13 @@
 
 Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]
 [--entries E] [--upstream-faults] [--path-faults] [--pauses] [--only FAULT]`. With
-`--only`, one fault of `RESTART_FAULTS` or `PATH_FAULTS` is injected again and again,
-with `path_all` all of the latter, or with `pauses` pauses of several processes at a
-time, and only their jobs are submitted. The last line is `soak: ok` or `soak: failed`.
-It is preceded by the events in order of time (if the run failed or its logs are kept),
-the violations, the answers by status and the command that repeats the run. The seed
-determines the faults and the jobs, but not how the operating system interleaves the
-processes.
+`--only`, one fault of `RESTART_FAULTS`, `WITHDRAWAL_FAULTS` or `PATH_FAULTS` is
+injected again and again, with `path_all` all of the latter, or with `pauses` pauses of
+several processes at a time, and only their jobs are submitted. The last line is `soak:
+ok` or `soak: failed`. It is preceded by the events in order of time (if the run failed
+or its logs are kept), the violations, the answers by status and the command that
+repeats the run. The seed determines the faults and the jobs, but not how the operating
+system interleaves the processes.
 """
 
 import argparse
--- a/benchmarks/soak_checks.py
+++ b/benchmarks/soak_checks.py
@@ -16,6 +16,9 @@
 ANSWER_SLACK_S = 0.7
 _DOMAIN_OUT_BOUND_S = 5.0
 _ERROR_MARKERS = ("request_failed", "step_failed", "message_failed", "Traceback")
+# No task may start on an upstream for longer than this after it was acknowledged that
+# the upstream is draining.
+_DRAIN_BOUND_S = 2.0
 # A smaller capacity counts after this time.
 _SHRINK_BOUND_S = 3.3
 # Upstreams that may crash under a task, and starts of it after that.
@@ -35,6 +38,7 @@
     found = []
     by_task = defaultdict(list)
     for upstream in soak.fleet.upstreams.values():
+        found += _check_drains(soak, upstream)
         for instance in upstream.instances:
             found += _check_capacity(soak, upstream, instance)
             for record in instance.records:
@@ -115,6 +119,17 @@
     return []
 
 
+def _check_drains(soak, upstream):
+    return [
+        f"task {record.task} started on {upstream.name} at "
+        f"{record.started_at - soak.started_at:.2f} s, "
+        f"{record.started_at - acked_at:.2f} s after the drain was acknowledged"
+        for instance, acked_at in upstream.drains
+        for record in instance.records
+        if record.started_at > acked_at + _DRAIN_BOUND_S
+    ]
+
+
 def _capacity_at(upstream, at):
     """Returns the number of cores that the runs on an upstream may use at a time."""
     times = [changed_at for changed_at, _ in upstream.capacities[1:]]
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -54,7 +54,7 @@
     "invalid": "rejected by the upstream",
 }
 # Reasons for which an executor accepts no task for a long time.
-_LASTING_REASONS = ("draining", "domain_out", "no_upstream")
+_LASTING_REASONS = ("draining", "domain_out")
 # Reason for which an executor refuses a job after too many crashes under it.
 _CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
--- a/papayaward/coordination/run_starter.py
+++ b/papayaward/coordination/run_starter.py
@@ -95,8 +95,8 @@
             leased_until = self._lease_end(clock.now())
             # While the upstream was asked, another poll may have listed the end.
             if not may_send_request():
-                is_withdrawn = is_wanted() and not self._calls.closed
-                reason = refusal() if is_withdrawn else ""
+                is_open = is_wanted() and not self._calls.closed
+                reason = refusal() if is_open else ""
                 if reason:
                     requests = delivery.unanswered
                     return self._withdraw(task, run, requests, expires_ms, reason)
@@ -109,13 +109,13 @@
             elif outcome == "started":
                 return outcome, run
             elif outcome == OLD_RUN:
-                is_open = unanswered or has_earlier_requests
                 state = self._state_of(task, run) if unanswered else "never"
                 # The end of an earlier submission's run may be listed under the number.
                 if state == "started" or (state == "ended" and not is_wanted()):
                     return state, run
                 # The next lifetime could execute requests under two numbers.
-                return LATE_START if is_open else OLD_RUN, run
+                has_open_requests = unanswered or has_earlier_requests
+                return LATE_START if has_open_requests else OLD_RUN, run
             elif outcome in _PASSING_OUTCOMES and rejections < _QUICK_ATTEMPTS:
                 rejections += 1
             elif unanswered and outcome != "invalid":
--- a/papayaward/coordination/upstream_session.py
+++ b/papayaward/coordination/upstream_session.py
@@ -190,6 +190,8 @@
                 have begun the run.
             has_earlier_requests: Whether earlier requests under the number may still be
                 executed. The task may start under this number only then.
+            refusal: Function that returns why no request to start the run may be sent
+                now, empty if one may. A start that is wanted is withdrawn then.
 
         Returns:
             tuple: `started`, `ended` or the reason why the run did not start, and the
--- a/standins/leased_upstream.py
+++ b/standins/leased_upstream.py
@@ -70,6 +70,7 @@
         loss: Function that returns after how many seconds the next request is executed
             without a reply; it returns None for a request that is handled as usual.
         order_loss: The same for starts and stops only.
+        is_losing_starts: Whether starts get no reply and are not executed.
         is_unhealthy: Function that takes `start`, `stop` or `poll` and returns whether
             the next such request is refused without being executed.
         born_ms: Start of the lifetime, milliseconds, which replies tell; 0 if they
@@ -95,6 +96,7 @@
     loss: object = lambda: None
     order_loss: object = lambda: None
     on_crash: object = lambda: None
+    is_losing_starts: bool = False
     is_unhealthy: object = lambda name: False
     born_ms: int = 0
     names_lifetime_in_lists_only: bool = False
@@ -201,6 +203,8 @@
         if self.silent or delay_s is not None:
             gevent.sleep(timeout_s)
             raise NoReply(f"no reply to {name}")
+        if name == "start" and self.is_losing_starts:
+            raise NoReply("no reply to start")
         for fault in self.faults:
             if fault.name == name and fault.times:
                 fault.times -= 1
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -58,6 +58,7 @@
     Attributes:
         capacities: Time and number of cores of each change of its capacity.
         draining: Whether it reports that it is draining.
+        drains: Each `LeasedUpstream` whose drain was acknowledged, and when.
         reporting: Whether it sends reports.
         report_delay_s: Time after which its reports arrive, seconds.
         clock_rate: Speed of the clock of the instances that start from now on.
@@ -69,6 +70,7 @@
         self.capacities = [(time.monotonic(), cores)]
         self.instances = []
         self.draining = False
+        self.drains = []
         self.reporting = True
         self.report_delay_s = 0.0
         self.clock_rate = 1.0
@@ -191,9 +193,32 @@
                         document,
                     )
                 else:
-                    self._send_report(client, upstream, document)
+                    is_acked = self._send_report(client, upstream.instance, document)
+                    if is_acked and document["state"] == "draining":
+                        self._record_drain(upstream)
             gevent.sleep(_REPORT_INTERVAL_S)
 
+    def _record_drain(self, upstream):
+        if all(upstream is not drained for drained, _ in self.drains):
+            self.drains.append((upstream, time.monotonic()))
+
+    def send_foreign_report(self, instance, missing, ahead_ms):
+        """Sends the runner a report of another program.
+
+        Args:
+            instance: Identifier that it names.
+            missing: Field that it lacks.
+            ahead_ms: Time by which its start is later than the upstream's,
+                milliseconds.
+        """
+        document = self._report_document(self.current, 1_000_000)
+        document["born"] += ahead_ms
+        del document[missing]
+        host, port = self._settings["listen_addrs"]["control"].split(":")
+        client = UpstreamClient(host, int(port))
+        self._send_report(client, instance, document)
+        client.close()
+
     def _report_document(self, upstream, sequence):
         return {
             "service": "dispatch",
@@ -210,16 +235,18 @@
         }
 
     def _send_report_and_close(self, client, upstream, document):
-        self._send_report(client, upstream, document)
+        self._send_report(client, upstream.instance, document)
         client.close()
 
-    def _send_report(self, client, upstream, document):
-        path = f"/papayaward/instances/{upstream.instance}"
+    def _send_report(self, client, instance, document):
+        """Sends a report and returns whether it was acknowledged."""
+        path = f"/papayaward/instances/{instance}"
         try:
-            client.request("PUT", path, json.dumps(document).encode(), {})
+            status, _ = client.request("PUT", path, json.dumps(document).encode(), {})
         except (NotSent, UpstreamConnectionLost):
             # The runner is unreachable; the next report follows after the interval.
-            pass
+            return False
+        return status == 200
 
 
 class PlatformFleet:
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -162,6 +162,21 @@
         self.assertEqual([], findings, "\n".join(events))
         self.assertGreater(answers["200"], 0, answers)
 
+    def test_upstreams_taken_out_of_use_while_starts_have_no_reply(self):
+        """Guards against starts at upstreams that drain, shrink or are out of service.
+
+        On the code before, tasks started up to 3 s after a drain was acknowledged.
+        """
+        findings, events, answers = run_soak(9001, _SECONDS, only="withdraw")
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], 0, answers)
+
+    def test_reports_of_another_program(self):
+        """Guards against upstreams that are hidden by incomplete reports."""
+        findings, events, answers = run_soak(9002, _SECONDS, only="foreign")
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], _MIN_COMPLETED, answers)
+
     def _run(self, seed):
         findings, events, answers = run_soak(seed, _SECONDS)
         self.assertEqual([], findings, "\n".join(events))
