--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -104,6 +104,8 @@
         # The same in seconds since 1970, as in the logs of the processes.
         self.started_at_s = time.time()
         self.events = []
+        # Violations that the faults have found themselves.
+        self.findings = []
         started_at = datetime.fromtimestamp(self.started_at_s, UTC)
         self.note(f"started at {started_at.isoformat()}")
         self.attempts = []
--- a/benchmarks/soak_checks.py
+++ b/benchmarks/soak_checks.py
@@ -35,7 +35,7 @@
     Returns:
         list of str: Violations.
     """
-    found = []
+    found = list(soak.findings)
     by_task = defaultdict(list)
     for upstream in soak.fleet.upstreams.values():
         found += _check_drains(soak, upstream)
