--- a/tests/test_unwanted_starts.py
+++ b/tests/test_unwanted_starts.py
@@ -38,6 +38,7 @@
 def _refusal(group=None, runs=(), alive_at=_NOW, exhausted=(), **conditions):
     conditions = StartConditions(
         {run.task: run for run in runs},
+        Resources(800, 8),
         conditions.get("free", Resources(400, 4)),
         conditions.get("close_limit"),
         exhausted.__contains__,
