Bound what clients can make a process read and keep

Cause: heads had no bound but 100 lines of 64 KiB, bodies one each but none together, the rest of a refused body was read to its end without a pause, and a request without an end kept its connection. The limits of the operators' configuration were not read. Change: RequestIntake counts the head as it is read, lets each connection keep 16 KiB and reserves the rest from a budget, and names the connections to close. The server refuses, drops a bounded rest and closes. New settings max_connections, max_head_bytes, max_request_bytes; the server moved to transport/http_server.py.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -23,16 +23,16 @@
 from .protocol.gen.ttypes import ConfigPush, Heartbeat, Member, Members
 from .protocol.options import get_address
 from .protocol.store_errors import StoreError
-from .state import invariants
-from .transport.http_api import serve_http
+from .state import invariants, metrics
+from .transport.http_server import serve_http
 from .transport.peers import serve_links
+from .transport.request_intake import IntakeLimits
 from .transport.store_client import StoreClient
 
 __all__ = ["Entry"]
 
 log = logging.getLogger(__name__)
 
-_MAX_HTTP_CONNECTIONS = 20_000
 _PREPARE_INTERVAL_S = 0.25
 
 # Exceeds the lifetime of the job identifiers that a former coordinator issued.
@@ -75,7 +75,13 @@
         tls = {}
         if settings.tls_certificate:
             tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
-        self._http = serve_http(settings.http, api, _MAX_HTTP_CONNECTIONS, **tls)
+        limits = IntakeLimits(
+            max_connections=settings.max_connections,
+            max_head_bytes=settings.max_head_bytes,
+            budget_bytes=max(settings.max_request_bytes, settings.max_body_bytes),
+        )
+        count = metrics.count_rejected_requests
+        self._http = serve_http(settings.http, api, limits, count, **tls)
         gevent.spawn(repeat, self._read_store)
         gevent.spawn(repeat, self._prepare_leaders)
         log.info("entry_started", extra={"member": settings.member})
--- a/papayaward/job_requests.py
+++ b/papayaward/job_requests.py
@@ -10,9 +10,17 @@
 
 from .protocol.options import OptionError, get_bool, get_int, get_string, read_object
 from .protocol.outcomes import Reason
+from .transport.http_server import BodyFault
 
 __all__ = ["JobRequest", "RequestError", "parse_body", "parse_job"]
 
+# Reason of the refusal and the suggested delay before another attempt, milliseconds.
+_REFUSALS = {
+    BodyFault.TOO_LONG: (Reason.BODY_TOO_LARGE, 0),
+    BodyFault.INCOMPLETE: (Reason.BAD_REQUEST, 0),
+    BodyFault.BUSY: (Reason.OVERLOADED, 2000),
+}
+
 # Parsed JSON has no cycles; checking for them takes a fifth of the encoding time.
 _encode = json.JSONEncoder(check_circular=False, separators=(",", ":")).encode
 
@@ -56,8 +64,10 @@
 
 def parse_body(request):
     """Returns the JSON object in the body of an HTTP request."""
-    if request.body is None:
-        raise RequestError(Reason.BODY_TOO_LARGE, "the body is too large")
+    if request.body_fault is not None:
+        reason, retry_after_ms = _REFUSALS[request.body_fault]
+        detail = request.body_fault.replace("_", " ")
+        raise RequestError(reason, detail, retry_after_ms)
     return read_object(request.body)
 
 
--- a/papayaward/protocol/jobs.py
+++ b/papayaward/protocol/jobs.py
@@ -14,6 +14,7 @@
     "LeasedJobRequest",
     "Phase",
     "Queue",
+    "RequestLimits",
     "Resources",
     "Routing",
     "resources_from_wire",
@@ -153,12 +154,32 @@
     requires_hint: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Limits on the requests of callers.
+
+    Attributes:
+        max_head_bytes: Request line and headers of one request.
+        max_body_bytes: Body of one request.
+        head_timeout_s: Time from the first byte of a request to the end of its head,
+            seconds.
+        idle_timeout_s: Time between two requests after which a connection may be
+            closed, seconds.
+    """
+
+    max_head_bytes: int = 32 * 1024
+    max_body_bytes: int = 1024 * 1024
+    head_timeout_s: float = 60.0
+    idle_timeout_s: float = 15.0
+
+
 @dataclass(frozen=True)
 class Routing:
-    """The queues of one configuration version."""
+    """The queues of one configuration version, and the limits on callers' requests."""
 
     version: int = 0
     queues: tuple = ()
+    limits: RequestLimits = RequestLimits()
 
     def find(self, host, path):
         """Returns the queue with the longest prefix of a path, or None.
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -150,6 +150,27 @@
         _ENTRY,
         "Largest accepted request body, in bytes.",
     ),
+    Setting(
+        "max_connections",
+        partial(get_int, low=16, high=100_000),
+        20_000,
+        _ENTRY,
+        "Connections of callers that are open at once; each takes up to 64 KiB.",
+    ),
+    Setting(
+        "max_head_bytes",
+        partial(get_int, low=8192, high=1024 * 1024),
+        32 * 1024,
+        _ENTRY,
+        "Largest accepted request line with headers, in bytes.",
+    ),
+    Setting(
+        "max_request_bytes",
+        partial(get_int, low=1024 * 1024),
+        32 * 1024 * 1024,
+        _ENTRY,
+        "Bytes of all requests over 16 KiB that are kept at once; at least one body.",
+    ),
     Setting(
         "max_open_jobs",
         partial(get_int, low=1),
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -28,7 +28,8 @@
 )
 from .rejection_log import RejectionLog
 from .state import invariants, metrics
-from .transport.http_api import json_response, serve_http
+from .transport.http_api import json_response
+from .transport.http_server import serve_http
 from .transport.loopback import LoopbackLink
 from .transport.peers import Dialler, serve_links
 
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -17,11 +17,13 @@
     "QUEUED_TASKS",
     "QUEUE_SECONDS",
     "REJECTED_GRANTS",
+    "REJECTED_REQUESTS",
     "RESPONSE_OVER_SERVICE",
     "RESPONSE_SECONDS",
     "SERVICE_SECONDS",
     "SLOTS_IN_USE",
     "UPSTREAM_CRASHES",
+    "count_rejected_requests",
     "export",
     "export_link_stats",
 ]
@@ -64,6 +66,11 @@
     "Grants that the start gate refused, by reason.",
     ("reason",),
 )
+REJECTED_REQUESTS = Counter(
+    "papayaward_rejected_requests_total",
+    "Requests of clients outside the limits, by status or fault.",
+    ("reason",),
+)
 INVARIANT_VIOLATIONS = Counter(
     "papayaward_invariant_violations_total",
     "Violations of invariants; any is a fault of the program.",
@@ -132,6 +139,16 @@
     _LINKS.stats = stats
 
 
+def count_rejected_requests(reason, number):
+    """Counts requests of clients outside the limits.
+
+    Args:
+        reason: Status of the response, fault of the body, or `unfinished`.
+        number: Number of requests.
+    """
+    REJECTED_REQUESTS.labels(reason).inc(number)
+
+
 def export():
     """Returns all metrics in the Prometheus text format, bytes."""
     return generate_latest()
--- /dev/null
+++ b/papayaward/transport/http_server.py
@@ -0,0 +1,446 @@
+"""
+papayaward.transport.http_server
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+WSGI server that drains before it stops and bounds what its clients can send.
+"""
+
+import io
+import logging
+from dataclasses import replace
+from enum import StrEnum
+from http import HTTPStatus
+from http.client import HTTPException
+
+import gevent
+from gevent import socket
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
+
+from .. import clock
+from ..loops import repeat
+from .request_intake import (
+    BudgetExhausted,
+    HeadTooLarge,
+    IntakeLimits,
+    RequestIntake,
+)
+
+__all__ = [
+    "BodyError",
+    "BodyFault",
+    "HttpServer",
+    "has_disconnected",
+    "read_body",
+    "serve_http",
+    "watch_disconnect",
+]
+
+log = logging.getLogger(__name__)
+
+_DRAIN_POLL_S = 0.05
+_FINAL_REQUEST_WAIT_S = 0.2
+_GUARD_INTERVAL_S = 0.5
+_CONNECTION = "papayaward.connection"
+_READER = "papayaward.reader"
+_ON_REJECTED = "papayaward.on_rejected"
+_BACKLOG = 1024
+# Bytes that the kernel keeps of a client that sends faster than it is read.
+_RECEIVE_BUFFER_BYTES = 128 * 1024
+# A client that is refused while it sends reads the response only if the connection
+# stays open for a while.
+_LINGER_BYTES = 10 * 1024 * 1024
+_LINGER_S = 2.0
+_LINGER_READ_BYTES = 64 * 1024
+# A body in chunks is read in parts of this size.
+_PART_BYTES = 4096
+# Chunks whose framing takes more than this and half of their content are refused.
+_FRAMING_BYTES = 96 * 1024
+_LOG_INTERVAL_S = 1.0
+
+
+class BodyFault(StrEnum):
+    """Reasons for which a body was not read."""
+
+    TOO_LONG = "body_too_long"
+    INCOMPLETE = "body_incomplete"
+    BUSY = "too_many_large_requests"
+
+
+class BodyError(Exception):
+    """A body that was not read.
+
+    Attributes:
+        fault: `BodyFault`.
+    """
+
+    def __init__(self, fault):
+        super().__init__(fault.value.replace("_", " "))
+        self.fault = fault
+
+
+class _BoundedInput(Input):
+    """Body of a request of which the part that nobody reads is not read either."""
+
+    __slots__ = ()
+
+    @property
+    def has_more(self):
+        """Whether a part of the body has not been read."""
+        if self.chunked_input:
+            return self.chunk_length != 0
+        return self.position < (self.content_length or 0)
+
+    def _discard(self):
+        # The connection is closed instead.
+        pass
+
+
+class _Handler(WSGIHandler):
+    """Registers with its server from a request's header to the end of its response."""
+
+    def __init__(self, sock, address, server):
+        self._reader = server.intake.connect(sock, clock.now())
+        super().__init__(sock, address, server, io.BufferedReader(self._reader))
+
+    def handle(self):
+        try:
+            super().handle()
+        finally:
+            self._reader.close()
+
+    def handle_one_request(self):
+        self._reader.begin_request(clock.now())
+        result = super().handle_one_request()
+        if isinstance(result, tuple):
+            status, response = result
+            self._on_rejected(status)
+            self.socket.sendall(response)
+            self._linger()
+            return None
+        return result
+
+    def _on_rejected(self, reason):
+        self.server.on_rejected(reason, self.client_address)
+
+    def read_request(self, raw_requestline):
+        complete = super().read_request(raw_requestline)
+        self._reader.end_head()
+        return complete
+
+    def _handle_client_error(self, ex):
+        if isinstance(ex, (HeadTooLarge, HTTPException)):
+            return _error_response(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        if isinstance(ex, BudgetExhausted):
+            return _error_response(HTTPStatus.SERVICE_UNAVAILABLE)
+        return _error_response(HTTPStatus.BAD_REQUEST)
+
+    def get_environ(self):
+        environ = super().get_environ()
+        source = self.wsgi_input
+        self.wsgi_input = environ["wsgi.input"] = _BoundedInput(
+            source.rfile, source.content_length, source.socket, source.chunked_input
+        )
+        environ[_CONNECTION] = self.socket
+        environ[_READER] = self._reader
+        environ[_ON_REJECTED] = self._on_rejected
+        if not self.wsgi_input.has_more:
+            self._reader.complete_request()
+        return environ
+
+    def start_response(self, status, headers, exc_info=None):
+        if self.wsgi_input.has_more:
+            headers = [*headers, ("Connection", "close")]
+        return super().start_response(status, headers, exc_info)
+
+    def handle_one_response(self):
+        self.server.open_requests.add(self)
+        if self.server.draining:
+            # The caller has to reconnect, so its next request goes to another entry.
+            self.close_connection = True
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.open_requests.discard(self)
+        if self.wsgi_input.has_more:
+            self.close_connection = True
+            self._linger()
+
+    def _linger(self):
+        """Reads and drops a part of what the client still sends."""
+        self._reader.begin_request(clock.now())
+        buffer = bytearray(_LINGER_READ_BYTES)
+        dropped = 0
+        try:
+            with gevent.Timeout(_LINGER_S, False):
+                self.socket.shutdown(socket.SHUT_WR)
+                while dropped < _LINGER_BYTES:
+                    received = self.socket.recv_into(buffer)
+                    if not received:
+                        return
+                    dropped += received
+                    gevent.sleep(0)
+        except OSError:
+            # The client has disconnected.
+            pass
+
+
+def _error_response(status):
+    """Returns the status code and a response without a body."""
+    head = f"HTTP/1.1 {status.value} {status.phrase}\r\nConnection: close\r\n"
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        head += "Retry-After: 2\r\n"
+    return str(status.value), f"{head}Content-Length: 0\r\n\r\n".encode()
+
+
+class HttpServer(WSGIServer):
+    """WSGI server that can stop without aborting requests in progress.
+
+    Attributes:
+        intake: `RequestIntake`.
+        draining: Whether the server is stopping.
+        open_requests: Handlers of the requests in progress.
+
+    Args:
+        listener: Listening socket.
+        application: WSGI application.
+        limits: `IntakeLimits`.
+        count_rejections: Function that takes a reason for which requests were refused
+            and their number.
+        **options: Further options of `WSGIServer`.
+    """
+
+    def __init__(self, listener, application, limits, count_rejections, **options):
+        self._count_rejections = count_rejections
+        self.intake = RequestIntake(limits)
+        self.draining = False
+        self.open_requests = set()
+        self._logged_at = {}
+        super().__init__(listener, application, spawn=limits.max_connections, **options)
+        self._guard = gevent.spawn(repeat, self._close_overdue)
+
+    def stop(self, timeout=None):
+        """Stops accepting and closes all connections."""
+        self._guard.kill()
+        super().stop(timeout)
+
+    def set_request_limits(self, request_limits):
+        """Applies the limits that the operators have configured.
+
+        Args:
+            request_limits: `RequestLimits`.
+        """
+        self.intake.limits = replace(
+            self.intake.limits,
+            max_head_bytes=request_limits.max_head_bytes,
+            max_head_s=request_limits.head_timeout_s,
+            crowded_idle_s=request_limits.idle_timeout_s,
+        )
+
+    def on_rejected(self, reason, address):
+        """Counts a refused client and logs it, at most once a second a reason.
+
+        Args:
+            reason: Status code or `BodyFault`.
+            address: (host, port) of the client.
+        """
+        self._count_rejections(reason, 1)
+        now = clock.now()
+        if now - self._logged_at.get(reason, -_LOG_INTERVAL_S) >= _LOG_INTERVAL_S:
+            self._logged_at[reason] = now
+            log.info(
+                "client_rejected",
+                extra={
+                    "reason": reason,
+                    "client": "%s:%d" % address[:2],
+                    "connections": self.intake.connections,
+                    "reserved_bytes": self.intake.reserved_bytes,
+                },
+            )
+
+    def _close_overdue(self):
+        self.intake.wait_for_work()
+        gevent.sleep(_GUARD_INTERVAL_S)
+        overdue = self.intake.overdue(clock.now())
+        for reader in overdue:
+            reader.abort()
+        if overdue:
+            self._count_rejections("unfinished", len(overdue))
+            log.info(
+                "connections_closed",
+                extra={
+                    "closed": len(overdue),
+                    "connections": self.intake.connections,
+                    "reserved_bytes": self.intake.reserved_bytes,
+                },
+            )
+
+    def drain(self, deadline):
+        """Waits for the requests in progress, then stops accepting and closes.
+
+        Requests that arrive in the meantime still reach the application, which may
+        refuse them.
+
+        Args:
+            deadline: Monotonic time at which waiting ends, seconds.
+
+        Returns:
+            bool: Whether every request was finished.
+        """
+        self.draining = True
+        self._wait_for(set(self.open_requests), deadline)
+        self.stop_accepting()
+        # Leaves time for the most recently accepted connections to send a request.
+        gevent.sleep(_FINAL_REQUEST_WAIT_S)
+        self._wait_for(self.open_requests, deadline)
+        finished = not self.open_requests
+        self.stop(timeout=0)
+        return finished
+
+    def _wait_for(self, handlers, deadline):
+        while handlers & self.open_requests and clock.now() < deadline:
+            gevent.sleep(_DRAIN_POLL_S)
+
+
+def serve_http(
+    address,
+    application,
+    limits=IntakeLimits(),
+    count_rejections=lambda reason, number: None,
+    **options,
+):
+    """Starts a WSGI server and returns it.
+
+    Args:
+        address: (host, port) to listen on.
+        application: WSGI application.
+        limits: `IntakeLimits`.
+        count_rejections: Function that takes a reason for which requests were refused
+            and their number.
+        **options: Further options of `WSGIServer`.
+
+    Returns:
+        HttpServer: The running server.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit these options. The server writes the header and the
+    # body separately; with Nagle's algorithm the body would wait 40 ms for the peer's
+    # delayed ACK.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    listener.bind(address)
+    listener.listen(_BACKLOG)
+    options.setdefault("handler_class", _Handler)
+    server = HttpServer(
+        listener,
+        application,
+        limits,
+        count_rejections,
+        log=None,
+        error_log=log,
+        # Otherwise the server resolves the host's domain name at start.
+        environ={"SERVER_NAME": address[0]},
+        **options,
+    )
+    server.start()
+    return server
+
+
+def has_disconnected(environ):
+    """Returns whether the caller of a request is known to have disconnected.
+
+    Other greenlets don't run during the test.
+
+    Args:
+        environ: WSGI environment of the request.
+    """
+    sock = environ[_CONNECTION]
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.settimeout(timeout_s)
+
+
+def watch_disconnect(environ, on_disconnect):
+    """Detects a disconnect of the caller while its request is processed.
+
+    Args:
+        environ: WSGI environment of the request.
+        on_disconnect: Function called if the caller closes the connection.
+
+    Returns:
+        gevent.Greenlet: Watcher; kill it before the response is returned.
+    """
+    sock = environ[_CONNECTION]
+
+    def watch():
+        try:
+            disconnected = not sock.recv(1, socket.MSG_PEEK)
+        except OSError:
+            disconnected = True
+        if disconnected:
+            on_disconnect()
+
+    return gevent.spawn(watch)
+
+
+def read_body(environ, max_bytes):
+    """Returns the body of a request.
+
+    Args:
+        environ: WSGI environment of the request.
+        max_bytes: Maximum size.
+
+    Raises:
+        BodyError: The body is too long, its length is invalid, it has not arrived whole
+            or too many clients send large bodies.
+    """
+    try:
+        body = _read_body(environ, max_bytes)
+    except BodyError as error:
+        environ.get(_ON_REJECTED, lambda reason: None)(error.fault)
+        raise
+    reader = environ.get(_READER)
+    if reader is not None:
+        reader.complete_request()
+    return body
+
+
+def _read_body(environ, max_bytes):
+    try:
+        return _read_stream(environ, max_bytes)
+    except BudgetExhausted as error:
+        raise BodyError(BodyFault.BUSY) from error
+    except OSError as error:
+        raise BodyError(BodyFault.INCOMPLETE) from error
+
+
+def _read_stream(environ, max_bytes):
+    stream = environ["wsgi.input"]
+    length = environ.get("CONTENT_LENGTH")
+    if not length:
+        return _read_chunks(stream, environ.get(_READER), max_bytes)
+    try:
+        length = int(length)
+    except ValueError as error:
+        raise BodyError(BodyFault.TOO_LONG) from error
+    if not 0 <= length <= max_bytes:
+        raise BodyError(BodyFault.TOO_LONG)
+    return stream.read(length)
+
+
+def _read_chunks(stream, reader, max_bytes):
+    parts, size = [], 0
+    while part := stream.read(_PART_BYTES):
+        parts.append(part)
+        size += len(part)
+        framed_bytes = 0 if reader is None else reader.request_bytes
+        if size > max_bytes or framed_bytes > 1.5 * size + _FRAMING_BYTES:
+            raise BodyError(BodyFault.TOO_LONG)
+    return b"".join(parts)
--- /dev/null
+++ b/papayaward/transport/request_intake.py
@@ -0,0 +1,298 @@
+"""
+papayaward.transport.request_intake
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Bounds what clients can make an HTTP server read and keep.
+
+A server answers clients that it does not control. Each connection may keep a small
+request; larger ones reserve the rest from a budget that all connections share, so that
+the memory of a server does not grow with the number of its clients. Connections that
+do not finish a request are closed, sooner while connections or the budget run short.
+"""
+
+import io
+from dataclasses import dataclass, replace
+
+import gevent
+from gevent import socket
+
+from .. import clock
+
+__all__ = [
+    "ConnectionReader",
+    "HeadTooLarge",
+    "IntakeError",
+    "IntakeLimits",
+    "RequestIntake",
+    "limits_of_vm",
+]
+
+_MIB = 1024 * 1024
+# Largest part that is read at once; other connections are served in between.
+_READ_BYTES = 64 * 1024
+# Share of the connections or of the budget from which the server is crowded.
+_CROWDED_SHARE = 0.75
+
+# Memory of a connection with a small request: reader, handler, greenlet and the
+# kernel's buffers.
+_CONNECTION_BYTES = 64 * 1024
+# Shares of a VM's memory for connections with small requests, and for the budget.
+_CONNECTIONS_SHARE = 0.5
+_BUDGET_SHARE = 0.125
+# Descriptors of a process that the platform reserves for files.
+_FILE_DESCRIPTORS = 200
+# The rest is for links, the store and other servers of the process.
+_DESCRIPTORS_SHARE = 0.75
+
+
+@dataclass(frozen=True)
+class IntakeLimits:
+    """Limits of one server.
+
+    Attributes:
+        max_connections: Connections that are open at once.
+        max_head_bytes: Request line and headers of one request.
+        small_bytes: Part of each request that needs no reservation.
+        budget_bytes: Reservations of all requests together.
+        max_head_s: Time from the first byte of a request to the end of its head,
+            seconds.
+        max_read_s: Time from the first byte of a request to its last, seconds.
+        crowded_read_s: The same while the server is crowded.
+        crowded_idle_s: Time without a request after which a connection is closed while
+            the server is crowded, seconds.
+    """
+
+    max_connections: int = 1000
+    max_head_bytes: int = 32 * 1024
+    small_bytes: int = 16 * 1024
+    budget_bytes: int = 64 * _MIB
+    max_head_s: float = 60.0
+    max_read_s: float = 60.0
+    crowded_read_s: float = 2.0
+    crowded_idle_s: float = 15.0
+
+
+def limits_of_vm(memory_mb, max_descriptors, most):
+    """Returns the limits of a server whose process has a VM's memory to itself.
+
+    Args:
+        memory_mb: Memory of the VM, MB; 0 if unknown.
+        max_descriptors: Descriptors of a process; 0 if unknown.
+        most: `IntakeLimits` of a large VM.
+    """
+    connections, budget = most.max_connections, most.budget_bytes
+    if memory_mb:
+        memory = memory_mb * _MIB
+        connections = min(
+            connections, int(memory * _CONNECTIONS_SHARE) // _CONNECTION_BYTES
+        )
+        budget = min(budget, int(memory * _BUDGET_SHARE))
+    if max_descriptors:
+        sockets = max(0, max_descriptors - _FILE_DESCRIPTORS)
+        connections = min(connections, int(sockets * _DESCRIPTORS_SHARE))
+    return replace(most, max_connections=max(1, connections), budget_bytes=budget)
+
+
+class IntakeError(OSError):
+    """A request that exceeds a limit, so that the rest of it is not read."""
+
+
+class HeadTooLarge(IntakeError):
+    """The head of the request exceeds its limit."""
+
+
+class BudgetExhausted(IntakeError):
+    """The budget that all connections share is used up."""
+
+
+class RequestIntake:
+    """Connections of one server and what they reserve.
+
+    Args:
+        limits: `IntakeLimits`.
+    """
+
+    def __init__(self, limits):
+        self.limits = limits
+        self._reserved_bytes = 0
+        # In the order in which the connections were accepted.
+        self._readers = {}
+        self._has_work = gevent.event.Event()
+
+    @property
+    def reserved_bytes(self):
+        """Reservations of all requests together."""
+        return self._reserved_bytes
+
+    @property
+    def connections(self):
+        """Number of open connections."""
+        return len(self._readers)
+
+    @property
+    def is_crowded(self):
+        """Whether connections or the budget run short."""
+        limits = self.limits
+        return (
+            len(self._readers) >= _CROWDED_SHARE * limits.max_connections
+            or self._reserved_bytes >= _CROWDED_SHARE * limits.budget_bytes
+        )
+
+    def connect(self, sock, now):
+        """Adds a connection and returns its `ConnectionReader`."""
+        reader = ConnectionReader(sock, self, now)
+        self._readers[reader] = None
+        if self.is_crowded:
+            self._has_work.set()
+        return reader
+
+    def disconnect(self, reader):
+        """Removes a connection."""
+        self._readers.pop(reader, None)
+
+    def on_request_begun(self):
+        """Records that a connection has the first bytes of a request."""
+        self._has_work.set()
+
+    def reserve(self, size):
+        """Reserves a number of bytes; returns whether the budget had them left."""
+        if self._reserved_bytes + size > self.limits.budget_bytes:
+            return False
+        self._reserved_bytes += size
+        return True
+
+    def release(self, size):
+        """Returns a reservation."""
+        self._reserved_bytes -= size
+
+    def overdue(self, now):
+        """Returns the readers of the connections to close.
+
+        Args:
+            now: Time, seconds.
+        """
+        crowded = self.is_crowded
+        return [
+            reader for reader in self._readers if self._is_overdue(reader, crowded, now)
+        ]
+
+    def _is_overdue(self, reader, crowded, now):
+        limits, age_s = self.limits, now - reader.since
+        if reader.is_unfinished:
+            limit_s = limits.max_head_s if reader.is_in_head else limits.max_read_s
+            return age_s > (min(limit_s, limits.crowded_read_s) if crowded else limit_s)
+        return crowded and reader.is_idle and age_s > limits.crowded_idle_s
+
+    def wait_for_work(self):
+        """Waits until a connection may become overdue."""
+        if not self.is_crowded and not any(r.is_unfinished for r in self._readers):
+            self._has_work.clear()
+            self._has_work.wait()
+
+
+class ConnectionReader(io.RawIOBase):
+    """Raw input of one connection that counts the bytes of each request.
+
+    Args:
+        sock: Connected socket.
+        intake: `RequestIntake` of the server.
+        now: Time, seconds.
+
+    Attributes:
+        request_bytes: Bytes received since the current request began.
+        since: Time at which the current request or the pause before it began, seconds.
+    """
+
+    def __init__(self, sock, intake, now):
+        super().__init__()
+        self._sock = sock
+        self._intake = intake
+        self._reserved_bytes = 0
+        self._in_head = True
+        self._is_complete = False
+        self.request_bytes = 0
+        self.since = now
+
+    @property
+    def is_in_head(self):
+        """Whether the head of the request has not been received whole."""
+        return self._in_head
+
+    @property
+    def is_idle(self):
+        """Whether the connection is between two requests."""
+        return self.request_bytes == 0
+
+    @property
+    def is_unfinished(self):
+        """Whether a part of a request has been received and the rest has not."""
+        return self.request_bytes > 0 and not self._is_complete
+
+    def begin_request(self, now):
+        """Starts counting a request."""
+        self._release()
+        self.request_bytes = 0
+        self._in_head = True
+        self._is_complete = False
+        self.since = now
+
+    def end_head(self):
+        """Ends the head of the request; its body follows."""
+        self._in_head = False
+
+    def complete_request(self):
+        """Records that nothing more of the request is read."""
+        self._is_complete = True
+
+    def readable(self):
+        """Returns True, as `io.RawIOBase` asks for."""
+        return True
+
+    def readinto(self, buffer):
+        """Reads into a buffer and returns the number of bytes.
+
+        Raises:
+            IntakeError: The request exceeds a limit.
+        """
+        if self._in_head and self.request_bytes > self._intake.limits.max_head_bytes:
+            raise HeadTooLarge("the head of the request is too large")
+        received = self._sock.recv_into(memoryview(buffer)[:_READ_BYTES])
+        if received:
+            self._count(received)
+        return received
+
+    def _count(self, received):
+        if self.request_bytes == 0:
+            self.since = clock.now()
+            self._intake.on_request_begun()
+        else:
+            # A client that sends without a pause would keep the other connections
+            # waiting.
+            gevent.sleep(0)
+        self.request_bytes += received
+        missing = (
+            self.request_bytes - self._intake.limits.small_bytes - self._reserved_bytes
+        )
+        if missing > 0:
+            if not self._intake.reserve(missing):
+                raise BudgetExhausted("too many large requests")
+            self._reserved_bytes += missing
+
+    def _release(self):
+        self._intake.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def abort(self):
+        """Ends the input; a blocked read returns as if the client had closed."""
+        try:
+            self._sock.shutdown(socket.SHUT_RD)
+        except OSError:
+            # The client has disconnected.
+            pass
+
+    def close(self):
+        """Closes the reader and returns its reservation."""
+        if not self.closed:
+            self._release()
+            self._intake.disconnect(self)
+        super().close()
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -22,7 +22,7 @@
 from gevent.pywsgi import WSGIHandler
 from geventhttpclient import HTTPClient
 
-from papayaward.transport.http_api import serve_http
+from papayaward.transport.http_server import serve_http
 
 __all__ = ["Upstream", "main"]
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -38,7 +38,7 @@
 from papayaward.protocol.jobs import Resources  # noqa: E402
 from papayaward.protocol.options import OptionError  # noqa: E402
 from papayaward.protocol.store_errors import StoreConflict  # noqa: E402
-from papayaward.transport.http_api import serve_http  # noqa: E402
+from papayaward.transport.http_server import serve_http  # noqa: E402
 from standins.fleet import free_port  # noqa: E402
 from standins.platform_fleet import HOST  # noqa: E402
 from standins.platform_store import PlatformStoreStandIn  # noqa: E402
--- /dev/null
+++ b/tests/test_request_intake.py
@@ -0,0 +1,138 @@
+"""
+tests.test_request_intake
+~~~~~~~~~~~~~~~~~~~~~~~~~
+
+What clients can make a server read and keep, without a network.
+"""
+
+import io
+from unittest.mock import Mock
+
+from testtools import TestCase
+
+from papayaward.transport.http_server import BodyError, BodyFault, read_body
+from papayaward.transport.request_intake import (
+    BudgetExhausted,
+    HeadTooLarge,
+    IntakeLimits,
+    RequestIntake,
+    limits_of_vm,
+)
+
+__all__ = []
+
+_LIMITS = IntakeLimits(
+    max_connections=4,
+    max_head_bytes=100,
+    small_bytes=200,
+    budget_bytes=1000,
+    max_head_s=3.0,
+    max_read_s=60.0,
+    crowded_read_s=2.0,
+    crowded_idle_s=15.0,
+)
+
+
+class _Socket:
+    def recv_into(self, buffer):
+        buffer[:] = b"x" * len(buffer)
+        return len(buffer)
+
+
+class RequestIntakeTest(TestCase):
+    def connect(self, intake, at=0.0):
+        return intake.connect(_Socket(), at)
+
+    def test_head_without_end_is_not_read_on(self):
+        """Guards against memory for each header line of an endless head."""
+        reader = self.connect(RequestIntake(_LIMITS))
+        reader.readinto(bytearray(101))
+        self.assertRaises(HeadTooLarge, reader.readinto, bytearray(1))
+
+    def test_large_requests_share_a_budget(self):
+        """Guards against memory that grows with the number of clients."""
+        intake = RequestIntake(_LIMITS)
+        first, second = self.connect(intake), self.connect(intake)
+        for reader in (first, second):
+            reader.end_head()
+        first.readinto(bytearray(1200))
+        self.assertEqual(1000, intake.reserved_bytes)
+        self.assertRaises(BudgetExhausted, second.readinto, bytearray(201))
+        second.begin_request(1.0)
+        second.end_head()
+        self.assertEqual(200, second.readinto(bytearray(200)))
+        first.begin_request(2.0)
+        self.assertEqual(0, intake.reserved_bytes)
+
+    def test_closed_connection_returns_its_reservation(self):
+        """Guards against a budget that runs dry by clients that leave."""
+        intake = RequestIntake(_LIMITS)
+        reader = self.connect(intake)
+        reader.end_head()
+        reader.readinto(bytearray(700))
+        reader.close()
+        self.assertEqual((0, 0), (intake.reserved_bytes, intake.connections))
+
+    def test_unfinished_requests_are_closed_sooner_while_crowded(self):
+        """Guards against connections that unfinished requests occupy for good."""
+        intake = RequestIntake(_LIMITS)
+        reader = self.connect(intake)
+        reader.readinto(bytearray(1))
+        began_at = reader.since
+        self.assertEqual([], intake.overdue(began_at + 2.9))
+        self.assertEqual([reader], intake.overdue(began_at + 3.1))
+        reader.end_head()
+        self.assertEqual([], intake.overdue(began_at + 59.0))
+        self.assertEqual([reader], intake.overdue(began_at + 61.0))
+        others = [self.connect(intake, began_at) for _ in range(2)]
+        self.assertEqual([reader], intake.overdue(began_at + 2.1))
+        reader.complete_request()
+        self.assertEqual([], intake.overdue(began_at + 14.0))
+        self.assertEqual(others, intake.overdue(began_at + 16.0))
+
+    def test_smallest_vm_has_memory_for_all_connections(self):
+        """Guards against limits that together exceed the memory of a VM."""
+        most = IntakeLimits(max_connections=3000)
+        for memory_mb in (96, 160, 200, 552):
+            limits = limits_of_vm(memory_mb, 8192, most)
+            kept = limits.max_connections * 64 * 1024 + limits.budget_bytes
+            self.assertLessEqual(kept, 0.63 * memory_mb * 1024 * 1024)
+            self.assertGreaterEqual(limits.budget_bytes, 4 * 1024 * 1024)
+        self.assertEqual(60, limits_of_vm(96, 280, most).max_connections)
+        self.assertEqual(most, limits_of_vm(0, 0, most))
+
+
+class ReadBodyTest(TestCase):
+    def read(self, stream, length="", request_bytes=0):
+        environ = {
+            "wsgi.input": stream,
+            "CONTENT_LENGTH": length,
+            "papayaward.reader": Mock(request_bytes=request_bytes),
+        }
+        return read_body(environ, 1000)
+
+    def fault(self, *args):
+        return self.assertRaises(BodyError, self.read, *args).fault
+
+    def test_announced_body_over_the_limit_is_not_read(self):
+        """Guards against reading what is thrown away."""
+        stream = Mock()
+        for length in ("1001", "100000000000", "-1", "x"):
+            self.assertEqual(BodyFault.TOO_LONG, self.fault(stream, length))
+        stream.read.assert_not_called()
+
+    def test_chunks_over_the_limit_or_mostly_framing_are_not_read_on(self):
+        """Guards against bodies without end, and small chunks that keep it busy."""
+        self.assertEqual(1000, len(self.read(io.BytesIO(b"x" * 1000))))
+        self.assertEqual(BodyFault.TOO_LONG, self.fault(io.BytesIO(b"x" * 1001)))
+        stream = io.BytesIO(b"x" * 100)
+        self.assertEqual(BodyFault.TOO_LONG, self.fault(stream, "", 100_000))
+
+    def test_fault_tells_whether_the_client_may_come_back(self):
+        """Guards against a refusal that blames the request for the load."""
+        for error, fault in (
+            (BudgetExhausted("full"), BodyFault.BUSY),
+            (OSError("closed"), BodyFault.INCOMPLETE),
+        ):
+            stream = Mock(**{"read.side_effect": error})
+            self.assertEqual(fault, self.fault(stream, "10"))
