Keep capacity at each executor for more urgent queues

Cause: entries order their own jobs only, and the tasks of a less urgent queue run for longer than an urgent job may wait. In a surge they fill the executors before it arrives. Change: an executor keeps free CPU for one task of each more urgent priority that has sent it tasks in the last 5 s, refuses starts that would take it (kept), and reports it; entries place accordingly.

--- a/benchmarks/crash_model/executor.py
+++ b/benchmarks/crash_model/executor.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+from papayaward.coordination.headroom import Headroom
 from papayaward.coordination.leased_runs import Run, isolated_jobs, may_isolate
 from papayaward.coordination.upstream_crashes import crash_of
 from papayaward.coordination.upstream_requests import Delivery
@@ -23,7 +24,6 @@
 CORE = 1000
 ROUND_S = 0.002
 
-_EXECUTOR_CORES = 32
 _RESTART_S = 3.3
 # Time until a connection to an upstream that is gone is refused.
 _REFUSAL_S = 0.001
@@ -78,8 +78,9 @@
         # Crash of the present instance that is not known yet.
         self._suspected = None
         self._runs = {}
-        self._capacity = Resources(_EXECUTOR_CORES * CORE, 1 << 20, 0)
+        self._capacity = Resources(load.cores * CORE, 1 << 20, 0)
         self._free = self._capacity
+        self._headroom = Headroom()
         self._last_batch = Counter()
         self._links = [
             _Link(name, lambda message, e=entry: self._on_message(e, message))
@@ -103,6 +104,7 @@
                 1.0,
                 len(isolated_jobs(runs, other)),
             )
+            room.kept = self._headroom.to_wire(self._capacity, self._events.now)
             ends = [end] if end and other is entry else []
             batch = ttypes.EndBatch(ends, room, None)
             other.on_message(link, batch, self._events.now)
@@ -114,6 +116,9 @@
         else:
             self._last_batch[entry] = message.number
             for group in message.groups:
+                self._headroom.record(
+                    group.priority, group.need.cpu_millis, self._events.now
+                )
                 for start in group.starts:
                     self._start(entry, group, start)
 
@@ -127,6 +132,7 @@
         now = self._events.now
         run = Run.of_start(group, start, need, entry, now)
         run.running = True
+        group.may_use_kept = True
         self._runs[run.task] = run
         self._free = self._free - need
         if self._alive:
@@ -143,12 +149,16 @@
             self._events.after(confirm_s, lambda: self._confirm(run))
         else:
             run.delivery = Delivery.STARTED
-        run_s = run.declared_s * random.uniform(*_RUN_SHARES)
+        run_s = self.run_time_s(run)
         if self._tally.on_start(run):
             crash_s = run_s * load.crash_at
             self._events.after(crash_s, lambda: self._crash(run))
         self._events.after(run_s, lambda: self._end(run, "done"))
 
+    def run_time_s(self, run):
+        """Returns the time that a run takes, seconds."""
+        return run.declared_s * random.uniform(*_RUN_SHARES)
+
     def _confirm(self, run):
         if self._alive and self._runs.get(run.task) is run:
             run.delivery = Delivery.STARTED
@@ -171,6 +181,9 @@
             return "crashing"
         if not self._free.covers(need):
             return "busy"
+        free, now = self._free, self._events.now
+        if self._headroom.refuses(group, need, free, self._capacity, now):
+            return "kept"
         job_id, limit = start.task.partition(".")[0], group.isolation_limit
         if limit and not may_isolate(self._runs.values(), job_id, limit):
             return "not_isolated"
--- a/benchmarks/crash_model/load.py
+++ b/benchmarks/crash_model/load.py
@@ -37,6 +37,7 @@
         blames_undelivered: Whether starts that are sent together with the one that
             finds an upstream gone are published as started there.
         executors: Number of executors.
+        cores: Cores of each of them.
         entries: Number of entries.
         seed: Seed of the random numbers.
     """
@@ -56,6 +57,7 @@
     relay_s: float = 0.0
     blames_undelivered: bool = False
     executors: int = 11
+    cores: int = 32
     entries: int = 3
     seed: int = 1
 
--- a/papayaward/coordination/capacity_reports.py
+++ b/papayaward/coordination/capacity_reports.py
@@ -106,6 +106,7 @@
         unsettled_starts: Function that takes an `Owner` and returns the
             `ttypes.LateStart` list of such tasks.
         late_starts: `LateStarts`.
+        headroom: `Headroom`.
     """
 
     def __init__(
@@ -116,6 +117,7 @@
         unsettled,
         unsettled_starts,
         late_starts,
+        headroom,
     ):
         self._owners = owners
         self._capacity = capacity
@@ -123,6 +125,7 @@
         self._unsettled = unsettled
         self._unsettled_starts = unsettled_starts
         self._late_starts = late_starts
+        self._headroom = headroom
         # Resources needed by the most recent kinds of tasks, the oldest first.
         self._needs = {}
         self._pending = Event()
@@ -181,6 +184,7 @@
         late_starts = self._new_late_starts(owner, now)
         report = _capacity_report(owner, capacity, unsettled, of_peers, late_starts)
         report.unsettled_starts = self._unsettled_starts(owner) or None
+        report.kept = self._headroom.to_wire(capacity.total, now)
         owner.link.try_send(ttypes.EndBatch(ends, report, slow or None))
 
     def _new_late_starts(self, owner, now):
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -68,7 +68,8 @@
         """Returns the jobs in the order in which capacity is allocated to them.
 
         Jobs that can no longer meet their objective come last. The others are sorted
-        by the queue's priority, then by the latest start that meets the objective.
+        by the queue's priority, then those that have begun come first, so that what
+        their tasks hold is freed, then by the latest start that meets the objective.
         """
 
         def key(job):
@@ -76,6 +77,7 @@
             return (
                 self._lateness(job, latest_start, now),
                 job.queue.priority,
+                not job.started,
                 latest_start,
             )
 
@@ -222,7 +224,8 @@
         self._with_free_capacity = {}
         self._max_free_cpu = {}
         self._min_ratios = {}
-        # (service, need) for which no executor has enough free capacity.
+        # (service, need, priority, whether the job has begun) for which no executor has
+        # enough free capacity.
         self._exhausted = set()
         for view in views:
             self._usable.setdefault(view.service, []).append(view)
@@ -302,7 +305,8 @@
 
     def _heap(self, task):
         phase = task.phase
-        demand = (task.job.queue.service, phase.need)
+        queue = task.job.queue
+        demand = (queue.service, phase.need, queue.priority, task.job.started)
         if demand in self._exhausted:
             return []
         heap = [
@@ -330,9 +334,7 @@
         """Returns whether an executor can start a task now."""
         if self._now < task.retry_at:
             return False
-        return view.free.covers(task.phase.need) and self._placement.fits(
-            view, task, self._now
-        )
+        return view.has_room_for(task) and self._placement.fits(view, task, self._now)
 
     def should_start(self, view, task):
         """Returns whether to start a task on an executor now rather than wait."""
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -58,7 +58,7 @@
 # Reason for which an executor refuses a job after too many crashes under it.
 _CRASHING_REASON = "crashing"
 # Reasons for which an executor refuses a start that it may accept a moment later.
-_NO_CAPACITY_REASONS = ("busy", "not_isolated")
+_NO_CAPACITY_REASONS = ("busy", "kept", "not_isolated")
 # The same, and that it accepts under the next number.
 _PASSING_REASONS = (*_NO_CAPACITY_REASONS, OLD_RUN)
 
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -16,6 +16,7 @@
 from .capacity_reports import Capacity, CapacityReports
 from .crash_relay import CrashRelay
 from .current_upstream import CurrentUpstream, log_capacity_change
+from .headroom import Headroom
 from .late_starts import LateStarts
 from .leased_runs import Run, isolated_jobs, unsettled_starts, unsettled_tasks
 from .listed_runs import ListedRuns
@@ -69,12 +70,14 @@
         self._numbers = RunNumbers()
         self._activity = RunActivity(self._runs, self._finish)
         self._used = Resources()
+        self._headroom = Headroom()
         self._admission = StartAdmission(
             self._current,
             self._runs,
             self._free,
             is_domain_out,
             lambda job_id: self._crashes.records.is_exhausted(job_id),
+            self._headroom,
         )
         self._isolated_runs = 0
         self._was_accepting = False
@@ -85,6 +88,7 @@
             lambda owner: unsettled_tasks(self._runs.values(), owner),
             lambda owner: unsettled_starts(self._runs.values(), owner),
             self._late_starts,
+            self._headroom,
         )
         self._listed = ListedRuns(
             self._runs,
@@ -252,6 +256,7 @@
         for group in batch.groups:
             need = resources_from_wire(group.need)
             self._reports.record_need(need)
+            self._headroom.record(group.priority, need.cpu_millis, now)
             for start in group.starts:
                 reason = self._admit(owner, group, start, need, now)
                 if reason:
@@ -261,6 +266,9 @@
                     if reason == OLD_RUN:
                         number = self._numbers.next(start.task, number) - 1
                     self._queue_end(owner, start.task, number, outcome, 0)
+                else:
+                    # The job has begun, so that its other tasks may use the headroom.
+                    group.may_use_kept = True
         log_refusals(refused, now - owner.last_alive_at)
         self._on_capacity_changed()
 
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -8,6 +8,7 @@
 from collections import deque
 
 from ..protocol.jobs import Resources, resources_from_wire
+from .headroom import kept_cpu
 
 __all__ = ["LeasedView"]
 
@@ -45,6 +46,8 @@
         self.tasks = {}
         self.slow_until = 0.0
         self._free = Resources()
+        # What the executor keeps for more urgent queues, see `Headroom`.
+        self._kept = {}
         self._last_batch = 0
         self._acknowledged_batch = 0
         # Names of the tasks that the executor reported as unsettled.
@@ -85,6 +88,16 @@
         """Whether the executor has reported the capacity of an upstream."""
         return self.capacity.cpu_millis > 0
 
+    def has_room_for(self, task):
+        """Returns whether a task fits beside what is kept for more urgent queues."""
+        need, job = task.phase.need, task.job
+        if not self._free.covers(need):
+            return False
+        if not self._kept or job.started:
+            return True
+        kept = kept_cpu(self._kept, job.queue.priority)
+        return not kept or self._free.cpu_millis - need.cpu_millis >= kept
+
     def suits(self, phase):
         """Returns whether the executor, while idle, could run a task of a `Phase`."""
         has_label = not phase.label or phase.label in self.labels
@@ -182,6 +195,7 @@
         self._free = free
         self.capacity = resources_from_wire(report.capacity)
         self.accepting = bool(report.accepting)
+        self._kept = {row.priority: row.cpu_millis for row in report.kept or ()}
         self.labels = tuple(report.labels or ())
         self.upstream = report.upstream
         self.isolated_peer_jobs = report.isolated_peer_jobs or 0
--- a/papayaward/coordination/start_admission.py
+++ b/papayaward/coordination/start_admission.py
@@ -11,11 +11,12 @@
 
 import logging
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..protocol.jobs import Resources
 from ..state import metrics
 from ..state.crashes import job_id_of
+from .headroom import Headroom
 from .leased_runs import may_isolate
 
 __all__ = [
@@ -48,6 +49,7 @@
             process is closing.
         is_exhausted: Function that returns whether a job, by its identifier, must not
             be started again after the crashes under it.
+        headroom: `Headroom`.
     """
 
     runs: Mapping
@@ -55,6 +57,7 @@
     free: Resources
     close_limit: float | None
     is_exhausted: Callable
+    headroom: Headroom = field(default_factory=Headroom)
 
 
 class StartAdmission:
@@ -67,14 +70,16 @@
         is_domain_out: Function that returns whether a failure domain is out of
             service.
         is_exhausted: As in `StartConditions`.
+        headroom: `Headroom`.
     """
 
-    def __init__(self, current, runs, free, is_domain_out, is_exhausted):
+    def __init__(self, current, runs, free, is_domain_out, is_exhausted, headroom):
         self._current = current
         self._runs = runs
         self._free = free
         self._is_domain_out = is_domain_out
         self._is_exhausted = is_exhausted
+        self._headroom = headroom
         self._close_limit = None
 
     @property
@@ -122,6 +127,7 @@
             self._free(),
             self._close_limit,
             self._is_exhausted,
+            self._headroom,
         )
 
 
@@ -143,8 +149,11 @@
     if conditions.close_limit is not None:
         if now + group.expected_ms / 1000.0 > _latest_end(conditions, now):
             return "closing"
-    if not conditions.free.covers(need):
+    free, capacity = conditions.free, conditions.capacity
+    if not free.covers(need):
         return "busy"
+    if conditions.headroom.refuses(group, need, free, capacity, now):
+        return "kept"
     job_id = job_id_of(start.task)
     if conditions.is_exhausted(job_id):
         return "crashing"
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -50,7 +50,8 @@
         task.sent_at = now
         task.was_pinned = self._lost.is_pinned(task.name)
         view.reserve(task)
-        if not job.started:
+        had_begun = job.started
+        if not had_begun:
             job.first_start_at = now
             metrics.QUEUE_SECONDS.labels(job.queue.service, job.queue.name).observe(
                 now - job.arrived_at
@@ -60,7 +61,7 @@
         groups = self._groups.setdefault(view, {})
         key = (job.request.job_id, task.phase_number)
         if key not in groups:
-            groups[key] = self._group(view, task, now)
+            groups[key] = self._group(view, task, had_begun, now)
         late_start = self._lost.late_start(task.name, view, now)
         groups[key].starts.append(ttypes.TaskStart(task.name, task.run, late_start))
 
@@ -73,7 +74,7 @@
         for view, groups in self._groups.items():
             yield from _send(view, list(groups.values()))
 
-    def _group(self, view, task, now):
+    def _group(self, view, task, had_begun, now):
         job = task.job
         return ttypes.StartGroup(
             job.request.spec,
@@ -85,6 +86,8 @@
             _wire_ms(task.phase.expected_s),
             job.queue.name,
             task.isolation_limit,
+            job.queue.priority,
+            had_begun,
         )
 
 
--- a/papayaward/protocol/gen/ttypes.py
+++ b/papayaward/protocol/gen/ttypes.py
@@ -682,6 +682,8 @@
      - declared_ms
      - queue
      - isolation_limit
+     - priority
+     - may_use_kept
 
     """
 
@@ -695,10 +697,12 @@
         'declared_ms',
         'queue',
         'isolation_limit',
+        'priority',
+        'may_use_kept',
     )
 
 
-    def __init__(self, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None, starts=None, declared_ms=None, queue=None, isolation_limit=None,):
+    def __init__(self, spec=None, need=None, expires_ms=None, request_id=None, expected_ms=None, starts=None, declared_ms=None, queue=None, isolation_limit=None, priority=None, may_use_kept=None,):
         self.spec = spec
         self.need = need
         self.expires_ms = expires_ms
@@ -708,6 +712,8 @@
         self.declared_ms = declared_ms
         self.queue = queue
         self.isolation_limit = isolation_limit
+        self.priority = priority
+        self.may_use_kept = may_use_kept
 
 
 class StartBatch(TBase):
@@ -770,6 +776,25 @@
         self.service_us = service_us
 
 
+class KeptCpu(TBase):
+    """
+    Attributes:
+     - priority
+     - cpu_millis
+
+    """
+
+    __slots__ = (
+        'priority',
+        'cpu_millis',
+    )
+
+
+    def __init__(self, priority=None, cpu_millis=None,):
+        self.priority = priority
+        self.cpu_millis = cpu_millis
+
+
 class RoomReport(TBase):
     """
     Attributes:
@@ -787,6 +812,7 @@
      - unsettled_peer_tasks
      - late_starts
      - unsettled_starts
+     - kept
 
     """
 
@@ -805,10 +831,11 @@
         'unsettled_peer_tasks',
         'late_starts',
         'unsettled_starts',
+        'kept',
     )
 
 
-    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_starts=None, unsettled_starts=None,):
+    def __init__(self, last_batch=None, free=None, capacity=None, accepting=None, labels=None, upstream=None, peer_runs=None, peer_ratio=None, isolated_peer_jobs=None, unsettled=None, taken_over=None, unsettled_peer_tasks=None, late_starts=None, unsettled_starts=None, kept=None,):
         self.last_batch = last_batch
         self.free = free
         self.capacity = capacity
@@ -823,6 +850,7 @@
         self.unsettled_peer_tasks = unsettled_peer_tasks
         self.late_starts = late_starts
         self.unsettled_starts = unsettled_starts
+        self.kept = kept
 
 
 class SlowRun(TBase):
@@ -1229,6 +1257,8 @@
     (7, TType.I32, 'declared_ms', None, None, ),  # 7
     (8, TType.STRING, 'queue', 'UTF8', None, ),  # 8
     (9, TType.I32, 'isolation_limit', None, None, ),  # 9
+    (10, TType.I32, 'priority', None, None, ),  # 10
+    (11, TType.BOOL, 'may_use_kept', None, None, ),  # 11
 )
 all_structs.append(StartBatch)
 StartBatch.thrift_spec = (
@@ -1249,6 +1279,12 @@
     (3, TType.STRING, 'outcome', 'UTF8', None, ),  # 3
     (4, TType.I64, 'service_us', None, None, ),  # 4
 )
+all_structs.append(KeptCpu)
+KeptCpu.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'priority', None, None, ),  # 1
+    (2, TType.I32, 'cpu_millis', None, None, ),  # 2
+)
 all_structs.append(RoomReport)
 RoomReport.thrift_spec = (
     None,  # 0
@@ -1266,6 +1302,7 @@
     (12, TType.LIST, 'unsettled_peer_tasks', (TType.STRING, 'UTF8', False), None, ),  # 12
     (13, TType.LIST, 'late_starts', (TType.STRUCT, [LateStart, None], False), None, ),  # 13
     (14, TType.LIST, 'unsettled_starts', (TType.STRUCT, [LateStart, None], False), None, ),  # 14
+    (15, TType.LIST, 'kept', (TType.STRUCT, [KeptCpu, None], False), None, ),  # 15
 )
 all_structs.append(SlowRun)
 SlowRun.thrift_spec = (
--- a/papayaward/protocol/papayaward.thrift
+++ b/papayaward/protocol/papayaward.thrift
@@ -204,7 +204,8 @@
 // of a few kilobytes for each task would fill the network interface of a small VM.
 // expires_ms is the remaining time after which the results are no longer needed;
 // expected_ms is the run time that the sender expects on this executor, declared_ms the
-// one that the caller states. If isolation_limit is positive, the job is isolated: at
+// one that the caller states. priority is that of the queue; may_use_kept tells that the job
+// has begun, so that it may use what the executor keeps for more urgent queues. If isolation_limit is positive, the job is isolated: at
 // most that many isolated jobs, this one included, may run on the executor at once.
 struct StartGroup {
   1: string spec
@@ -216,6 +217,8 @@
   7: i32 declared_ms
   8: string queue
   9: i32 isolation_limit
+  10: optional i32 priority
+  11: optional bool may_use_kept
 }
 
 struct StartBatch {
@@ -234,6 +237,12 @@
   4: i64 service_us
 }
 
+// CPU that an executor keeps free for the tasks of queues of one priority.
+struct KeptCpu {
+  1: i32 priority
+  2: i32 cpu_millis
+}
+
 // last_batch is the number of the receiver's latest StartBatch that `free` takes into
 // account. peer_runs is the number of runs for other entries that were done since the
 // last report; peer_ratio is the geometric mean of their actual over their declared run
@@ -247,7 +256,8 @@
 // starts since the last report on the link, and all of them in its first report; missing if there are
 // none. unsettled_starts tells of the requests to start the tasks of unsettled_peer_tasks,
 // and of those of unsettled that had a request without a reply or have another number than
-// the receiver has chosen; a request that is not answered yet counts.
+// the receiver has chosen; a request that is not answered yet counts. kept is part of free;
+// missing if nothing is kept.
 struct RoomReport {
   1: i64 last_batch
   2: Resources free
@@ -263,6 +273,7 @@
   12: optional list<string> unsettled_peer_tasks
   13: optional list<LateStart> late_starts
   14: optional list<LateStart> unsettled_starts
+  15: optional list<KeptCpu> kept
 }
 
 // A run that takes far longer than expected.
--- a/papayaward/state/metrics.py
+++ b/papayaward/state/metrics.py
@@ -14,6 +14,7 @@
     "EVIDENCE_AGE",
     "HEDGES",
     "INVARIANT_VIOLATIONS",
+    "KEPT_CPU",
     "QUEUED_TASKS",
     "QUEUE_SECONDS",
     "REJECTED_GRANTS",
@@ -85,6 +86,7 @@
     "papayaward_queued_tasks", "Tasks that wait for a slot at this coordinator."
 )
 SLOTS_IN_USE = Gauge("papayaward_slots_in_use", "Slots of this executor in use.")
+KEPT_CPU = Gauge("papayaward_kept_cpu_cores", "Cores kept here for more urgent queues.")
 UPSTREAM_CRASHES = Counter(
     "papayaward_upstream_crashes_total",
     "Unplanned ends of the local upstream while tasks ran on it.",
--- a/tests/test_unwanted_starts.py
+++ b/tests/test_unwanted_starts.py
@@ -21,7 +21,7 @@
 
 
 def _group(expected_ms=500, isolation_limit=0):
-    return SimpleNamespace(expected_ms=expected_ms, isolation_limit=isolation_limit)
+    return ttypes.StartGroup(expected_ms=expected_ms, isolation_limit=isolation_limit)
 
 
 def _run(task="k.0.0.0", expected_s=1.0, isolation_limit=0):
