Refuse jobs on arrival that would start too late, and tell when to return

Cause: a job that cannot be in time was refused after 0.22 of its objective, whatever stood before it, and Retry-After was 1 s always. Change: StartForecast divides the CPU that precedes a job by what the entry has lately started for its priority and less urgent ones. A job that would start too late at twice this rate is refused at once unless an executor has room; Retry-After is the time until the jobs before it have started, 1 to 10 s.

--- a/benchmarks/shortage_model/load.py
+++ b/benchmarks/shortage_model/load.py
@@ -68,6 +68,7 @@
         executors: Number of executors.
         entries: Number of entries.
         cores: Cores of each upstream.
+        forecast: Whether entries forecast when a job will start.
         seed: Seed of the random numbers.
     """
 
@@ -78,6 +79,7 @@
     executors: int = 16
     entries: int = 4
     cores: int = 64
+    forecast: bool = True
     seed: int = 1
 
 
@@ -89,6 +91,7 @@
         rate=1.1,
         surges=(Surge("long", 2.0, 2.0, 6.0), Surge("urgent", 1.8, 5.0, 3.5)),
     ),
+    "overload": Load(rate=1.6),
     "uneven": Load(
         speeds=(1.0, 1.0, 1.3),
         rate=1.3,
--- a/benchmarks/shortage_model/simulation.py
+++ b/benchmarks/shortage_model/simulation.py
@@ -49,6 +49,9 @@
         self._entries = [
             JobScheduler(lambda domain: False) for _ in range(load.entries)
         ]
+        if not load.forecast:
+            for entry in self._entries:
+                entry._forecast.on_round = lambda now: None
         tally = SimpleNamespace(on_start=lambda run: False)
         notices = SimpleNamespace(is_exhausted=lambda job_id: False)
         speeds = itertools.cycle(load.speeds)
--- a/papayaward/coordination/early_ends.py
+++ b/papayaward/coordination/early_ends.py
@@ -42,11 +42,13 @@
     Args:
         placement: `Placement`.
         isolation: `Isolation`.
+        forecast: `StartForecast`.
     """
 
-    def __init__(self, placement, isolation):
+    def __init__(self, placement, isolation, forecast):
         self._placement = placement
         self._isolation = isolation
+        self._forecast = forecast
         self._closing_at = None
 
     def close_at(self, until):
@@ -87,6 +89,9 @@
                 reason = "upstreams crashed"
             elif self._isolation.is_overloaded(job, views, now):
                 reason = "overload"
+        elif not reason and self._forecast.will_start_late(job, views, now):
+            reason = "overload"
+            retry_after_s = self._forecast.retry_after_s(job, now)
         return LeasedJobOutcome("not_run", reason, retry_after_s) if reason else None
 
     def on_late_start(self, job, until):
@@ -121,7 +126,8 @@
             waited_s = now - job.arrived_at
             if waited_s > _REFUSAL_SHARE * job.objective_s:
                 if not placement_round.can_meet_objective(job):
-                    return LeasedJobOutcome("not_run", "overload", _RETRY_AFTER_S)
+                    retry_after_s = self._forecast.retry_after_s(job, now)
+                    return LeasedJobOutcome("not_run", "overload", retry_after_s)
         elif is_waiting and self._placement.will_miss_deadline(job, now):
             return LeasedJobOutcome("unknown", "cannot end before the deadline")
         return None
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -72,16 +72,17 @@
         their tasks hold is freed, then by the latest start that meets the objective.
         """
 
-        def key(job):
-            latest_start = job.objective_at - job.critical_path_s() - _OVERHEAD_S
-            return (
-                self._lateness(job, latest_start, now),
-                job.queue.priority,
-                not job.started,
-                latest_start,
-            )
+        return sorted(jobs, key=lambda job: self.order_key(job, now))
 
-        return sorted(jobs, key=key)
+    def order_key(self, job, now):
+        """Returns the sort key of a job in `order`."""
+        latest_start = job.objective_at - job.critical_path_s() - _OVERHEAD_S
+        return (
+            self._lateness(job, latest_start, now),
+            job.queue.priority,
+            not job.started,
+            latest_start,
+        )
 
     def will_miss_deadline(self, job, now):
         """Returns whether a job cannot end before its deadline.
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -33,6 +33,7 @@
 from .slow_runs import move_slow_runs
 from .speeds import SpeedEstimates
 from .start_batches import StartBatches
+from .start_forecast import StartForecast
 
 __all__ = ["JobScheduler"]
 
@@ -87,7 +88,8 @@
         self._statistics = RunStatistics(speeds, ejection)
         self._placement = Placement(speeds, ejection, is_domain_out, self._lost)
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
-        self._early_ends = EarlyEnds(self._placement, self._isolation)
+        self._forecast = StartForecast(self._placement, self._waiting)
+        self._early_ends = EarlyEnds(self._placement, self._isolation, self._forecast)
         self._crashed_jobs = CrashedJobs(
             self._crashes,
             self._isolation,
@@ -405,8 +407,10 @@
             for number in job.ready_phases():
                 for task, view in placement_round.place(job, number):
                     batches.add(view, task, now)
+                    self._forecast.on_start(task, now)
             if not job.has_waiting_tasks:
                 del self._waiting[job.request.job_id]
+        self._forecast.on_round(now)
         for job, error in batches.send():
             self.end(job, "failed", f"cannot be sent: {error}", now)
 
--- a/tests/test_late_jobs.py
+++ b/tests/test_late_jobs.py
@@ -42,7 +42,12 @@
             is_without_executors=lambda job, views, now: self.crashed,
             is_overloaded=lambda job, views, now: self.overloaded,
         )
-        self.early_ends = EarlyEnds(placement, isolation)
+        self.starts_late = False
+        forecast = SimpleNamespace(
+            will_start_late=lambda job, views, now: self.starts_late,
+            retry_after_s=lambda job, now: 3.0 if self.starts_late else 1.0,
+        )
+        self.early_ends = EarlyEnds(placement, isolation, forecast)
 
     def outcome(self, job, after_s, can_meet_objective=True, is_waiting=True):
         """Returns the outcome of a job some time after its arrival."""
@@ -102,3 +107,10 @@
         self.crashed = True
         crashed = self.early_ends.on_arrival(_job(), [], _ARRIVED_AT)
         self.assertEqual("upstreams crashed", crashed.reason)
+
+    def test_job_that_would_start_late_is_refused_at_once_with_the_time_to_return(self):
+        """Guards against a caller that waits for a refusal, or returns too early."""
+        self.starts_late = True
+        refused = LeasedJobOutcome("not_run", "overload", 3.0)
+        self.assertEqual(refused, self.early_ends.on_arrival(_job(), [], _ARRIVED_AT))
+        self.assertEqual(refused, self.outcome(_job(), 0.23, can_meet_objective=False))
