--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -29,7 +29,7 @@
 
 import gevent
 
-from standins.platform_fleet import PlatformFleet
+from standins.platform_fleet import PREFIX, URGENT_PREFIX, PlatformFleet
 
 from .fault_injection import (
     ONLY_NAMES,
@@ -80,6 +80,15 @@
     state: str = ""
 
 
+def _queue_prefix(job_id):
+    """Returns the path of a job's queue: every second job is urgent.
+
+    Deadly jobs share one queue, which is guarded.
+    """
+    is_urgent = int(job_id[-1], 16) % 2 and not job_id.startswith(_DEADLY_PREFIX)
+    return URGENT_PREFIX if is_urgent else PREFIX
+
+
 class _Soak:
     """State of a run: the fleet, the faults and the callers' submissions."""
 
@@ -182,6 +191,7 @@
                     attempt.entry,
                     attempt.tasks,
                     estimate_ms=work_ms,
+                    prefix=_queue_prefix(attempt.job_id),
                     deadline_ms=int(attempt.deadline_s * 1000),
                 )
         except gevent.Timeout as timeout:
--- a/standins/platform_fleet.py
+++ b/standins/platform_fleet.py
@@ -26,9 +26,11 @@
 from .platform_store import PlatformStoreStandIn
 from .proxy import TcpProxy
 
-__all__ = ["HOST", "PlatformFleet"]
+__all__ = ["HOST", "PREFIX", "URGENT_PREFIX", "PlatformFleet"]
 
 HOST = "127.0.0.1"
+# Paths of the two queues; the second one is more urgent.
+PREFIX, URGENT_PREFIX = "/q/", "/urgent/"
 
 _ROOT = Path(__file__).resolve().parent.parent
 _REPORT_INTERVAL_S = 0.3
@@ -287,17 +289,30 @@
         self._route = {
             "name": "q",
             "host": "q.example",
-            "prefix": "/q/",
+            "prefix": PREFIX,
             "service": "dispatch",
             "attempts": 2,
             "stretch": 1.6,
             "target_duration_ms": 60,
+            "priority": 1,
+        }
+        self._urgent_route = {
+            **self._route,
+            "name": "urgent",
+            "prefix": URGENT_PREFIX,
+            "priority": 0,
         }
         self.configure(1)
 
     def configure(self, version, **changes):
-        """Writes a version of the configuration with one queue."""
-        document = {"version": version, "routes": [{**self._route, **changes}]}
+        """Writes a version of the configuration.
+
+        Args:
+            version: Version.
+            changes: Fields of the first queue; the urgent one stays as it is.
+        """
+        routes = [{**self._route, **changes}, self._urgent_route]
+        document = {"version": version, "routes": routes}
         self.store.put("op/config", document)
 
     def start(self, name, role, domain="a"):
@@ -393,7 +408,16 @@
         finally:
             client.close()
 
-    def submit(self, job_id, spec, entry="e1", tasks=1, estimate_ms=100, **options):
+    def submit(
+        self,
+        job_id,
+        spec,
+        entry="e1",
+        tasks=1,
+        estimate_ms=100,
+        prefix=PREFIX,
+        **options,
+    ):
         """Submits a job of one phase whose tasks take one core each.
 
         Args:
@@ -402,6 +426,7 @@
             entry: Name of the entry.
             tasks: Number of tasks.
             estimate_ms: Declared run time, milliseconds.
+            prefix: Prefix of the queue's path.
             options: Further arguments of `call`.
         """
         body = {
@@ -410,7 +435,7 @@
             "phases": [{"count": tasks, "cpu": 1000, "est_runtime_ms": estimate_ms}],
         }
         content = json.dumps(body).encode()
-        return self.call("POST", f"/q/{job_id}", content, entry, **options)
+        return self.call("POST", prefix + job_id, content, entry, **options)
 
     def _make_settings(self, name, role, domain):
         addresses = {"control": f"{HOST}:{free_port()}"}
