Explain where a job would go now, without submitting it

Cause: operators could not tell where a job would go, or why it would wait or be refused, but by sending it. Change: PlacementReports gives the decision, the jobs before it and a verdict for each executor; POST /placement on an entry's metrics address, papayawardctl where. The reasons of refused starts moved to a module of their own.

--- a/papayaward/cli.py
+++ b/papayaward/cli.py
@@ -205,6 +205,15 @@
     submit.add_argument(
         "--no-wait", action="store_true", help="return once the job is accepted"
     )
+    where = _add(
+        commands,
+        "where",
+        cli_commands.where,
+        "explain where a job of leased tasks would go now, without submitting it",
+    )
+    where.add_argument("file", metavar="FILE", help="the job's JSON; - for stdin")
+    where.add_argument("--host", required=True, help="host name of the request")
+    where.add_argument("--path", required=True, help="path of the request")
     cancel = _add(commands, "cancel", cli_commands.cancel, "cancel jobs")
     cancel.add_argument("id", nargs="+", metavar="ID")
     ids = _add(commands, "ids", cli_commands.ids, "new job identifiers")
--- a/papayaward/cli_commands.py
+++ b/papayaward/cli_commands.py
@@ -10,8 +10,8 @@
 from enum import IntEnum
 from urllib.parse import quote
 
-from .cli_format import format_explain, format_status, table
-from .protocol.options import OptionError, read_json
+from .cli_format import format_explain, format_placement, format_status, table
+from .protocol.options import OptionError, read_json, read_object
 from .transport.entry_client import EntryUnavailable
 
 __all__ = [
@@ -24,6 +24,7 @@
     "read_file",
     "status",
     "submit",
+    "where",
 ]
 
 _OUTCOME_MARGIN_S = 10.0
@@ -157,6 +158,18 @@
     return Exit.UNKNOWN if outcome == "unknown" else Exit.REFUSED
 
 
+def where(client, options):
+    """Explains where a job would go now; nothing is submitted."""
+    try:
+        job = read_object(read_file(options.file))
+    except OptionError as error:
+        raise CommandError(Exit.REFUSED, f"{options.file}: {error}") from None
+    question = {"host": options.host, "path": options.path, "job": job}
+    document = _expect_status(client.request("POST", "/placement", question), 200)
+    print_result(options, document, format_placement(document))
+    return Exit.REFUSED if document["decision"] == "refuse" else Exit.DONE
+
+
 def domain_list(client, options):
     """Shows the configured failure domains and whether they are in service."""
     config = _expect_status(client.request("GET", "/admin/config"), 200)
--- a/papayaward/cli_format.py
+++ b/papayaward/cli_format.py
@@ -27,6 +27,17 @@
 _MAX_AUTHOR_WIDTH = 16
 
 
+_PLACEMENT_HEADERS = (
+    "EXECUTOR",
+    "DOMAIN",
+    "VERDICT",
+    "RUN S",
+    "FREE",
+    "KEPT",
+    "SLOWDOWN",
+)
+
+
 def table(headers, rows, width=WIDTH):
     """Returns an aligned table; the widest columns are shortened to fit.
 
@@ -97,6 +108,37 @@
     return table(("VERSION", "TIME (UTC)", "AUTHOR", "CHANGES"), rows)
 
 
+def format_placement(document):
+    """Returns the text of an answer to `POST /placement`."""
+    lines = [f"{document['decision']}: queue {document['queue']}"]
+    if document["reason"]:
+        lines.append(
+            f"{document['reason']}; the caller returns after"
+            f" {document['retry_after_s']:g} s"
+        )
+    lines.append(f"waiting jobs before it: {document['jobs_before']}")
+    for phase in document["phases"]:
+        starts = ", ".join(f"{n} at {name}" for name, n in phase["starts"].items())
+        lines.append(
+            f"phase {phase['number']}: {starts or 'no start'},"
+            f" {phase['waiting']} tasks wait"
+        )
+        rows = [
+            [
+                row["executor"],
+                row["domain"],
+                row["verdict"],
+                row["expected_s"],
+                row["free_millis"],
+                row["kept_millis"],
+                row["slowdown"],
+            ]
+            for row in phase["executors"]
+        ]
+        lines.append(table(_PLACEMENT_HEADERS, rows))
+    return "\n".join(lines)
+
+
 def format_status(entries):
     """Returns tables of the entries and of the members.
 
--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -59,13 +59,13 @@
             views: `LeasedView` of each connected executor.
             now: Time, seconds.
         """
-        accepting = [
-            view
-            for view in views
-            if view.accepting and not self._is_domain_out(view.domain)
-        ]
+        accepting = [view for view in views if view.accepting and not self.is_out(view)]
         return PlacementRound(self, accepting, now)
 
+    def is_out(self, view):
+        """Returns whether an executor's failure domain is out of service."""
+        return self._is_domain_out(view.domain)
+
     def order(self, jobs, now):
         """Returns the jobs in the order in which capacity is allocated to them.
 
@@ -188,12 +188,16 @@
         phase = task.phase
         other_rack = bool(phase.rack) and phase.rack not in view.labels
         queue = task.job.queue
-        slowness = math.log(self.ratio(view, queue))
-        if self._interference.is_known:
-            slowness += self._interference.slowdown(queue.name, view.shares)
+        slowness = math.log(self.ratio(view, queue)) + self.slowdown(view, queue)
         step = round(slowness / _SPEED_STEP)
         return (other_rack, step, -view.free.cpu_millis, random.random())
 
+    def slowdown(self, view, queue):
+        """Returns the logarithm of the slowdown by and of what runs at an executor."""
+        if not self._interference.is_known:
+            return 0.0
+        return self._interference.slowdown(queue.name, view.shares)
+
     def _lateness(self, job, latest_start, now):
         """Returns 0 if a job can meet its objective, 1 if late, 2 if useless.
 
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -17,6 +17,7 @@
 from ..loops import repeat
 from ..protocol.gen import ttypes
 from ..protocol.jobs import LeasedJobOutcome
+from . import start_refusals
 from .crash_relay import CrashRelay
 from .crashed_jobs import CrashedJobs
 from .early_ends import EarlyEnds, ended_early
@@ -27,7 +28,8 @@
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
 from .lost_upstreams import LostUpstreams
-from .run_starter import LATE_START, OLD_RUN
+from .placement_report import PlacementReports
+from .run_starter import LATE_START
 from .run_statistics import RunStatistics
 from .slow_runs import move_slow_runs
 from .start_batches import StartBatches
@@ -46,20 +48,6 @@
 # The same if the upstream rejects the only number that the task may start under, which
 # only its next lifetime changes.
 _LATE_START_RETRY_S = 0.2
-# Prefix of the outcome of a start that did not lead to a run; the reason follows.
-_NOT_RUN_PREFIX = "not_run:"
-# Reasons for which no executor will ever run a task, with the reason of the outcome.
-_FINAL_REASONS = {
-    "invalid": "rejected by the upstream",
-}
-# Reasons for which an executor accepts no task for a long time.
-_LASTING_REASONS = ("draining", "domain_out")
-# Reason for which an executor refuses a job after too many crashes under it.
-_CRASHING_REASON = "crashing"
-# Reasons for which an executor refuses a start that it may accept a moment later.
-_NO_CAPACITY_REASONS = ("busy", "kept", "not_isolated")
-# The same, and that it accepts under the next number.
-_PASSING_REASONS = (*_NO_CAPACITY_REASONS, OLD_RUN)
 
 
 class JobScheduler:
@@ -71,6 +59,9 @@
         crashes: `CrashRelay` of this process; a new one if not given.
         has_unlinked_entries: Function that returns whether there may be entries without
             a link to some executor.
+
+    Attributes:
+        reports: `PlacementReports`.
     """
 
     def __init__(self, is_domain_out, crashes=None, has_unlinked_entries=lambda: True):
@@ -87,6 +78,13 @@
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
         self._forecast = StartForecast(self._placement, self._waiting)
         self._early_ends = EarlyEnds(self._placement, self._isolation, self._forecast)
+        self.reports = PlacementReports(
+            self._placement,
+            self._early_ends,
+            self._isolation,
+            self._views,
+            self._waiting,
+        )
         self._crashed_jobs = CrashedJobs(
             self._crashes,
             self._isolation,
@@ -259,7 +257,7 @@
             return
         del view.tasks[end.task]
         task.run = max(task.run, end.run)
-        is_refusal = end.outcome.startswith(_NOT_RUN_PREFIX)
+        is_refusal = end.outcome.startswith(start_refusals.NOT_RUN_PREFIX)
         if not is_refusal or self._lost.is_pinned(task.name):
             # A start that was refused may be executed by the upstream's next lifetime.
             task.job.may_have_run = True
@@ -274,19 +272,19 @@
         if end.outcome == "failed":
             self._on_failed(view, task, now)
         elif is_refusal:
-            reason = end.outcome.removeprefix(_NOT_RUN_PREFIX)
+            reason = end.outcome.removeprefix(start_refusals.NOT_RUN_PREFIX)
             self._on_start_refused(view, task, reason, now)
         elif not self._crashed_jobs.end_if_crashing(task.job, now):
             self._requeue(task, end.outcome, now)
 
     def _on_start_refused(self, view, task, reason, now):
-        if reason in _FINAL_REASONS:
-            self.end(task.job, "failed", _FINAL_REASONS[reason], now)
+        if reason in start_refusals.FINAL_REASONS:
+            self.end(task.job, "failed", start_refusals.FINAL_REASONS[reason], now)
             return
-        if reason == _CRASHING_REASON:
+        if reason == start_refusals.CRASHING_REASON:
             self._crashed_jobs.end_refused(task.job, now)
             return
-        if reason not in _PASSING_REASONS:
+        if reason not in start_refusals.PASSING_REASONS:
             task.avoided_executors.add(view.name)
         is_pinned = self._lost.is_pinned(task.name)
         if reason == LATE_START:
@@ -295,7 +293,9 @@
             task.retry_at = now + _PINNED_RETRY_S
         self._requeue(task, reason, now)
         task.job.on_start_refused()
-        if reason == LATE_START or (is_pinned and reason in _LASTING_REASONS):
+        if reason == LATE_START or (
+            is_pinned and reason in start_refusals.LASTING_REASONS
+        ):
             until = self._lost.executable_until(task.name)
             outcome = self._early_ends.on_late_start(task.job, until)
             self._end_with(task.job, outcome, now)
@@ -359,7 +359,7 @@
         executor = task.executor
         task.state = WAITING
         task.executor = None
-        if reason not in _NO_CAPACITY_REASONS:
+        if reason not in start_refusals.NO_CAPACITY_REASONS:
             log.info(
                 "task_requeued",
                 extra={
@@ -394,10 +394,10 @@
             now: Time, seconds.
         """
         placement_round = self._isolation.begin_round(self._views.values(), now)
-        keeps_headroom = placement_round.keeps_headroom
         wants_queues = self._statistics.interference.is_known
-        run_s = self._placement.run_s
-        batches = StartBatches(run_s, self._lost, keeps_headroom, wants_queues)
+        batches = StartBatches(
+            self._placement, self._lost, placement_round.keeps_headroom, wants_queues
+        )
         jobs = [
             job
             for job in self._waiting.values()
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -23,16 +23,15 @@
     """Collects the starts of a round.
 
     Args:
-        run_s: Function that takes a `LeasedView` and a `Task` and returns the expected
-            run time, seconds.
+        placement: `Placement`.
         lost: `LostTasks`.
         keeps_headroom: Function that takes a `Queue` and returns whether its new jobs
             leave what is kept for more urgent ones.
         wants_queues: Whether executors are to report which queues' tasks they run.
     """
 
-    def __init__(self, run_s, lost, keeps_headroom, wants_queues=False):
-        self._run_s = run_s
+    def __init__(self, placement, lost, keeps_headroom, wants_queues=False):
+        self._placement = placement
         self._lost = lost
         self._keeps_headroom = keeps_headroom
         self._wants_queues = wants_queues
@@ -87,7 +86,7 @@
             resources_to_wire(task.phase.need),
             _wire_ms(job.deadline - now),
             job.request.request_id,
-            _wire_ms(self._run_s(view, task)),
+            _wire_ms(self._placement.run_s(view, task)),
             [],
             _wire_ms(task.phase.expected_s),
             job.queue.name,
