Forecast by what waits for capacity before a job, not by its own tasks

Such tasks counted as a shortage, though they wait for no capacity, and a wide job's own tasks counted against it. Change: tasks that may start at one executor only do not count, nor do the job's own tasks, nor jobs that have ended since the last round.

--- a/benchmarks/shortage_model/simulation.py
+++ b/benchmarks/shortage_model/simulation.py
@@ -62,7 +62,7 @@
         ]
         for entry in self._entries:
             if not load.forecast:
-                entry._forecast.on_round = lambda now: None
+                entry._forecast.on_round = lambda jobs, now: None
             if not load.keeps_apart:
                 entry._statistics.interference.add = lambda *args: None
         tally = SimpleNamespace(on_start=lambda run: False)
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -76,7 +76,7 @@
         self._statistics = RunStatistics()
         self._placement = Placement(self._statistics, is_domain_out, self._lost)
         self._isolation = Isolation(self._crashes, self._placement, self._jobs)
-        self._forecast = StartForecast(self._placement, self._waiting)
+        self._forecast = StartForecast(self._placement)
         self._early_ends = EarlyEnds(self._placement, self._isolation, self._forecast)
         self.reports = PlacementReports(
             self._placement,
@@ -398,19 +398,17 @@
         batches = StartBatches(
             self._placement, self._lost, placement_round.keeps_headroom, wants_queues
         )
-        jobs = [
-            job
-            for job in self._waiting.values()
-            if not self._is_held_back(job, now) and placement_round.may_place(job)
-        ]
-        for job in self._placement.order(jobs, now):
+        waiting = self._waiting.values()
+        jobs = [job for job in waiting if not self._is_held_back(job, now)]
+        placeable = filter(placement_round.may_place, jobs)
+        for job in self._placement.order(placeable, now):
             for number in job.ready_phases():
                 for task, view in placement_round.place(job, number):
                     batches.add(view, task, now)
                     self._forecast.on_start(task, now)
             if not job.has_waiting_tasks:
                 del self._waiting[job.request.job_id]
-        self._forecast.on_round(now)
+        self._forecast.on_round(jobs, now)
         for job, error in batches.send():
             self.end(job, "failed", f"cannot be sent: {error}", now)
 
--- a/papayaward/coordination/start_forecast.py
+++ b/papayaward/coordination/start_forecast.py
@@ -32,13 +32,12 @@
 
     Args:
         placement: `Placement`.
-        waiting: `Job` by identifier of the jobs that may have tasks without an
-            executor; the scheduler changes this dict.
     """
 
-    def __init__(self, placement, waiting):
+    def __init__(self, placement):
         self._placement = placement
-        self._waiting = waiting
+        # Jobs that waited for capacity after the latest round.
+        self._waiting = ()
         # (time, priority of the queue, CPU in thousandths of a core) of each recent
         # start, by service.
         self._starts = {}
@@ -58,14 +57,18 @@
         while now - starts[0][0] > _WINDOW_S:
             starts.popleft()
 
-    def on_round(self, now):
-        """Records what waits after a scheduling round.
+    def on_round(self, jobs, now):
+        """Records what waits for capacity after a scheduling round.
+
+        Tasks that may start at one executor only wait for that, not for capacity.
 
         Args:
+            jobs: `Job` of each job that may have waiting tasks and is not held back.
             now: Time, seconds.
         """
+        self._waiting = [job for job in jobs if self._waiting_cpu(job, now)]
         since = self._waiting_since
-        keys = {_level(job.queue) for job in self._waiting.values()}
+        keys = {_level(job.queue) for job in self._waiting}
         self._waiting_since = {key: since.get(key, now) for key in keys}
 
     def will_start_late(self, job, views, now):
@@ -104,8 +107,9 @@
         return float(min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s)))
 
     def _wait_s(self, job, now):
-        """Returns the time until all tasks of a job have started, seconds.
+        """Returns the time until the jobs before a job have started, seconds.
 
+        The job's own tasks do not count: a wide one would be refused more often.
         More urgent jobs go on taking what they took lately, so that only the rest
         counts as capacity.
 
@@ -121,19 +125,29 @@
             for at, priority, cpu in self._starts.get(queue.service, ())
             if now - at <= _WINDOW_S and priority >= queue.priority
         )
-        return self._cpu_until(job, now) / granted * _WINDOW_S if granted else 0.0
+        return self._cpu_before(job, now) / granted * _WINDOW_S if granted else 0.0
 
-    def _cpu_until(self, job, now):
-        """Returns the CPU of a job's tasks and of all that wait before them."""
+    def _cpu_before(self, job, now):
+        """Returns the CPU of the tasks that wait before a job's."""
         key = self._placement.order_key(job, now)
-        return _waiting_cpu(job) + sum(
-            _waiting_cpu(other)
-            for other in self._waiting.values()
+        return sum(
+            self._waiting_cpu(other, now)
+            for other in self._waiting
             if other is not job
+            and other.outcome is None
             and other.queue.service == job.queue.service
             and self._placement.order_key(other, now) <= key
         )
 
+    def _waiting_cpu(self, job, now):
+        """Returns the CPU of a job's tasks that wait for capacity, millicores."""
+        return sum(
+            job.request.phases[number].need.cpu_millis
+            for number in job.ready_phases()
+            for task in job.waiting_tasks(number)
+            if now >= task.retry_at and not self._placement.is_pinned(task)
+        )
+
 
 def _level(queue):
     return queue.service, queue.priority
@@ -143,11 +157,3 @@
     """Yields one waiting task of each phase that may start."""
     for number in job.ready_phases():
         yield from job.waiting_tasks(number)[:1]
-
-
-def _waiting_cpu(job):
-    """Returns the CPU of a job's tasks that may start, thousandths of a core."""
-    return sum(
-        len(job.waiting_tasks(number)) * job.request.phases[number].need.cpu_millis
-        for number in job.ready_phases()
-    )
