--- a/benchmarks/crash_model/executor.py
+++ b/benchmarks/crash_model/executor.py
@@ -11,9 +11,9 @@
 from types import SimpleNamespace
 
 from papayaward.coordination.capacity_use import CapacityUse, queue_cpu_to_wire
+from papayaward.coordination.crashes.upstream_crashes import crash_of
 from papayaward.coordination.headroom import Headroom
 from papayaward.coordination.leased_runs import Run, isolated_jobs, may_isolate
-from papayaward.coordination.upstream_crashes import crash_of
 from papayaward.coordination.upstream_requests import Delivery
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import Resources, resources_from_wire, resources_to_wire
--- a/benchmarks/crash_model/notices.py
+++ b/benchmarks/crash_model/notices.py
@@ -8,7 +8,7 @@
 import random
 from dataclasses import replace
 
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 
 __all__ = ["CrashNotices"]
 
--- a/benchmarks/crash_model/simulation.py
+++ b/benchmarks/crash_model/simulation.py
@@ -8,7 +8,7 @@
 import random
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 
 from .callers import DEADLY_FROM_S, DEADLY_UNTIL_S, END_S, TIMEOUT_S, Callers
--- a/papayaward/coordination/crash_notices.py
+++ b/papayaward/coordination/crashes/crash_notices.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.crash_notices
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.crash_notices
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 The messages between processes about crashed upstreams.
 """
@@ -8,8 +8,8 @@
 import logging
 from dataclasses import dataclass
 
-from ..protocol.gen import ttypes
-from ..state.crashes import Crash, CrashedJob, Withdrawal
+from ...protocol.gen import ttypes
+from ...state.crashes import Crash, CrashedJob, Withdrawal
 
 __all__ = ["CrashUpdate", "from_message", "to_message"]
 
--- a/papayaward/coordination/crash_relay.py
+++ b/papayaward/coordination/crashes/crash_relay.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.crash_relay
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.crash_relay
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Spreads the knowledge of crashed upstreams over the links between the processes, and
 that of late starts at executors out of reach.
@@ -16,11 +16,11 @@
 
 import logging
 
-from ..protocol.gen import ttypes
-from ..state.crash_records import CrashRecords
-from ..state.crashes import Withdrawal
+from ...protocol.gen import ttypes
+from ...state.crash_records import CrashRecords
+from ...state.crashes import Withdrawal
+from ..late_start_notices import LateStartNotices
 from .crash_notices import CrashUpdate, from_message, to_message
-from .late_start_notices import LateStartNotices
 
 __all__ = ["CrashRelay"]
 
--- a/papayaward/coordination/crashed_jobs.py
+++ b/papayaward/coordination/crashes/crashed_jobs.py
@@ -1,14 +1,14 @@
 """
-papayaward.coordination.crashed_jobs
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.crashed_jobs
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 What an entry does with its jobs when it is told of a crash or of a late start.
 """
 
 import logging
 
-from ..protocol.gen import ttypes
-from ..state.crashes import job_id_of
+from ...protocol.gen import ttypes
+from ...state.crashes import job_id_of
 from .isolation import Verdict
 from .lost_upstreams import with_late_starts
 
--- a/papayaward/coordination/isolated_placement.py
+++ b/papayaward/coordination/crashes/isolated_placement.py
@@ -1,13 +1,13 @@
 """
-papayaward.coordination.isolated_placement
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.isolated_placement
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Chooses executors for the tasks of an isolated job.
 
 All tasks go to as few executors as possible: each of them may be lost with the job.
 """
 
-from .job_state import SENT
+from ..job_state import SENT
 
 __all__ = ["place_isolated"]
 
--- a/papayaward/coordination/isolation.py
+++ b/papayaward/coordination/crashes/isolation.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.isolation
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.isolation
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Decides which jobs run isolated from one another because a task may crash its upstream.
 
@@ -17,9 +17,9 @@
 
 from enum import Enum
 
-from ..state.crash_records import MAX_CRASHES_UNDER_TASK
+from ...state.crash_records import MAX_CRASHES_UNDER_TASK
+from ..job_state import SENT
 from .isolated_placement import place_isolated
-from .job_state import SENT
 from .queue_guard import QueueGuards, executors_for_guarded
 
 __all__ = ["Isolation", "IsolationRound", "Verdict"]
--- a/papayaward/coordination/lost_lifetimes.py
+++ b/papayaward/coordination/crashes/lost_lifetimes.py
@@ -1,13 +1,13 @@
 """
-papayaward.coordination.lost_lifetimes
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.lost_lifetimes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 What an executor tells all processes of a lifetime of its upstream that it has lost.
 """
 
-from .. import clock
+from ... import clock
+from ..upstream_requests import LossEvidence
 from .upstream_crashes import crash_of_loss, log_crash
-from .upstream_requests import LossEvidence
 
 __all__ = ["LostLifetimes"]
 
--- a/papayaward/coordination/lost_upstreams.py
+++ b/papayaward/coordination/crashes/lost_upstreams.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.lost_upstreams
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.lost_upstreams
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Notices that an upstream has crashed together with the executor's process.
 
--- a/papayaward/coordination/queue_guard.py
+++ b/papayaward/coordination/crashes/queue_guard.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.queue_guard
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.queue_guard
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Limits how far the jobs of a queue reach whose tasks crash upstreams.
 
--- a/papayaward/coordination/suspected_crashes.py
+++ b/papayaward/coordination/crashes/suspected_crashes.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.suspected_crashes
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.suspected_crashes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 Crashes of an executor's upstream until a reply shows whether they have happened.
 
@@ -14,8 +14,8 @@
 
 from dataclasses import dataclass, replace
 
-from ..state.crashes import Crash
-from .upstream_requests import UpstreamState
+from ...state.crashes import Crash
+from ..upstream_requests import UpstreamState
 
 __all__ = ["SuspectedCrashes"]
 
--- a/papayaward/coordination/upstream_crashes.py
+++ b/papayaward/coordination/crashes/upstream_crashes.py
@@ -1,6 +1,6 @@
 """
-papayaward.coordination.upstream_crashes
-~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+papayaward.coordination.crashes.upstream_crashes
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
 
 What ran on an upstream when it ended without notice.
 """
@@ -9,9 +9,9 @@
 import math
 from dataclasses import dataclass, replace
 
-from ..state import metrics
-from ..state.crashes import Crash, CrashedJob, job_id_of
-from .upstream_requests import Delivery
+from ...state import metrics
+from ...state.crashes import Crash, CrashedJob, job_id_of
+from ..upstream_requests import Delivery
 
 __all__ = ["LostRun", "crash_of", "crash_of_loss", "log_crash"]
 
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -18,16 +18,16 @@
 from ..protocol.gen import ttypes
 from ..protocol.jobs import LeasedJobOutcome
 from . import start_refusals
-from .crash_relay import CrashRelay
-from .crashed_jobs import CrashedJobs
+from .crashes.crash_relay import CrashRelay
+from .crashes.crashed_jobs import CrashedJobs
+from .crashes.isolation import Isolation, Verdict
+from .crashes.lost_upstreams import LostUpstreams
 from .early_ends import EarlyEnds, ended_early
-from .isolation import Isolation, Verdict
 from .job_placement import Placement
 from .job_report import job_fields, report_end
 from .job_state import SENT, WAITING, Job
 from .leased_views import LeasedView
 from .lost_tasks import LostTasks, Release
-from .lost_upstreams import LostUpstreams
 from .placement_report import PlacementReports
 from .run_starter import LATE_START
 from .run_statistics import RunStatistics
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -24,8 +24,8 @@
 from dataclasses import dataclass, replace
 
 from ..protocol.gen import ttypes
+from .crashes.upstream_crashes import LostRun
 from .run_activity import may_outlast_lifetime
-from .upstream_crashes import LostRun
 from .upstream_requests import LATE_RENEWALS_S, MAX_LATE_RUN_S, MAX_START_DELAY_S
 
 __all__ = ["LateStart", "LateStarts"]
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -15,21 +15,21 @@
 from ..protocol.jobs import Resources, resources_from_wire
 from .capacity_reports import Capacity, CapacityReports
 from .capacity_use import CapacityUse, queue_cpu_to_wire
-from .crash_relay import CrashRelay
+from .crashes.crash_relay import CrashRelay
+from .crashes.lost_lifetimes import LostLifetimes
+from .crashes.suspected_crashes import SuspectedCrashes
+from .crashes.upstream_crashes import LostRun
 from .current_upstream import CurrentUpstream, log_capacity_change
 from .headroom import Headroom
 from .late_starts import LateStarts
 from .leased_runs import Run, isolated_jobs, unsettled_starts, unsettled_tasks
 from .listed_runs import ListedRuns
-from .lost_lifetimes import LostLifetimes
 from .run_activity import RunActivity
 from .run_numbers import RunNumbers
 from .run_owners import RunOwners
 from .run_requests import start_run, stop_run
 from .run_starter import LATE_START, OLD_RUN
 from .start_admission import StartAdmission, log_refusals
-from .suspected_crashes import SuspectedCrashes
-from .upstream_crashes import LostRun
 from .upstream_session import UpstreamSession
 
 __all__ = ["LeasedExecutor"]
--- a/papayaward/leased_node.py
+++ b/papayaward/leased_node.py
@@ -12,7 +12,7 @@
 from . import clock
 from .coordination.config_relay import ConfigRelay
 from .coordination.config_sync import ConfigHolder
-from .coordination.crash_relay import CrashRelay
+from .coordination.crashes.crash_relay import CrashRelay
 from .coordination.domains_sync import DomainsHolder
 from .protocol.gen.ttypes import Heartbeat, Hello
 from .protocol.jobs import Routing
--- a/tests/leased_fleet.py
+++ b/tests/leased_fleet.py
@@ -11,7 +11,7 @@
 from gevent.event import Event
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_executor import LeasedExecutor
 from papayaward.coordination.upstream_requests import ConnectionBroken, Unreachable
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -17,7 +17,7 @@
 from gevent.event import Event
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_executor import LeasedExecutor
 from tests.leased_case import job_queue, upstream_state
--- a/tests/test_crashing_tasks.py
+++ b/tests/test_crashing_tasks.py
@@ -13,9 +13,9 @@
 from testtools import TestCase
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
+from papayaward.coordination.crashes.lost_upstreams import LostUpstreams
 from papayaward.coordination.job_state import Job
-from papayaward.coordination.lost_upstreams import LostUpstreams
 from papayaward.protocol.gen import ttypes
 from papayaward.state.crash_records import CrashRecords
 from papayaward.state.crashes import Crash, CrashedJob
--- a/tests/test_job_scheduler.py
+++ b/tests/test_job_scheduler.py
@@ -11,7 +11,7 @@
 from testtools import TestCase
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol.gen import ttypes
 from papayaward.protocol.jobs import Phase, Resources
--- a/tests/test_late_start_notices.py
+++ b/tests/test_late_start_notices.py
@@ -7,7 +7,7 @@
 
 from testtools import TestCase
 
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.protocol.gen import ttypes
 from tests.leased_case import FakeLink
 
--- a/tests/test_lost_tasks.py
+++ b/tests/test_lost_tasks.py
@@ -12,7 +12,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.upstream_requests import MAX_LATE_RUN_S
 from papayaward.protocol.codec import MESSAGE_CODES, FrameError, decode
--- a/tests/test_queue_guard.py
+++ b/tests/test_queue_guard.py
@@ -9,7 +9,7 @@
 
 from testtools import TestCase
 
-from papayaward.coordination.queue_guard import QueueGuards
+from papayaward.coordination.crashes.queue_guard import QueueGuards
 from papayaward.state.crash_records import CrashRecords
 from papayaward.state.crashes import Crash, CrashedJob, Withdrawal
 
--- a/tests/test_suspected_crashes.py
+++ b/tests/test_suspected_crashes.py
@@ -15,7 +15,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 from papayaward import clock
-from papayaward.coordination.crash_relay import CrashRelay
+from papayaward.coordination.crashes.crash_relay import CrashRelay
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol import codec
 from papayaward.protocol.gen import ttypes
