--- a/tests/test_unsettled_runs.py
+++ b/tests/test_unsettled_runs.py
@@ -14,6 +14,8 @@
     CapacityReports,
     report_due_at,
 )
+from papayaward.coordination.capacity_use import CapacityUse
+from papayaward.coordination.headroom import Headroom
 from papayaward.coordination.late_starts import LateStarts
 from papayaward.coordination.leased_executor import LeasedExecutor
 from papayaward.coordination.leased_runs import Owner
@@ -253,6 +255,8 @@
             lambda owner: (list(unsettled), []),
             lambda owner: [],
             LateStarts(),
+            Headroom(),
+            CapacityUse(),
         )
         reports.send(owner, _NOW)
         reports.on_run_settled(owner)
