Server: a refused client may be gone before its answer; smaller buffer for the rest

Cause: read in review: an error while a refusal is sent ended the handler with a traceback, and each refused connection took a buffer of 64 KiB, all that a connection may take. Change: such an error is ignored, the buffer has 16 KiB.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -50,7 +50,7 @@
 # stays open for a while.
 _LINGER_BYTES = 10 * 1024 * 1024
 _LINGER_S = 2.0
-_LINGER_READ_BYTES = 64 * 1024
+_LINGER_READ_BYTES = 16 * 1024
 # A body in chunks is read in parts of this size.
 _PART_BYTES = 4096
 # Chunks whose framing takes more than this and half of their content are refused.
@@ -112,13 +112,19 @@
         self._reader.begin_request(clock.now())
         result = super().handle_one_request()
         if isinstance(result, tuple):
-            status, response = result
-            self._on_rejected(status)
-            self.socket.sendall(response)
-            self._linger()
+            self._reject(*result)
             return None
         return result
 
+    def _reject(self, status, response):
+        self._on_rejected(status)
+        try:
+            self.socket.sendall(response)
+        except OSError:
+            # The client has disconnected.
+            return
+        self._linger()
+
     def _on_rejected(self, reason):
         self.server.on_rejected(reason, self.client_address)
 
