--- a/papayaward/job_requests.py
+++ b/papayaward/job_requests.py
@@ -10,7 +10,7 @@
 
 from .protocol.options import OptionError, get_bool, get_int, get_string, read_object
 from .protocol.outcomes import Reason
-from .transport.http_server import BodyFault
+from .transport.request_body import BodyFault
 
 __all__ = ["JobRequest", "RequestError", "parse_body", "parse_job"]
 
--- a/papayaward/transport/http_api.py
+++ b/papayaward/transport/http_api.py
@@ -11,7 +11,7 @@
 from http import HTTPStatus
 from urllib.parse import parse_qsl
 
-from .http_server import BodyError, BodyFault, read_body
+from .request_body import BodyError, BodyFault, read_body
 
 __all__ = [
     "HttpApi",
--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -8,7 +8,6 @@
 import io
 import logging
 from dataclasses import replace
-from enum import StrEnum
 from http import HTTPStatus
 from http.client import HTTPException
 
@@ -18,6 +17,7 @@
 
 from .. import clock
 from ..loops import repeat
+from .request_body import ON_REJECTED, READER
 from .request_intake import (
     BudgetExhausted,
     HeadTooLarge,
@@ -26,11 +26,8 @@
 )
 
 __all__ = [
-    "BodyError",
-    "BodyFault",
     "HttpServer",
     "has_disconnected",
-    "read_body",
     "serve_http",
     "watch_disconnect",
 ]
@@ -41,8 +38,6 @@
 _FINAL_REQUEST_WAIT_S = 0.2
 _GUARD_INTERVAL_S = 0.5
 _CONNECTION = "papayaward.connection"
-_READER = "papayaward.reader"
-_ON_REJECTED = "papayaward.on_rejected"
 _BACKLOG = 1024
 # Bytes that the kernel keeps of a client that sends faster than it is read.
 _RECEIVE_BUFFER_BYTES = 128 * 1024
@@ -51,33 +46,9 @@
 _LINGER_BYTES = 10 * 1024 * 1024
 _LINGER_S = 2.0
 _LINGER_READ_BYTES = 16 * 1024
-# A body in chunks is read in parts of this size.
-_PART_BYTES = 4096
-# Chunks whose framing takes more than this and half of their content are refused.
-_FRAMING_BYTES = 96 * 1024
 _LOG_INTERVAL_S = 1.0
 
 
-class BodyFault(StrEnum):
-    """Reasons for which a body was not read."""
-
-    TOO_LONG = "body_too_long"
-    INCOMPLETE = "body_incomplete"
-    BUSY = "too_many_large_requests"
-
-
-class BodyError(Exception):
-    """A body that was not read.
-
-    Attributes:
-        fault: `BodyFault`.
-    """
-
-    def __init__(self, fault):
-        super().__init__(fault.value.replace("_", " "))
-        self.fault = fault
-
-
 class _BoundedInput(Input):
     """Body of a request of which the part that nobody reads is not read either."""
 
@@ -147,8 +118,8 @@
             source.rfile, source.content_length, source.socket, source.chunked_input
         )
         environ[_CONNECTION] = self.socket
-        environ[_READER] = self._reader
-        environ[_ON_REJECTED] = self._on_rejected
+        environ[READER] = self._reader
+        environ[ON_REJECTED] = self._on_rejected
         if not self.wsgi_input.has_more:
             self._reader.complete_request()
         return environ
@@ -394,59 +365,3 @@
             on_disconnect()
 
     return gevent.spawn(watch)
-
-
-def read_body(environ, max_bytes):
-    """Returns the body of a request.
-
-    Args:
-        environ: WSGI environment of the request.
-        max_bytes: Maximum size.
-
-    Raises:
-        BodyError: The body is too long, its length is invalid, it has not arrived whole
-            or too many clients send large bodies.
-    """
-    try:
-        body = _read_body(environ, max_bytes)
-    except BodyError as error:
-        environ.get(_ON_REJECTED, lambda reason: None)(error.fault)
-        raise
-    reader = environ.get(_READER)
-    if reader is not None:
-        reader.complete_request()
-    return body
-
-
-def _read_body(environ, max_bytes):
-    try:
-        return _read_stream(environ, max_bytes)
-    except BudgetExhausted as error:
-        raise BodyError(BodyFault.BUSY) from error
-    except OSError as error:
-        raise BodyError(BodyFault.INCOMPLETE) from error
-
-
-def _read_stream(environ, max_bytes):
-    stream = environ["wsgi.input"]
-    length = environ.get("CONTENT_LENGTH")
-    if not length:
-        return _read_chunks(stream, environ.get(_READER), max_bytes)
-    try:
-        length = int(length)
-    except ValueError as error:
-        raise BodyError(BodyFault.TOO_LONG) from error
-    if not 0 <= length <= max_bytes:
-        raise BodyError(BodyFault.TOO_LONG)
-    return stream.read(length)
-
-
-def _read_chunks(stream, reader, max_bytes):
-    parts, size = [], 0
-    while part := stream.read(_PART_BYTES):
-        parts.append(part)
-        size += len(part)
-        framed_bytes = 0 if reader is None else reader.request_bytes
-        if size > max_bytes or framed_bytes > 1.5 * size + _FRAMING_BYTES:
-            raise BodyError(BodyFault.TOO_LONG)
-    return b"".join(parts)
--- /dev/null
+++ b/papayaward/transport/request_body.py
@@ -0,0 +1,100 @@
+"""
+papayaward.transport.request_body
+~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Reads the bodies of requests within their limits.
+"""
+
+from enum import StrEnum
+
+from .request_intake import BudgetExhausted
+
+__all__ = ["ON_REJECTED", "READER", "BodyError", "BodyFault", "read_body"]
+
+# Keys of the WSGI environment: the `ConnectionReader` of the request, and a function
+# that takes the `BodyFault` of a refused one.
+READER = "papayaward.reader"
+ON_REJECTED = "papayaward.on_rejected"
+
+# A body in chunks is read in parts of this size.
+_PART_BYTES = 4096
+# Chunks are refused whose framing takes more than this and this part of their content.
+_FRAMING_BYTES = 96 * 1024
+_FRAMING_SHARE = 0.5
+
+
+class BodyFault(StrEnum):
+    """Reasons for which a body was not read."""
+
+    TOO_LONG = "body_too_long"
+    INCOMPLETE = "body_incomplete"
+    BUSY = "too_many_large_requests"
+
+
+class BodyError(Exception):
+    """A body that was not read.
+
+    Attributes:
+        fault: `BodyFault`.
+    """
+
+    def __init__(self, fault):
+        super().__init__(fault.value.replace("_", " "))
+        self.fault = fault
+
+
+def read_body(environ, max_bytes):
+    """Returns the body of a request.
+
+    Args:
+        environ: WSGI environment of the request.
+        max_bytes: Maximum size.
+
+    Raises:
+        BodyError: The body is too long, its length is invalid, it has not arrived whole
+            or too many clients send large bodies.
+    """
+    try:
+        body = _read_body(environ, max_bytes)
+    except BodyError as error:
+        environ.get(ON_REJECTED, lambda reason: None)(error.fault)
+        raise
+    reader = environ.get(READER)
+    if reader is not None:
+        reader.complete_request()
+    return body
+
+
+def _read_body(environ, max_bytes):
+    try:
+        return _read_stream(environ, max_bytes)
+    except BudgetExhausted as error:
+        raise BodyError(BodyFault.BUSY) from error
+    except OSError as error:
+        raise BodyError(BodyFault.INCOMPLETE) from error
+
+
+def _read_stream(environ, max_bytes):
+    stream = environ["wsgi.input"]
+    length = environ.get("CONTENT_LENGTH")
+    if not length:
+        return _read_chunks(stream, environ.get(READER), max_bytes)
+    try:
+        length = int(length)
+    except ValueError as error:
+        raise BodyError(BodyFault.TOO_LONG) from error
+    if not 0 <= length <= max_bytes:
+        raise BodyError(BodyFault.TOO_LONG)
+    return stream.read(length)
+
+
+def _read_chunks(stream, reader, max_bytes):
+    parts, size = [], 0
+    while part := stream.read(_PART_BYTES):
+        parts.append(part)
+        size += len(part)
+        received = 0 if reader is None else reader.request_bytes
+        most_received = (1.0 + _FRAMING_SHARE) * size + _FRAMING_BYTES
+        if size > max_bytes or received > most_received:
+            raise BodyError(BodyFault.TOO_LONG)
+    return b"".join(parts)
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -10,7 +10,7 @@
 
 from testtools import TestCase
 
-from papayaward.transport.http_server import BodyError, BodyFault, read_body
+from papayaward.transport.request_body import BodyError, BodyFault, read_body
 from papayaward.transport.request_intake import (
     BudgetExhausted,
     HeadTooLarge,
