Configuration: switches of a service for headroom, forecasts and interference

Cause: the three parts followed from the queues' priorities alone, so that an operator could not switch one off.

--- a/papayaward/coordination/job_placement.py
+++ b/papayaward/coordination/job_placement.py
@@ -184,7 +184,7 @@
 
     def slowdown(self, view, queue):
         """Returns the logarithm of the slowdown by and of what runs at an executor."""
-        if not self._interference.is_known:
+        if not self._interference.is_known or not queue.sharing.interference:
             return 0.0
         return self._interference.slowdown(queue.name, view.shares)
 
--- a/papayaward/coordination/placement_round.py
+++ b/papayaward/coordination/placement_round.py
@@ -163,6 +163,8 @@
         While the executors together have much more capacity, urgent tasks find some
         elsewhere.
         """
+        if not queue.sharing.headroom:
+            return False
         key = (queue.service, queue.priority)
         keeps = self._keeps_headroom.get(key)
         if keeps is None:
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -91,7 +91,7 @@
             _wire_ms(task.phase.expected_s),
             job.queue.name,
             task.isolation_limit,
-            job.queue.priority,
+            job.queue.priority if job.queue.sharing.headroom else None,
             may_use_kept,
         )
 
--- a/papayaward/coordination/start_forecast.py
+++ b/papayaward/coordination/start_forecast.py
@@ -114,12 +114,15 @@
         counts as capacity.
 
         Returns:
-            float: 0 if there is no shortage or too little is known.
+            float: 0 if there is no shortage, too little is known or the service asks
+                for no forecasts.
         """
         queue = job.queue
         since = self._waiting_since.get(_level(queue))
         if since is None or now - since < _MIN_BACKLOG_S:
             return 0.0
+        if not queue.sharing.start_forecast:
+            return 0.0
         granted = sum(
             cpu
             for at, priority, cpu in self._starts.get(queue.service, ())
--- a/papayaward/protocol/jobs.py
+++ b/papayaward/protocol/jobs.py
@@ -17,6 +17,7 @@
     "RequestLimits",
     "Resources",
     "Routing",
+    "SharingPolicy",
     "resources_from_wire",
     "resources_to_wire",
 ]
@@ -123,6 +124,21 @@
     timeout_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class SharingPolicy:
+    """How the queues of a service share its upstreams.
+
+    Attributes:
+        headroom: Whether executors keep capacity for more urgent queues.
+        start_forecast: Whether jobs are refused on arrival that would start too late.
+        interference: Whether queues are kept apart that slow each other down.
+    """
+
+    headroom: bool = True
+    start_forecast: bool = True
+    interference: bool = True
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """A queue defined in the configuration.
@@ -140,6 +156,7 @@
         timeout_s: Default time that a caller waits for the answer, seconds.
         requires_hint: Whether an upstream may run a phase only with the approval of
             another service.
+        sharing: `SharingPolicy` of the service.
     """
 
     name: str
@@ -152,6 +169,7 @@
     slack_s: float = 0.0
     timeout_s: float = 0.0
     requires_hint: bool = False
+    sharing: SharingPolicy = SharingPolicy()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -35,7 +35,11 @@
 from papayaward.leased_entry import LeasedEntry  # noqa: E402
 from papayaward.leased_node import NodeSettings  # noqa: E402
 from papayaward.protocol.config_text import ConfigError  # noqa: E402
-from papayaward.protocol.jobs import Resources  # noqa: E402
+from papayaward.protocol.jobs import (  # noqa: E402
+    RequestLimits,
+    Resources,  # noqa: E402
+    SharingPolicy,
+)
 from papayaward.protocol.options import OptionError  # noqa: E402
 from papayaward.protocol.store_errors import StoreConflict  # noqa: E402
 from papayaward.transport.http_server import serve_http  # noqa: E402
@@ -203,6 +207,28 @@
         self.assertEqual("q", routing.find("h", "/a/x").name)
         self.assertIsNone(routing.find("h", "/b"))
 
+    def test_limits_and_switches_of_the_operators(self):
+        """Guards against fields that are ignored, or taken whatever their type."""
+        route = _route()
+        document = {"version": 3, "routes": [route]}
+        routing = parse_routing(json.dumps(document))
+        self.assertEqual(RequestLimits(), routing.limits)
+        self.assertEqual(SharingPolicy(), routing.queues[0].sharing)
+        service = {"name": route["service"], "headroom": False, "interference": False}
+        limits = {"max_header_bytes": 16384, "header_timeout_ms": 3000}
+        document.update(services=[{"name": "other"}, service], limits=limits)
+        routing = parse_routing(json.dumps(document))
+        self.assertEqual(SharingPolicy(False, True, False), routing.queues[0].sharing)
+        self.assertEqual(RequestLimits(16384, head_timeout_s=3.0), routing.limits)
+        for wrong in (
+            {"services": [{**service, "headroom": 1}]},
+            {"services": [1]},
+            {"limits": {"max_body_bytes": "1"}},
+            {"limits": {"idle_timeout_ms": 0}},
+        ):
+            text = json.dumps({**document, **wrong})
+            self.assertRaises(ConfigError, parse_routing, text)
+
     def test_invalid_configuration_is_rejected(self):
         """Guards against a process that exits on an invalid configuration."""
         for text in (b"{", b"[]", b'{"version": 1, "routes": [{"name": 1}]}', b"\xff"):
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -11,11 +11,13 @@
 from testtools import TestCase
 
 from benchmarks.shortage_model import LOADS, play
+from papayaward import clock
 from papayaward.coordination.headroom import Headroom, kept_cpu
+from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.coordination.leased_views import LeasedView
 from papayaward.protocol.gen import ttypes
-from papayaward.protocol.jobs import Resources
-from tests.leased_case import FakeLink, capacity_report
+from papayaward.protocol.jobs import Resources, SharingPolicy
+from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
 
 __all__ = []
 
@@ -117,6 +119,23 @@
     return SimpleNamespace(job=job, phase=SimpleNamespace(need=_NEED))
 
 
+class SwitchTest(TestCase):
+    def test_service_without_headroom_sends_no_priority(self):
+        """Guards against a switch that does nothing at the executors."""
+        for headroom in (True, False):
+            sharing = SharingPolicy(headroom=headroom)
+            queue = job_queue(priority=2, sharing=sharing)
+            scheduler = JobScheduler(lambda domain: False)
+            link = FakeLink("r1", "runner")
+            scheduler.on_link_up(link, clock.now())
+            scheduler.on_message(link, capacity_report(), clock.now())
+            scheduler.submit(job_request(), queue, clock.now())
+            scheduler.schedule(clock.now())
+            (batch,) = link.of_type(ttypes.StartBatch)
+            priority = 2 if headroom else None
+            self.assertEqual(priority, batch.groups[0].priority)
+
+
 class ShortageTest(TestCase):
     """Long, small and urgent jobs at several entries, more than there is capacity."""
 
--- a/tests/test_placement_report.py
+++ b/tests/test_placement_report.py
@@ -17,7 +17,7 @@
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.placement_api import PlacementApi
 from papayaward.protocol.gen import ttypes
-from papayaward.protocol.jobs import Routing
+from papayaward.protocol.jobs import Routing, SharingPolicy
 from papayaward.transport.entry_client import EntryReply
 from papayaward.transport.http_api import Request
 from tests.leased_case import FakeLink, capacity_report, job_queue, job_request
@@ -41,8 +41,8 @@
         self.scheduler.on_message(link, report, clock.now())
         return link
 
-    def report(self, priority=0, **options):
-        queue = job_queue(priority=priority)
+    def report(self, priority=0, sharing=SharingPolicy(), **options):
+        queue = job_queue(priority=priority, sharing=sharing)
         return self.scheduler.reports.report(job_request(**options), queue, clock.now())
 
     def test_each_executor_has_its_verdict_and_nothing_is_started(self):
@@ -83,6 +83,9 @@
         self.assertEqual(2000, row.kept_millis)
         self.assertEqual("wait", report.decision)
         self.assertEqual("start", self.report(priority=0, tasks=1).decision)
+        off = SharingPolicy(headroom=False)
+        report = self.report(priority=1, sharing=off, tasks=1)
+        self.assertEqual("start", report.decision)
 
     def test_job_that_would_be_refused_says_so(self):
         """Guards against an answer that promises a start."""
--- a/tests/test_start_forecast.py
+++ b/tests/test_start_forecast.py
@@ -14,7 +14,7 @@
 from benchmarks.shortage_model import LOADS, play
 from papayaward.coordination.job_state import Job
 from papayaward.coordination.start_forecast import StartForecast
-from papayaward.protocol.jobs import LeasedJobRequest, Phase, Resources
+from papayaward.protocol.jobs import LeasedJobRequest, Phase, Resources, SharingPolicy
 from tests.leased_case import job_queue
 
 __all__ = []
@@ -130,6 +130,15 @@
         self.forecast.on_round(jobs, 1.1)
         self.assertFalse(self.is_late(_job("c", priority=1, at=1.1), 1.1))
 
+    def test_service_without_forecasts_refuses_later(self):
+        """Guards against a switch that does nothing."""
+        self.shortage()
+        late = _job("c", priority=1, at=0.9)
+        off = SharingPolicy(start_forecast=False)
+        late.queue = replace(late.queue, sharing=off)
+        self.assertFalse(self.is_late(late, 0.9))
+        self.assertEqual(1.0, self.forecast.retry_after_s(late, 0.9))
+
     def test_ended_jobs_are_not_waited_for(self):
         """Guards against a forecast by jobs that were refused since the last round."""
         jobs = self.shortage()
