--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -15,6 +15,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from .. import clock
 
@@ -117,7 +118,7 @@
         self._reserved_bytes = 0
         # In the order in which the connections were accepted.
         self._readers = {}
-        self._has_work = gevent.event.Event()
+        self._has_work = Event()
 
     @property
     def reserved_bytes(self):
