--- a/benchmarks/shortage_model/simulation.py
+++ b/benchmarks/shortage_model/simulation.py
@@ -12,7 +12,6 @@
 from benchmarks.crash_model.events import EventQueue
 from benchmarks.crash_model.executor import CORE, ROUND_S, SERVICE, Executor
 from benchmarks.crash_model.load import Load as ExecutorLoad
-from papayaward import clock
 from papayaward.coordination.job_scheduler import JobScheduler
 from papayaward.protocol.jobs import LeasedJobRequest, Phase, Queue, Resources
 
@@ -20,6 +19,8 @@
 
 __all__ = ["play"]
 
+# A fixed time, since the rounding of times changes the course of a play.
+_BEGIN_S = 1000.0
 _END_S = 12.0
 _TIMEOUT_S = 8.0
 _CHECK_S = 0.02
@@ -56,7 +57,7 @@
 class _Play:
     def __init__(self, load):
         self._load = load
-        self._events = events = EventQueue(clock.now())
+        self._events = events = EventQueue(_BEGIN_S)
         self._entries = [
             JobScheduler(lambda domain: False) for _ in range(load.entries)
         ]
