Tests: crowds that use up turns, connections or memory within each single limit

The crowd and its bounds are fixed before the product changes: pipelined requests (20 clients, replies read or not), whole bodies of 340,000 objects and trailers without end (100 clients), connections that send nothing (300). An ordinary request is sent beside the crowd and after it; memory and sockets have the bounds of test_client_crowd, whose 22 cases keep crowd and bounds (its base classes are now tests/crowd_case.py).

--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -18,6 +18,8 @@
 import gevent
 from gevent import socket
 
+from .crowd_kinds import PLAYS
+
 __all__ = ["CLIENTS", "KINDS", "main"]
 
 CLIENTS = 100
@@ -94,6 +96,28 @@
             gevent.sleep(0)
 
 
+def _play(play, address, path, until):
+    """Plays one client, which reconnects when it is refused; returns its socket."""
+    while time.monotonic() < until:
+        try:
+            sock = play.connect(address, path, until)
+        except OSError:
+            sock = None
+        if sock is not None:
+            return sock
+        gevent.sleep(_PAUSE_S)
+    return None
+
+
+def _run_plays(play, address, path, until):
+    """Runs a crowd of `crowd_kinds` and returns the sockets that stay open."""
+    clients = [
+        gevent.spawn(_play, play, address, path, until) for _ in range(play.clients)
+    ]
+    gevent.joinall(clients)
+    return [client.value for client in clients]
+
+
 def main(args):
     """Runs the crowd against an address.
 
@@ -102,9 +126,15 @@
     """
     address, path, kind = args
     host, _, port = address.rpartition(":")
+    until = time.monotonic() + _CROWD_S
+    if kind in PLAYS:
+        connected = _run_plays(PLAYS[kind], (host, int(port)), path, until)
+        print(0, flush=True)
+        sys.stdin.read()
+        del connected
+        return 0
     head = f"POST {path} HTTP/1.1\r\nHost: q.example\r\n".encode()
     blocks = partial(KINDS[kind], head)
-    until = time.monotonic() + _CROWD_S
     clients = [_Client((host, int(port)), blocks, until) for _ in range(CLIENTS)]
     gevent.joinall([gevent.spawn(client.run) for client in clients])
     print(max(client.max_sent for client in clients), flush=True)
--- a/tests/test_client_crowd.py
+++ b/tests/test_client_crowd.py
@@ -5,162 +5,18 @@
 Crowds of clients outside the limits, at the processes that callers connect to.
 """
 
-import os
-import subprocess
-import sys
-import tempfile
-import threading
-
-import gevent
-from testtools import TestCase
-
-from standins.fleet import call
-from standins.platform_fleet import PlatformFleet
-
 from .client_crowd import KINDS
-from .fleet_case import FleetCase
+from .crowd_case import EntryCrowdCase, PlatformCrowdCase
 
 __all__ = []
 
-# Limits of the VM in the settings of the tests: the process is small, so that a
-# crowd of a hundred clients suffices.
-_MEMORY_MB = 96
-_MAX_DESCRIPTORS = 280
-# Descriptors that the platform reserves for files.
-_FILE_DESCRIPTORS = 200
-_MAX_BODY_BYTES = 1024 * 1024
-# More than one connection can take in whole requests of the largest size, and less
-# than a client of the crowd sends.
-_MAX_CONNECTION_BYTES = 20 * 1024 * 1024
-_SAMPLE_S = 0.05
-_DEADLINE_MS = 20_000
-_JOB = {
-    "spec": "50",
-    "best_effort": True,
-    "phases": [{"count": 1, "cpu": 1000, "est_runtime_ms": 100}],
-}
-
-
-def _peak_memory_mb(pid):
-    with open(f"/proc/{pid}/status") as status:
-        line = next(line for line in status if line.startswith("VmHWM:"))
-    return int(line.split()[1]) / 1024
-
-
-def _count_sockets(pid):
-    folder = f"/proc/{pid}/fd"
-    count = 0
-    for name in os.listdir(folder):
-        try:
-            count += os.readlink(f"{folder}/{name}").startswith(("socket:", "pipe:"))
-        except FileNotFoundError:
-            # Closed since the folder was listed.
-            continue
-    return count
-
-
-class _Crowd:
-    """A running crowd and the largest number of sockets of its target."""
-
-    def __init__(self, address, path, kind, pid):
-        self._pid = pid
-        self.max_sockets = 0
-        self._process = subprocess.Popen(
-            [sys.executable, "-m", "tests.client_crowd", address, path, kind],
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
-
-    def wait(self):
-        """Returns the largest number of bytes that one connection took."""
-        lines = []
-        reader = threading.Thread(
-            target=lambda: lines.append(self._process.stdout.readline())
-        )
-        reader.start()
-        while reader.is_alive():
-            self._count_sockets()
-            gevent.sleep(_SAMPLE_S)
-        return int(lines[0])
-
-    def _count_sockets(self):
-        try:
-            count = _count_sockets(self._pid)
-        except FileNotFoundError:
-            # The process has ended, which the test checks afterwards.
-            return
-        self.max_sockets = max(self.max_sockets, count)
-
-    def leave(self):
-        """Closes the connections that are still open."""
-        self._process.stdin.close()
-        while self._process.poll() is None:
-            gevent.sleep(_SAMPLE_S)
-        self._process.stdout.close()
-
-
-class _CrowdChecks:
-    """Checks of one target: subclasses start it and send an ordinary request."""
-
-    def check_crowd(self, kind):
-        target, address = self.start_target()
-        crowd = _Crowd(address, self.path, kind, target.pid)
-        self.addCleanup(crowd.leave)
-        taken_bytes = crowd.wait()
-        self.assertIsNone(target.poll(), "the process has ended")
-        # The clients whose connections are still open stay.
-        self.check_ordinary_request()
-        crowd.leave()
-        self.check_ordinary_request()
-        self.assertIsNone(target.poll(), "the process has ended")
-        self.assertLess(_peak_memory_mb(target.pid), _MEMORY_MB)
-        self.assertLess(taken_bytes, _MAX_CONNECTION_BYTES)
-        return crowd
-
-
-class PlatformCrowdTest(_CrowdChecks, TestCase):
-    path = "/q/0123456789abcdef"
-
-    def start_target(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.fleet = PlatformFleet(
-            folder.name,
-            limits={"memory_mb": _MEMORY_MB, "max_fds": _MAX_DESCRIPTORS},
-        )
-        self.addCleanup(self.fleet.stop)
-        self.fleet.start("e1", "entry")
-        self.fleet.start("r0", "runner")
-        self.fleet.start_upstream("r0")
-        self.assertTrue(self.fleet.wait_ready("e1"), self.fleet.log("e1")[-2000:])
-        self.address = self.fleet.settings["e1"]["listen_addrs"]["front"]
-        return self.fleet.processes["e1"], self.address
-
-    def check_ordinary_request(self):
-        headers = {"Host": "q.example", "Deadline": str(_DEADLINE_MS)}
-        reply = call(self.address, "POST", self.path, _JOB, headers=headers)
-        self.assertEqual((200, {"state": "completed"}), (reply.status, reply.json))
-
-    def check_crowd(self, kind):
-        crowd = super().check_crowd(kind)
-        self.assertLess(crowd.max_sockets, _MAX_DESCRIPTORS - _FILE_DESCRIPTORS)
-
 
-class EntryCrowdTest(_CrowdChecks, FleetCase):
-    path = "/v1/jobs"
+class PlatformCrowdTest(PlatformCrowdCase):
+    pass
 
-    def start_target(self):
-        self.fleet = self.start_fleet(
-            entries=1,
-            runners=[{"domain": "a"}],
-            settings={"entry": {"max_body_bytes": _MAX_BODY_BYTES}},
-        )
-        return self.fleet.processes["e1"], self.fleet.entry()
 
-    def check_ordinary_request(self):
-        reply = self.fleet.submit([{"work_ms": 5, "echo": 1}])
-        self.assertEqual(200, reply.status, reply.body)
+class EntryCrowdTest(EntryCrowdCase):
+    pass
 
 
 def _add_tests(case):
--- /dev/null
+++ b/tests/test_crowd_kinds.py
@@ -0,0 +1,80 @@
+"""
+tests.test_crowd_kinds
+~~~~~~~~~~~~~~~~~~~~~~
+
+Crowds of clients that use up turns, connections or memory, at each listener.
+"""
+
+from .crowd_case import EntryCrowdCase, PlatformCrowdCase
+from .crowd_kinds import PLAYS
+
+__all__ = []
+
+_METRICS_PORT = 9464
+
+
+class PlatformFrontTest(PlatformCrowdCase):
+    """The address for callers of an entry on the platform."""
+
+
+class EntryFrontTest(EntryCrowdCase):
+    """The address for callers of an entry of the own interface."""
+
+
+class ReadyTest(PlatformCrowdCase):
+    """The address for health checks, which callers don't reach."""
+
+    listener = "ready"
+
+    def test_pipelined_unread(self):
+        self.check_crowd("pipelined_unread", beside=True)
+
+    def test_idle(self):
+        self.check_crowd("idle", beside=True)
+
+
+class ReportsTest(PlatformCrowdCase):
+    """The address for the reports of the upstream."""
+
+    target = "r0"
+    listener = "control"
+
+    def test_pipelined_unread(self):
+        self.check_crowd("pipelined_unread", beside=True)
+
+    def test_idle(self):
+        self.check_crowd("idle", beside=True)
+
+    def test_decoded_body(self):
+        self.check_crowd("decoded_body", beside=True)
+
+
+class MetricsTest(PlatformCrowdCase):
+    """The address for operators."""
+
+    def crowd_address(self):
+        return f"127.0.0.1:{_METRICS_PORT}"
+
+    def test_pipelined_unread(self):
+        self.check_crowd("pipelined_unread", beside=True)
+
+    def test_idle(self):
+        self.check_crowd("idle", beside=True)
+
+
+def _add_tests(case):
+    """Adds a test of each kind to a case.
+
+    Each guards against callers who get no answer, or a process that exceeds its VM,
+    because of clients that keep within each limit or send what no limit covers.
+    """
+    for kind in PLAYS:
+
+        def test(self, kind=kind):
+            self.check_crowd(kind, beside=True)
+
+        setattr(case, f"test_{kind}", test)
+
+
+_add_tests(PlatformFrontTest)
+_add_tests(EntryFrontTest)
