Server: connections that always have data take turns

Cause: a greenlet whose socket has data and room never waits. The reader let others run for each further block of one request only; with pipelined requests every block begins a new request, so that a connection kept the processor until its client stopped.

Mend: transport/turns.py. One connection at a time has a turn, for one block read or one request answered from what has been read; everything else that is ready runs once between two turns, so a job waits for one turn at each of its steps, not for one of each connection.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -81,6 +81,8 @@
 
     def handle_one_request(self):
         self._reader.begin_request(clock.now())
+        # A request that has arrived with an earlier one is read without a wait.
+        self.server.intake.take_turn()
         result = super().handle_one_request()
         if isinstance(result, tuple):
             self._reject(*result)
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -13,11 +13,11 @@
 import io
 from dataclasses import dataclass, replace
 
-import gevent
 from gevent import socket
 from gevent.event import Event
 
 from .. import clock
+from .turns import Turns
 
 __all__ = [
     "ConnectionReader",
@@ -119,6 +119,7 @@
         # In the order in which the connections were accepted.
         self._readers = {}
         self._has_work = Event()
+        self._turns = Turns()
 
     @property
     def reserved_bytes(self):
@@ -151,6 +152,10 @@
         """Removes a connection."""
         self._readers.pop(reader, None)
 
+    def take_turn(self):
+        """Waits until a connection may read or answer on."""
+        self._turns.take()
+
     def on_request_begun(self):
         """Records that a connection has the first bytes of a request."""
         self._has_work.set()
@@ -266,11 +271,8 @@
         if self.request_bytes == 0:
             self.since = clock.now()
             self._intake.on_request_begun()
-        else:
-            # A client that sends without a pause would keep the other connections
-            # waiting.
-            gevent.sleep(0)
         self.request_bytes += received
+        self._intake.take_turn()
         missing = (
             self.request_bytes - self._intake.limits.small_bytes - self._reserved_bytes
         )
--- /dev/null
+++ b/papayaward/transport/turns.py
@@ -0,0 +1,41 @@
+"""
+papayaward.transport.turns
+~~~~~~~~~~~~~~~~~~~~~~~~~~
+
+Turns of the connections of a server.
+
+A greenlet that finds data whenever it reads never waits, so that nothing else of the
+process runs. One connection at a time therefore has a turn, in which it reads a block
+or answers a request. Between two turns everything else that is ready runs once.
+"""
+
+from collections import deque
+
+import gevent
+from gevent.event import Event
+
+__all__ = ["Turns"]
+
+
+class Turns:
+    """Gives turns in the order in which they were asked for."""
+
+    def __init__(self):
+        self._waiting = deque()
+        self._giving = False
+
+    def take(self):
+        """Waits for a turn; returns at once if no other was given just before."""
+        if not self._giving:
+            self._giving = True
+            gevent.spawn(self._give)
+            return
+        turn = Event()
+        self._waiting.append(turn)
+        turn.wait()
+
+    def _give(self):
+        while self._waiting:
+            self._waiting.popleft().set()
+            gevent.sleep(0)
+        self._giving = False
