Server: bound the time in which a client takes its response

Callers saw: connections of clients that never read their replies stay occupied, and a stop waits for them (test_crowd_kinds, unread_replies).

Cause: a handler waits in its send until the kernel has room for the reply. The guard of unfinished requests doesn't count it, as the request is whole.

Mend: the reader of a connection records since when a part of a response is being sent; the guard shuts both sides down after 60 s, after 5 s while the server is crowded, and counts them as unread_response. connections_closed names the reason. An interim response (100) is sent in the same way. RequestIntake.overdue now returns the reason of each; the test compares its keys as before.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -7,6 +7,7 @@
 
 import io
 import logging
+from collections import Counter
 from dataclasses import replace
 from http import HTTPStatus
 from http.client import HTTPException
@@ -47,6 +48,7 @@
 _LINGER_S = 2.0
 _LINGER_READ_BYTES = 16 * 1024
 _LOG_INTERVAL_S = 1.0
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
 class _BoundedInput(Input):
@@ -65,6 +67,11 @@
         # The connection is closed instead.
         pass
 
+    def _send_100_continue(self):
+        if self.socket is not None:
+            self.rfile.raw.send(_CONTINUE)
+            self.socket = None
+
 
 class _Handler(WSGIHandler):
     """Registers with its server from a request's header to the end of its response."""
@@ -92,7 +99,7 @@
     def _reject(self, status, response):
         self._on_rejected(status)
         try:
-            self.socket.sendall(response)
+            self._reader.send(response)
         except OSError:
             # The client has disconnected.
             return
@@ -126,6 +133,15 @@
             self._reader.complete_request()
         return environ
 
+    def _sendall(self, data):
+        try:
+            self._reader.send(data)
+        except OSError:
+            # The response is incomplete, so that nothing may follow it.
+            self.close_connection = True
+            raise
+        self.response_length += len(data)
+
     def start_response(self, status, headers, exc_info=None):
         if self.wsgi_input.has_more:
             headers = [*headers, ("Connection", "close")]
@@ -242,12 +258,13 @@
         overdue = self.intake.overdue(clock.now())
         for reader in overdue:
             reader.abort()
-        if overdue:
-            self._count_rejections("unfinished", len(overdue))
+        for reason, number in Counter(overdue.values()).items():
+            self._count_rejections(reason, number)
             log.info(
                 "connections_closed",
                 extra={
-                    "closed": len(overdue),
+                    "reason": reason,
+                    "closed": number,
                     "connections": self.intake.connections,
                     "reserved_bytes": self.intake.reserved_bytes,
                 },
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -12,6 +12,7 @@
 
 import io
 from dataclasses import dataclass, replace
+from enum import StrEnum
 
 from gevent import socket
 from gevent.event import Event
@@ -20,6 +21,7 @@
 from .turns import Turns
 
 __all__ = [
+    "CloseReason",
     "ConnectionReader",
     "HeadTooLarge",
     "IntakeError",
@@ -59,6 +61,8 @@
             seconds.
         max_read_s: Time from the first byte of a request to its last, seconds.
         crowded_read_s: The same while the server is crowded.
+        max_send_s: Time in which a client takes a response, seconds.
+        crowded_send_s: The same while the server is crowded.
         crowded_idle_s: Time without a request after which a connection is closed while
             the server is crowded, seconds.
     """
@@ -70,6 +74,8 @@
     max_head_s: float = 60.0
     max_read_s: float = 60.0
     crowded_read_s: float = 2.0
+    max_send_s: float = 60.0
+    crowded_send_s: float = 5.0
     crowded_idle_s: float = 15.0
 
 
@@ -106,6 +112,14 @@
     """The budget that all connections share is used up."""
 
 
+class CloseReason(StrEnum):
+    """Reasons for which a connection is closed because its client is too slow."""
+
+    UNFINISHED = "unfinished"
+    IDLE = "idle"
+    UNREAD_RESPONSE = "unread_response"
+
+
 class RequestIntake:
     """Connections of one server and what they reserve.
 
@@ -156,8 +170,8 @@
         """Waits until a connection may read or answer on."""
         self._turns.take()
 
-    def on_request_begun(self):
-        """Records that a connection has the first bytes of a request."""
+    def on_progress_begun(self):
+        """Records that a client has to send or to take something from now on."""
         self._has_work.set()
 
     def reserve(self, size):
@@ -172,26 +186,38 @@
         self._reserved_bytes -= size
 
     def overdue(self, now):
-        """Returns the readers of the connections to close.
+        """Returns the connections to close.
 
         Args:
             now: Time, seconds.
+
+        Returns:
+            dict: `CloseReason` by `ConnectionReader`.
         """
         crowded = self.is_crowded
-        return [
-            reader for reader in self._readers if self._is_overdue(reader, crowded, now)
-        ]
+        reasons = {
+            reader: self._close_reason(reader, crowded, now) for reader in self._readers
+        }
+        return {reader: reason for reader, reason in reasons.items() if reason}
 
-    def _is_overdue(self, reader, crowded, now):
-        limits, age_s = self.limits, now - reader.since
+    def _close_reason(self, reader, crowded, now):
+        limits = self.limits
+        if reader.sending_since is not None:
+            limit_s = limits.crowded_send_s if crowded else limits.max_send_s
+            is_late = now - reader.sending_since > limit_s
+            return CloseReason.UNREAD_RESPONSE if is_late else None
+        age_s = now - reader.since
         if reader.is_unfinished:
             limit_s = limits.max_head_s if reader.is_in_head else limits.max_read_s
-            return age_s > (min(limit_s, limits.crowded_read_s) if crowded else limit_s)
-        return crowded and reader.is_idle and age_s > limits.crowded_idle_s
+            limit_s = min(limit_s, limits.crowded_read_s) if crowded else limit_s
+            return CloseReason.UNFINISHED if age_s > limit_s else None
+        if crowded and reader.is_idle and age_s > limits.crowded_idle_s:
+            return CloseReason.IDLE
+        return None
 
     def wait_for_work(self):
         """Waits until a connection may become overdue."""
-        if not self.is_crowded and not any(r.is_unfinished for r in self._readers):
+        if not self.is_crowded and not any(r.is_in_progress for r in self._readers):
             self._has_work.clear()
             self._has_work.wait()
 
@@ -207,6 +233,8 @@
     Attributes:
         request_bytes: Bytes received since the current request began.
         since: Time at which the current request or the pause before it began, seconds.
+        sending_since: Time at which a part of a response began to be sent, seconds;
+            None while the client has taken all parts.
     """
 
     def __init__(self, sock, intake, now):
@@ -218,6 +246,7 @@
         self._is_complete = False
         self.request_bytes = 0
         self.since = now
+        self.sending_since = None
 
     @property
     def is_in_head(self):
@@ -234,6 +263,11 @@
         """Whether a part of a request has been received and the rest has not."""
         return self.request_bytes > 0 and not self._is_complete
 
+    @property
+    def is_in_progress(self):
+        """Whether the client has to send or to take something."""
+        return self.is_unfinished or self.sending_since is not None
+
     def begin_request(self, now):
         """Starts counting a request."""
         self._release()
@@ -270,7 +304,7 @@
     def _count(self, received):
         if self.request_bytes == 0:
             self.since = clock.now()
-            self._intake.on_request_begun()
+            self._intake.on_progress_begun()
         self.request_bytes += received
         self._intake.take_turn()
         missing = (
@@ -285,10 +319,27 @@
         self._intake.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
+    def send(self, data):
+        """Sends a part of a response and waits until the client has taken it.
+
+        Raises:
+            OSError: The client has disconnected or was too slow.
+        """
+        self.sending_since = clock.now()
+        self._intake.on_progress_begun()
+        try:
+            self._sock.sendall(data)
+        finally:
+            self.sending_since = None
+
     def abort(self):
-        """Ends the input; a blocked read returns as if the client had closed."""
+        """Ends the input, and the output if the client doesn't take it.
+
+        A blocked read returns as if the client had closed, a blocked send fails.
+        """
+        side = socket.SHUT_RD if self.sending_since is None else socket.SHUT_RDWR
         try:
-            self._sock.shutdown(socket.SHUT_RD)
+            self._sock.shutdown(side)
         except OSError:
             # The client has disconnected.
             pass
--- a/tests/crowd_kinds.py
+++ b/tests/crowd_kinds.py
@@ -109,6 +109,8 @@
 PLAYS = {
     "pipelined_unread": Play(20, partial(_pipelined, False)),
     "pipelined_read": Play(20, partial(_pipelined, True)),
+    # More than the listener's connections: each waits for room for its replies.
+    "unread_replies": Play(100, partial(_pipelined, False)),
     "decoded_body": Play(100, _decoded_body),
     "endless_trailers": Play(100, _endless_trailers),
     # More than the listener's connections, several times.
--- a/tests/test_crowd_kinds.py
+++ b/tests/test_crowd_kinds.py
@@ -29,6 +29,9 @@
     def test_pipelined_unread(self):
         self.check_crowd("pipelined_unread", beside=True)
 
+    def test_unread_replies(self):
+        self.check_crowd("unread_replies", beside=True)
+
     def test_idle(self):
         self.check_crowd("idle", beside=True)
 
@@ -42,6 +45,9 @@
     def test_pipelined_unread(self):
         self.check_crowd("pipelined_unread", beside=True)
 
+    def test_unread_replies(self):
+        self.check_crowd("unread_replies", beside=True)
+
     def test_idle(self):
         self.check_crowd("idle", beside=True)
 
@@ -58,6 +64,9 @@
     def test_pipelined_unread(self):
         self.check_crowd("pipelined_unread", beside=True)
 
+    def test_unread_replies(self):
+        self.check_crowd("unread_replies", beside=True)
+
     def test_idle(self):
         self.check_crowd("idle", beside=True)
 
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -6,13 +6,16 @@
 """
 
 import io
+import socket
 from unittest.mock import Mock
 
 from testtools import TestCase
 
+from papayaward import clock
 from papayaward.transport.request_body import BodyError, BodyFault, read_body
 from papayaward.transport.request_intake import (
     BudgetExhausted,
+    CloseReason,
     HeadTooLarge,
     IntakeLimits,
     RequestIntake,
@@ -29,20 +32,35 @@
     max_head_s=3.0,
     max_read_s=60.0,
     crowded_read_s=2.0,
+    max_send_s=60.0,
+    crowded_send_s=5.0,
     crowded_idle_s=15.0,
 )
 
 
 class _Socket:
+    def __init__(self, on_send=lambda: None):
+        self._on_send = on_send
+        self.closed_sides = []
+
     def recv_into(self, buffer):
         buffer[:] = b"x" * len(buffer)
         return len(buffer)
 
+    def sendall(self, data):
+        self._on_send()
+
+    def shutdown(self, side):
+        self.closed_sides.append(side)
+
 
 class RequestIntakeTest(TestCase):
     def connect(self, intake, at=0.0):
         return intake.connect(_Socket(), at)
 
+    def overdue(self, intake, now):
+        return list(intake.overdue(now))
+
     def test_head_without_end_is_not_read_on(self):
         """Guards against memory for each header line of an endless head."""
         reader = self.connect(RequestIntake(_LIMITS))
@@ -79,16 +97,40 @@
         reader = self.connect(intake)
         reader.readinto(bytearray(1))
         began_at = reader.since
-        self.assertEqual([], intake.overdue(began_at + 2.9))
-        self.assertEqual([reader], intake.overdue(began_at + 3.1))
+        self.assertEqual([], self.overdue(intake, began_at + 2.9))
+        self.assertEqual([reader], self.overdue(intake, began_at + 3.1))
         reader.end_head()
-        self.assertEqual([], intake.overdue(began_at + 59.0))
-        self.assertEqual([reader], intake.overdue(began_at + 61.0))
+        self.assertEqual([], self.overdue(intake, began_at + 59.0))
+        self.assertEqual([reader], self.overdue(intake, began_at + 61.0))
         others = [self.connect(intake, began_at) for _ in range(2)]
-        self.assertEqual([reader], intake.overdue(began_at + 2.1))
+        self.assertEqual([reader], self.overdue(intake, began_at + 2.1))
         reader.complete_request()
-        self.assertEqual([], intake.overdue(began_at + 14.0))
-        self.assertEqual(others, intake.overdue(began_at + 16.0))
+        self.assertEqual([], self.overdue(intake, began_at + 14.0))
+        self.assertEqual(others, self.overdue(intake, began_at + 16.0))
+
+    def test_responses_that_nobody_reads_are_given_up(self):
+        """Guards against connections that wait for good for room for a response."""
+        intake = RequestIntake(_LIMITS)
+        closed = []
+
+        def check():
+            began_at = reader.sending_since
+            closed.append(intake.overdue(began_at + 59.0))
+            closed.append(intake.overdue(began_at + 61.0))
+            others = [self.connect(intake, began_at) for _ in range(2)]
+            closed.append(intake.overdue(began_at + 4.9))
+            closed.append(intake.overdue(began_at + 5.1))
+            reader.abort()
+            for other in others:
+                other.close()
+
+        sock = _Socket(check)
+        reader = intake.connect(sock, 0.0)
+        reader.send(b"x")
+        late = {reader: CloseReason.UNREAD_RESPONSE}
+        self.assertEqual([{}, late, {}, late], closed)
+        self.assertEqual([socket.SHUT_RDWR], sock.closed_sides)
+        self.assertEqual({}, intake.overdue(clock.now() + 61.0))
 
     def test_smallest_vm_has_memory_for_all_connections(self):
         """Guards against limits that together exceed the memory of a VM."""
