Server: a full server passes connections on

Callers saw: with more connections than a server takes, a new caller waits until idle ones are 15 s old (12.4 s for 100 clients, no answer in 30 s for 300), and for good beside clients that are never idle.

Cause: nothing but the time limits of a crowded server frees a connection, and a connection whose client goes on sending requests is never freed.

Mend: while no further connection can be opened, one that is older than 1 s (full_connection_s) is closed between two requests, or with its next response, which carries Connection: close; the rest of what its client sends is dropped for at most 2 s, so that the response arrives. Counted as idle and passed_on.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -21,6 +21,7 @@
 from .request_body import ON_REJECTED, READER
 from .request_intake import (
     BudgetExhausted,
+    CloseReason,
     HeadTooLarge,
     IntakeLimits,
     RequestIntake,
@@ -78,6 +79,8 @@
 
     def __init__(self, sock, address, server):
         self._reader = server.intake.connect(sock, clock.now())
+        # Whether the connection is closed in favour of another client.
+        self._is_passed_on = False
         super().__init__(sock, address, server, io.BufferedReader(self._reader))
 
     def handle(self):
@@ -143,7 +146,10 @@
         self.response_length += len(data)
 
     def start_response(self, status, headers, exc_info=None):
-        if self.wsgi_input.has_more:
+        self._is_passed_on = self.server.intake.passes_on(self._reader, clock.now())
+        if self._is_passed_on:
+            self.server.count_rejections(CloseReason.PASSED_ON, 1)
+        if self.wsgi_input.has_more or self._is_passed_on:
             headers = [*headers, ("Connection", "close")]
         return super().start_response(status, headers, exc_info)
 
@@ -156,7 +162,7 @@
             super().handle_one_response()
         finally:
             self.server.open_requests.discard(self)
-        if self.wsgi_input.has_more:
+        if self.wsgi_input.has_more or self._is_passed_on:
             self.close_connection = True
             self._linger()
 
@@ -192,6 +198,8 @@
 
     Attributes:
         intake: `RequestIntake`.
+        count_rejections: Function that takes a reason for which requests were refused
+            or connections closed, and their number.
         draining: Whether the server is stopping.
         open_requests: Handlers of the requests in progress.
 
@@ -199,13 +207,12 @@
         listener: Listening socket.
         application: WSGI application.
         limits: `IntakeLimits`.
-        count_rejections: Function that takes a reason for which requests were refused
-            and their number.
+        count_rejections: As the attribute.
         **options: Further options of `WSGIServer`.
     """
 
     def __init__(self, listener, application, limits, count_rejections, **options):
-        self._count_rejections = count_rejections
+        self.count_rejections = count_rejections
         self.intake = RequestIntake(limits)
         self.draining = False
         self.open_requests = set()
@@ -238,7 +245,7 @@
             reason: Status code or `BodyFault`.
             address: (host, port) of the client.
         """
-        self._count_rejections(reason, 1)
+        self.count_rejections(reason, 1)
         now = clock.now()
         if now - self._logged_at.get(reason, -_LOG_INTERVAL_S) >= _LOG_INTERVAL_S:
             self._logged_at[reason] = now
@@ -259,7 +266,7 @@
         for reader in overdue:
             reader.abort()
         for reason, number in Counter(overdue.values()).items():
-            self._count_rejections(reason, number)
+            self.count_rejections(reason, number)
             log.info(
                 "connections_closed",
                 extra={
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -65,6 +65,9 @@
         crowded_send_s: The same while the server is crowded.
         crowded_idle_s: Time without a request after which a connection is closed while
             the server is crowded, seconds.
+        full_connection_s: Time after which a connection is closed with its next
+            response, or between two requests, while no further one can be opened,
+            seconds.
     """
 
     max_connections: int = 1000
@@ -77,6 +80,7 @@
     max_send_s: float = 60.0
     crowded_send_s: float = 5.0
     crowded_idle_s: float = 15.0
+    full_connection_s: float = 1.0
 
 
 def limits_of_vm(memory_mb, max_descriptors, most):
@@ -113,11 +117,12 @@
 
 
 class CloseReason(StrEnum):
-    """Reasons for which a connection is closed because its client is too slow."""
+    """Reasons for which a connection is closed without a fault of its request."""
 
     UNFINISHED = "unfinished"
     IDLE = "idle"
     UNREAD_RESPONSE = "unread_response"
+    PASSED_ON = "passed_on"
 
 
 class RequestIntake:
@@ -154,6 +159,20 @@
             or self._reserved_bytes >= _CROWDED_SHARE * limits.budget_bytes
         )
 
+    @property
+    def is_full(self):
+        """Whether no further connection can be opened."""
+        return len(self._readers) >= self.limits.max_connections
+
+    def passes_on(self, reader, now):
+        """Returns whether a connection is closed with its response for another client.
+
+        Args:
+            reader: `ConnectionReader`.
+            now: Time, seconds.
+        """
+        return self.is_full and now - reader.opened_at > self.limits.full_connection_s
+
     def connect(self, sock, now):
         """Adds a connection and returns its `ConnectionReader`."""
         reader = ConnectionReader(sock, self, now)
@@ -211,9 +230,12 @@
             limit_s = limits.max_head_s if reader.is_in_head else limits.max_read_s
             limit_s = min(limit_s, limits.crowded_read_s) if crowded else limit_s
             return CloseReason.UNFINISHED if age_s > limit_s else None
-        if crowded and reader.is_idle and age_s > limits.crowded_idle_s:
-            return CloseReason.IDLE
-        return None
+        if not (crowded and reader.is_idle):
+            return None
+        limit_s = limits.crowded_idle_s
+        if self.is_full:
+            limit_s = min(limit_s, limits.full_connection_s)
+        return CloseReason.IDLE if age_s > limit_s else None
 
     def wait_for_work(self):
         """Waits until a connection may become overdue."""
@@ -231,6 +253,7 @@
         now: Time, seconds.
 
     Attributes:
+        opened_at: Time at which the connection was accepted, seconds.
         request_bytes: Bytes received since the current request began.
         since: Time at which the current request or the pause before it began, seconds.
         sending_since: Time at which a part of a response began to be sent, seconds;
@@ -244,6 +267,7 @@
         self._reserved_bytes = 0
         self._in_head = True
         self._is_complete = False
+        self.opened_at = now
         self.request_bytes = 0
         self.since = now
         self.sending_since = None
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -132,6 +132,20 @@
         self.assertEqual([socket.SHUT_RDWR], sock.closed_sides)
         self.assertEqual({}, intake.overdue(clock.now() + 61.0))
 
+    def test_full_server_passes_connections_on(self):
+        """Guards against callers who wait while idle or endless clients have it all."""
+        intake = RequestIntake(_LIMITS)
+        readers = [self.connect(intake) for _ in range(3)]
+        self.assertFalse(intake.passes_on(readers[0], 100.0))
+        self.assertEqual({}, intake.overdue(14.0))
+        readers.append(self.connect(intake, 10.0))
+        self.assertFalse(intake.passes_on(readers[0], 0.9))
+        self.assertTrue(intake.passes_on(readers[0], 1.1))
+        self.assertEqual(readers[:3], self.overdue(intake, 10.9))
+        self.assertEqual(readers, self.overdue(intake, 11.1))
+        readers[3].close()
+        self.assertFalse(intake.passes_on(readers[0], 100.0))
+
     def test_smallest_vm_has_memory_for_all_connections(self):
         """Guards against limits that together exceed the memory of a VM."""
         most = IntakeLimits(max_connections=3000)
