Bodies: refuse one whose values take too much memory before it is decoded

Callers saw: beside 100 clients with bodies of 1.02 MB that hold 340,000 empty objects a 503 after seconds; the entry took 118 MB where its VM has 96.

Cause: a body is bounded by its bytes alone, and its values take up to 30 times as much (here 20 to 30 MB and 0.03 to 0.1 s each, measured by decoding such texts).

Mend: transport/json_size.py estimates the memory from the brackets, colons and commas outside strings. More than 20 times the largest body, or than an eighth of the VM's memory, is refused with 413 (body_too_complex, own interface body_too_large). The most that a job of 10,000 phases with all fields takes is 17 times its bytes. Setting max_decoded_bytes on the own interface.

Weighed: typed decoding by a library bounds what a value takes but not their number; a bound on the number of values refuses long lists of numbers, which take little.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -26,7 +26,7 @@
 from .state import invariants, metrics
 from .transport.http_server import serve_http
 from .transport.peers import serve_links
-from .transport.request_intake import IntakeLimits
+from .transport.request_intake import IntakeLimits, decoded_limit
 from .transport.store_client import StoreClient
 
 __all__ = ["Entry"]
@@ -79,6 +79,8 @@
             max_connections=settings.max_connections,
             max_head_bytes=settings.max_head_bytes,
             budget_bytes=max(settings.max_request_bytes, settings.max_body_bytes),
+            max_decoded_bytes=settings.max_decoded_bytes
+            or decoded_limit(settings.max_body_bytes),
         )
         count = metrics.count_rejected_requests
         self._http = serve_http(settings.http, api, limits, count, **tls)
--- a/papayaward/job_requests.py
+++ b/papayaward/job_requests.py
@@ -17,6 +17,7 @@
 # Reason of the refusal and the suggested delay before another attempt, milliseconds.
 _REFUSALS = {
     BodyFault.TOO_LONG: (Reason.BODY_TOO_LARGE, 0),
+    BodyFault.TOO_COMPLEX: (Reason.BODY_TOO_LARGE, 0),
     BodyFault.INCOMPLETE: (Reason.BAD_REQUEST, 0),
     BodyFault.BUSY: (Reason.OVERLOADED, 2000),
 }
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -171,6 +171,14 @@
         _ENTRY,
         "Bytes of all requests over 16 KiB that are kept at once; at least one body.",
     ),
+    Setting(
+        "max_decoded_bytes",
+        get_int,
+        0,
+        _ENTRY,
+        "Memory that the values of one body may take, in bytes; 0 for 20 times"
+        " max_body_bytes.",
+    ),
     Setting(
         "max_open_jobs",
         partial(get_int, low=1),
--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -25,6 +25,7 @@
     HeadTooLarge,
     IntakeLimits,
     RequestIntake,
+    decoded_limit,
 )
 
 __all__ = [
@@ -214,6 +215,7 @@
     def __init__(self, listener, application, limits, count_rejections, **options):
         self.count_rejections = count_rejections
         self.intake = RequestIntake(limits)
+        self._max_decoded_bytes = limits.max_decoded_bytes
         self.draining = False
         self.open_requests = set()
         self._logged_at = {}
@@ -236,6 +238,9 @@
             max_head_bytes=request_limits.max_head_bytes,
             max_head_s=request_limits.head_timeout_s,
             crowded_idle_s=request_limits.idle_timeout_s,
+            max_decoded_bytes=min(
+                self._max_decoded_bytes, decoded_limit(request_limits.max_body_bytes)
+            ),
         )
 
     def on_rejected(self, reason, address):
--- a/papayaward/transport/request_body.py
+++ b/papayaward/transport/request_body.py
@@ -7,6 +7,7 @@
 
 from enum import StrEnum
 
+from .json_size import exceeds_decoded_size
 from .request_intake import BudgetExhausted
 
 __all__ = ["ON_REJECTED", "READER", "BodyError", "BodyFault", "read_body"]
@@ -27,6 +28,7 @@
     """Reasons for which a body was not read."""
 
     TOO_LONG = "body_too_long"
+    TOO_COMPLEX = "body_too_complex"
     INCOMPLETE = "body_incomplete"
     BUSY = "too_many_large_requests"
 
@@ -51,11 +53,13 @@
         max_bytes: Maximum size.
 
     Raises:
-        BodyError: The body is too long, its length is invalid, it has not arrived whole
-            or too many clients send large bodies.
+        BodyError: The body is too long, its length is invalid, its values would take
+            too much memory, it has not arrived whole or too many clients send large
+            bodies.
     """
     try:
         body = _read_body(environ, max_bytes)
+        _check_values(body, environ.get(READER))
     except BodyError as error:
         environ.get(ON_REJECTED, lambda reason: None)(error.fault)
         raise
@@ -74,6 +78,11 @@
         raise BodyError(BodyFault.INCOMPLETE) from error
 
 
+def _check_values(body, reader):
+    if reader is not None and exceeds_decoded_size(body, reader.max_decoded_bytes):
+        raise BodyError(BodyFault.TOO_COMPLEX)
+
+
 def _read_stream(environ, max_bytes):
     stream = environ["wsgi.input"]
     length = environ.get("CONTENT_LENGTH")
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -27,6 +27,7 @@
     "IntakeError",
     "IntakeLimits",
     "RequestIntake",
+    "decoded_limit",
     "limits_of_vm",
 ]
 
@@ -42,6 +43,11 @@
 # Shares of a VM's memory for connections with small requests, and for the budget.
 _CONNECTIONS_SHARE = 0.5
 _BUDGET_SHARE = 0.125
+# Share of a VM's memory for the values of the body that is being decoded.
+_DECODED_SHARE = 0.125
+# Multiple of its bytes that the values of a job may take: the most that a job has whose
+# phases have all fields takes 17.
+_DECODED_FACTOR = 20
 # Descriptors of a process that the platform reserves for files.
 _FILE_DESCRIPTORS = 200
 # The rest is for links, the store and other servers of the process.
@@ -57,6 +63,8 @@
         max_head_bytes: Request line and headers of one request.
         small_bytes: Part of each request that needs no reservation.
         budget_bytes: Reservations of all requests together.
+        max_decoded_bytes: Memory of the values of one body; one body at a time is
+            decoded.
         max_head_s: Time from the first byte of a request to the end of its head,
             seconds.
         max_read_s: Time from the first byte of a request to its last, seconds.
@@ -74,6 +82,7 @@
     max_head_bytes: int = 32 * 1024
     small_bytes: int = 16 * 1024
     budget_bytes: int = 64 * _MIB
+    max_decoded_bytes: int = 160 * _MIB
     max_head_s: float = 60.0
     max_read_s: float = 60.0
     crowded_read_s: float = 2.0
@@ -92,16 +101,32 @@
         most: `IntakeLimits` of a large VM.
     """
     connections, budget = most.max_connections, most.budget_bytes
+    decoded = most.max_decoded_bytes
     if memory_mb:
         memory = memory_mb * _MIB
         connections = min(
             connections, int(memory * _CONNECTIONS_SHARE) // _CONNECTION_BYTES
         )
         budget = min(budget, int(memory * _BUDGET_SHARE))
+        decoded = min(decoded, int(memory * _DECODED_SHARE))
     if max_descriptors:
         sockets = max(0, max_descriptors - _FILE_DESCRIPTORS)
         connections = min(connections, int(sockets * _DESCRIPTORS_SHARE))
-    return replace(most, max_connections=max(1, connections), budget_bytes=budget)
+    return replace(
+        most,
+        max_connections=max(1, connections),
+        budget_bytes=budget,
+        max_decoded_bytes=decoded,
+    )
+
+
+def decoded_limit(max_body_bytes):
+    """Returns the memory that the values of a body may take, bytes.
+
+    Args:
+        max_body_bytes: Largest accepted body.
+    """
+    return _DECODED_FACTOR * max_body_bytes
 
 
 class IntakeError(OSError):
@@ -287,6 +312,11 @@
         """Whether a part of a request has been received and the rest has not."""
         return self.request_bytes > 0 and not self._is_complete
 
+    @property
+    def max_decoded_bytes(self):
+        """Memory that the values of the body may take."""
+        return self._intake.limits.max_decoded_bytes
+
     @property
     def is_in_progress(self):
         """Whether the client has to send or to take something."""
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -6,12 +6,14 @@
 """
 
 import io
+import json
 import socket
 from unittest.mock import Mock
 
 from testtools import TestCase
 
 from papayaward import clock
+from papayaward.transport.json_size import exceeds_decoded_size
 from papayaward.transport.request_body import BodyError, BodyFault, read_body
 from papayaward.transport.request_intake import (
     BudgetExhausted,
@@ -19,11 +21,13 @@
     HeadTooLarge,
     IntakeLimits,
     RequestIntake,
+    decoded_limit,
     limits_of_vm,
 )
 
 __all__ = []
 
+_MIB = 1024 * 1024
 _LIMITS = IntakeLimits(
     max_connections=4,
     max_head_bytes=100,
@@ -163,7 +167,9 @@
         environ = {
             "wsgi.input": stream,
             "CONTENT_LENGTH": length,
-            "papayaward.reader": Mock(request_bytes=request_bytes),
+            "papayaward.reader": Mock(
+                request_bytes=request_bytes, max_decoded_bytes=20_000
+            ),
         }
         return read_body(environ, 1000)
 
@@ -184,6 +190,24 @@
         stream = io.BytesIO(b"x" * 100)
         self.assertEqual(BodyFault.TOO_LONG, self.fault(stream, "", 100_000))
 
+    def test_body_of_many_values_is_refused_before_it_is_decoded(self):
+        """Guards against memory of many times the bytes of a body within its limit."""
+        for text in (b"[" + b"{}," * 330 + b"1]", b"[]," * 333, b'{"a":1},' * 120):
+            self.assertEqual(BodyFault.TOO_COMPLEX, self.fault(io.BytesIO(text)))
+        text = b'{"a":"' + b'[{:,\\"' * 120 + b'"}'
+        self.assertEqual(text, self.read(io.BytesIO(text)))
+
+    def test_largest_jobs_are_decoded(self):
+        """Guards against a refusal of jobs within the limits of the platform."""
+        phase = {"count": 1, "cpu": 2000, "mem_mb": 500, "est_runtime_ms": 900}
+        phase |= {"after": [9999], "max_per_server": 1, "same_rack": True}
+        names = {"phases": [phase] * 10_000, "best_effort": True, "spec": "[" * 65_536}
+        numbers = {"phases": [{"after": list(range(200)) * 1500}]}
+        for job in (names, numbers):
+            text = json.dumps(job, separators=(",", ":")).encode()
+            self.assertFalse(exceeds_decoded_size(text, decoded_limit(_MIB)))
+            self.assertFalse(exceeds_decoded_size(text, _MIB * 160 // 8))
+
     def test_fault_tells_whether_the_client_may_come_back(self):
         """Guards against a refusal that blames the request for the load."""
         for error, fault in (
