Bodies: bound the trailers and the framing of chunks as they arrive

Cause: the framing is checked after each part of the content, and the library reads trailers without such a part and without a bound on their number.

Mend: the reader of the connection refuses to read on when more has arrived than the content read so far explains (half of it and 96 KiB). The test of small chunks now plays chunks and trailers without end from a socket; it fails on the code before, which reads 4 MB of trailers. The reader decides in place of a count that the test passed in, so that the bound is checked on the bytes taken.

--- a/papayaward/transport/request_body.py
+++ b/papayaward/transport/request_body.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 
 from .json_size import exceeds_decoded_size
-from .request_intake import BudgetExhausted
+from .request_intake import BudgetExhausted, RequestTooLong
 
 __all__ = ["ON_REJECTED", "READER", "BodyError", "BodyFault", "read_body"]
 
@@ -75,6 +75,8 @@
         return _read_stream(environ, max_bytes)
     except BudgetExhausted as error:
         raise BodyError(BodyFault.BUSY) from error
+    except RequestTooLong as error:
+        raise BodyError(BodyFault.TOO_LONG) from error
     except OSError as error:
         raise BodyError(BodyFault.INCOMPLETE) from error
 
@@ -112,11 +114,18 @@
 
 def _read_chunks(stream, reader, max_bytes):
     parts, size = [], 0
+    _limit_framing(reader, size)
     while part := stream.read(_CHUNKS_BYTES):
         parts.append(part)
         size += len(part)
-        received = 0 if reader is None else reader.request_bytes
-        most_received = (1.0 + _FRAMING_SHARE) * size + _FRAMING_BYTES
-        if size > max_bytes or received > most_received:
+        if size > max_bytes:
             raise BodyError(BodyFault.TOO_LONG)
+        _limit_framing(reader, size)
     return b"".join(parts)
+
+
+def _limit_framing(reader, size):
+    """Bounds sizes, extensions and trailers of chunks by the content read so far."""
+    if reader is not None:
+        content = size + _CHUNKS_BYTES
+        reader.limit_request(int((1.0 + _FRAMING_SHARE) * content) + _FRAMING_BYTES)
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -27,6 +27,7 @@
     "IntakeError",
     "IntakeLimits",
     "RequestIntake",
+    "RequestTooLong",
     "decoded_limit",
     "limits_of_vm",
 ]
@@ -137,6 +138,10 @@
     """The head of the request exceeds its limit."""
 
 
+class RequestTooLong(IntakeError):
+    """More of the request has arrived than its content explains."""
+
+
 class BudgetExhausted(IntakeError):
     """The budget that all connections share is used up."""
 
@@ -292,6 +297,7 @@
         self._reserved_bytes = 0
         self._in_head = True
         self._is_complete = False
+        self._max_request_bytes = None
         self.opened_at = now
         self.request_bytes = 0
         self.since = now
@@ -328,8 +334,13 @@
         self.request_bytes = 0
         self._in_head = True
         self._is_complete = False
+        self._max_request_bytes = None
         self.since = now
 
+    def limit_request(self, max_bytes):
+        """Sets the number of bytes of the current request after which reading fails."""
+        self._max_request_bytes = max_bytes
+
     def end_head(self):
         """Ends the head of the request; its body follows."""
         self._in_head = False
@@ -350,6 +361,9 @@
         """
         if self._in_head and self.request_bytes > self._intake.limits.max_head_bytes:
             raise HeadTooLarge("the head of the request is too large")
+        most = self._max_request_bytes
+        if most is not None and self.request_bytes > most:
+            raise RequestTooLong("the framing of the request is too large")
         received = self._sock.recv_into(memoryview(buffer)[:_READ_BYTES])
         if received:
             self._count(received)
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -6,10 +6,12 @@
 """
 
 import io
+import itertools
 import json
 import socket
 from unittest.mock import Mock
 
+from gevent.pywsgi import Input
 from testtools import TestCase
 
 from papayaward import clock
@@ -58,6 +60,22 @@
         self.closed_sides.append(side)
 
 
+class _EndlessSocket:
+    """Sends the start of a body and then one block without end."""
+
+    def __init__(self, start, block):
+        self._data = itertools.chain(start, itertools.cycle(block))
+        self.sent_bytes = 0
+
+    def recv_into(self, buffer):
+        data = bytes(itertools.islice(self._data, len(buffer)))
+        buffer[:] = data
+        self.sent_bytes += len(data)
+        if self.sent_bytes > 4 * _MIB:
+            raise AssertionError("the body is read without end")
+        return len(data)
+
+
 class RequestIntakeTest(TestCase):
     def connect(self, intake, at=0.0):
         return intake.connect(_Socket(), at)
@@ -187,8 +205,22 @@
         """Guards against bodies without end, and small chunks that keep it busy."""
         self.assertEqual(1000, len(self.read(io.BytesIO(b"x" * 1000))))
         self.assertEqual(BodyFault.TOO_LONG, self.fault(io.BytesIO(b"x" * 1001)))
-        stream = io.BytesIO(b"x" * 100)
-        self.assertEqual(BodyFault.TOO_LONG, self.fault(stream, "", 100_000))
+        for start, block in (
+            (b"", b"1\r\nx\r\n"),
+            (b"2\r\n{}\r\n0\r\n", b"X-T: x\r\n"),
+        ):
+            self.assertEqual(BodyFault.TOO_LONG, self.fault_of_endless(start, block))
+
+    def fault_of_endless(self, start, block):
+        limits = IntakeLimits(budget_bytes=10 * _MIB)
+        sock = _EndlessSocket(start, block)
+        reader = RequestIntake(limits).connect(sock, 0.0)
+        reader.end_head()
+        stream = Input(io.BufferedReader(reader), None, chunked_input=True)
+        environ = {"wsgi.input": stream, "papayaward.reader": reader}
+        error = self.assertRaises(BodyError, read_body, environ, 100_000)
+        self.assertLess(sock.sent_bytes, 400_000)
+        return error.fault
 
     def test_body_of_many_values_is_refused_before_it_is_decoded(self):
         """Guards against memory of many times the bytes of a body within its limit."""
