Links: bound connections whose peer has not introduced itself

Operators saw (test_crowd_kinds, LinksTest, 96 MB and 80 sockets): 308 sockets beside 300 silent connections that come back, and 981 MB beside 100 connections that announce a large frame.

Cause: the port of the links accepts without a bound, and reads frames of up to 64 MiB before anybody has introduced himself; only the time of the handshake is bounded.

Mend: a first message has at most 16 KiB. Handshakes take turns. Counted as link_without_handshake. The cases AllListenersTest of the same crowds at all addresses still fail, by the other listeners.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -67,7 +67,12 @@
         """Starts accepting links, polling the store and serving HTTP."""
         settings = self.settings
         self.config.on_change(self._push_config)
-        self._server = serve_links(settings.listen, self)
+        self._server = serve_links(
+            settings.listen,
+            self,
+            settings.max_pending_links,
+            metrics.count_rejected_requests,
+        )
         api = self.http_api(settings.max_body_bytes)
         self._callers.add_routes(api)
         OperatorApi(self).add_routes(api)
--- a/papayaward/leased_entry.py
+++ b/papayaward/leased_entry.py
@@ -24,6 +24,7 @@
     read_object,
 )
 from .rejection_log import RejectionLog
+from .state import metrics
 from .transport.peers import serve_links
 
 __all__ = ["ENTRIES_PREFIX", "LeasedEntry", "entry_addresses", "entry_rejections"]
@@ -123,7 +124,12 @@
     def start(self):
         """Starts accepting links and watching the store."""
         host, port = self.settings.link_address
-        serve_links((host, port), self)
+        serve_links(
+            (host, port),
+            self,
+            self.settings.max_pending_links,
+            metrics.count_rejected_requests,
+        )
         document = {"link": f"{host}:{port}", "domain": self.settings.domain}
         value = json.dumps(document).encode()
         key = ENTRIES_PREFIX + self.settings.member
--- a/papayaward/leased_node.py
+++ b/papayaward/leased_node.py
@@ -37,6 +37,7 @@
         link_address: (host, port) for links from other processes.
         entries: (host, port) of the seed entries, known at start-up.
         drain_s: Maximum time from a stop request to the process exit, seconds.
+        max_pending_links: Accepted connections without a handshake.
     """
 
     member: str
@@ -47,6 +48,7 @@
     link_address: tuple
     entries: tuple
     drain_s: float
+    max_pending_links: int = 64
 
 
 class LeasedNode:
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -171,6 +171,14 @@
         _ENTRY,
         "Bytes of all requests over 16 KiB that are kept at once; at least one body.",
     ),
+    Setting(
+        "max_pending_links",
+        partial(get_int, low=2, high=1000),
+        64,
+        _BOTH,
+        "Accepted links whose peer has not introduced itself; the oldest is closed for"
+        " another one.",
+    ),
     Setting(
         "max_decoded_bytes",
         get_int,
--- a/papayaward/runner.py
+++ b/papayaward/runner.py
@@ -72,7 +72,12 @@
     def start(self):
         """Starts accepting links, dialling the entries and serving HTTP."""
         settings = self.settings
-        self._server = serve_links(settings.listen, self)
+        self._server = serve_links(
+            settings.listen,
+            self,
+            settings.max_pending_links,
+            metrics.count_rejected_requests,
+        )
         loopback = LoopbackLink(self)
         self.executor.on_link_up(loopback)
         self.coordinator.on_executor_up(loopback, clock.now())
--- a/papayaward/transport/link.py
+++ b/papayaward/transport/link.py
@@ -27,6 +27,8 @@
 # enough that work can be sent at any time.
 _RELAXED_FACTOR = 2
 _HELLO_TIMEOUT_S = 1.0
+# Anybody who reaches the port can send a first message.
+_MAX_HELLO_BYTES = 16 * 1024
 
 # Above this the link is closed, so that a peer that reads too slowly cannot exhaust
 # the memory of this process.
@@ -147,6 +149,15 @@
     def run(self):
         """Performs the handshake and serves the link until it closes.
 
+        Raises:
+            LinkClosed: The handshake failed or timed out.
+        """
+        self.shake_hands()
+        self.serve()
+
+    def shake_hands(self):
+        """Exchanges the first messages.
+
         Raises:
             LinkClosed: The handshake failed or timed out.
         """
@@ -159,6 +170,9 @@
         except LinkClosed as error:
             self.close(str(error))
             raise
+
+    def serve(self):
+        """Serves the link until it closes."""
         writer = gevent.spawn(self._write)
         heartbeats = gevent.spawn(self._run_heartbeats)
         try:
@@ -242,7 +256,7 @@
         if len(self._buffer) < HEADER.size:
             return None
         length, code = HEADER.unpack_from(self._buffer)
-        if length > MAX_FRAME_BYTES:
+        if length > (_MAX_HELLO_BYTES if self._peer is None else MAX_FRAME_BYTES):
             raise FrameError(f"frame of {length} bytes is too large")
         end = HEADER.size + length
         if len(self._buffer) < end:
--- a/papayaward/transport/peers.py
+++ b/papayaward/transport/peers.py
@@ -14,6 +14,8 @@
 
 from .. import clock
 from .link import Link, LinkClosed
+from .pending_links import PendingLinks
+from .turns import Turns
 
 __all__ = ["Dialler", "serve_links"]
 
@@ -22,6 +24,8 @@
 _CONNECT_TIMEOUT_S = 0.3
 _MIN_DELAY_S = 0.05
 _MAX_DELAY_S = 0.15
+_MAX_PENDING_LINKS = 64
+_NO_HANDSHAKE = "link_without_handshake"
 
 
 class Dialler:
@@ -106,22 +110,46 @@
         return min(_MAX_DELAY_S, delay * 2)
 
 
-def serve_links(address, node):
+def serve_links(
+    address,
+    node,
+    max_pending=_MAX_PENDING_LINKS,
+    count_rejections=lambda reason, number: None,
+):
     """Starts to accept links and returns the server.
 
     Args:
         address: (host, port) to listen on.
         node: The local process, as for `Link`.
+        max_pending: Connections without a handshake that are open at once.
+        count_rejections: Function that takes a reason for which connections were closed
+            and their number.
 
     Returns:
         gevent.server.StreamServer: The running server.
     """
+    pending = PendingLinks(max_pending)
+    turns = Turns()
 
     def accept(sock, _):
+        link = Link(sock, node, dialled=False)
         try:
-            Link(sock, node, dialled=False).run()
+            shake_hands(link)
         except LinkClosed as error:
+            count_rejections(_NO_HANDSHAKE, 1)
             log.debug("accept_failed", extra={"error": str(error)})
+            return
+        link.serve()
+
+    def shake_hands(link):
+        oldest = pending.add(link)
+        if oldest is not None:
+            oldest.close("too many connections without a handshake")
+        try:
+            turns.take()
+            link.shake_hands()
+        finally:
+            pending.remove(link)
 
     server = StreamServer(address, accept)
     server.start()
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -30,6 +30,7 @@
     "RequestTooLong",
     "decoded_limit",
     "limits_of_vm",
+    "other_connections_of_vm",
 ]
 
 _MIB = 1024 * 1024
@@ -53,6 +54,9 @@
 _FILE_DESCRIPTORS = 200
 # The rest is for links, the store and other servers of the process.
 _DESCRIPTORS_SHARE = 0.75
+# Share for each other listener.
+_OTHER_DESCRIPTORS_SHARE = 0.04
+_MIN_OTHER_CONNECTIONS = 2
 
 
 @dataclass(frozen=True)
@@ -121,6 +125,20 @@
     )
 
 
+def other_connections_of_vm(max_descriptors, most):
+    """Returns how many connections a listener has that callers don't connect to.
+
+    Args:
+        max_descriptors: Descriptors of a process; 0 if unknown.
+        most: Number of a large VM.
+    """
+    if not max_descriptors:
+        return most
+    sockets = max(0, max_descriptors - _FILE_DESCRIPTORS)
+    connections = int(sockets * _OTHER_DESCRIPTORS_SHARE)
+    return max(_MIN_OTHER_CONNECTIONS, min(most, connections))
+
+
 def decoded_limit(max_body_bytes):
     """Returns the memory that the values of a body may take, bytes.
 
--- a/tests/crowd_case.py
+++ b/tests/crowd_case.py
@@ -72,6 +72,7 @@
             stdout=subprocess.PIPE,
             text=True,
         )
+        self._sampler = gevent.spawn(self._sample)
 
     def wait(self):
         """Returns the largest number of bytes that one connection took."""
@@ -81,20 +82,24 @@
         )
         reader.start()
         while reader.is_alive():
-            self._count_sockets()
             gevent.sleep(_SAMPLE_S)
         return int(lines[0])
 
-    def _count_sockets(self):
-        try:
-            count = _count_sockets(self._pid)
-        except FileNotFoundError:
-            # The process has ended, which the test checks afterwards.
-            return
-        self.max_sockets = max(self.max_sockets, count)
+    def _sample(self):
+        while True:
+            try:
+                count = _count_sockets(self._pid)
+            except FileNotFoundError:
+                # The process has ended, which the test checks afterwards.
+                return
+            self.max_sockets = max(self.max_sockets, count)
+            gevent.sleep(_SAMPLE_S)
 
     def leave(self):
         """Closes the connections that are still open."""
+        if self._process.stdin.closed:
+            return
+        self._sampler.kill()
         self._process.stdin.close()
         while self._process.poll() is None:
             gevent.sleep(_SAMPLE_S)
@@ -107,21 +112,34 @@
     def check_crowd(self, kind, beside=False):
         """Checks a crowd; with `beside` also an ordinary request while it sends."""
         target, address = self.start_target()
-        crowd = _Crowd(address, self.path, kind, target.pid)
-        self.addCleanup(crowd.leave)
+        return self.check_crowds(target, [(address, kind)], beside)
+
+    def check_crowds(self, target, kinds, beside):
+        """Checks several crowds at once.
+
+        Args:
+            target: Process whose memory and sockets are checked.
+            kinds: (address, kind) of each crowd.
+            beside: Whether an ordinary request is also sent while they send.
+        """
+        crowds = []
+        for address, kind in kinds:
+            crowds.append(_Crowd(address, self.path, kind, target.pid))
+            self.addCleanup(crowds[-1].leave)
         if beside:
             gevent.sleep(_BESIDE_S)
             self.check_ordinary_request()
-        taken_bytes = crowd.wait()
+        taken_bytes = max(crowd.wait() for crowd in crowds)
         self.assertIsNone(target.poll(), "the process has ended")
         # The clients whose connections are still open stay.
         self.check_ordinary_request()
-        crowd.leave()
+        for crowd in crowds:
+            crowd.leave()
         self.check_ordinary_request()
         self.assertIsNone(target.poll(), "the process has ended")
         self.assertLess(_peak_memory_mb(target.pid), _MEMORY_MB)
         self.assertLess(taken_bytes, _MAX_CONNECTION_BYTES)
-        return crowd
+        return max(crowd.max_sockets for crowd in crowds)
 
 
 class PlatformCrowdCase(_CrowdChecks, TestCase):
@@ -156,9 +174,9 @@
         reply = call(self.address, "POST", self.path, _JOB, headers=headers)
         self.assertEqual((200, {"state": "completed"}), (reply.status, reply.json))
 
-    def check_crowd(self, kind, beside=False):
-        crowd = super().check_crowd(kind, beside)
-        self.assertLess(crowd.max_sockets, _MAX_DESCRIPTORS - _FILE_DESCRIPTORS)
+    def check_crowds(self, target, kinds, beside):
+        max_sockets = super().check_crowds(target, kinds, beside)
+        self.assertLess(max_sockets, _MAX_DESCRIPTORS - _FILE_DESCRIPTORS)
 
 
 class EntryCrowdCase(_CrowdChecks, FleetCase):
--- a/tests/crowd_kinds.py
+++ b/tests/crowd_kinds.py
@@ -8,6 +8,7 @@
 None if the client reconnects. `tests.client_crowd` runs them.
 """
 
+import struct
 import time
 from dataclasses import dataclass
 from functools import partial
@@ -25,6 +26,9 @@
 # A body of 1.02 MB with 340,000 objects.
 _OBJECTS = b'{"phases":[' + b"{}," * 340_000 + b"{}]}"
 _MAX_REPLY_BYTES = 65_536
+_BLOCK = b"x" * 65_536
+# Length of the body and type of a message between processes.
+_FRAME_HEADER = struct.pack(">IB", 60 * 1024 * 1024, 1)
 
 
 @dataclass(frozen=True)
@@ -106,6 +110,28 @@
     return _open(address)
 
 
+def _idle_returning(address, path, until):
+    """Sends nothing and comes back at once when the connection is closed."""
+    sock = _open(address)
+    while time.monotonic() < until:
+        try:
+            if not sock.recv(_MAX_REPLY_BYTES):
+                return None
+        except TimeoutError:
+            continue
+    return sock
+
+
+def _large_frame(address, path, until):
+    """Announces the largest frame of a link and sends it without a pause."""
+    sock = _open(address)
+    taken = _send(sock, _FRAME_HEADER, until)
+    while taken:
+        taken = _send(sock, _BLOCK, until)
+        gevent.sleep(0)
+    return sock
+
+
 PLAYS = {
     "pipelined_unread": Play(20, partial(_pipelined, False)),
     "pipelined_read": Play(20, partial(_pipelined, True)),
@@ -115,4 +141,6 @@
     "endless_trailers": Play(100, _endless_trailers),
     # More than the listener's connections, several times.
     "idle": Play(300, _idle),
+    "idle_returning": Play(300, _idle_returning),
+    "large_frames": Play(100, _large_frame),
 }
--- a/tests/test_crowd_kinds.py
+++ b/tests/test_crowd_kinds.py
@@ -71,6 +71,50 @@
         self.check_crowd("idle", beside=True)
 
 
+class AllListenersTest(PlatformCrowdCase):
+    """All HTTP addresses of an entry, and the port of its links, at once."""
+
+    def check_all(self, kind):
+        entry, _ = self.start_target()
+        settings = self.fleet.settings[self.target]
+        addresses = [
+            settings["listen_addrs"]["front"],
+            settings["listen_addrs"]["ready"],
+            f"127.0.0.1:{_METRICS_PORT}",
+            f"127.0.0.1:{settings['port_range'][0]}",
+        ]
+        kinds = [(address, kind) for address in addresses]
+        self.check_crowds(entry, kinds, beside=True)
+
+    def test_idle(self):
+        self.check_all("idle")
+
+    def test_pipelined_unread(self):
+        self.check_all("pipelined_unread")
+
+    def test_decoded_body(self):
+        self.check_all("decoded_body")
+
+
+class LinksTest(PlatformCrowdCase):
+    """The port to which the other processes connect."""
+
+    def crowd_address(self):
+        return f"127.0.0.1:{self.fleet.settings[self.target]['port_range'][0]}"
+
+    def test_idle(self):
+        self.check_crowd("idle", beside=True)
+
+    def test_pipelined_unread(self):
+        self.check_crowd("pipelined_unread", beside=True)
+
+    def test_idle_returning(self):
+        self.check_crowd("idle_returning", beside=True)
+
+    def test_large_frames(self):
+        self.check_crowd("large_frames", beside=True)
+
+
 def _add_tests(case):
     """Adds a test of each kind to a case.
 
