Adapter: the listeners beside the callers' follow from the VM

Operators saw (test_crowd_kinds, AllListenersTest): up to 431 sockets of 80 beside crowds at all addresses of an entry on the platform.

Cause: the addresses for health checks, reports and metrics take 64 connections each, whatever the VM has, and the port of the links accepts up to 100 connections before the first of them counts as pending.

The port of the links accepts one connection at a time.

--- a/papayaward/transport/peers.py
+++ b/papayaward/transport/peers.py
@@ -152,5 +152,7 @@
             pending.remove(link)
 
     server = StreamServer(address, accept)
+    # So that each connection counts as pending before the next one is accepted.
+    server.max_accept = 1
     server.start()
     return server
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -29,6 +29,7 @@
     "RequestIntake",
     "RequestTooLong",
     "decoded_limit",
+    "limits_of_other_listener",
     "limits_of_vm",
     "other_connections_of_vm",
 ]
@@ -125,6 +126,19 @@
     )
 
 
+def limits_of_other_listener(memory_mb, max_descriptors, most):
+    """Returns the limits of a listener that callers don't connect to.
+
+    Args:
+        memory_mb: As for `limits_of_vm`.
+        max_descriptors: As for `limits_of_vm`.
+        most: `IntakeLimits` of a large VM.
+    """
+    limits = limits_of_vm(memory_mb, max_descriptors, most)
+    connections = other_connections_of_vm(max_descriptors, most.max_connections)
+    return replace(limits, max_connections=connections)
+
+
 def other_connections_of_vm(max_descriptors, most):
     """Returns how many connections a listener has that callers don't connect to.
 
