Server: bound what the kernel keeps for a connection

Operators saw: nothing yet; by calculation 2,400 connections at an entry of 300 MB with 256 KiB of received bytes and up to 4 MB of unread replies each, which a process's resident memory does not show and the VM's does.

Cause: the receive buffer was fixed at 128 KiB and the send buffer left to the kernel, whatever the VM has; 64 KiB a connection were counted for everything.

Mend: buffers of 12 KiB for each direction where the VM's memory is known (the kernel keeps up to twice as much), 64 KiB on the own interface (socket_buffer_bytes). A connection counts as 48 KiB of the process (measured: 19 KB idle, 44 KB with 14 KB of an unfinished request) and four buffers, so that an entry of 300 MB takes 1,600 connections in place of 2,400.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -82,6 +82,7 @@
             tls = {"certfile": settings.tls_certificate, "keyfile": settings.tls_key}
         limits = IntakeLimits(
             max_connections=settings.max_connections,
+            socket_buffer_bytes=settings.socket_buffer_bytes,
             max_head_bytes=settings.max_head_bytes,
             budget_bytes=max(settings.max_request_bytes, settings.max_body_bytes),
             max_decoded_bytes=settings.max_decoded_bytes
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -155,7 +155,15 @@
         partial(get_int, low=16, high=100_000),
         20_000,
         _ENTRY,
-        "Connections of callers that are open at once; each takes up to 64 KiB.",
+        "Connections of callers that are open at once; each takes up to 48 KiB and four"
+        " times socket_buffer_bytes.",
+    ),
+    Setting(
+        "socket_buffer_bytes",
+        partial(get_int, low=4096, high=1024 * 1024),
+        64 * 1024,
+        _ENTRY,
+        "Buffer of the kernel for each direction of a caller's connection, in bytes.",
     ),
     Setting(
         "max_head_bytes",
--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -42,8 +42,6 @@
 _GUARD_INTERVAL_S = 0.5
 _CONNECTION = "papayaward.connection"
 _BACKLOG = 1024
-# Bytes that the kernel keeps of a client that sends faster than it is read.
-_RECEIVE_BUFFER_BYTES = 128 * 1024
 # A client that is refused while it sends reads the response only if the connection
 # stays open for a while.
 _LINGER_BYTES = 10 * 1024 * 1024
@@ -335,7 +333,10 @@
     # body separately; with Nagle's algorithm the body would wait 40 ms for the peer's
     # delayed ACK.
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    # The kernel's memory is the VM's as well, and by default it grows to megabytes for
+    # a client that sends faster than it is read, or that does not read.
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        listener.setsockopt(socket.SOL_SOCKET, option, limits.socket_buffer_bytes)
     listener.bind(address)
     listener.listen(_BACKLOG)
     options.setdefault("handler_class", _Handler)
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -40,9 +40,11 @@
 # Share of the connections or of the budget from which the server is crowded.
 _CROWDED_SHARE = 0.75
 
-# Memory of a connection with a small request: reader, handler, greenlet and the
-# kernel's buffers.
-_CONNECTION_BYTES = 64 * 1024
+# Memory of a connection with a small request: reader, handler and greenlet.
+_HANDLER_BYTES = 48 * 1024
+# Set for each direction; the kernel keeps up to twice as much.
+_VM_SOCKET_BUFFER_BYTES = 12 * 1024
+_CONNECTION_BYTES = _HANDLER_BYTES + 2 * 2 * _VM_SOCKET_BUFFER_BYTES
 # Shares of a VM's memory for connections with small requests, and for the budget.
 _CONNECTIONS_SHARE = 0.5
 _BUDGET_SHARE = 0.125
@@ -66,6 +68,8 @@
 
     Attributes:
         max_connections: Connections that are open at once.
+        socket_buffer_bytes: Buffer of the kernel for each direction of a connection;
+            the kernel keeps up to twice as much.
         max_head_bytes: Request line and headers of one request.
         small_bytes: Part of each request that needs no reservation.
         budget_bytes: Reservations of all requests together.
@@ -85,6 +89,7 @@
     """
 
     max_connections: int = 1000
+    socket_buffer_bytes: int = 64 * 1024
     max_head_bytes: int = 32 * 1024
     small_bytes: int = 16 * 1024
     budget_bytes: int = 64 * _MIB
@@ -107,7 +112,7 @@
         most: `IntakeLimits` of a large VM.
     """
     connections, budget = most.max_connections, most.budget_bytes
-    decoded = most.max_decoded_bytes
+    decoded, buffer = most.max_decoded_bytes, most.socket_buffer_bytes
     if memory_mb:
         memory = memory_mb * _MIB
         connections = min(
@@ -115,6 +120,7 @@
         )
         budget = min(budget, int(memory * _BUDGET_SHARE))
         decoded = min(decoded, int(memory * _DECODED_SHARE))
+        buffer = min(buffer, _VM_SOCKET_BUFFER_BYTES)
     if max_descriptors:
         sockets = max(0, max_descriptors - _FILE_DESCRIPTORS)
         connections = min(connections, int(sockets * _DESCRIPTORS_SHARE))
@@ -123,6 +129,7 @@
         max_connections=max(1, connections),
         budget_bytes=budget,
         max_decoded_bytes=decoded,
+        socket_buffer_bytes=buffer,
     )
 
 
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -176,6 +176,14 @@
             kept = limits.max_connections * 64 * 1024 + limits.budget_bytes
             self.assertLessEqual(kept, 0.63 * memory_mb * 1024 * 1024)
             self.assertGreaterEqual(limits.budget_bytes, 4 * 1024 * 1024)
+        for memory_mb in (160, 200, 300, 552):
+            limits = limits_of_vm(memory_mb, 8192, most)
+            # The kernel keeps up to twice the buffer of each direction.
+            connection = 48 * 1024 + 4 * limits.socket_buffer_bytes
+            kept = limits.max_connections * connection + limits.budget_bytes
+            kept += limits.max_decoded_bytes
+            # A process takes 34 MB at rest.
+            self.assertLess(kept + 34 * _MIB, memory_mb * _MIB)
         self.assertEqual(60, limits_of_vm(96, 280, most).max_connections)
         self.assertEqual(most, limits_of_vm(0, 0, most))
 
