Server: bound the time of a TLS handshake

Callers saw (test_tls): an entry with TLS and 16 connections answers nobody beside 40 clients that begin no handshake or don't finish it.

Cause: the handshake has no time limit, and its connection counts for none of the limits of requests.

Mend: 5 s (max_handshake_s), counted as tls_handshake.

Measured: the test fails before (no handshake within its 60 s) and passes.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -8,6 +8,7 @@
 import io
 import logging
 from collections import Counter
+from contextlib import closing
 from dataclasses import replace
 from http import HTTPStatus
 from http.client import HTTPException
@@ -48,9 +49,14 @@
 _LINGER_S = 2.0
 _LINGER_READ_BYTES = 16 * 1024
 _LOG_INTERVAL_S = 1.0
+_NO_HANDSHAKE = "tls_handshake"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class _HandshakeTimeout(OSError):
+    """A TLS handshake that was not finished in time."""
+
+
 class _BoundedInput(Input):
     """Body of a request of which the part that nobody reads is not read either."""
 
@@ -225,6 +231,19 @@
         self._guard.kill()
         super().stop(timeout)
 
+    def wrap_socket_and_handle(self, client_socket, address):
+        """Performs the TLS handshake of a connection and serves it."""
+        limit_s = self.intake.limits.max_handshake_s
+        try:
+            with gevent.Timeout(limit_s, _HandshakeTimeout(limit_s)):
+                tls_socket = self.wrap_socket(client_socket, **self.ssl_args)
+        except OSError as error:
+            log.debug("handshake_failed", extra={"error": str(error)})
+            self.count_rejections(_NO_HANDSHAKE, 1)
+            return
+        with closing(tls_socket):
+            self.handle(tls_socket, address)
+
     def set_request_limits(self, request_limits):
         """Applies the limits that the operators have configured.
 
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -75,6 +75,8 @@
         budget_bytes: Reservations of all requests together.
         max_decoded_bytes: Memory of the values of one body; one body at a time is
             decoded.
+        max_handshake_s: Time from the acceptance of a connection to the end of its TLS
+            handshake, seconds.
         max_head_s: Time from the first byte of a request to the end of its head,
             seconds.
         max_read_s: Time from the first byte of a request to its last, seconds.
@@ -94,6 +96,7 @@
     small_bytes: int = 16 * 1024
     budget_bytes: int = 64 * _MIB
     max_decoded_bytes: int = 160 * _MIB
+    max_handshake_s: float = 5.0
     max_head_s: float = 60.0
     max_read_s: float = 60.0
     crowded_read_s: float = 2.0
