Server: accept connections no faster than they have their first turn

Cause: up to 100 connections are accepted at a time, whatever waits to be read.

Mend: while 16 connections wait for their first turn, no further one is accepted; it waits in the kernel's queue.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -84,24 +84,28 @@
 
     def __init__(self, sock, address, server):
         self._reader = server.intake.connect(sock, clock.now())
+        self._has_answered = False
         # Whether the connection is closed in favour of another client.
         self._is_passed_on = False
         super().__init__(sock, address, server, io.BufferedReader(self._reader))
 
     def handle(self):
         try:
+            self.server.intake.take_first_turn()
             super().handle()
         finally:
             self._reader.close()
 
     def handle_one_request(self):
+        if self._has_answered:
+            # The next request may have arrived with the last one.
+            self.server.intake.take_turn()
         self._reader.begin_request(clock.now())
-        # A request that has arrived with an earlier one is read without a wait.
-        self.server.intake.take_turn()
         result = super().handle_one_request()
         if isinstance(result, tuple):
             self._reject(*result)
             return None
+        self._has_answered = True
         return result
 
     def _reject(self, status, response):
@@ -224,8 +228,12 @@
         self.open_requests = set()
         self._logged_at = {}
         super().__init__(listener, application, spawn=limits.max_connections, **options)
+        self.full = self._is_full
         self._guard = gevent.spawn(repeat, self._close_overdue)
 
+    def _is_full(self):
+        return self.pool.full() or not self.intake.accepts
+
     def stop(self, timeout=None):
         """Stops accepting and closes all connections."""
         self._guard.kill()
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -37,6 +37,9 @@
 _MIB = 1024 * 1024
 # Largest part that is read at once; other connections are served in between.
 _READ_BYTES = 64 * 1024
+# Connections without a turn yet above which no further ones are accepted. Clients that
+# leave and come back at once would otherwise be accepted faster than they are read.
+_MAX_NEWCOMERS = 16
 # Share of the connections or of the budget from which the server is crowded.
 _CROWDED_SHARE = 0.75
 
@@ -257,6 +260,15 @@
         """Removes a connection."""
         self._readers.pop(reader, None)
 
+    @property
+    def accepts(self):
+        """Whether the connections accepted last have had their first turn."""
+        return self._turns.newcomers < _MAX_NEWCOMERS
+
+    def take_first_turn(self):
+        """Waits until a connection may begin to read."""
+        self._turns.take_first()
+
     def take_turn(self):
         """Waits until a connection may read or answer on."""
         self._turns.take()
--- a/papayaward/transport/turns.py
+++ b/papayaward/transport/turns.py
@@ -23,6 +23,12 @@
     def __init__(self):
         self._waiting = deque()
         self._giving = False
+        self._newcomers = 0
+
+    @property
+    def newcomers(self):
+        """Number of connections that wait for their first turn."""
+        return self._newcomers
 
     def take(self):
         """Waits for a turn; returns at once if no other was given just before."""
@@ -34,6 +40,14 @@
         self._waiting.append(turn)
         turn.wait()
 
+    def take_first(self):
+        """Waits for the first turn of a connection."""
+        self._newcomers += 1
+        try:
+            self.take()
+        finally:
+            self._newcomers -= 1
+
     def _give(self):
         while self._waiting:
             self._waiting.popleft().set()
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -26,7 +26,7 @@
 _PARALLEL = 3
 _MODULE_TIMEOUT_S = 480
 # Modules that load the machine with many clients; they run one at a time.
-_ALONE = ("test_client_crowd", "test_crowd_kinds")
+_ALONE = ("test_client_crowd", "test_crowd_kinds", "test_crowd_listeners")
 
 
 def _run(module):
--- a/tests/crowd_kinds.py
+++ b/tests/crowd_kinds.py
@@ -8,6 +8,8 @@
 None if the client reconnects. `tests.client_crowd` runs them.
 """
 
+import json
+import random
 import struct
 import time
 from dataclasses import dataclass
@@ -132,6 +134,128 @@
     return sock
 
 
+def _repeated(send, address, path, until):
+    """Opens connection after connection; `send` plays one and closes it."""
+    while time.monotonic() < until:
+        sock = _open(address)
+        try:
+            send(sock, path, until)
+        finally:
+            sock.close()
+        gevent.sleep(0)
+
+
+def _reset(sock, path, until):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    _send(sock, _head(path) + b"Content-Length: 1000\r\n\r\nx", until)
+
+
+def _connect_only(sock, path, until):
+    pass
+
+
+def _garbage(sock, path, until):
+    _send(sock, b"\x16\x03\x01 what\r\n\r\n", until)
+    sock.recv(_MAX_REPLY_BYTES)
+
+
+def _abandoned_job(sock, path, until):
+    _send(sock, _job_request(path, "200"), until)
+
+
+def _half_closed_job(sock, path, until):
+    _send(sock, _job_request(path, "200"), until)
+    sock.shutdown(socket.SHUT_WR)
+    sock.recv(_MAX_REPLY_BYTES)
+
+
+def _malformed_job(sock, path, until):
+    body = b'{"phases":"' + b"x" * 8000 + b'"}'
+    request = _head(path) + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    for _ in range(100):
+        _send(sock, request, until)
+        sock.recv(_MAX_REPLY_BYTES)
+
+
+def _long_paths(sock, path, until):
+    request = b"GET /" + b"x" * 8000 + b" HTTP/1.1\r\nHost: q.example\r\n\r\n"
+    for _ in range(100):
+        _send(sock, request, until)
+        sock.recv(_MAX_REPLY_BYTES)
+
+
+def _half_closed_body(address, path, until):
+    sock = _open(address)
+    _send(sock, _head(path) + b"Content-Length: 1000\r\n\r\nx", until)
+    sock.shutdown(socket.SHUT_WR)
+    return sock
+
+
+def _slow_reader(address, path, until):
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.settimeout(_TIMEOUT_S)
+    sock.connect(address)
+
+    def read():
+        try:
+            while sock.recv(1):
+                gevent.sleep(0.1)
+        except OSError:
+            # The connection has ended.
+            pass
+
+    gevent.spawn(read)
+    while _send(sock, _SMALL_REQUEST * 100, until):
+        gevent.sleep(0)
+    return sock
+
+
+def _unread_continue(address, path, until):
+    """Asks for interim responses and reads none of them."""
+    sock = _open(address)
+    head = _head(path) + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n{}"
+    while _send(sock, head * 500, until):
+        gevent.sleep(0)
+    return sock
+
+
+def _upgrade(address, path, until):
+    sock = _open(address)
+    head = _head(path) + b"Connection: Upgrade\r\nUpgrade: websocket\r\n\r\n"
+    while _send(sock, head * 500, until):
+        gevent.sleep(0)
+    return sock
+
+
+def _waiting_job(address, path, until):
+    """Submits a job that no upstream can run, with a deadline of a day."""
+    sock = _open(address)
+    _send(sock, _job_request(path, "50", label="nowhere", deadline=b"86400000"), until)
+    while time.monotonic() < until:
+        try:
+            if not sock.recv(_MAX_REPLY_BYTES):
+                return None
+        except TimeoutError:
+            continue
+    return sock
+
+
+def _job_request(path, spec, label="", deadline=b"2000"):
+    phase = {"count": 1, "cpu": 1000, "est_runtime_ms": 100, "constraints": label}
+    job = {"spec": spec, "best_effort": True, "phases": [phase]}
+    body = json.dumps(job).encode()
+    # Each client has jobs of its own.
+    path = path[:-12] + f"{random.getrandbits(48):012x}"
+    head = _head(path) + b"Deadline: " + deadline + b"\r\n"
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def _mixed(address, path, until):
+    play = random.choice([play for name, play in PLAYS.items() if name != "mixed"])
+    return play.connect(address, path, until)
+
+
 PLAYS = {
     "pipelined_unread": Play(20, partial(_pipelined, False)),
     "pipelined_read": Play(20, partial(_pipelined, True)),
@@ -143,4 +267,17 @@
     "idle": Play(300, _idle),
     "idle_returning": Play(300, _idle_returning),
     "large_frames": Play(100, _large_frame),
+    "resets": Play(100, partial(_repeated, _reset)),
+    "connects": Play(100, partial(_repeated, _connect_only)),
+    "garbage": Play(100, partial(_repeated, _garbage)),
+    "abandoned_jobs": Play(20, partial(_repeated, _abandoned_job)),
+    "half_closed_jobs": Play(20, partial(_repeated, _half_closed_job)),
+    "malformed_jobs": Play(100, partial(_repeated, _malformed_job)),
+    "long_paths": Play(100, partial(_repeated, _long_paths)),
+    "half_closed_bodies": Play(100, _half_closed_body),
+    "slow_readers": Play(100, _slow_reader),
+    "unread_continue": Play(100, _unread_continue),
+    "upgrades": Play(100, _upgrade),
+    "waiting_jobs": Play(100, _waiting_job),
+    "mixed": Play(150, _mixed),
 }
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -56,6 +56,17 @@
         self.turns.take()
         self.assertEqual(["turn"], self.order)
 
+    def test_newcomers_are_counted_until_their_first_turn(self):
+        """Guards against connections that are accepted faster than they are read."""
+        # The first one has its turn at once.
+        newcomers = [gevent.spawn(self.turns.take_first) for _ in range(4)]
+        gevent.sleep(0)
+        self.assertEqual(3, self.turns.newcomers)
+        newcomers[1].kill()
+        self.assertEqual(2, self.turns.newcomers)
+        gevent.joinall(newcomers)
+        self.assertEqual(0, self.turns.newcomers)
+
     def test_killed_waiter_does_not_stop_the_others(self):
         """Guards against a server that stops reading after a connection was killed."""
         busy = [gevent.spawn(self.run_busy, name, 2) for name in "abc"]
