--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -84,6 +84,12 @@
             max_connections=settings.max_connections,
             socket_buffer_bytes=settings.socket_buffer_bytes,
             max_head_bytes=settings.max_head_bytes,
+            max_send_s=settings.response_timeout_s,
+            crowded_send_s=min(
+                IntakeLimits.crowded_send_s, settings.response_timeout_s
+            ),
+            max_handshake_s=settings.handshake_timeout_s,
+            full_connection_s=settings.full_connection_s,
             budget_bytes=max(settings.max_request_bytes, settings.max_body_bytes),
             max_decoded_bytes=settings.max_decoded_bytes
             or decoded_limit(settings.max_body_bytes),
--- a/papayaward/protocol/settings.py
+++ b/papayaward/protocol/settings.py
@@ -195,6 +195,28 @@
         "Memory that the values of one body may take, in bytes; 0 for 20 times"
         " max_body_bytes.",
     ),
+    Setting(
+        "response_timeout_s",
+        partial(get_number, low=1.0, high=3600.0),
+        60.0,
+        _ENTRY,
+        "Time in which a caller takes its response, in seconds.",
+    ),
+    Setting(
+        "handshake_timeout_s",
+        partial(get_number, low=0.5, high=60.0),
+        5.0,
+        _ENTRY,
+        "Time in which a caller finishes its TLS handshake, in seconds.",
+    ),
+    Setting(
+        "full_connection_s",
+        partial(get_number, low=0.1, high=60.0),
+        1.0,
+        _ENTRY,
+        "Age from which a connection is closed after a response while all are in use,"
+        " in seconds.",
+    ),
     Setting(
         "max_open_jobs",
         partial(get_int, low=1),
