--- a/benchmarks/fault_injection.py
+++ b/benchmarks/fault_injection.py
@@ -7,6 +7,7 @@
 
 import gevent
 
+from .odd_clients import play_odd_clients
 from .path_faults import PATH_FAULTS, submit_path_load
 from .pause_faults import PAUSES, pause_several
 from .process_faults import FAULTS, LOAD_FAULTS
@@ -18,6 +19,7 @@
     "ONLY_NAMES",
     "PATH_NAMES",
     "spawn_faults",
+    "spawn_odd_clients",
     "spawn_only",
     "spawn_path_faults",
     "spawn_pauses",
@@ -84,6 +86,18 @@
     return gevent.spawn(_repeat_fault, soak, pause_several)
 
 
+def spawn_odd_clients(soak):
+    """Starts clients that don't behave, some at a time.
+
+    Args:
+        soak: The soak.
+
+    Returns:
+        Greenlet: It ends once the soak is stopped.
+    """
+    return gevent.spawn(_repeat_fault, soak, play_odd_clients)
+
+
 def _spawn_path_faults(soak, faults, rate):
     return gevent.spawn(_inject_from, soak, faults, soak.path_rng, rate)
 
--- a/benchmarks/platform_soak.py
+++ b/benchmarks/platform_soak.py
@@ -5,14 +5,14 @@
 Randomised soak test of the platform's processes under injected faults.
 
 Usage: `python -m benchmarks.platform_soak --seed N --seconds S [--runners R]
-[--entries E] [--upstream-faults] [--path-faults] [--pauses] [--only FAULT]`. With
-`--only`, one fault of `RESTART_FAULTS`, `WITHDRAWAL_FAULTS` or `PATH_FAULTS` is
-injected again and again, with `path_all` all of the latter, or with `pauses` pauses of
-several processes at a time, and only their jobs are submitted. The last line is `soak:
-ok` or `soak: failed`. It is preceded by the events in order of time (if the run failed
-or its logs are kept), the violations, the answers by status and the command that
-repeats the run. The seed determines the faults and the jobs, but not how the operating
-system interleaves the processes.
+[--entries E] [--upstream-faults] [--path-faults] [--pauses] [--odd-clients]
+[--only FAULT]`. With `--only`, one fault of `RESTART_FAULTS`, `WITHDRAWAL_FAULTS` or
+`PATH_FAULTS` is injected again and again, with `path_all` all of the latter, or with
+`pauses` pauses of several processes at a time, and only their jobs are submitted. The
+last line is `soak: ok` or `soak: failed`. It is preceded by the events in order of time
+(if the run failed or its logs are kept), the violations, the answers by status and the
+command that repeats the run. The seed determines the faults and the jobs, but not how
+the operating system interleaves the processes.
 """
 
 import argparse
@@ -35,6 +35,7 @@
     ONLY_NAMES,
     PATH_NAMES,
     spawn_faults,
+    spawn_odd_clients,
     spawn_only,
     spawn_path_faults,
     spawn_pauses,
@@ -104,6 +105,7 @@
         self.restart_rng = random.Random(seed + 2 * 10**6)
         self.path_rng = random.Random(seed + 3 * 10**6)
         self.pause_rng = random.Random(seed + 4 * 10**6)
+        self.odd_rng = random.Random(seed + 5 * 10**6)
         self.with_upstream_faults = with_upstream_faults
         self._work_ms = WORK_MS if with_upstream_faults else WORK_MS[:-1]
         self._requests = {}
@@ -347,6 +349,7 @@
     with_path_faults=False,
     entries=_ENTRIES,
     with_pauses=False,
+    with_odd_clients=False,
 ):
     """Runs the processes under faults and checks the guarantees.
 
@@ -362,6 +365,7 @@
         with_path_faults: Whether to inject the faults of `PATH_FAULTS` as well.
         entries: Number of entries.
         with_pauses: Whether to pause several processes at a time as well.
+        with_odd_clients: Whether clients that don't behave connect as well.
 
     Returns:
         tuple: Findings (list of str), events (list of str) and the number of answers by
@@ -387,6 +391,8 @@
                 faults.append(spawn_path_faults(soak, seconds))
             if with_pauses:
                 faults.append(spawn_pauses(soak))
+            if with_odd_clients:
+                faults.append(spawn_odd_clients(soak))
             _inject_for(soak, seconds)
             soak.stopped = True
             gevent.joinall(faults, timeout=20.0)
@@ -424,6 +430,7 @@
     parser.add_argument("--upstream-faults", action="store_true")
     parser.add_argument("--path-faults", action="store_true")
     parser.add_argument("--pauses", action="store_true")
+    parser.add_argument("--odd-clients", action="store_true")
     parser.add_argument("--only", choices=ONLY_NAMES)
     options = parser.parse_args(args)
     seed = options.seed
@@ -439,6 +446,7 @@
         options.path_faults,
         options.entries,
         options.pauses,
+        options.odd_clients,
     )
     if findings or options.keep:
         print("\n".join(events))
@@ -452,6 +460,7 @@
         + " --upstream-faults" * options.upstream_faults
         + " --path-faults" * options.path_faults
         + " --pauses" * options.pauses
+        + " --odd-clients" * options.odd_clients
         + (f" --only {options.only}" if options.only else "")
     )
     print("soak: failed" if findings else "soak: ok")
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -156,6 +156,12 @@
         self.assertEqual([], findings, "\n".join(events))
         self.assertGreater(answers["200"], 0, answers)
 
+    def test_clients_that_do_not_behave(self):
+        """Guards against violated guarantees beside clients that don't behave."""
+        findings, events, answers = run_soak(56, _SECONDS, with_odd_clients=True)
+        self.assertEqual([], findings, "\n".join(events))
+        self.assertGreater(answers["200"], 0, answers)
+
     def test_pauses_of_several_processes(self):
         """Guards against violated guarantees when several processes stop at once."""
         findings, events, answers = run_soak(5002, _PAUSES_SECONDS, only="pauses")
