Server: count a request that arrived with the last one

Callers saw (kinds pipelined_heads and pipelined_bodies, new): beside 300 clients that send a whole request and the start of another one at once, no answer in 30 s on. And by reading: while a server is full, a job that was sent together with an earlier request counts as a connection between two requests, and is given up.

Cause: a request began with the first bytes read for it, and those of a pipelined one may have been read before.

Mend: the server looks for buffered bytes before each request. A connection is between two requests only while there are none and none are read.

--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -101,6 +101,8 @@
             # The next request may have arrived with the last one.
             self.server.intake.take_turn()
         self._reader.begin_request(clock.now())
+        if not self._wait_for_request():
+            return None
         result = super().handle_one_request()
         if isinstance(result, tuple):
             self._reject(*result)
@@ -108,6 +110,17 @@
         self._has_answered = True
         return result
 
+    def _wait_for_request(self):
+        """Waits for a part of a request; returns whether one has arrived."""
+        try:
+            # Returns at once if it has arrived with the last request.
+            has_data = bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        if has_data:
+            self._reader.on_first_bytes(clock.now())
+        return has_data
+
     def _reject(self, status, response):
         self._on_rejected(status)
         try:
--- a/papayaward/transport/request_intake.py
+++ b/papayaward/transport/request_intake.py
@@ -349,6 +349,7 @@
         self._sock = sock
         self._intake = intake
         self._reserved_bytes = 0
+        self._has_begun = False
         self._in_head = True
         self._is_complete = False
         self._max_request_bytes = None
@@ -365,12 +366,12 @@
     @property
     def is_idle(self):
         """Whether the connection is between two requests."""
-        return self.request_bytes == 0
+        return not self._has_begun
 
     @property
     def is_unfinished(self):
         """Whether a part of a request has been received and the rest has not."""
-        return self.request_bytes > 0 and not self._is_complete
+        return self._has_begun and not self._is_complete
 
     @property
     def max_decoded_bytes(self):
@@ -383,14 +384,22 @@
         return self.is_unfinished or self.sending_since is not None
 
     def begin_request(self, now):
-        """Starts counting a request."""
+        """Starts counting a request, of which nothing may have arrived yet."""
         self._release()
         self.request_bytes = 0
+        self._has_begun = False
         self._in_head = True
         self._is_complete = False
         self._max_request_bytes = None
         self.since = now
 
+    def on_first_bytes(self, now):
+        """Records that a part of the request has arrived, maybe with the last one."""
+        if not self._has_begun:
+            self._has_begun = True
+            self.since = now
+            self._intake.on_progress_begun()
+
     def limit_request(self, max_bytes):
         """Sets the number of bytes of the current request after which reading fails."""
         self._max_request_bytes = max_bytes
@@ -424,9 +433,7 @@
         return received
 
     def _count(self, received):
-        if self.request_bytes == 0:
-            self.since = clock.now()
-            self._intake.on_progress_begun()
+        self.on_first_bytes(clock.now())
         self.request_bytes += received
         self._intake.take_turn()
         missing = (
--- a/tests/crowd_kinds.py
+++ b/tests/crowd_kinds.py
@@ -191,6 +191,17 @@
     return sock
 
 
+def _pipelined_start(rest, address, path, until):
+    """Sends a whole request and the start of another one at once."""
+    sock = _open(address)
+    _send(sock, _SMALL_REQUEST + rest(path), until)
+    return sock
+
+
+def _unfinished_body(path):
+    return _head(path) + b"Content-Length: 1000\r\n\r\n"
+
+
 def _slow_reader(address, path, until):
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -275,6 +286,8 @@
     "malformed_jobs": Play(100, partial(_repeated, _malformed_job)),
     "long_paths": Play(100, partial(_repeated, _long_paths)),
     "half_closed_bodies": Play(100, _half_closed_body),
+    "pipelined_heads": Play(300, partial(_pipelined_start, _head)),
+    "pipelined_bodies": Play(300, partial(_pipelined_start, _unfinished_body)),
     "slow_readers": Play(100, _slow_reader),
     "unread_continue": Play(100, _unread_continue),
     "upgrades": Play(100, _upgrade),
--- a/tests/test_crowd_kinds.py
+++ b/tests/test_crowd_kinds.py
@@ -18,6 +18,7 @@
     "endless_trailers",
     "idle",
     "idle_returning",
+    "pipelined_bodies",
     "resets",
     "mixed",
 )
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -154,6 +154,22 @@
         self.assertEqual([socket.SHUT_RDWR], sock.closed_sides)
         self.assertEqual({}, intake.overdue(clock.now() + 61.0))
 
+    def test_request_that_arrived_with_the_last_one_is_none_between_two(self):
+        """Guards against a pipelined job that is given up, or held open, unseen."""
+        intake = RequestIntake(_LIMITS)
+        reader, *others = [self.connect(intake) for _ in range(4)]
+        for other in others:
+            other.on_first_bytes(0.0)
+            other.complete_request()
+        reader.begin_request(0.0)
+        self.assertEqual({reader: CloseReason.IDLE}, intake.overdue(1.1))
+        reader.on_first_bytes(10.0)
+        self.assertEqual({}, intake.overdue(11.9))
+        self.assertEqual({reader: CloseReason.UNFINISHED}, intake.overdue(12.1))
+        reader.end_head()
+        reader.complete_request()
+        self.assertEqual({}, intake.overdue(1000.0))
+
     def test_full_server_passes_connections_on(self):
         """Guards against callers who wait while idle or endless clients have it all."""
         intake = RequestIntake(_LIMITS)
