Split the HTTP server: limits, reader of a connection, handler of its requests

Moves only: transport/intake_limits.py, connection_reader.py and http_handler.py; the listeners' crowd tests name their kinds in one place. The cases of each listener are the same.

--- a/papayaward/entry.py
+++ b/papayaward/entry.py
@@ -25,8 +25,8 @@
 from .protocol.store_errors import StoreError
 from .state import invariants, metrics
 from .transport.http_server import serve_http
+from .transport.intake_limits import IntakeLimits, decoded_limit
 from .transport.peers import serve_links
-from .transport.request_intake import IntakeLimits, decoded_limit
 from .transport.store_client import StoreClient
 
 __all__ = ["Entry"]
--- a/papayaward/transport/request_body.py
+++ b/papayaward/transport/request_body.py
@@ -7,8 +7,8 @@
 
 from enum import StrEnum
 
+from .connection_reader import BudgetExhausted, RequestTooLong
 from .json_size import exceeds_decoded_size
-from .request_intake import BudgetExhausted, RequestTooLong
 
 __all__ = ["ON_REJECTED", "READER", "BodyError", "BodyFault", "read_body"]
 
--- a/tests/test_crowd_listeners.py
+++ b/tests/test_crowd_listeners.py
@@ -10,22 +10,14 @@
 __all__ = []
 
 _METRICS_PORT = 9464
+_EVERYWHERE = ("pipelined_unread", "idle")
 
 
 class ReadyTest(PlatformCrowdCase):
-    """The address for health checks, which callers don't reach."""
+    """The address for health checks."""
 
     listener = "ready"
 
-    def test_pipelined_unread(self):
-        self.check_crowd("pipelined_unread", beside=True)
-
-    def test_unread_replies(self):
-        self.check_crowd("unread_replies", beside=True)
-
-    def test_idle(self):
-        self.check_crowd("idle", beside=True)
-
 
 class ReportsTest(PlatformCrowdCase):
     """The address for the reports of the upstream."""
@@ -33,18 +25,6 @@
     target = "r0"
     listener = "control"
 
-    def test_pipelined_unread(self):
-        self.check_crowd("pipelined_unread", beside=True)
-
-    def test_unread_replies(self):
-        self.check_crowd("unread_replies", beside=True)
-
-    def test_idle(self):
-        self.check_crowd("idle", beside=True)
-
-    def test_decoded_body(self):
-        self.check_crowd("decoded_body", beside=True)
-
 
 class MetricsTest(PlatformCrowdCase):
     """The address for operators."""
@@ -52,20 +32,18 @@
     def crowd_address(self):
         return f"127.0.0.1:{_METRICS_PORT}"
 
-    def test_pipelined_unread(self):
-        self.check_crowd("pipelined_unread", beside=True)
 
-    def test_unread_replies(self):
-        self.check_crowd("unread_replies", beside=True)
+class LinksTest(PlatformCrowdCase):
+    """The port to which the other processes connect."""
 
-    def test_idle(self):
-        self.check_crowd("idle", beside=True)
+    def crowd_address(self):
+        return f"127.0.0.1:{self.fleet.settings[self.target]['port_range'][0]}"
 
 
 class AllListenersTest(PlatformCrowdCase):
     """All HTTP addresses of an entry, and the port of its links, at once."""
 
-    def check_all(self, kind):
+    def check_crowd(self, kind, beside=False):
         entry, _ = self.start_target()
         settings = self.fleet.settings[self.target]
         addresses = [
@@ -75,32 +53,25 @@
             f"127.0.0.1:{settings['port_range'][0]}",
         ]
         kinds = [(address, kind) for address in addresses]
-        self.check_crowds(entry, kinds, beside=True)
-
-    def test_idle(self):
-        self.check_all("idle")
+        self.check_crowds(entry, kinds, beside)
 
-    def test_pipelined_unread(self):
-        self.check_all("pipelined_unread")
 
-    def test_decoded_body(self):
-        self.check_all("decoded_body")
+def _add_tests(case, *kinds):
+    """Adds a test of each kind to a case.
 
+    Each guards against callers who get no answer, or a process that exceeds its VM,
+    because of a crowd at the case's address.
+    """
+    for kind in kinds:
 
-class LinksTest(PlatformCrowdCase):
-    """The port to which the other processes connect."""
-
-    def crowd_address(self):
-        return f"127.0.0.1:{self.fleet.settings[self.target]['port_range'][0]}"
-
-    def test_idle(self):
-        self.check_crowd("idle", beside=True)
+        def test(self, kind=kind):
+            self.check_crowd(kind, beside=True)
 
-    def test_pipelined_unread(self):
-        self.check_crowd("pipelined_unread", beside=True)
+        setattr(case, f"test_{kind}", test)
 
-    def test_idle_returning(self):
-        self.check_crowd("idle_returning", beside=True)
 
-    def test_large_frames(self):
-        self.check_crowd("large_frames", beside=True)
+_add_tests(ReadyTest, *_EVERYWHERE, "unread_replies")
+_add_tests(ReportsTest, *_EVERYWHERE, "unread_replies", "decoded_body")
+_add_tests(MetricsTest, *_EVERYWHERE, "unread_replies")
+_add_tests(LinksTest, *_EVERYWHERE, "idle_returning", "large_frames")
+_add_tests(AllListenersTest, *_EVERYWHERE, "decoded_body")
--- a/tests/test_pending_links.py
+++ b/tests/test_pending_links.py
@@ -8,9 +8,9 @@
 from testtools import TestCase
 
 from papayaward.protocol.codec import HEADER
+from papayaward.transport.intake_limits import other_connections_of_vm
 from papayaward.transport.link import Link, LinkClosed
 from papayaward.transport.pending_links import PendingLinks
-from papayaward.transport.request_intake import other_connections_of_vm
 
 from .test_link import _CountingNode, _tcp_pair
 
--- a/tests/test_request_intake.py
+++ b/tests/test_request_intake.py
@@ -15,17 +15,15 @@
 from testtools import TestCase
 
 from papayaward import clock
-from papayaward.transport.json_size import exceeds_decoded_size
-from papayaward.transport.request_body import BodyError, BodyFault, read_body
-from papayaward.transport.request_intake import (
-    BudgetExhausted,
-    CloseReason,
-    HeadTooLarge,
+from papayaward.transport.connection_reader import BudgetExhausted, HeadTooLarge
+from papayaward.transport.intake_limits import (
     IntakeLimits,
-    RequestIntake,
     decoded_limit,
     limits_of_vm,
 )
+from papayaward.transport.json_size import exceeds_decoded_size
+from papayaward.transport.request_body import BodyError, BodyFault, read_body
+from papayaward.transport.request_intake import CloseReason, RequestIntake
 
 __all__ = []
 
