--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -4,10 +4,11 @@
 
 A crowd of clients that exceed the limits of an HTTP server, as a program.
 
-Usage: `python -m tests.client_crowd HOST:PORT PATH KIND`. Every client reconnects when
-it is refused, until its bytes or its time are used up. The program prints one line with
-the largest number of bytes that one connection took, and then keeps the connections
-that are still open until its standard input ends.
+Usage: `python -m tests.client_crowd HOST:PORT PATH KIND`, with a kind of this module or
+of `tests.crowd_kinds`. Every client reconnects when it is refused, until its bytes or
+its time are used up. The program prints one line with the largest number of bytes that
+one connection took (0 for the kinds of `tests.crowd_kinds`), and then keeps the
+connections that are still open until its standard input ends.
 """
 
 import itertools
@@ -118,6 +119,18 @@
     return [client.value for client in clients]
 
 
+def _stay_connected(max_sent, connections):
+    """Prints the largest number of bytes sent and keeps the connections.
+
+    Args:
+        max_sent: Bytes that one connection took.
+        connections: Objects whose sockets close once nothing refers to them.
+    """
+    print(max_sent, flush=True)
+    sys.stdin.read()
+    return 0
+
+
 def main(args):
     """Runs the crowd against an address.
 
@@ -128,18 +141,13 @@
     host, _, port = address.rpartition(":")
     until = time.monotonic() + _CROWD_S
     if kind in PLAYS:
-        connected = _run_plays(PLAYS[kind], (host, int(port)), path, until)
-        print(0, flush=True)
-        sys.stdin.read()
-        del connected
-        return 0
+        sockets = _run_plays(PLAYS[kind], (host, int(port)), path, until)
+        return _stay_connected(0, sockets)
     head = f"POST {path} HTTP/1.1\r\nHost: q.example\r\n".encode()
     blocks = partial(KINDS[kind], head)
     clients = [_Client((host, int(port)), blocks, until) for _ in range(CLIENTS)]
     gevent.joinall([gevent.spawn(client.run) for client in clients])
-    print(max(client.max_sent for client in clients), flush=True)
-    sys.stdin.read()
-    return 0
+    return _stay_connected(max(client.max_sent for client in clients), clients)
 
 
 if __name__ == "__main__":
