Tests: the 22 crowds and their bounds stand where they were

Cause: moved the base classes with the bounds to a module of their own, and the kinds of crowd_kinds ran through client_crowd, so that the diff no longer showed that nothing had changed.

--- a/tests/client_crowd.py
+++ b/tests/client_crowd.py
@@ -4,11 +4,10 @@
 
 A crowd of clients that exceed the limits of an HTTP server, as a program.
 
-Usage: `python -m tests.client_crowd HOST:PORT PATH KIND`, with a kind of this module or
-of `tests.crowd_kinds`. Every client reconnects when it is refused, until its bytes or
-its time are used up. The program prints one line with the largest number of bytes that
-one connection took (0 for the kinds of `tests.crowd_kinds`), and then keeps the
-connections that are still open until its standard input ends.
+Usage: `python -m tests.client_crowd HOST:PORT PATH KIND`. Every client reconnects when
+it is refused, until its bytes or its time are used up. The program prints one line with
+the largest number of bytes that one connection took, and then keeps the connections
+that are still open until its standard input ends.
 """
 
 import itertools
@@ -19,8 +18,6 @@
 import gevent
 from gevent import socket
 
-from .crowd_kinds import PLAYS
-
 __all__ = ["CLIENTS", "KINDS", "main"]
 
 CLIENTS = 100
@@ -97,40 +94,6 @@
             gevent.sleep(0)
 
 
-def _play(play, address, path, until):
-    """Plays one client, which reconnects when it is refused; returns its socket."""
-    while time.monotonic() < until:
-        try:
-            sock = play.connect(address, path, until)
-        except OSError:
-            sock = None
-        if sock is not None:
-            return sock
-        gevent.sleep(_PAUSE_S)
-    return None
-
-
-def _run_plays(play, address, path, until):
-    """Runs a crowd of `crowd_kinds` and returns the sockets that stay open."""
-    clients = [
-        gevent.spawn(_play, play, address, path, until) for _ in range(play.clients)
-    ]
-    gevent.joinall(clients)
-    return [client.value for client in clients]
-
-
-def _stay_connected(max_sent, connections):
-    """Prints the largest number of bytes sent and keeps the connections.
-
-    Args:
-        max_sent: Bytes that one connection took.
-        connections: Objects whose sockets close once nothing refers to them.
-    """
-    print(max_sent, flush=True)
-    sys.stdin.read()
-    return 0
-
-
 def main(args):
     """Runs the crowd against an address.
 
@@ -139,15 +102,14 @@
     """
     address, path, kind = args
     host, _, port = address.rpartition(":")
-    until = time.monotonic() + _CROWD_S
-    if kind in PLAYS:
-        sockets = _run_plays(PLAYS[kind], (host, int(port)), path, until)
-        return _stay_connected(0, sockets)
     head = f"POST {path} HTTP/1.1\r\nHost: q.example\r\n".encode()
     blocks = partial(KINDS[kind], head)
+    until = time.monotonic() + _CROWD_S
     clients = [_Client((host, int(port)), blocks, until) for _ in range(CLIENTS)]
     gevent.joinall([gevent.spawn(client.run) for client in clients])
-    return _stay_connected(max(client.max_sent for client in clients), clients)
+    print(max(client.max_sent for client in clients), flush=True)
+    sys.stdin.read()
+    return 0
 
 
 if __name__ == "__main__":
--- a/tests/crowd_kinds.py
+++ b/tests/crowd_kinds.py
@@ -2,15 +2,19 @@
 tests.crowd_kinds
 ~~~~~~~~~~~~~~~~~
 
-Kinds of clients that use up turns, connections or memory within each single limit.
+Crowds of clients that use up turns, connections or memory within each single limit, as
+a program.
 
-Each is a function that plays one connection until a time and returns the socket, or
-None if the client reconnects. `tests.client_crowd` runs them.
+Usage: `python -m tests.crowd_kinds HOST:PORT PATH KIND`, as for `tests.client_crowd`.
+The bytes are not counted, so the line that it prints is 0. Each kind is a function that
+plays one connection until a time and returns the socket, or None if the client
+reconnects.
 """
 
 import json
 import random
 import struct
+import sys
 import time
 from dataclasses import dataclass
 from functools import partial
@@ -19,8 +23,10 @@
 import gevent
 from gevent import socket
 
-__all__ = ["PLAYS", "Play"]
+__all__ = ["PLAYS", "Play", "main"]
 
+_CROWD_S = 6.0
+_PAUSE_S = 0.02
 _TIMEOUT_S = 2.0
 _REQUESTS = 1500
 _SMALL_REQUEST = b"GET /nothing HTTP/1.1\r\nHost: q.example\r\n\r\n"
@@ -294,3 +300,40 @@
     "waiting_jobs": Play(100, _waiting_job),
     "mixed": Play(150, _mixed),
 }
+
+
+def _run_client(play, address, path, until):
+    """Plays one client, which reconnects when it is refused; returns its socket."""
+    while time.monotonic() < until:
+        try:
+            sock = play.connect(address, path, until)
+        except OSError:
+            sock = None
+        if sock is not None:
+            return sock
+        gevent.sleep(_PAUSE_S)
+    return None
+
+
+def main(args):
+    """Runs the crowd against an address.
+
+    Args:
+        args: `HOST:PORT`, the path of the requests and the name of a kind.
+    """
+    address, path, kind = args
+    host, _, port = address.rpartition(":")
+    play, until = PLAYS[kind], time.monotonic() + _CROWD_S
+    clients = [
+        gevent.spawn(_run_client, play, (host, int(port)), path, until)
+        for _ in range(play.clients)
+    ]
+    gevent.joinall(clients)
+    print(0, flush=True)
+    # The clients' sockets stay open until the input ends.
+    sys.stdin.read()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_crowd_kinds.py
+++ b/tests/test_crowd_kinds.py
@@ -5,7 +5,7 @@
 Crowds of clients that use up turns, connections or memory, at callers' addresses.
 """
 
-from .crowd_case import EntryCrowdCase, PlatformCrowdCase
+from .test_client_crowd import EntryCrowdCase, PlatformCrowdCase
 
 __all__ = []
 
--- a/tests/test_crowd_listeners.py
+++ b/tests/test_crowd_listeners.py
@@ -5,7 +5,7 @@
 Crowds of clients at the addresses that callers should not reach.
 """
 
-from .crowd_case import PlatformCrowdCase
+from .test_client_crowd import PlatformCrowdCase
 
 __all__ = []
 
