Names and comments that a newcomer stumbles over

Cause: reading the change and the modules around it once more. Comments spoke of what processes are told or know instead of what is published, reported or certain; the docstring of the soak's odd clients described another interface.

No behaviour.

Measured: the thirteen modules that use them, 211 passed, 0 failed; linter and formatter clean.

--- a/benchmarks/odd_clients.py
+++ b/benchmarks/odd_clients.py
@@ -4,8 +4,8 @@
 
 Clients of the soak that don't behave, a few at a time beside its ordinary callers.
 
-Each kind is a function that plays one connection until a time. It returns a socket that
-stays open for a while, or None.
+Each kind is a function that plays one open connection until a time. The connection is
+kept until then unless the entry closes it.
 """
 
 import struct
--- a/papayaward/coordination/crashes/isolation.py
+++ b/papayaward/coordination/crashes/isolation.py
@@ -43,9 +43,9 @@
     """
 
     START = ""
-    # A task is known to have crashed several upstreams.
+    # A task has crashed several upstreams, beyond doubt.
     CONDEMNED = "crashes upstreams"
-    # A task may have been in several crashes, and is not known to have caused them.
+    # A task may have been in several crashes, whose cause is uncertain.
     EXHAUSTED = "upstreams crashed repeatedly"
     # The job has probably crashed an upstream, and another start could cost one more.
     GIVEN_UP = "upstream crashed"
@@ -297,9 +297,9 @@
         """Returns whether an executor has enough free CPU for a task of a job."""
         return self._everywhere.may_place(job)
 
-    def keeps_headroom(self, queue):
+    def leaves_headroom(self, queue):
         """Returns whether new jobs of a queue leave what is kept for others."""
-        return self._everywhere.keeps_headroom(queue)
+        return self._everywhere.leaves_headroom(queue)
 
     def can_meet_objective(self, job):
         """Returns whether a job without a start can still meet its objective."""
--- a/papayaward/coordination/crashes/lost_upstreams.py
+++ b/papayaward/coordination/crashes/lost_upstreams.py
@@ -76,8 +76,8 @@
         lost = self._lost[key]
         is_same = lost.upstream == view.upstream
         if is_same and not view.accepting:
-            # The report may be a stored one. The upstream is known to be still running
-            # when the executor accepts tasks for it.
+            # The report may be a stored one. Only an executor that accepts tasks for
+            # the upstream shows that it is still running.
             return None
         del self._lost[key]
         if is_same or now - lost.lost_at >= _RETURN_S:
--- a/papayaward/coordination/crashes/suspected_crashes.py
+++ b/papayaward/coordination/crashes/suspected_crashes.py
@@ -29,8 +29,8 @@
     crash: Crash
     # Time at which it is published, seconds; None if it has been.
     publish_at: float | None
-    # Whether all processes have been told that the upstream refuses connections.
-    is_refusal_told: bool = False
+    # Whether the refused connections were published to all processes.
+    is_refusal_published: bool = False
 
 
 class SuspectedCrashes:
@@ -77,12 +77,12 @@
             publish_at: Time until which a reply is awaited before, seconds.
         """
         self._suspected.pop(crash.upstream, None)
-        is_refusal_told, self._refusal = self._refusal is not None, None
+        is_refusal_published, self._refusal = self._refusal is not None, None
         if crash.is_known:
             self._relay.publish(crash, now)
             return
         self._suspected[crash.upstream] = _Suspected(
-            state, crash, publish_at or now, is_refusal_told
+            state, crash, publish_at or now, is_refusal_published
         )
         self.check(now)
         if len(self._suspected) > _MAX_SUSPECTED:
@@ -118,5 +118,5 @@
             del self._suspected[crash.upstream]
             if not is_same or born_ms > state.born_ms:
                 self._relay.publish(replace(crash, is_known=True), now)
-            elif suspected.publish_at is None or suspected.is_refusal_told:
+            elif suspected.publish_at is None or suspected.is_refusal_published:
                 self._relay.withdraw(crash, now)
--- a/papayaward/coordination/ejection.py
+++ b/papayaward/coordination/ejection.py
@@ -22,8 +22,8 @@
 # Minimum number of tasks of a kind that other executors must have run before a
 # failure of that kind is attributed to an executor.
 _MIN_OTHERS = 3
-# Time for which an executor with a failure of unknown cause gets work last, so that
-# other executors show whether the task or the executor is at fault.
+# Time for which an executor is ranked last after a failure of unknown cause, seconds.
+# Meanwhile other executors show whether the task or the executor is at fault.
 _SUSPECT_S = 1.0
 _KIND_SAMPLES = 400
 _MAX_KINDS = 2000
--- a/papayaward/coordination/interference.py
+++ b/papayaward/coordination/interference.py
@@ -22,7 +22,7 @@
 # Number of samples of a queue that a fit remembers.
 _MEMORY = 600
 _MIN_SAMPLES = 60
-# Number of queues beside one that are told apart.
+# Number of other queues whose effect on one queue is estimated.
 _MAX_QUEUES = 8
 # Time between two fits of a queue, seconds.
 _FIT_INTERVAL_S = 1.0
--- a/papayaward/coordination/job_scheduler.py
+++ b/papayaward/coordination/job_scheduler.py
@@ -396,7 +396,7 @@
         placement_round = self._isolation.begin_round(self._views.values(), now)
         wants_queues = self._statistics.interference.is_known
         batches = StartBatches(
-            self._placement, self._lost, placement_round.keeps_headroom, wants_queues
+            self._placement, self._lost, placement_round.leaves_headroom, wants_queues
         )
         waiting = self._waiting.values()
         jobs = [job for job in waiting if not self._is_held_back(job, now)]
--- a/papayaward/coordination/late_starts.py
+++ b/papayaward/coordination/late_starts.py
@@ -25,7 +25,7 @@
 
 from ..protocol.gen import ttypes
 from .crashes.upstream_crashes import LostRun
-from .run_activity import may_outlast_lifetime
+from .run_activity import allows_late_starts
 from .upstream_requests import LATE_RENEWALS_S, MAX_LATE_RUN_S, MAX_START_DELAY_S
 
 __all__ = ["LateStart", "LateStarts"]
@@ -113,11 +113,11 @@
         self._additions = 0
         # Names of the tasks whose runs the take-over under way has found.
         self._found = set()
-        # (task, number) of each run that the take-over of the present session has
-        # found, active or ended. Its lifetime rejects these numbers.
+        # (task, number) of each active or ended run listed at the take-over of the
+        # present session. Its lifetime rejects these numbers.
         self._executed = set()
-        # (task, number) of requests of earlier processes that entries have told of, and
-        # the time until which they may be executed, seconds.
+        # (task, number) of requests of earlier processes that entries have reported,
+        # and the time until which they may be executed, seconds.
         self._told = {}
         # Time by which the leases of all closed sessions have ended, seconds.
         self._leased_until = 0.0
@@ -178,7 +178,7 @@
             now: Time, seconds.
         """
         until = run.late_start_until
-        if not until or not may_outlast_lifetime(run.proof):
+        if not until or not allows_late_starts(run.proof):
             return
         session = run.session
         start = LateStart(
--- a/papayaward/coordination/leased_executor.py
+++ b/papayaward/coordination/leased_executor.py
@@ -41,8 +41,8 @@
 # later; killing the runs when the lease expires takes another 50 ms.
 _LEASE_S = 0.95
 _TICK_S = 0.05
-# What ran beside a run is told for the first task of a phase only: the run times of the
-# other ones are not independent.
+# Reports name what ran beside a run only for the first task of a phase, since the run
+# times of its other tasks are not independent.
 _FIRST_TASK_SUFFIX = ".0"
 
 
@@ -272,7 +272,7 @@
                         number = self._numbers.next(start.task, number) - 1
                     self._queue_end(owner, start.task, number, outcome, 0)
                 else:
-                    # The job has begun, so that its other tasks may use the headroom.
+                    # The job has begun: its other tasks may use the headroom.
                     group.may_use_kept = True
         log_refusals(refused, now - owner.last_alive_at)
         self._on_capacity_changed()
@@ -344,8 +344,8 @@
 
     def _stop(self, run, reason, now):
         if not run.stopping:
-            # The other entries are told of a start that may still be executed; the
-            # caller may submit the job to them.
+            # The caller may submit the job to another entry, so all entries learn of a
+            # start that may still be executed.
             stop_run(run, reason, now, on_unsettled=self._on_capacity_changed)
 
     def stop_all(self, reason, now):
--- a/papayaward/coordination/leased_runs.py
+++ b/papayaward/coordination/leased_runs.py
@@ -55,8 +55,8 @@
     sent_at: float = 0.0
     # Number of requests to start it that had no reply.
     unanswered: int = 0
-    # Whether one of them is known to have been executed: by the lifetime that lists the
-    # run although no request was answered, or by a later one than that which began it.
+    # Whether one of them was executed for certain: by the lifetime that lists the run
+    # although no request was answered, or by a later one than that which began it.
     has_executed_unanswered: bool = False
     has_executed_late: bool = False
     # Start of the latest lifetime that has listed it after its session, milliseconds.
@@ -65,7 +65,7 @@
     # time until which a later lifetime of the upstream may execute them, seconds.
     earlier_requests: int = 0
     earlier_start_until: float = 0.0
-    # Start of the latest lifetime that is known to reject its number, milliseconds.
+    # Start of the latest lifetime that rejects its number for certain, milliseconds.
     rejected_by_ms: int = 0
     # Whether the lifetime of its session is known to have begun it, from the reply to
     # its start or from a list of the runs.
--- a/papayaward/coordination/leased_views.py
+++ b/papayaward/coordination/leased_views.py
@@ -90,17 +90,17 @@
         """Whether the executor has reported the capacity of an upstream."""
         return self.capacity.cpu_millis > 0
 
-    def has_room_for(self, task, keeps_headroom=True):
+    def has_capacity_for(self, task, leaves_headroom=True):
         """Returns whether a task fits beside what is kept for more urgent queues.
 
         Args:
             task: `Task`.
-            keeps_headroom: Whether it has to leave what is kept.
+            leaves_headroom: Whether it has to leave what is kept.
         """
         need, job = task.phase.need, task.job
         if not self._free.covers(need):
             return False
-        if not self._kept or not keeps_headroom or job.started:
+        if not self._kept or not leaves_headroom or job.started:
             return True
         kept = kept_cpu(self._kept, job.queue.priority)
         return not kept or self._free.cpu_millis - need.cpu_millis >= kept
--- a/papayaward/coordination/placement_report.py
+++ b/papayaward/coordination/placement_report.py
@@ -128,7 +128,7 @@
     def _phase(self, job, number, now):
         placement_round = self._isolation.begin_round(self._views.values(), now)
         task = job.phases[number][0]
-        keeps = placement_round.keeps_headroom(job.queue)
+        keeps = placement_round.leaves_headroom(job.queue)
         of_service = [v for v in self._views.values() if v.service == job.queue.service]
         verdicts = {view: self._verdict(view, task, keeps, now) for view in of_service}
         ranked = sorted(
@@ -142,16 +142,16 @@
         executors = tuple(self._executor(v, task, verdicts[v]) for v in ranked)
         return PhaseReport(number, starts, waiting, executors)
 
-    def _verdict(self, view, task, keeps_headroom, now):
+    def _verdict(self, view, task, leaves_headroom, now):
         if self._placement.is_out(view):
             return "failure domain out of service"
         if not view.accepting:
             return "accepts no tasks"
         if not view.suits(task.phase):
             return "label or size"
-        if not view.has_room_for(task, keeps_headroom=False):
+        if not view.has_capacity_for(task, leaves_headroom=False):
             return "no free capacity"
-        if not view.has_room_for(task, keeps_headroom):
+        if not view.has_capacity_for(task, leaves_headroom):
             return "kept for more urgent queues"
         if not self._placement.fits(view, task, now):
             return "ejected, or limit for an upstream"
--- a/papayaward/coordination/placement_round.py
+++ b/papayaward/coordination/placement_round.py
@@ -152,12 +152,12 @@
         """Returns whether an executor can start a task now."""
         if self._now < task.retry_at:
             return False
-        keeps_headroom = self.keeps_headroom(task.job.queue)
-        if not view.has_room_for(task, keeps_headroom):
+        leaves_headroom = self.leaves_headroom(task.job.queue)
+        if not view.has_capacity_for(task, leaves_headroom):
             return False
         return self._placement.fits(view, task, self._now)
 
-    def keeps_headroom(self, queue):
+    def leaves_headroom(self, queue):
         """Returns whether new jobs of a queue leave what is kept for more urgent ones.
 
         While the executors together have much more capacity, urgent tasks find some
--- a/papayaward/coordination/run_activity.py
+++ b/papayaward/coordination/run_activity.py
@@ -30,7 +30,7 @@
     "Proof",
     "RunActivity",
     "may_be_executed_late",
-    "may_outlast_lifetime",
+    "allows_late_starts",
     "proof_of_end",
 ]
 
@@ -203,7 +203,7 @@
     return may_have_reached_other(max(run.sent_at, run.started_at))
 
 
-def may_outlast_lifetime(proof):
+def allows_late_starts(proof):
     """Returns whether a later lifetime may execute requests despite a `Proof`.
 
     Args:
--- a/papayaward/coordination/start_batches.py
+++ b/papayaward/coordination/start_batches.py
@@ -25,15 +25,15 @@
     Args:
         placement: `Placement`.
         lost: `LostTasks`.
-        keeps_headroom: Function that takes a `Queue` and returns whether its new jobs
+        leaves_headroom: Function that takes a `Queue` and returns whether its new jobs
             leave what is kept for more urgent ones.
         wants_queues: Whether executors are to report which queues' tasks they run.
     """
 
-    def __init__(self, placement, lost, keeps_headroom, wants_queues=False):
+    def __init__(self, placement, lost, leaves_headroom, wants_queues=False):
         self._placement = placement
         self._lost = lost
-        self._keeps_headroom = keeps_headroom
+        self._keeps_headroom = leaves_headroom
         self._wants_queues = wants_queues
         # `StartGroup` by view, then by the phase of a job.
         self._groups = {}
--- a/papayaward/coordination/start_forecast.py
+++ b/papayaward/coordination/start_forecast.py
@@ -89,7 +89,7 @@
         return not any(
             view.accepting
             and view.service == job.queue.service
-            and view.has_room_for(task)
+            and view.has_capacity_for(task)
             for task in _first_tasks(job)
             for view in views
         )
--- a/papayaward/transport/http_server.py
+++ b/papayaward/transport/http_server.py
@@ -64,7 +64,7 @@
         self.intake = RequestIntake(limits)
         self._max_decoded_bytes = limits.max_decoded_bytes
         self.draining = False
-        self._is_closed = False
+        self._has_stopped_accepting = False
         self.open_requests = set()
         self._logged_at = {}
         super().__init__(listener, application, spawn=limits.max_connections, **options)
@@ -77,7 +77,7 @@
     def start_accepting(self):
         """Accepts connections, unless the server has stopped for good."""
         # Also called by the base class whenever a connection has ended.
-        if not self._is_closed:
+        if not self._has_stopped_accepting:
             super().start_accepting()
 
     def stop(self, timeout=None):
@@ -167,7 +167,7 @@
         """
         self.draining = True
         self._wait_for(set(self.open_requests), deadline)
-        self._is_closed = True
+        self._has_stopped_accepting = True
         self.stop_accepting()
         # Leaves time for the most recently accepted connections to send a request.
         gevent.sleep(_FINAL_REQUEST_WAIT_S)
--- a/tests/test_activity_orders.py
+++ b/tests/test_activity_orders.py
@@ -75,7 +75,7 @@
 
     def test_search_finds_proofs_of_one_lifetime_taken_for_all(self):
         """Guards against a search in which late starts end with their lifetime."""
-        with mock.patch.object(late_starts, "may_outlast_lifetime", lambda _: False):
+        with mock.patch.object(late_starts, "allows_late_starts", lambda _: False):
             self.assertIsNotNone(self.find_false_proof())
 
     def test_search_finds_late_renewals_that_are_not_waited_for(self):
--- a/tests/test_headroom.py
+++ b/tests/test_headroom.py
@@ -110,7 +110,9 @@
         ):
             report.free.cpu_millis = free_cores * 1000
             view.on_capacity_report(report)
-            self.assertEqual(fits, view.has_room_for(task), (report.kept, free_cores))
+            self.assertEqual(
+                fits, view.has_capacity_for(task), (report.kept, free_cores)
+            )
 
 
 def _task(priority):
--- a/tests/test_start_forecast.py
+++ b/tests/test_start_forecast.py
@@ -39,7 +39,7 @@
     return SimpleNamespace(
         accepting=True,
         service=job.queue.service,
-        has_room_for=lambda task: has_room,
+        has_capacity_for=lambda task: has_room,
     )
 
 
