Turns: by time, as long as everything else has taken

Cause: let everything else that is ready run between any two turns, however long that takes; the port of the links accepted one connection a pass as well. Each turn also cost a greenlet, and a new connection took two.

Mend: turns are given for as long as everything else has just taken, 2 ms at least, by a callback of the hub that runs one after the other; the first block of a request is read in the request's turn; the port of the links accepts up to a quarter of its pending links at once. The share of either side does not go to zero, and a job still waits for few turns at each step.

--- a/papayaward/transport/connection_reader.py
+++ b/papayaward/transport/connection_reader.py
@@ -144,9 +144,11 @@
         return received
 
     def _count(self, received):
+        if self.request_bytes:
+            # The first block is read in the turn of the request.
+            self._intake.take_turn()
         self.on_first_bytes(clock.now())
         self.request_bytes += received
-        self._intake.take_turn()
         missing = (
             self.request_bytes - self._intake.limits.small_bytes - self._reserved_bytes
         )
--- a/papayaward/transport/peers.py
+++ b/papayaward/transport/peers.py
@@ -25,6 +25,8 @@
 _MIN_DELAY_S = 0.05
 _MAX_DELAY_S = 0.15
 _MAX_PENDING_LINKS = 64
+# Part of the pending links that may be accepted at once.
+_ACCEPTED_PART = 4
 _NO_HANDSHAKE = "link_without_handshake"
 
 
@@ -152,7 +154,7 @@
             pending.remove(link)
 
     server = StreamServer(address, accept)
-    # So that each connection counts as pending before the next one is accepted.
-    server.max_accept = 1
+    # So that most connections count as pending before further ones are accepted.
+    server.max_accept = max(1, max_pending // _ACCEPTED_PART)
     server.start()
     return server
--- a/papayaward/transport/turns.py
+++ b/papayaward/transport/turns.py
@@ -5,24 +5,45 @@
 Turns of the connections of a server.
 
 A greenlet that finds data whenever it reads never waits, so that nothing else of the
-process runs. One connection at a time therefore has a turn, in which it reads a block
-or answers a request. Between two turns everything else that is ready runs once.
+process runs. A connection therefore has turns, in which it reads a block or answers a
+request. Turns are given for as long as everything else that was ready has just taken,
+then it runs again: neither many clients nor much other work stops the other side.
 """
 
 from collections import deque
 
-import gevent
-from gevent.event import Event
+from gevent.hub import Waiter, get_hub
 
-__all__ = ["Turns"]
+from .. import clock
+
+__all__ = ["Turns", "end_of_turns"]
+
+# Time for turns if nothing else is ready.
+_MIN_TURNS_S = 0.002
+
+
+def end_of_turns(now, paused_at):
+    """Returns the time after which no further turn is given for now, seconds.
+
+    Args:
+        now: Time, seconds.
+        paused_at: Time since which everything else has run, seconds.
+    """
+    return now + max(_MIN_TURNS_S, now - paused_at)
 
 
 class Turns:
-    """Gives turns in the order in which they were asked for."""
+    """Gives turns in the order in which they were asked for.
+
+    Args:
+        now: Function that returns the time, seconds.
+    """
 
-    def __init__(self):
+    def __init__(self, now=clock.now):
+        self._now = now
         self._waiting = deque()
-        self._giving = False
+        self._is_scheduled = False
+        self._paused_at = 0.0
         self._newcomers = 0
 
     @property
@@ -32,13 +53,12 @@
 
     def take(self):
         """Waits for a turn; returns at once if no other was given just before."""
-        if not self._giving:
-            self._giving = True
-            gevent.spawn(self._give)
+        if not self._is_scheduled:
+            self._schedule()
             return
-        turn = Event()
+        turn = Waiter()
         self._waiting.append(turn)
-        turn.wait()
+        turn.get()
 
     def take_first(self):
         """Waits for the first turn of a connection."""
@@ -48,8 +68,18 @@
         finally:
             self._newcomers -= 1
 
+    def _schedule(self):
+        self._is_scheduled = True
+        self._paused_at = self._now()
+        # Runs after everything that is ready now.
+        get_hub().loop.run_callback(self._give)
+
     def _give(self):
-        while self._waiting:
-            self._waiting.popleft().set()
-            gevent.sleep(0)
-        self._giving = False
+        """Runs in the hub, to which a greenlet returns at the end of its turn."""
+        until = end_of_turns(self._now(), self._paused_at)
+        while self._waiting and self._now() < until:
+            self._waiting.popleft().switch(None)
+        if self._waiting:
+            self._schedule()
+        else:
+            self._is_scheduled = False
