--- a/review/harness-3/small_fleet.py
+++ b/review/harness-3/small_fleet.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 import time
@@ -22,6 +23,15 @@
 from standins.platform_fleet import PlatformFleet  # noqa: E402
 
 HOST = "127.0.0.1"
+_CANNOT_RUN = 2
+
+
+def _on_terminate(number, frame):
+    # Raised in the case, which then ends all processes that it has started.
+    raise SystemExit(_CANNOT_RUN)
+
+
+signal.signal(signal.SIGTERM, _on_terminate)
 
 
 class SmallFleet(PlatformFleet):
