--- a/review/harness-3/observed_upstream.py
+++ b/review/harness-3/observed_upstream.py
@@ -33,10 +33,10 @@
         self.noted_end = 0
         self.work_s = {}
 
-    def start(self, instance, request, timeout_s=0.0, may_send=lambda: True):
+    def _start(self, request):
         work_s, _ = leased_upstream._read_spec(request.spec, request.task)
         self.work_s[request.task, request.run] = work_s
-        return super().start(instance, request, timeout_s, may_send)
+        return super()._start(request)
 
     def poll(self, instance, request, timeout_s=0.0, may_send=lambda: True):
         self.last_hold_at = time.monotonic()
